--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# almondreel: the front door. Everything needs only Go and this repository.
+PROGRAMS := almondreel almondreel-agent almondreel-demo almondreel-gateway almondreel-standin
+PROGRAM_DIRS := $(addprefix ./cmd/,$(PROGRAMS))
+
+.PHONY: all build demo test race bench soak format lint vet clean
+
+all: build
+
+build:
+	go build -o bin/ $(PROGRAM_DIRS)
+
+# Starts the example site as processes, releases a model under live load.
+# `make demo SITE=comptoir` runs the other example.
+SITE ?= hollister
+demo: build
+	bin/almondreel-demo --bin bin --settings examples/$(SITE).yaml
+
+# Unit tests, then end-to-end tests on the real binaries.
+test: build
+	go test ./... $(PROGRAM_DIRS)
+
+race:
+	go test -race ./internal/... ./pkg/...
+
+bench: build
+	go test -run '^$$' -bench . -benchtime 1x ./bench/...
+
+# Long randomised runs; SEED=n repeats one.
+soak: build
+	SOAK=1 go test -count 1 -timeout 40m -run Soak -v ./...
+
+format:
+	gofmt -l -w cmd internal pkg test
+
+vet:
+	go vet ./... $(PROGRAM_DIRS)
+
+bin/staticcheck: tools/go.mod tools/go.sum
+	cd tools && GOWORK=off go build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+
+lint: bin/staticcheck
+	bin/staticcheck -checks 'all,-ST1000,-SA1019' ./... $(PROGRAM_DIRS)
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/almondreel-agent/main.go
@@ -0,0 +1,4 @@
+// Command almondreel-agent is a placeholder until its package is wired in.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/almondreel-gateway/main.go
@@ -0,0 +1,4 @@
+// Command almondreel-gateway is a placeholder until its package is wired in.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,120 @@
+// Package control carries calls between almondreel's own processes over net/rpc.
+//
+// net/rpc has no deadlines. A Client closes its connection when a call's
+// deadline passes, so a late answer reaches nobody.
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"almondreel.example/almondreel/internal/errs"
+)
+
+const dialTimeout = 2 * time.Second
+
+// Handle registers receiver's methods under name and returns the handler that
+// serves them at rpc.DefaultRPCPath.
+func Handle(receivers map[string]any) (http.Handler, error) {
+	server := rpc.NewServer()
+	for name, receiver := range receivers {
+		if err := server.RegisterName(name, receiver); err != nil {
+			return nil, errs.Wrap(err, "register "+name, "")
+		}
+	}
+	return server, nil
+}
+
+// Path is where the handler must be mounted.
+const Path = rpc.DefaultRPCPath
+
+// Client calls one peer, connecting on demand. It is safe for concurrent use.
+type Client struct {
+	address string
+	mu      sync.Mutex
+	client  *rpc.Client
+}
+
+// NewClient returns a client of the peer at address (IP:port).
+func NewClient(address string) *Client {
+	return &Client{address: address}
+}
+
+// Address returns the peer's address.
+func (c *Client) Address() string { return c.address }
+
+// Call runs method ("Gateway.Heartbeat") and waits for reply until ctx ends.
+func (c *Client) Call(ctx context.Context, method string, request, reply any) error {
+	client, err := c.connect(ctx)
+	if err != nil {
+		return errs.Wrap(err, "connect", c.address)
+	}
+	call := client.Go(method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case done := <-call.Done:
+		if _, answered := done.Error.(rpc.ServerError); done.Error != nil && !answered {
+			c.drop(client)
+		}
+		return errs.Wrap(done.Error, method, c.address)
+	case <-ctx.Done():
+		c.drop(client)
+		return errs.Wrap(ctx.Err(), method, c.address)
+	}
+}
+
+// Close closes the connection; a later call connects again.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.client != nil {
+		_ = c.client.Close()
+		c.client = nil
+	}
+}
+
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.client != nil {
+		return c.client, nil
+	}
+	client, err := dial(ctx, c.address)
+	if err != nil {
+		return nil, err
+	}
+	c.client = client
+	return client, nil
+}
+
+func (c *Client) drop(client *rpc.Client) {
+	c.mu.Lock()
+	if c.client == client {
+		c.client = nil
+	}
+	c.mu.Unlock()
+	_ = client.Close()
+}
+
+// dial asks the peer's HTTP server for its net/rpc service, as
+// rpc.DialHTTPPath does, within ctx and dialTimeout.
+func dial(ctx context.Context, address string) (*rpc.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline)
+	if err := connectHTTP(conn); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return rpc.NewClient(conn), nil
+}
--- /dev/null
+++ b/internal/desired/desired.go
@@ -0,0 +1,98 @@
+// Package desired holds the configuration and placement that a daemon has in
+// force. Revisions only rise: an older one is refused whoever offers it.
+package desired
+
+import (
+	"encoding/json"
+	"sync"
+
+	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/placement"
+)
+
+// Snapshot is what is in force at one moment, with the encoded forms to pass on.
+type Snapshot struct {
+	Configuration        operator.Document
+	Placement            placement.Placement
+	EncodedConfiguration gateway.Versioned
+	EncodedPlacement     gateway.Versioned
+}
+
+// State holds the newest snapshot. It is safe for concurrent use.
+type State struct {
+	mu       sync.Mutex
+	snapshot Snapshot
+	changed  chan struct{}
+}
+
+// NewState returns a state with nothing in force.
+func NewState() *State {
+	return &State{changed: make(chan struct{})}
+}
+
+// Current returns the snapshot and a channel that closes when a newer one is in force.
+func (s *State) Current() (Snapshot, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot, s.changed
+}
+
+// AdoptConfiguration puts v in force if it is newer. An empty value is ignored.
+func (s *State) AdoptConfiguration(v gateway.Versioned, from string) error {
+	if len(v.Value) == 0 {
+		return nil
+	}
+	var d operator.Document
+	if err := json.Unmarshal(v.Value, &d); err != nil {
+		return errs.Wrap(err, "decode configuration", from)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.snapshot.EncodedConfiguration.Revision
+	if v.Revision <= held {
+		older(event.ConfigurationOlder, v.Revision, held, from)
+		return nil
+	}
+	s.snapshot.Configuration = d.WithRevision(v.Revision)
+	s.snapshot.EncodedConfiguration = v
+	s.announce()
+	event.Log(event.ConfigurationAdopted, "Revision", v.Revision, "From", from)
+	return nil
+}
+
+// AdoptPlacement puts v in force if it is newer. An empty value is ignored.
+func (s *State) AdoptPlacement(v gateway.Versioned, from string) error {
+	if len(v.Value) == 0 {
+		return nil
+	}
+	var p placement.Placement
+	if err := json.Unmarshal(v.Value, &p); err != nil {
+		return errs.Wrap(err, "decode placement", from)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.snapshot.EncodedPlacement.Revision
+	if v.Revision <= held {
+		older(event.PlacementOlder, v.Revision, held, from)
+		return nil
+	}
+	s.snapshot.Placement = p.WithRevision(v.Revision)
+	s.snapshot.EncodedPlacement = v
+	s.announce()
+	event.Log(event.PlacementAdopted, "Revision", v.Revision, "From", from)
+	return nil
+}
+
+func older(n event.Number, offered, held uint64, from string) {
+	if offered < held {
+		event.Log(n, "Offered", offered, "Held", held, "From", from)
+	}
+}
+
+func (s *State) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,97 @@
+package event
+
+// Events of every program: 1000 to 1099.
+const (
+	Started Number = 1000 + iota
+	Stopping
+	Stopped
+	DutyFailed
+)
+
+// Events of configuration, placement and membership: 2000 to 2099.
+const (
+	ConfigurationAdopted Number = 2000 + iota
+	ConfigurationOlder
+	PlacementAdopted
+	PlacementOlder
+	PlacementWritten
+	DutyAcquired
+	DutyLost
+	KeyValueDown
+	KeyValueUp
+	MemberJoined
+	MemberLeaving
+	MemberSuspected
+	MemberLost
+	DataCentreSilent
+)
+
+// Events of the distribution of weights: 3000 to 3099.
+const (
+	TransferStarted Number = 3000 + iota
+	TransferVerified
+	TransferAbandoned
+	ChunkRejected
+	ChunkTakenOver
+	LoadOrdered
+	LoadConfirmed
+	LoadUnsettled
+	OrderRefused
+)
+
+// Events of requests: 4000 to 4099.
+const (
+	RequestRefused Number = 4000 + iota
+	RequestFailed
+	RequestUnknown
+	RequestRetried
+	RequestConvicted
+	DispatchRefused
+	BackendDied
+	LedgerDelayed
+	DrainStarted
+	DrainEnded
+)
+
+var catalogue = map[Number]string{
+	Started:    "program started",
+	Stopping:   "program stopping",
+	Stopped:    "program stopped",
+	DutyFailed: "duty failed and is restarted",
+
+	ConfigurationAdopted: "configuration revision adopted",
+	ConfigurationOlder:   "older configuration revision offered and ignored",
+	PlacementAdopted:     "placement revision adopted",
+	PlacementOlder:       "older placement revision offered and ignored",
+	PlacementWritten:     "placement written",
+	DutyAcquired:         "planning duty acquired",
+	DutyLost:             "planning duty lost",
+	KeyValueDown:         "key-value service does not answer",
+	KeyValueUp:           "key-value service answers again",
+	MemberJoined:         "instance joined",
+	MemberLeaving:        "instance is leaving",
+	MemberSuspected:      "instance suspected: one source is silent",
+	MemberLost:           "instance lost",
+	DataCentreSilent:     "whole data centre silent: treated as a partition",
+
+	TransferStarted:   "transfer of a model started",
+	TransferVerified:  "transfer complete and verified",
+	TransferAbandoned: "transfer abandoned for a newer placement",
+	ChunkRejected:     "chunk rejected: wrong digest or length",
+	ChunkTakenOver:    "chunk drawn out of turn after its holder's deadline",
+	LoadOrdered:       "load order sent to engine",
+	LoadConfirmed:     "engine states the ordered digest",
+	LoadUnsettled:     "load order without an answer: reading engine state",
+	OrderRefused:      "order refused: older fencing number",
+
+	RequestRefused:   "request refused, not run",
+	RequestFailed:    "request failed",
+	RequestUnknown:   "request outcome unknown",
+	RequestRetried:   "request retried",
+	RequestConvicted: "request quarantined: it crashes backend servers",
+	DispatchRefused:  "dispatch refused by agent, not run",
+	BackendDied:      "backend server died",
+	LedgerDelayed:    "outcome records wait for the key-value service",
+	DrainStarted:     "drain started: no new work",
+	DrainEnded:       "drain ended: no request in progress",
+}
--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,108 @@
+// Package outcome holds the ways in which a request can end.
+package outcome
+
+import "time"
+
+// Outcome is one of Answered, Refused, Failed, Unknown and Cancelled.
+type Outcome interface{ outcome() }
+
+// Answered means that the caller got the whole answer.
+type Answered struct {
+	Digest string // version that answered; empty for a plain service
+	Tokens int
+}
+
+// Refused means that the request was not run.
+type Refused struct {
+	Reason  Reason
+	RetryAt time.Time // zero: sending it again will not help
+}
+
+// Failed means that the request ran or began, and the caller has no whole answer.
+type Failed struct {
+	Reason Reason
+	Tokens int // tokens that reached the caller
+}
+
+// Unknown means that the request may have run.
+type Unknown struct{ Reason Reason }
+
+// Cancelled means that the caller went away.
+type Cancelled struct{ Tokens int }
+
+func (Answered) outcome()  {}
+func (Refused) outcome()   {}
+func (Failed) outcome()    {}
+func (Unknown) outcome()   {}
+func (Cancelled) outcome() {}
+
+// Reason says why a request was refused, retried or failed. Each has a counter.
+type Reason string
+
+// Reasons.
+const (
+	Malformed           Reason = "Malformed"
+	Unauthorised        Reason = "Unauthorised"
+	UnknownClass        Reason = "UnknownClass"
+	TooLarge            Reason = "TooLarge"
+	KeyMissing          Reason = "IdempotencyKeyMissing"
+	KeyReused           Reason = "IdempotencyKeyReused"
+	QueueFull           Reason = "QueueFull"
+	WaitTooLong         Reason = "ProjectedWaitTooLong"
+	NoReplica           Reason = "NoReplicaServing"
+	ReplicaBusy         Reason = "ReplicaBusy"
+	ReplicaLeaving      Reason = "ReplicaLeaving"
+	ReplicaOther        Reason = "ReplicaServesOtherVersion"
+	ReplicaUnreachable  Reason = "ReplicaUnreachable"
+	BackendUnreachable  Reason = "BackendUnreachable"
+	BackendRefused      Reason = "BackendRefused"
+	BackendDied         Reason = "BackendDied"
+	StreamCut           Reason = "StreamCut"
+	DeadlinePassed      Reason = "DeadlinePassed"
+	Quarantined         Reason = "Quarantined"
+	ClaimPending        Reason = "ClaimPending"
+	KeyValueUnavailable Reason = "KeyValueUnavailable"
+	BudgetSpent         Reason = "RetryBudgetSpent"
+	ShuttingDown        Reason = "ShuttingDown"
+	CallerGone          Reason = "CallerGone"
+)
+
+// Names of the outcomes in a Record.
+const (
+	NameAnswered  = "Answered"
+	NameRefused   = "Refused"
+	NameFailed    = "Failed"
+	NameUnknown   = "Unknown"
+	NameCancelled = "Cancelled"
+)
+
+// Record is an outcome as callers and the ledger read it.
+type Record struct {
+	RequestID    string    `json:"RequestID"`
+	Organisation string    `json:"Organisation"`
+	Class        string    `json:"Class"`
+	Outcome      string    `json:"Outcome"`
+	Reason       Reason    `json:"Reason,omitempty"`
+	NotRun       bool      `json:"NotRun"`
+	RetryAt      time.Time `json:"RetryAt,omitzero"`
+	Digest       string    `json:"Digest,omitempty"`
+	Tokens       int       `json:"Tokens"`
+	At           time.Time `json:"At"`
+}
+
+// NewRecord fills a record from o; the caller adds request, organisation, class and time.
+func NewRecord(o Outcome) Record {
+	switch o := o.(type) {
+	case Answered:
+		return Record{Outcome: NameAnswered, Digest: o.Digest, Tokens: o.Tokens}
+	case Refused:
+		return Record{Outcome: NameRefused, Reason: o.Reason, NotRun: true, RetryAt: o.RetryAt}
+	case Failed:
+		return Record{Outcome: NameFailed, Reason: o.Reason, Tokens: o.Tokens}
+	case Unknown:
+		return Record{Outcome: NameUnknown, Reason: o.Reason}
+	case Cancelled:
+		return Record{Outcome: NameCancelled, Reason: CallerGone, Tokens: o.Tokens}
+	}
+	panic("outcome: unknown type")
+}
