Add the key-value stand-in

The control parts need a compare-and-swap service with leases, watches and call rates to be tested against.

--- a/cmd/almondreel-standin/main.go
+++ b/cmd/almondreel-standin/main.go
@@ -1,4 +1,40 @@
-// Command almondreel-standin is a placeholder until its package is wired in.
+// Command almondreel-standin runs one small stand-in for a service of the
+// platform or a backend server. Tests and the demo use it.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// commands are the stand-ins, each with its flags.
+type commands struct {
+	KeyValue kvCommand `command:"kv" description:"key-value service: compare-and-swap, leases and watches"`
+}
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() {
+	_, err := flags.NewParser(&commands{}, flags.HelpFlag|flags.PassDoubleDash).Parse()
+	if err == nil {
+		return
+	}
+	var usage *flags.Error
+	if !errors.As(err, &usage) {
+		fmt.Fprintf(os.Stderr, "almondreel-standin: %v\n", err)
+		os.Exit(exitFailure)
+	}
+	if usage.Type == flags.ErrHelp {
+		fmt.Println(usage.Message)
+		return
+	}
+	fmt.Fprintf(os.Stderr, "almondreel-standin: %v\n", err)
+	os.Exit(exitUsage)
+}
--- /dev/null
+++ b/cmd/almondreel-standin/platform.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"almondreel.example/almondreel/internal/standin"
+	"almondreel.example/almondreel/internal/standin/kv"
+)
+
+type kvCommand struct {
+	Listen          string `long:"listen" required:"true" description:"address to listen on, IP:port"`
+	WritesPerSecond int    `long:"writes-per-second" description:"writes answered each second; 0: no limit"`
+	ReadsPerSecond  int    `long:"reads-per-second" description:"reads and watches answered each second; 0: no limit"`
+}
+
+// Execute serves the key-value service until a signal.
+func (c *kvCommand) Execute([]string) error {
+	options := kv.Options{WritesPerSecond: c.WritesPerSecond, ReadsPerSecond: c.ReadsPerSecond}
+	return standin.Serve("kv", c.Listen, kv.New(options))
+}
