Add the origin and store stand-ins

The distribution of weights is measured in bytes drawn from the origin and against the rate of its link, so the stand-in shapes all connections together and counts what it sent by version. Weights are generated by block from the seed and the block's index; no version is held in memory.

--- a/cmd/almondreel-standin/main.go
+++ b/cmd/almondreel-standin/main.go
@@ -12,7 +12,9 @@
 
 // commands are the stand-ins, each with its flags.
 type commands struct {
-	KeyValue kvCommand `command:"kv" description:"key-value service: compare-and-swap, leases and watches"`
+	Origin   originCommand `command:"origin" description:"origin of weights behind one overall rate"`
+	Store    storeCommand  `command:"store" description:"weight store behind one overall rate"`
+	KeyValue kvCommand     `command:"kv" description:"key-value service: compare-and-swap, leases and watches"`
 }
 
 // Exit codes.
