--- /dev/null
+++ b/cmd/almondreel-standin/backend.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"almondreel.example/almondreel/internal/standin"
+	"almondreel.example/almondreel/internal/standin/engine"
+)
+
+type engineCommand struct {
+	Listen        string `long:"listen" required:"true" description:"address to listen on, IP:port"`
+	FirstToken    int    `long:"first-token-ms" default:"20" description:"milliseconds to the first token with nothing cached"`
+	BetweenTokens int    `long:"between-tokens-ms" default:"5" description:"milliseconds between tokens"`
+	Slots         int    `long:"slots" default:"8" description:"requests batched at most"`
+	LoadLag       int    `long:"load-lag-ms" description:"age of the load report in milliseconds"`
+	Load          int    `long:"load-ms" description:"milliseconds between checked weights and serving them"`
+	ChecksOrders  bool   `long:"checks-orders" description:"refuse orders with an older fencing number"`
+	CrashMarker   string `long:"crash-marker" description:"a prompt with this text ends the process"`
+}
+
+// Execute serves the engine until a signal or a crash.
+func (c *engineCommand) Execute([]string) error {
+	server := engine.New(engine.Options{
+		FirstTokenMilliseconds:    c.FirstToken,
+		BetweenTokensMilliseconds: c.BetweenTokens,
+		Slots:                     c.Slots,
+		LoadLagMilliseconds:       c.LoadLag,
+		LoadMilliseconds:          c.Load,
+		ChecksOrders:              c.ChecksOrders,
+		CrashMarker:               c.CrashMarker,
+		Crash:                     crash,
+	})
+	return standin.Serve("engine", c.Listen, server)
+}
+
+func crash() {
+	fmt.Fprintln(os.Stderr, "almondreel-standin: engine crashed by a request")
+	os.Exit(exitCrash)
+}
--- a/cmd/almondreel-standin/main.go
+++ b/cmd/almondreel-standin/main.go
@@ -12,6 +12,7 @@
 
 // commands are the stand-ins, each with its flags.
 type commands struct {
+	Engine   engineCommand `command:"engine" description:"model engine: completions, load orders and state"`
 	Origin   originCommand `command:"origin" description:"origin of weights behind one overall rate"`
 	Store    storeCommand  `command:"store" description:"weight store behind one overall rate"`
 	KeyValue kvCommand     `command:"kv" description:"key-value service: compare-and-swap, leases and watches"`
@@ -21,6 +22,7 @@
 const (
 	exitFailure = 1
 	exitUsage   = 2
+	exitCrash   = 3
 )
 
 func main() {
