--- a/cmd/almondreel-standin/backend.go
+++ b/cmd/almondreel-standin/backend.go
@@ -6,6 +6,7 @@
 
 	"almondreel.example/almondreel/internal/standin"
 	"almondreel.example/almondreel/internal/standin/engine"
+	"almondreel.example/almondreel/internal/standin/service"
 )
 
 type engineCommand struct {
@@ -38,3 +39,13 @@
 	fmt.Fprintln(os.Stderr, "almondreel-standin: engine crashed by a request")
 	os.Exit(exitCrash)
 }
+
+type serviceCommand struct {
+	Listen string `long:"listen" required:"true" description:"address to listen on, IP:port"`
+	Answer int    `long:"answer-ms" default:"10" description:"milliseconds that a call takes"`
+}
+
+// Execute serves the plain service until a signal.
+func (c *serviceCommand) Execute([]string) error {
+	return standin.Serve("service", c.Listen, service.New(service.Options{AnswerMilliseconds: c.Answer}))
+}
--- a/cmd/almondreel-standin/main.go
+++ b/cmd/almondreel-standin/main.go
@@ -12,10 +12,12 @@
 
 // commands are the stand-ins, each with its flags.
 type commands struct {
-	Engine   engineCommand `command:"engine" description:"model engine: completions, load orders and state"`
-	Origin   originCommand `command:"origin" description:"origin of weights behind one overall rate"`
-	Store    storeCommand  `command:"store" description:"weight store behind one overall rate"`
-	KeyValue kvCommand     `command:"kv" description:"key-value service: compare-and-swap, leases and watches"`
+	Service   serviceCommand   `command:"service" description:"plain service with a journal of the calls it ran"`
+	Instances instancesCommand `command:"instances" description:"lagging list of live and leaving instances"`
+	Engine    engineCommand    `command:"engine" description:"model engine: completions, load orders and state"`
+	Origin    originCommand    `command:"origin" description:"origin of weights behind one overall rate"`
+	Store     storeCommand     `command:"store" description:"weight store behind one overall rate"`
+	KeyValue  kvCommand        `command:"kv" description:"key-value service: compare-and-swap, leases and watches"`
 }
 
 // Exit codes.
--- a/cmd/almondreel-standin/platform.go
+++ b/cmd/almondreel-standin/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"almondreel.example/almondreel/internal/standin"
+	"almondreel.example/almondreel/internal/standin/instances"
 	"almondreel.example/almondreel/internal/standin/kv"
 )
 
@@ -16,3 +17,13 @@
 	options := kv.Options{WritesPerSecond: c.WritesPerSecond, ReadsPerSecond: c.ReadsPerSecond}
 	return standin.Serve("kv", c.Listen, kv.New(options))
 }
+
+type instancesCommand struct {
+	Listen string `long:"listen" required:"true" description:"address to listen on, IP:port"`
+	Lag    int    `long:"lag-ms" description:"milliseconds until a replaced list is shown"`
+}
+
+// Execute serves the instance list until a signal.
+func (c *instancesCommand) Execute([]string) error {
+	return standin.Serve("instances", c.Listen, instances.New(instances.Options{LagMilliseconds: c.Lag}))
+}
