--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 	Identity      `yaml:",inline"`
 	CallerListen  string         `yaml:"CallerListen"`  // requests of callers
 	ControlListen string         `yaml:"ControlListen"` // net/rpc, metrics, health
+	Advertise     string         `yaml:"Advertise"`     // address that other processes use; empty: ControlListen
 	KeyValue      string         `yaml:"KeyValue"`
 	Instances     string         `yaml:"Instances"`
 	Origin        string         `yaml:"Origin"`
@@ -66,7 +67,8 @@
 // Agent is the settings file of almondreel-agent.
 type Agent struct {
 	Identity  `yaml:",inline"`
-	Listen    string  `yaml:"Listen"` // dispatch, chunks, net/rpc, metrics, health
+	Listen    string  `yaml:"Listen"`    // dispatch, chunks, net/rpc, metrics, health
+	Advertise string  `yaml:"Advertise"` // address that other processes use; empty: Listen
 	Backend   Backend `yaml:"Backend"`
 	Instances string  `yaml:"Instances"`
 	Origin    string  `yaml:"Origin"`
@@ -74,6 +76,22 @@
 	Link      Link    `yaml:"Link"`
 }
 
+// Address is where other processes reach the gateway's control listener.
+func (g Gateway) Address() string {
+	if g.Advertise != "" {
+		return g.Advertise
+	}
+	return g.ControlListen
+}
+
+// Address is where other processes reach the agent.
+func (a Agent) Address() string {
+	if a.Advertise != "" {
+		return a.Advertise
+	}
+	return a.Listen
+}
+
 // Invalid reports a settings value that cannot be used.
 type Invalid struct {
 	File, Key, Expected string
@@ -124,6 +142,7 @@
 		g.Identity.check(file),
 		address(file, "CallerListen", g.CallerListen),
 		address(file, "ControlListen", g.ControlListen),
+		optionalAddress(file, "Advertise", g.Advertise),
 		baseURL(file, "KeyValue", g.KeyValue),
 		baseURL(file, "Instances", g.Instances),
 		baseURL(file, "Origin", g.Origin),
@@ -161,6 +180,7 @@
 	checks := []error{
 		a.Identity.check(file),
 		address(file, "Listen", a.Listen),
+		optionalAddress(file, "Advertise", a.Advertise),
 		address(file, "Backend.Address", a.Backend.Address),
 		baseURL(file, "Instances", a.Instances),
 		optionalURL(file, "Store", a.Store),
@@ -198,6 +218,13 @@
 	return nil
 }
 
+func optionalAddress(file, key, value string) error {
+	if value == "" {
+		return nil
+	}
+	return address(file, key, value)
+}
+
 func baseURL(file, key, value string) error {
 	u, err := url.Parse(value)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
