--- /dev/null
+++ b/internal/fleet/site.go
@@ -0,0 +1,110 @@
+// Package fleet starts an example site as processes, for the demo and for
+// end-to-end tests. The daemons never use it.
+package fleet
+
+import (
+	"fmt"
+
+	"almondreel.example/almondreel/internal/settings"
+)
+
+// Region is one region and its data centre.
+type Region struct {
+	Name       string `yaml:"Name"`
+	DataCentre string `yaml:"DataCentre"`
+	Gateways   int    `yaml:"Gateways"`
+}
+
+// Service is a group of backend servers, spread over the regions in turn.
+type Service struct {
+	Name         string `yaml:"Name"`
+	Kind         string `yaml:"Kind"` // settings.KindEngine or settings.KindPlain
+	Instances    int    `yaml:"Instances"`
+	ChecksOrders bool   `yaml:"ChecksOrders"`
+	// Times of the stand-ins.
+	FirstTokenMilliseconds    int `yaml:"FirstTokenMilliseconds"`
+	BetweenTokensMilliseconds int `yaml:"BetweenTokensMilliseconds"`
+	AnswerMilliseconds        int `yaml:"AnswerMilliseconds"`
+	Slots                     int `yaml:"Slots"`
+}
+
+// Class is a class of work that the site's operator creates.
+type Class struct {
+	Name              string `yaml:"Name"`
+	Kind              string `yaml:"Kind"` // Model or Plain
+	Service           string `yaml:"Service"`
+	NotIdempotent     bool   `yaml:"NotIdempotent"`
+	Replicas          int    `yaml:"Replicas"`
+	Priority          int    `yaml:"Priority"`
+	FirstToken        string `yaml:"FirstToken"`   // such as 540ms
+	AnswerWithin      string `yaml:"AnswerWithin"` // such as 20s
+	Weighing          string `yaml:"Weighing"`     // Time or OriginBytes
+	RequestsPerSecond int    `yaml:"RequestsPerSecond"`
+	MaxTokens         int    `yaml:"MaxTokens"`
+	Prompt            string `yaml:"Prompt"`
+}
+
+// Version is a model version that the origin publishes.
+type Version struct {
+	Version    string `yaml:"Version"`
+	Bytes      int64  `yaml:"Bytes"`
+	ChunkBytes int64  `yaml:"ChunkBytes"`
+	Seed       uint64 `yaml:"Seed"`
+}
+
+// Model is a model with the version in service at the start and the one released.
+type Model struct {
+	Name        string  `yaml:"Name"`
+	First       Version `yaml:"First"`
+	Next        Version `yaml:"Next"`
+	ReadyWithin string  `yaml:"ReadyWithin"`
+}
+
+// Links are the rates at which weights travel.
+type Links struct {
+	OriginBytesPerSecond       int64 `yaml:"OriginBytesPerSecond"`
+	StoreBytesPerSecond        int64 `yaml:"StoreBytesPerSecond"`
+	InstanceDownBytesPerSecond int64 `yaml:"InstanceDownBytesPerSecond"`
+	InstanceUpBytesPerSecond   int64 `yaml:"InstanceUpBytesPerSecond"`
+	RegionBytesPerSecond       int64 `yaml:"RegionBytesPerSecond"` // each pair of regions, each way, for weights
+}
+
+// Site is one user's example site.
+type Site struct {
+	Name          string                  `yaml:"Name"`
+	Regions       []Region                `yaml:"Regions"`
+	Services      []Service               `yaml:"Services"`
+	Organisations []settings.Organisation `yaml:"Organisations"`
+	Classes       []Class                 `yaml:"Classes"`
+	Model         Model                   `yaml:"Model"`
+	Links         Links                   `yaml:"Links"`
+}
+
+// LoadSite reads a site's file.
+func LoadSite(file string) (Site, error) {
+	var s Site
+	if err := settings.Decode(file, &s); err != nil {
+		return Site{}, err
+	}
+	if len(s.Regions) == 0 || len(s.Services) == 0 || len(s.Classes) == 0 || len(s.Organisations) == 0 {
+		return Site{}, fmt.Errorf("%s: expected Regions, Services, Classes and Organisations", file)
+	}
+	return s, nil
+}
+
+// Engines returns the number of engines of the site.
+func (s Site) Engines() int {
+	n := 0
+	for _, v := range s.Services {
+		if v.Kind == settings.KindEngine {
+			n += v.Instances
+		}
+	}
+	return n
+}
+
+// enginesPerRegion is the largest number of engines that share a region's links.
+func (s Site) enginesPerRegion() int64 {
+	n := (s.Engines() + len(s.Regions) - 1) / len(s.Regions)
+	return int64(max(n, 1))
+}
--- /dev/null
+++ b/internal/fleet/start.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"almondreel.example/almondreel/internal/instances"
+	"almondreel.example/almondreel/internal/settings"
+)
+
+// standIn is the program that takes the place of everything outside almondreel.
+const standIn = "almondreel-standin"
+
+const (
+	kvWritesPerSecond = 400
+	kvReadsPerSecond  = 2000
+	pollEvery         = 50 * time.Millisecond
+)
+
+// Start starts the platform's stand-ins, the backend servers and the daemons.
+// It does not wait until they are ready.
+func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	if err := f.awaitPlatform(ctx); err != nil {
+		return err
+	}
+	if err := f.ListInstances(ctx, nil); err != nil {
+		return err
+	}
+	for _, b := range f.Backends {
+		if err := f.startBackend(b); err != nil {
+			return err
+		}
+	}
+	for _, g := range f.Gateways {
+		if err := f.run(g.Name, "almondreel-gateway", "--settings", f.settingsFile(g.Name)); err != nil {
+			return err
+		}
+	}
+	for _, b := range f.Backends {
+		if err := f.run(b.Instance, "almondreel-agent", "--settings", f.settingsFile(b.Instance)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startPlatform() error {
+	p, m, l := f.Platform, f.Site.Model, f.Site.Links
+	published := []string{
+		"--publish", publication(m.Name, m.First),
+		"--publish", publication(m.Name, m.Next),
+	}
+	origin := append([]string{"origin", "--listen", p.Origin, "--rate-bytes", strconv.FormatInt(l.OriginBytesPerSecond, 10)}, published...)
+	steps := []struct {
+		name string
+		args []string
+	}{
+		{"key-value", []string{"kv", "--listen", p.KeyValue,
+			"--writes-per-second", strconv.Itoa(kvWritesPerSecond), "--reads-per-second", strconv.Itoa(kvReadsPerSecond)}},
+		{"instances", []string{"instances", "--listen", p.Instances, "--lag-ms", "2000"}},
+		{"origin", origin},
+		{"store", []string{"store", "--listen", p.Store, "--rate-bytes", strconv.FormatInt(l.StoreBytesPerSecond, 10)}},
+	}
+	for _, s := range steps {
+		if err := f.run(s.name, standIn, s.args...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func publication(model string, v Version) string {
+	return fmt.Sprintf("%s:%s:%d:%d:%d", model, v.Version, v.Bytes, v.Seed, v.ChunkBytes)
+}
+
+func (f *Fleet) startBackend(b Backend) error {
+	s := b.Service
+	name := "backend-" + b.Instance
+	if s.Kind == settings.KindPlain {
+		return f.run(name, standIn, "service", "--listen", b.Address, "--answer-ms", strconv.Itoa(s.AnswerMilliseconds))
+	}
+	args := []string{"engine", "--listen", b.Address,
+		"--first-token-ms", strconv.Itoa(s.FirstTokenMilliseconds),
+		"--between-tokens-ms", strconv.Itoa(s.BetweenTokensMilliseconds),
+		"--slots", strconv.Itoa(s.Slots),
+		"--crash-marker", CrashMarker,
+	}
+	if s.ChecksOrders {
+		args = append(args, "--checks-orders")
+	}
+	return f.run(name, standIn, args...)
+}
+
+// CrashMarker in a prompt ends the engine stand-in that runs it.
+const CrashMarker = "!crash!"
+
+func (f *Fleet) run(name, program string, args ...string) error {
+	p := newProcess(name, filepath.Join(f.bin, program), f.dir, args...)
+	f.mu.Lock()
+	f.processes[name] = p
+	if program == standIn {
+		f.standIns = append(f.standIns, name)
+	} else {
+		f.daemons = append(f.daemons, name)
+	}
+	f.mu.Unlock()
+	return p.Start()
+}
+
+func (f *Fleet) awaitPlatform(ctx context.Context) error {
+	p := f.Platform
+	for _, address := range []string{p.KeyValue, p.Instances, p.Origin, p.Store} {
+		if err := await(ctx, address, func() bool { return answers("http://" + address + "/faults") }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ready waits until every daemon says that it is ready.
+func (f *Fleet) Ready(ctx context.Context) error {
+	var addresses []string
+	for _, g := range f.Gateways {
+		addresses = append(addresses, g.Control)
+	}
+	for _, b := range f.Backends {
+		addresses = append(addresses, b.Agent)
+	}
+	for _, address := range addresses {
+		if err := await(ctx, address, func() bool { return answers("http://" + address + "/ready") }); err != nil {
+			return fmt.Errorf("daemon not ready: %w", err)
+		}
+	}
+	return nil
+}
+
+// ListInstances gives the platform's list all instances; states overrides Live by name.
+func (f *Fleet) ListInstances(ctx context.Context, states map[string]instances.State) error {
+	var list instances.List
+	add := func(name string, role instances.Role, r Region, address string) {
+		state := instances.Live
+		if s, ok := states[name]; ok {
+			state = s
+		}
+		list.Instances = append(list.Instances, instances.Instance{
+			Name: name, Role: role, Region: r.Name, DataCentre: r.DataCentre, Address: address, State: state,
+		})
+	}
+	for _, g := range f.Gateways {
+		add(g.Name, instances.RoleGateway, g.Region, g.Control)
+	}
+	for _, b := range f.Backends {
+		add(b.Instance, instances.RoleAgent, b.Region, b.Agent)
+	}
+	return Put(ctx, "http://"+f.Platform.Instances+instances.ListPath, list)
+}
+
+// Put sends value as JSON; the stand-ins take their faults and lists so.
+func Put(ctx context.Context, url string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("PUT %s: %s", url, response.Status)
+	}
+	return nil
+}
+
+// GetJSON reads url into value.
+func GetJSON(ctx context.Context, url string, value any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("GET %s: %s", url, response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(value)
+}
+
+func answers(url string) bool {
+	response, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func await(ctx context.Context, what string, done func() bool) error {
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w", what, ctx.Err())
+		case <-time.After(pollEvery):
+		}
+	}
+	return nil
+}
