--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -2,6 +2,8 @@
 package serving
 
 import (
+	"encoding/json"
+	"net/http"
 	"sync"
 
 	"almondreel.example/almondreel/internal/manifest"
@@ -41,3 +43,14 @@
 	defer b.mu.Unlock()
 	change(&b.status)
 }
+
+// Path answers the agent's status as JSON.
+const Path = "/v1/serving"
+
+// Handler serves the board's status as JSON.
+func (b *Board) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(b.Status())
+	})
+}
