--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -6,6 +6,7 @@
 	Stopping
 	Stopped
 	DutyFailed
+	InvariantBroken
 )
 
 // Events of configuration, placement and membership: 2000 to 2099.
@@ -54,10 +55,11 @@
 )
 
 var catalogue = map[Number]string{
-	Started:    "program started",
-	Stopping:   "program stopping",
-	Stopped:    "program stopped",
-	DutyFailed: "duty failed and is restarted",
+	Started:         "program started",
+	Stopping:        "program stopping",
+	Stopped:         "program stopped",
+	DutyFailed:      "duty failed and is restarted",
+	InvariantBroken: "an invariant is broken: please report it",
 
 	ConfigurationAdopted: "configuration revision adopted",
 	ConfigurationOlder:   "older configuration revision offered and ignored",
