Add the fault-injecting TCP proxy

Faults are set by route and direction and may change while connections are open. A refused connection closes the listener, since a peer that connects and is then cut can't know that nothing of its request was read. A cut resets the connection in place of ending it, so a peer can't take it for a whole answer. Bytes are read ahead into a bounded queue with their time of arrival, so that a delay doesn't limit the rate.

--- a/cmd/almondreel-standin/main.go
+++ b/cmd/almondreel-standin/main.go
@@ -12,6 +12,7 @@
 
 // commands are the stand-ins, each with its flags.
 type commands struct {
+	Proxy     proxyCommand     `command:"proxy" description:"TCP proxy that injects faults"`
 	Service   serviceCommand   `command:"service" description:"plain service with a journal of the calls it ran"`
 	Instances instancesCommand `command:"instances" description:"lagging list of live and leaving instances"`
 	Engine    engineCommand    `command:"engine" description:"model engine: completions, load orders and state"`
