Add agents' heartbeats and the client of the platform's list

An agent beats to all gateways when they are few, else to two of its own data centre and one elsewhere by rendezvous rank, and passes over one that does not answer. A heartbeat sends the member whole only when it changed, peers only when their version changed, and documents only to who is behind, since whole lists each second would cost several times the bytes a daemon may spend.

--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"sync"
 
 	"almondreel.example/almondreel/internal/errs"
@@ -96,3 +97,40 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// Revisions returns the revisions in force; 0 means none.
+func (s Snapshot) Revisions() gateway.Revisions {
+	return gateway.Revisions{
+		Configuration: s.EncodedConfiguration.Revision,
+		Placement:     s.EncodedPlacement.Revision,
+	}
+}
+
+// Complete reports whether both documents are in force.
+func (s Snapshot) Complete() bool {
+	r := s.Revisions()
+	return r.Configuration > 0 && r.Placement > 0
+}
+
+// Newer returns the documents that a daemon with revisions held is behind on.
+func (s Snapshot) Newer(held gateway.Revisions) gateway.Documents {
+	var d gateway.Documents
+	if s.EncodedConfiguration.Revision > held.Configuration {
+		d.Configuration = s.EncodedConfiguration
+	}
+	if s.EncodedPlacement.Revision > held.Placement {
+		d.Placement = s.EncodedPlacement
+	}
+	return d
+}
+
+// Behind reports whether a daemon with revisions offered has a newer document.
+func (s Snapshot) Behind(offered gateway.Revisions) bool {
+	held := s.Revisions()
+	return offered.Configuration > held.Configuration || offered.Placement > held.Placement
+}
+
+// Adopt puts the newer of the documents in force.
+func (s *State) Adopt(d gateway.Documents, from string) error {
+	return errors.Join(s.AdoptConfiguration(d.Configuration, from), s.AdoptPlacement(d.Placement, from))
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -24,6 +24,11 @@
 	MemberSuspected
 	MemberLost
 	DataCentreSilent
+	GatewaySilent
+	DocumentUndecodable
+	DutyFenced
+	TargetShort
+	VersionUnresolved
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -73,6 +78,11 @@
 	MemberSuspected:      "instance suspected: one source is silent",
 	MemberLost:           "instance lost",
 	DataCentreSilent:     "whole data centre silent: treated as a partition",
+	GatewaySilent:        "gateway does not answer heartbeats: another is chosen",
+	DocumentUndecodable:  "document from a peer cannot be decoded",
+	DutyFenced:           "placement write lost against a newer revision",
+	TargetShort:          "too few instances for a class's target",
+	VersionUnresolved:    "origin does not resolve a version",
 
 	TransferStarted:   "transfer of a model started",
 	TransferVerified:  "transfer complete and verified",
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -33,16 +33,32 @@
 
 // HeartbeatRequest is sent by an agent to each of its gateways every second.
 type HeartbeatRequest struct {
-	Member        Member
-	Configuration uint64 // revision in force
-	Placement     uint64 // revision in force
+	Member       Member
+	Brief        bool      // only the fields of Member.Brief are set; the rest is as last sent
+	Revisions    Revisions // in force at the agent
+	PeersVersion uint64    // of the peers that the agent holds from this gateway
+	Documents    Documents // what the gateway said that it is behind on
 }
 
 // HeartbeatReply carries what the agent is behind on.
 type HeartbeatReply struct {
-	Configuration Versioned // empty value: the agent is not behind
+	Documents    Documents
+	Peers        []Peer // agents that fetch or hold the agent's wanted version
+	PeersVersion uint64 // equal to the request's: Peers is left out, unchanged
+	Resend       bool   // the gateway does not know the agent: send Member whole
+	Behind       bool   // the gateway is behind: send Documents
+}
+
+// Revisions are those of the two documents in force at a daemon.
+type Revisions struct {
+	Configuration uint64
+	Placement     uint64
+}
+
+// Documents carries what a peer is behind on; an empty value says that it is not.
+type Documents struct {
+	Configuration Versioned
 	Placement     Versioned
-	Peers         []Peer // agents that fetch or hold the agent's wanted version
 }
 
 // Versioned is an encoded document and its key-value revision.
@@ -59,21 +75,24 @@
 	Address    string
 }
 
-// ExchangeRequest is sent between gateways every second.
+// ExchangeRequest is sent by a gateway to a few others every second. It asks
+// for what changed in the other's view since Sequence of its run Run.
 type ExchangeRequest struct {
-	From          string
-	Configuration uint64
-	Placement     uint64
-	Members       []Member // heard directly since the last exchange
-	Convicted     []Conviction
+	From      Peer
+	Revisions Revisions
+	Run       int64
+	Sequence  uint64
+	Convicted []Conviction
 }
 
 // ExchangeReply carries what the sender is behind on.
 type ExchangeReply struct {
-	Configuration Versioned
-	Placement     Versioned
-	Members       []Member
-	Convicted     []Conviction
+	Documents Documents
+	Run       int64    // Unix nanoseconds at which the gateway started
+	Sequence  uint64   // of the replying gateway's view
+	Members   []Member // changed, and heard directly by the replying gateway
+	Silent    []string // members that it heard directly and no longer hears
+	Convicted []Conviction
 }
 
 // Conviction is a request fingerprint that is refused until ExpiresAt (Unix nanoseconds).
@@ -81,3 +100,22 @@
 	Fingerprint string
 	ExpiresAt   int64
 }
+
+// Brief returns the member with only its identity and the fields that change
+// with every heartbeat.
+func (m Member) Brief() Member {
+	return Member{Name: m.Name, Have: m.Have, Running: m.Running, Sequence: m.Sequence, Started: m.Started}
+}
+
+// WithBrief returns the member with the fields that b carries replaced.
+func (m Member) WithBrief(b Member) Member {
+	m.Have, m.Running, m.Sequence = b.Have, b.Running, b.Sequence
+	return m
+}
+
+// Settled returns the member without the fields that Brief carries; two
+// heartbeats with the same Settled need not be sent whole.
+func (m Member) Settled() Member {
+	m.Have, m.Running, m.Sequence = 0, 0, 0
+	return m
+}
--- /dev/null
+++ b/internal/heartbeat/heartbeat.go
@@ -0,0 +1,187 @@
+// Package heartbeat tells gateways how an agent fares and adopts the
+// configuration and placement that their replies carry.
+//
+// Gateways are found in the platform's list. One goroutine a gateway sends a
+// heartbeat every second; the list is read again on a slow jittered poll.
+package heartbeat
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/desired"
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/instances"
+	"almondreel.example/almondreel/internal/serving"
+	"almondreel.example/almondreel/internal/settings"
+)
+
+const (
+	interval     = time.Second
+	listInterval = 20 * time.Second
+	listRetry    = time.Second
+	maxListRetry = 15 * time.Second
+	reselect     = 2 * time.Second
+)
+
+// Heartbeat is the duty that keeps an agent in touch with its gateways.
+type Heartbeat struct {
+	settings  settings.Agent
+	desired   *desired.State
+	board     *serving.Board
+	directory *instances.Client
+	started   int64
+
+	mu       sync.Mutex
+	sequence uint64
+	listed   []instances.Instance
+	avoided  map[string]time.Time // gateway name to the time until which it is passed over
+	peers    map[string]peerList  // by gateway name
+	changed  chan struct{}
+}
+
+type peerList struct {
+	version uint64
+	peers   []gateway.Peer
+}
+
+// New returns a heartbeat of the agent that s describes.
+func New(s settings.Agent, d *desired.State, b *serving.Board) *Heartbeat {
+	return &Heartbeat{
+		settings:  s,
+		desired:   d,
+		board:     b,
+		directory: instances.NewClient(s.Instances),
+		started:   time.Now().UnixNano(),
+		avoided:   map[string]time.Time{},
+		peers:     map[string]peerList{},
+		changed:   make(chan struct{}, 1),
+	}
+}
+
+// Peers returns the agents that take part in fetching the version this agent
+// wants, without itself, as the gateways last told.
+func (h *Heartbeat) Peers() []gateway.Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := map[string]bool{h.settings.Name: true}
+	var out []gateway.Peer
+	for _, l := range h.peers {
+		for _, p := range l.peers {
+			if !seen[p.Name] {
+				seen[p.Name] = true
+				out = append(out, p)
+			}
+		}
+	}
+	return out
+}
+
+// Run sends heartbeats until ctx ends.
+func (h *Heartbeat) Run(ctx context.Context) error {
+	listDone := make(chan struct{})
+	go func() {
+		defer close(listDone)
+		h.readList(ctx)
+	}()
+	h.keepBeating(ctx)
+	<-listDone
+	return ctx.Err()
+}
+
+// readList reads the platform's list on a slow jittered poll, faster with
+// backoff while it has never been read.
+func (h *Heartbeat) readList(ctx context.Context) {
+	retry := listRetry
+	for {
+		wait := jitter(listInterval)
+		l, err := h.directory.List(ctx)
+		if err != nil {
+			wait = jitter(retry)
+			retry = min(2*retry, maxListRetry)
+		} else {
+			retry = listRetry
+			h.setListed(l.Of(instances.RoleGateway))
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (h *Heartbeat) setListed(gateways []instances.Instance) {
+	h.mu.Lock()
+	h.listed = gateways
+	h.mu.Unlock()
+	h.wake()
+}
+
+func (h *Heartbeat) wake() {
+	select {
+	case h.changed <- struct{}{}:
+	default: // a wake-up is already waiting
+	}
+}
+
+// keepBeating keeps one beater for each chosen gateway and joins them at the end.
+func (h *Heartbeat) keepBeating(ctx context.Context) {
+	running := map[string]*beater{}
+	for ctx.Err() == nil {
+		h.adjust(ctx, running)
+		wait, cancel := context.WithTimeout(ctx, reselect)
+		select {
+		case <-wait.Done():
+		case <-h.changed:
+		}
+		cancel()
+	}
+	for name, b := range running {
+		h.end(name, b)
+	}
+}
+
+func (h *Heartbeat) adjust(ctx context.Context, running map[string]*beater) {
+	chosen := map[string]instances.Instance{}
+	for _, g := range h.choose(time.Now()) {
+		chosen[g.Name] = g
+	}
+	for name, b := range running {
+		if g, ok := chosen[name]; !ok || g.Address != b.client.Address() {
+			h.end(name, b)
+			delete(running, name)
+		}
+	}
+	for name, g := range chosen {
+		if running[name] == nil {
+			running[name] = h.start(ctx, g)
+		}
+	}
+	counter.Set("HeartbeatGateways", int64(len(running)))
+}
+
+func (h *Heartbeat) end(name string, b *beater) {
+	b.cancel()
+	<-b.done
+	h.mu.Lock()
+	delete(h.peers, name)
+	h.mu.Unlock()
+}
+
+// jitter returns a time between half and one and a half of d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/instances/client.go
@@ -0,0 +1,63 @@
+package instances
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/errs"
+)
+
+const (
+	listTimeout  = 5 * time.Second
+	maxListBytes = 16 << 20
+)
+
+// Client reads the list. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the platform's list at baseURL.
+func NewClient(baseURL string) *Client {
+	return &Client{base: baseURL, http: &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}}
+}
+
+// List reads the list.
+func (c *Client) List(ctx context.Context) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+ListPath, nil)
+	if err != nil {
+		return List{}, errs.Wrap(err, "read instances", c.base)
+	}
+	counter.Add("InstanceListCalls", 1)
+	response, err := c.http.Do(request)
+	if err != nil {
+		counter.Add("InstanceListFailed", 1)
+		return List{}, errs.Wrap(err, "read instances", c.base)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		counter.Add("InstanceListFailed", 1)
+		return List{}, errs.New("read instances", c.base, "status %d", response.StatusCode)
+	}
+	var l List
+	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&l)
+	return l, errs.Wrap(err, "decode instances", c.base)
+}
+
+// Of returns the instances with a role.
+func (l List) Of(role Role) []Instance {
+	var out []Instance
+	for _, i := range l.Instances {
+		if i.Role == role {
+			out = append(out, i)
+		}
+	}
+	return out
+}
