--- /dev/null
+++ b/pkg/stripe/stripe.go
@@ -0,0 +1,65 @@
+// Package stripe spreads work items over members without a coordinator.
+//
+// Every member ranks all members for an item by rendezvous hashing and so
+// agrees, without a message, on who does the item first and who takes over
+// when it is not done by a deadline.
+package stripe
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rank returns the members in the order in which they take item.
+func Rank(item string, members []string) []string {
+	order := append([]string(nil), members...)
+	scores := make(map[string]uint64, len(members))
+	for _, m := range members {
+		scores[m] = score(item, m)
+	}
+	sort.Slice(order, func(i, j int) bool { return before(scores, order[i], order[j]) })
+	return order
+}
+
+func before(scores map[string]uint64, a, b string) bool {
+	if scores[a] != scores[b] {
+		return scores[a] > scores[b]
+	}
+	return a < b
+}
+
+// Position returns the number of members that take item before member does,
+// or -1 if member is not among them.
+func Position(item string, members []string, member string) int {
+	own, position, found := score(item, member), 0, false
+	for _, m := range members {
+		if m == member {
+			found = true
+			continue
+		}
+		other := score(item, m)
+		if other > own || (other == own && m < member) {
+			position++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return position
+}
+
+// Turn returns the moment from which the member at position may take an item
+// that is open since opened, when each member before it has step.
+func Turn(opened time.Time, position int, step time.Duration) time.Time {
+	return opened.Add(time.Duration(position) * step)
+}
+
+func score(item, member string) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(member)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(item)
+	return h.Sum64()
+}
