--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -36,6 +36,7 @@
 	TrailerEnd    = "Almondreel-End"     // EndWhole, or the reason for a cut
 	HeaderRunning = "Almondreel-Running" // requests in progress
 	HeaderSlots   = "Almondreel-Slots"
+	HeaderStatus  = "Almondreel-Status" // status of a plain service's answer
 )
 
 // EndWhole in TrailerEnd says that the backend server's answer was passed on whole.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -57,6 +57,7 @@
 	BackendUnreachable  Reason = "BackendUnreachable"
 	BackendRefused      Reason = "BackendRefused"
 	BackendDied         Reason = "BackendDied"
+	BackendFailed       Reason = "BackendFailed"
 	StreamCut           Reason = "StreamCut"
 	DeadlinePassed      Reason = "DeadlinePassed"
 	Quarantined         Reason = "Quarantined"
--- /dev/null
+++ b/internal/transmit/transmit.go
@@ -0,0 +1,197 @@
+// Package transmit sends HTTP requests at most once and proves whether a failed
+// one can have reached its peer.
+//
+// net/http repeats a request by itself on a reused connection when its method
+// is idempotent or an Idempotency-Key header is present, and its body can be
+// read again. A Client's requests are POSTs without that header whose body can
+// be read once, so the transport has nothing to repeat.
+package transmit
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"almondreel.example/almondreel/internal/errs"
+)
+
+const (
+	dialTimeout        = 1 * time.Second
+	idleTimeout        = 30 * time.Second
+	maxIdlePerPeer     = 64
+	maxResponseHeaders = 64 << 10
+)
+
+// errSealed is what a write on a sealed connection returns.
+var errSealed = errors.New("connection sealed after a failed request")
+
+// Unsent reports a request of which certainly no byte was written, now or later.
+type Unsent struct{ Cause error }
+
+func (e *Unsent) Error() string { return "not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Unsent) Unwrap() error { return e.Cause }
+
+// Client sends requests. It is safe for concurrent use.
+type Client struct {
+	reused *http.Client
+	fresh  *http.Client
+}
+
+// NewClient returns a client with its own connections.
+func NewClient() *Client {
+	return &Client{reused: newHTTP(true), fresh: newHTTP(false)}
+}
+
+func newHTTP(reuse bool) *http.Client {
+	transport := &http.Transport{
+		DialContext:            dial,
+		DisableKeepAlives:      !reuse,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerPeer,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaders,
+	}
+	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: transport, CheckRedirect: refuse}
+}
+
+// Message is one request.
+type Message struct {
+	Address string // IP:port
+	Path    string
+	Header  http.Header
+	Body    []byte
+	Fresh   bool // use a new connection
+}
+
+// Send posts m. An error is an *Unsent if no byte was written; otherwise the
+// peer may have acted on the request.
+func (c *Client) Send(ctx context.Context, m Message) (*http.Response, error) {
+	sent := &witness{}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, sent.trace()), m)
+	if err != nil {
+		return nil, &Unsent{Cause: errs.Wrap(err, "build request", m.Address)}
+	}
+	client := c.reused
+	if m.Fresh {
+		client = c.fresh
+	}
+	response, err := client.Do(request)
+	if err == nil {
+		return response, nil
+	}
+	err = errs.Wrap(err, m.Path, m.Address)
+	if sent.nothing() {
+		return nil, &Unsent{Cause: err}
+	}
+	return nil, err
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.reused.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+func newRequest(ctx context.Context, m Message) (*http.Request, error) {
+	body := io.NopCloser(bytes.NewReader(m.Body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Address+m.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(m.Body))
+	if m.Header != nil {
+		request.Header = m.Header
+	}
+	request.Header.Del("Idempotency-Key")
+	request.Header.Del("X-Idempotency-Key")
+	return request, nil
+}
+
+// witness remembers the connections that a request was given.
+type witness struct {
+	mu   sync.Mutex
+	seen []mark
+}
+
+type mark struct {
+	conn  *countedConn
+	start int64
+}
+
+func (w *witness) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		c, ok := info.Conn.(*countedConn)
+		if !ok {
+			w.seen = append(w.seen, mark{})
+			return
+		}
+		w.seen = append(w.seen, mark{conn: c, start: c.count()})
+	}}
+}
+
+// nothing seals the connections, so that no write can follow, and reports
+// whether none of them carried a byte of the request.
+func (w *witness) nothing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clean := true
+	for _, m := range w.seen {
+		if m.conn == nil || m.conn.seal() != m.start {
+			clean = false
+		}
+	}
+	return clean
+}
+
+// countedConn counts the bytes handed to the kernel and can be sealed.
+type countedConn struct {
+	net.Conn
+	mu      sync.Mutex
+	written int64
+	sealed  bool
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c}, nil
+}
+
+// Write counts b before it writes, so a seal never overlooks a write in progress.
+func (c *countedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.written += int64(len(b))
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+func (c *countedConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+func (c *countedConn) seal() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
