Spread documents and membership between gateways and to agents

Two gateways a data centre wait on the key-value service; the others ask three gateways a second and pull what they are behind on, agents learn from replies to their heartbeats. What spreads leaves out the history of changes: it is most of the document's bytes and only operators read it.

--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -1,13 +1,16 @@
 // Package operator holds what operators say: classes of work and their targets.
 package operator
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
 // ConfigurationKey is the document's key in the key-value service.
 const ConfigurationKey = "configuration"
 
 // MaxHistory bounds the accepted changes that a document remembers.
-const MaxHistory = 2000
+const MaxHistory = 500
 
 // Kind of a class's backend servers.
 type Kind string
@@ -81,3 +84,18 @@
 	d.Revision = revision
 	return d
 }
+
+// WithoutHistory returns the document as daemons need it.
+func (d Document) WithoutHistory() Document {
+	d.History = nil
+	return d
+}
+
+// Encode returns the document's JSON.
+func (d Document) Encode() []byte {
+	text, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -3,21 +3,29 @@
 package rank
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 )
 
+type scored struct {
+	name  string
+	score uint64
+}
+
 // First returns the n names that rank highest for key, best first.
 func First(key string, names []string, n int) []string {
-	rest := slices.Clone(names)
-	slices.Sort(rest)
-	out := make([]string, 0, max(0, n))
-	for len(out) < n && len(rest) > 0 {
-		best := rendezvous.New(rest, xxhash.Sum64String).Lookup(key)
-		out = append(out, best)
-		rest = slices.DeleteFunc(rest, func(name string) bool { return name == best })
+	all := make([]scored, 0, len(names))
+	for _, name := range names {
+		all = append(all, scored{name, xxhash.Sum64String(key + "\x00" + name)})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	out := make([]string, 0, len(all))
+	for _, s := range all[:max(0, min(n, len(all)))] {
+		out = append(out, s.name)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/spread/spread.go
@@ -0,0 +1,151 @@
+// Package spread passes configuration, placement and membership between
+// gateways and to agents.
+//
+// A few gateways a data centre, by rendezvous rank, wait on the key-value
+// service for newer documents. The others learn of them in the exchange that
+// each gateway holds with a few others every second, and agents in the replies
+// to their heartbeats. Slow jittered polls stand behind both.
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"almondreel.example/almondreel/internal/control"
+	"almondreel.example/almondreel/internal/desired"
+	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/instances"
+	"almondreel.example/almondreel/internal/kv"
+	"almondreel.example/almondreel/internal/membership"
+	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/placement"
+	"almondreel.example/almondreel/internal/settings"
+)
+
+// Spread is the receiver of agents' and gateways' calls and the duties behind it.
+type Spread struct {
+	self        gateway.Peer
+	run         int64
+	desired     *desired.State
+	table       *membership.Table
+	kv          *kv.Client
+	directory   *instances.Client
+	convictions func() []gateway.Conviction
+	adopt       func([]gateway.Conviction)
+
+	mu      sync.Mutex
+	clients map[string]*control.Client // by address
+	views   map[string]view            // of the gateways asked, by name
+	pull    chan gateway.Peer          // gateways that have something newer
+}
+
+// view is how much of another gateway's view is known.
+type view struct {
+	run      int64
+	sequence uint64
+}
+
+// New returns the spread of the gateway that s describes. convictions returns
+// the convictions to pass on and adopt takes those of others; both may be nil.
+func New(s settings.Gateway, d *desired.State, t *membership.Table, k *kv.Client,
+	convictions func() []gateway.Conviction, adopt func([]gateway.Conviction)) *Spread {
+	return &Spread{
+		self:        gateway.Peer{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Address()},
+		run:         time.Now().UnixNano(),
+		desired:     d,
+		table:       t,
+		kv:          k.For("Spread"),
+		directory:   instances.NewClient(s.Instances),
+		convictions: convictions,
+		adopt:       adopt,
+		clients:     map[string]*control.Client{},
+		views:       map[string]view{},
+		pull:        make(chan gateway.Peer, 1),
+	}
+}
+
+// Run spreads until ctx ends.
+func (s *Spread) Run(ctx context.Context) error {
+	duties := []func(context.Context){
+		s.exchangeEverySecond,
+		s.sweepEverySecond,
+		s.readList,
+		func(ctx context.Context) { s.follow(ctx, operator.ConfigurationKey, s.adoptConfiguration) },
+		func(ctx context.Context) { s.follow(ctx, placement.Key, s.adoptPlacement) },
+	}
+	done := make(chan struct{}, len(duties))
+	for _, d := range duties {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			d(ctx)
+		}()
+	}
+	for range duties {
+		<-done
+	}
+	s.closeClients()
+	return ctx.Err()
+}
+
+// adoptConfiguration puts the entry in force without the history, which only
+// operators read and which would be most of the bytes that spread.
+func (s *Spread) adoptConfiguration(e kv.Entry) error {
+	var d operator.Document
+	if err := json.Unmarshal(e.Value, &d); err != nil {
+		return errs.Wrap(err, "decode configuration", "key-value service")
+	}
+	return s.desired.AdoptConfiguration(gateway.Versioned{Value: d.WithoutHistory().Encode(), Revision: e.Revision}, "key-value service")
+}
+
+func (s *Spread) adoptPlacement(e kv.Entry) error {
+	return s.desired.AdoptPlacement(gateway.Versioned{Value: e.Value, Revision: e.Revision}, "key-value service")
+}
+
+func (s *Spread) sweepEverySecond(ctx context.Context) {
+	for sleep(ctx, time.Second) {
+		s.table.Sweep(time.Now())
+	}
+}
+
+func (s *Spread) readList(ctx context.Context) {
+	retry := listRetry
+	for {
+		wait := jitter(listInterval)
+		l, err := s.directory.List(ctx)
+		if err != nil {
+			wait = jitter(retry)
+			retry = min(2*retry, listInterval)
+		} else {
+			retry = listRetry
+			s.table.List(l, time.Now())
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+const (
+	listInterval = 10 * time.Second
+	listRetry    = time.Second
+)
+
+// jitter returns a time between half and one and a half of d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
