--- a/cmd/almondreel-standin/main.go
+++ b/cmd/almondreel-standin/main.go
@@ -1,4 +1,46 @@
-// Command almondreel-standin is a placeholder until its package is wired in.
+// Command almondreel-standin runs one small stand-in for a service of the
+// platform or a backend server. Tests and the demo use it.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// commands are the stand-ins, each with its flags.
+type commands struct {
+	Service   serviceCommand   `command:"service" description:"plain service with a journal of the calls it ran"`
+	Instances instancesCommand `command:"instances" description:"lagging list of live and leaving instances"`
+	Engine    engineCommand    `command:"engine" description:"model engine: completions, load orders and state"`
+	Origin    originCommand    `command:"origin" description:"origin of weights behind one overall rate"`
+	Store     storeCommand     `command:"store" description:"weight store behind one overall rate"`
+	KeyValue  kvCommand        `command:"kv" description:"key-value service: compare-and-swap, leases and watches"`
+}
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+	exitCrash   = 3
+)
+
+func main() {
+	_, err := flags.NewParser(&commands{}, flags.HelpFlag|flags.PassDoubleDash).Parse()
+	if err == nil {
+		return
+	}
+	var usage *flags.Error
+	if !errors.As(err, &usage) {
+		fmt.Fprintf(os.Stderr, "almondreel-standin: %v\n", err)
+		os.Exit(exitFailure)
+	}
+	if usage.Type == flags.ErrHelp {
+		fmt.Println(usage.Message)
+		return
+	}
+	fmt.Fprintf(os.Stderr, "almondreel-standin: %v\n", err)
+	os.Exit(exitUsage)
+}
