Add the exchange of chunks between agents and the transfer of a version

Members rank themselves for each chunk; those whose turn comes ask the ones ahead before they draw, so a slow draw costs a question and only a member that cannot be reached costs a second draw.

--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -41,21 +41,52 @@
 // EndWhole in TrailerEnd says that the backend server's answer was passed on whole.
 const EndWhole = "Whole"
 
-// MethodHave exchanges have-sets between agents: HaveRequest, HaveReply.
+// HeaderRegion tells an agent from which region a chunk is asked for.
+const HeaderRegion = "Almondreel-Region"
+
+// MethodHave exchanges holdings between agents: HaveRequest, HaveReply.
 const MethodHave = "Agent.Have"
 
-// HaveRequest tells a neighbour which chunks of a version the sender holds.
+// Mark is a point in the history of one agent's holdings of a version.
+type Mark struct {
+	Run      uint64 // tells histories of one agent apart; 0: nothing is known
+	Sequence uint64 // chunks that were added until then
+}
+
+// Holdings tells which chunks of a version an agent holds: all of them in
+// Whole, or only those added since Base.
+type Holdings struct {
+	Run      uint64
+	Base     uint64
+	Sequence uint64
+	Whole    []uint64 // bitset of chunk indices; set when Base is 0
+	Added    []uint32 // chunk indices; set when Base is not 0
+}
+
+// Seen tells which chunks are known to be held by any agent. Empty sets say
+// that nothing has changed since the last message to the same agent.
+type Seen struct {
+	InRegion []uint64 // bitset: held in the sender's region
+	Anywhere []uint64 // bitset
+}
+
+// HaveRequest tells a neighbour what the sender holds.
 type HaveRequest struct {
-	From    string
-	Address string
-	Digest  manifest.Digest
-	After   uint64 // last Sequence of the neighbour that the sender knows
-	Have    []byte // bitset of chunk indices
+	From       string
+	Region     string
+	DataCentre string
+	Address    string
+	Digest     manifest.Digest
+	Holdings   Holdings
+	Known      Mark // what the sender knows of the neighbour's holdings
+	Seen       Seen
 }
 
-// HaveReply answers with the neighbour's own set.
+// HaveReply answers with the neighbour's own holdings.
 type HaveReply struct {
-	Sequence uint64
-	Have     []byte // empty: unchanged since After, or version unknown
-	Known    bool   // the neighbour has or fetches the version
+	Known        bool // the neighbour has or fetches the version
+	Holdings     Holdings
+	Acknowledged Mark     // what the neighbour knows of the sender's holdings
+	Drawing      []uint32 // chunks that the neighbour brings into its region now
+	Seen         Seen
 }
--- /dev/null
+++ b/internal/haveset/haveset.go
@@ -0,0 +1,126 @@
+// Package haveset keeps which chunks of a version agents hold and tells
+// changes of it instead of the whole.
+package haveset
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/bits-and-blooms/bitset"
+
+	"almondreel.example/almondreel/internal/agent"
+)
+
+// Own is an agent's own set with the order in which it grew. It never shrinks.
+type Own struct {
+	run   uint64
+	bits  *bitset.BitSet
+	added []uint32
+}
+
+// NewOwn returns an empty set of chunks indices.
+func NewOwn(chunks int) *Own {
+	return &Own{run: rand.Uint64() | 1, bits: bitset.New(uint(chunks))}
+}
+
+// Add adds chunk i and reports whether it was missing.
+func (o *Own) Add(i int) bool {
+	if o.bits.Test(uint(i)) {
+		return false
+	}
+	o.bits.Set(uint(i))
+	o.added = append(o.added, uint32(i))
+	return true
+}
+
+// Has reports whether the set holds chunk i.
+func (o *Own) Has(i int) bool { return o.bits.Test(uint(i)) }
+
+// Len returns the number of chunks in the set.
+func (o *Own) Len() int { return len(o.added) }
+
+// Mark returns the current point in the set's history.
+func (o *Own) Mark() agent.Mark {
+	return agent.Mark{Run: o.run, Sequence: uint64(len(o.added))}
+}
+
+// Since returns what was added after known, or the whole set if known is of another history.
+func (o *Own) Since(known agent.Mark) agent.Holdings {
+	now := uint64(len(o.added))
+	h := agent.Holdings{Run: o.run, Sequence: now}
+	if known.Run != o.run || known.Sequence == 0 || known.Sequence > now {
+		h.Whole = append([]uint64(nil), o.bits.Words()...)
+		return h
+	}
+	h.Base = known.Sequence
+	h.Added = append([]uint32(nil), o.added[known.Sequence:]...)
+	return h
+}
+
+// Remote is what is known of another agent's set.
+type Remote struct {
+	mark   agent.Mark
+	chunks int
+	bits   *bitset.BitSet
+}
+
+// NewRemote returns an empty view of a set over chunks indices.
+func NewRemote(chunks int) *Remote {
+	return &Remote{chunks: chunks, bits: bitset.New(uint(chunks))}
+}
+
+// Has reports whether the other agent said that it holds chunk i.
+func (r *Remote) Has(i int) bool { return r.bits.Test(uint(i)) }
+
+// Complete reports whether the other agent holds all chunks.
+func (r *Remote) Complete() bool { return int(r.bits.Count()) == r.chunks }
+
+// Mark returns the point in the other agent's history that is known.
+func (r *Remote) Mark() agent.Mark { return r.mark }
+
+// Apply takes in h. It refuses indices out of range; holdings whose base is
+// not known change nothing, so the mark asks for them again.
+func (r *Remote) Apply(h agent.Holdings) error {
+	if h.Base == 0 {
+		return r.replace(h)
+	}
+	if h.Run != r.mark.Run || h.Base > r.mark.Sequence || h.Sequence < r.mark.Sequence {
+		return nil
+	}
+	for _, i := range h.Added {
+		if int(i) >= r.chunks {
+			return fmt.Errorf("chunk index %d of %d", i, r.chunks)
+		}
+		r.bits.Set(uint(i))
+	}
+	r.mark = agent.Mark{Run: h.Run, Sequence: h.Sequence}
+	return nil
+}
+
+func (r *Remote) replace(h agent.Holdings) error {
+	bits, err := FromWords(h.Whole, r.chunks)
+	if err != nil {
+		return err
+	}
+	r.bits = bits
+	r.mark = agent.Mark{Run: h.Run, Sequence: h.Sequence}
+	return nil
+}
+
+// FromWords returns the set in words, which may hold no index of chunks or more.
+func FromWords(words []uint64, chunks int) (*bitset.BitSet, error) {
+	given := bitset.From(words)
+	if last, ok := lastSet(given); ok && last >= uint(chunks) {
+		return nil, fmt.Errorf("chunk index %d of %d", last, chunks)
+	}
+	set := bitset.New(uint(chunks))
+	set.InPlaceUnion(given)
+	return set, nil
+}
+
+func lastSet(b *bitset.BitSet) (uint, bool) {
+	if b.Len() == 0 {
+		return 0, false
+	}
+	return b.PreviousSet(b.Len() - 1)
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,146 @@
+// Package peer speaks to other agents: holdings over net/rpc, chunks and
+// manifests over HTTP.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/control"
+	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/link"
+	"almondreel.example/almondreel/internal/manifest"
+)
+
+const (
+	callTimeout        = time.Second
+	maxManifestBytes   = 64 << 20
+	idlePerPeer        = 2
+	idleTimeout        = 20 * time.Second
+	readBufferBytes    = 32 << 10
+	manifestTimeout    = 5 * time.Second
+	maxIdleConnections = 256
+)
+
+// Errors of a peer's answer.
+var (
+	ErrBusy    = errors.New("all upload slots of the peer are taken")
+	ErrUnknown = errors.New("the peer does not hold it")
+)
+
+// Transport carries chunks for all clients of one agent.
+type Transport struct {
+	http   *http.Client
+	region string
+	down   *rate.Limiter
+}
+
+// NewTransport returns a transport of an agent in region that reads at the
+// limiter's rate (nil: unlimited).
+func NewTransport(region string, down *rate.Limiter) *Transport {
+	t := &http.Transport{
+		MaxIdleConns:        maxIdleConnections,
+		MaxIdleConnsPerHost: idlePerPeer,
+		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      readBufferBytes,
+	}
+	return &Transport{http: &http.Client{Transport: t}, region: region, down: down}
+}
+
+// Close closes the idle connections.
+func (t *Transport) Close() { t.http.CloseIdleConnections() }
+
+// Client is one other agent. It is safe for concurrent use.
+type Client struct {
+	control   *control.Client
+	transport *Transport
+}
+
+// NewClient returns a client of the agent at address (IP:port).
+func NewClient(address string, t *Transport) *Client {
+	return &Client{control: control.NewClient(address), transport: t}
+}
+
+// Address returns the agent's address.
+func (c *Client) Address() string { return c.control.Address() }
+
+// Close closes the control connection.
+func (c *Client) Close() { c.control.Close() }
+
+// Have exchanges holdings.
+func (c *Client) Have(ctx context.Context, request agent.HaveRequest) (agent.HaveReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply agent.HaveReply
+	err := c.control.Call(ctx, agent.MethodHave, request, &reply)
+	return reply, err
+}
+
+// Manifest reads the manifest of a version by its digest.
+func (c *Client) Manifest(ctx context.Context, digest manifest.Digest) (manifest.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	response, err := c.get(ctx, agent.ManifestPath+string(digest))
+	if err != nil {
+		return manifest.Manifest{}, errs.Wrap(err, "read manifest", c.Address())
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxManifestBytes))
+	if err != nil {
+		return manifest.Manifest{}, errs.Wrap(err, "read manifest", c.Address())
+	}
+	m, err := manifest.Decode(text, digest)
+	return m, errs.Wrap(err, "check manifest", c.Address())
+}
+
+// Chunk reads a chunk's bytes, which chunkstore.Store.Put verifies. Errors:
+// ErrBusy, ErrUnknown, link.ErrStalled, link.ErrCutShort, link.ErrTooLong.
+func (c *Client) Chunk(ctx context.Context, chunk manifest.Chunk) ([]byte, error) {
+	ctx, watch := link.Guard(ctx)
+	defer watch.Stop()
+	data, err := c.chunk(ctx, watch, chunk)
+	if err != nil {
+		return nil, errs.Wrap(watch.Explain(err), "fetch chunk", c.Address())
+	}
+	return data, nil
+}
+
+func (c *Client) chunk(ctx context.Context, w *link.Watch, chunk manifest.Chunk) ([]byte, error) {
+	response, err := c.get(ctx, agent.ChunkPath+string(chunk.Digest))
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	w.Progress()
+	return link.Read(ctx, w, response.Body, chunk.Bytes, c.transport.down)
+}
+
+func (c *Client) get(ctx context.Context, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address()+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(agent.HeaderRegion, c.transport.region)
+	response, err := c.transport.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	_ = response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusServiceUnavailable:
+		return nil, ErrBusy
+	case http.StatusNotFound:
+		return nil, ErrUnknown
+	}
+	return nil, fmt.Errorf("status %d", response.StatusCode)
+}
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -75,9 +75,9 @@
 	return io.ReadAll(io.LimitReader(response.Body, maxManifestBytes))
 }
 
-// Chunk reads one chunk by range, at the limiter's rate (nil: unlimited), and
-// verifies it. A source that makes no progress gives link.ErrStalled, bytes
-// that differ give manifest.ErrMismatch.
+// Chunk reads one chunk's bytes by range, at the limiter's rate (nil:
+// unlimited); chunkstore.Store.Put verifies them. A source that makes no
+// progress gives link.ErrStalled.
 func (c *Client) Chunk(ctx context.Context, model, version string, chunk manifest.Chunk, limiter *rate.Limiter) ([]byte, error) {
 	ctx, watch := link.Guard(ctx)
 	defer watch.Stop()
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, errs.Wrap(watch.Explain(err), "draw chunk", c.base)
 	}
-	return data, errs.Wrap(chunk.Verify(data), "verify chunk", c.base)
+	return data, nil
 }
 
 func (c *Client) chunk(ctx context.Context, w *link.Watch, path string, chunk manifest.Chunk, limiter *rate.Limiter) ([]byte, error) {
--- a/internal/source/messages.go
+++ b/internal/source/messages.go
@@ -4,8 +4,6 @@
 // requests. A chunk's digest is checked by the reader, never by the source.
 package source
 
-import "almondreel.example/almondreel/internal/manifest"
-
 // ManifestPath answers the manifest of a version as JSON.
 func ManifestPath(model, version string) string {
 	return "/v1/models/" + model + "/" + version + "/manifest"
@@ -24,10 +22,3 @@
 	Origin Kind = "Origin"
 	Store  Kind = "Store"
 )
-
-// Drawn is a chunk's bytes with the source they came from.
-type Drawn struct {
-	Chunk manifest.Chunk
-	Data  []byte
-	From  Kind
-}
--- /dev/null
+++ b/internal/transfer/bring.go
@@ -0,0 +1,262 @@
+package transfer
+
+import (
+	"context"
+	"time"
+
+	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/haveset"
+	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/peer"
+	"almondreel.example/almondreel/pkg/stripe"
+)
+
+// Bringing a chunk into the region.
+//
+// Members rank themselves for each chunk; the first one brings it and the
+// others wait for their turn. A member whose turn has come asks those before
+// it whether they hold the chunk or are at work on it, and goes ahead only if
+// none does. A death so costs one step, a slow draw costs a question, and a
+// second draw happens only when the first member cannot be reached.
+//
+// Only the lowest chunks that nobody is known to hold are open, so that the
+// source sends few chunks at a time and each is soon passed on.
+
+const (
+	settleTime   = 300 * time.Millisecond // for the first exchange, before the first draw
+	window       = 16                     // open chunks
+	takeOverStep = time.Second
+	lostAfter    = 3 * time.Second // a chunk seen that no neighbour holds is brought again
+	maxAhead     = 6               // members asked before a take-over
+	farTries     = 3               // agents of other regions tried for one chunk
+)
+
+// way is how a chunk is brought.
+type way interface{ isWay() }
+
+type (
+	fromSource struct{}
+	fromRegion struct{ candidates []gateway.Peer } // agents of other regions
+)
+
+func (fromSource) isWay() {}
+func (fromRegion) isWay() {}
+
+// task is a chunk that the agent brings, with the members to ask first.
+type task struct {
+	chunk int
+	ask   []gateway.Peer
+	way   way
+}
+
+// launchBrings starts what is the agent's turn. Callers hold mu.
+func (t *Transfer) launchBrings(ctx context.Context, now time.Time) {
+	if !t.exchanged && now.Sub(t.startedAt) < settleTime || t.members.drawAt == nil {
+		return
+	}
+	t.open(now)
+	for i := range t.chunks {
+		if t.drawing >= maxDraws && t.far >= maxFar {
+			return
+		}
+		if t.own.Has(i) || t.flights[i] != nil || now.Before(t.chunks[i].retryAt) || t.copies(i) > 0 {
+			continue
+		}
+		if job, ok := t.turn(i, now); ok {
+			t.start(ctx, job)
+		}
+	}
+}
+
+// open opens the lowest chunks that nobody is known to hold. Callers hold mu.
+func (t *Transfer) open(now time.Time) {
+	seen := t.anywhere
+	if t.plan.Weighing != operator.OriginBytes {
+		seen = t.region
+	}
+	left := window
+	for i, ok := seen.NextClear(0); ok && left > 0 && int(i) < len(t.chunks); i, ok = seen.NextClear(i + 1) {
+		if t.chunks[i].openedAt.IsZero() {
+			t.chunks[i].openedAt = now
+		}
+		left--
+	}
+}
+
+// turn returns the task for chunk i if it is the agent's turn. Callers hold mu.
+func (t *Transfer) turn(i int, now time.Time) (task, bool) {
+	s := t.chunks[i]
+	c := t.manifest.Chunks[i]
+	inRegion := t.region.Test(uint(i))
+	switch {
+	case inRegion:
+		return t.taskFor(i, t.members.region, t.members.nearAt[i], s.nearAt.Add(lostAfter), now, true)
+	case t.plan.Weighing == operator.OriginBytes && t.anywhere.Test(uint(i)):
+		job, ok := t.taskFor(i, t.members.region, t.members.nearAt[i], s.seenAt, now, false)
+		if ok && !t.hurry(i, now) {
+			job.way = fromRegion{t.holders(i, c)}
+		}
+		return job, ok
+	case s.openedAt.IsZero():
+		return task{}, false
+	}
+	return t.taskFor(i, t.members.draw, t.members.drawAt[i], s.openedAt, now, false)
+}
+
+// taskFor returns a task once the agent's turn among names has come. A lost
+// chunk is asked for behind the agent's rank too. Callers hold mu.
+func (t *Transfer) taskFor(i int, names []string, position int, opened, now time.Time, lost bool) (task, bool) {
+	if position < 0 || now.Before(stripe.Turn(opened, position, t.step())) {
+		return task{}, false
+	}
+	asked := position
+	if lost {
+		asked += maxAhead
+	}
+	ask := t.members.ahead(t.manifest.Chunks[i], names, asked)
+	return task{chunk: i, ask: ask[:min(len(ask), maxAhead)], way: fromSource{}}, true
+}
+
+func (t *Transfer) step() time.Duration { return takeOverStep + 2*t.drawTime }
+
+// holders returns agents of other regions that hold chunk c or drew it. Callers hold mu.
+func (t *Transfer) holders(i int, c manifest.Chunk) []gateway.Peer {
+	var out []gateway.Peer
+	for _, n := range t.neighbours {
+		if !t.near(n.peer) && n.rejected < maxRejected && n.remote.Has(i) {
+			out = append(out, n.peer)
+		}
+	}
+	for _, p := range t.members.ahead(c, t.members.draw, len(t.members.draw)) {
+		if len(out) >= farTries {
+			break
+		}
+		if !t.near(p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// start starts a task unless its kind is at its bound. Callers hold mu.
+func (t *Transfer) start(ctx context.Context, job task) {
+	_, far := job.way.(fromRegion)
+	if far && t.far >= maxFar || !far && t.drawing >= maxDraws {
+		return
+	}
+	if far {
+		t.far++
+	} else {
+		t.drawing++
+	}
+	ctx, end, f := t.takeOff(ctx, job.chunk)
+	f.drawing = len(job.ask) == 0
+	go func() {
+		started := time.Now()
+		o := t.bring(ctx, job)
+		t.landed <- landing{chunk: job.chunk, far: far, bring: true, took: time.Since(started), end: end, outcome: o}
+	}()
+}
+
+// bring asks the members ahead and then gets the chunk.
+func (t *Transfer) bring(ctx context.Context, job task) outcome {
+	c := t.manifest.Chunks[job.chunk]
+	if len(job.ask) > 0 {
+		a := t.ask(ctx, job)
+		if a.holder != nil {
+			client := peer.NewClient(a.holder.Address, t.exchange.options.Transport)
+			return result(t.fetchFrom(ctx, client, c))
+		}
+		if a.drawn {
+			return postponed{}
+		}
+		event.Log(event.ChunkTakenOver, "Chunk", job.chunk, "Digest", t.plan.Digest)
+		counter.Add("ChunksTakenOver", 1)
+		t.claim(job.chunk)
+	}
+	switch w := job.way.(type) {
+	case fromRegion:
+		return result(t.fetchFar(ctx, c, w.candidates))
+	default:
+		return result(t.draw(ctx, c))
+	}
+}
+
+func (t *Transfer) claim(i int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f := t.flights[i]; f != nil {
+		f.drawing = true
+	}
+}
+
+// answers sums up what the members ahead said.
+type answers struct {
+	holder *gateway.Peer // holds the chunk
+	drawn  bool          // one is at work on it
+}
+
+// ask asks the members ahead at once whether they hold or draw the chunk.
+func (t *Transfer) ask(ctx context.Context, job task) answers {
+	said := make(chan answers, len(job.ask))
+	for _, p := range job.ask {
+		go func() { said <- t.askOne(ctx, p, job.chunk) }()
+	}
+	var sum answers
+	for range job.ask {
+		a := <-said
+		if a.holder != nil {
+			sum.holder = a.holder
+		}
+		sum.drawn = sum.drawn || a.drawn
+	}
+	return sum
+}
+
+func (t *Transfer) askOne(ctx context.Context, p gateway.Peer, chunk int) answers {
+	client := peer.NewClient(p.Address, t.exchange.options.Transport)
+	defer client.Close()
+	reply, err := client.Have(ctx, agent.HaveRequest{Digest: t.plan.Digest})
+	if err != nil || !reply.Known {
+		return answers{}
+	}
+	remote := haveset.NewRemote(len(t.chunks))
+	if remote.Apply(reply.Holdings) == nil && remote.Has(chunk) {
+		return answers{holder: &p}
+	}
+	for _, i := range reply.Drawing {
+		if int(i) == chunk {
+			return answers{drawn: true}
+		}
+	}
+	return answers{}
+}
+
+// fetchFar tries the candidates in turn.
+func (t *Transfer) fetchFar(ctx context.Context, c manifest.Chunk, candidates []gateway.Peer) error {
+	err := error(peer.ErrUnknown)
+	for _, p := range candidates {
+		client := peer.NewClient(p.Address, t.exchange.options.Transport)
+		if err = t.fetchFrom(ctx, client, c); err == nil {
+			counter.Add("ChunksFetchedFar", 1)
+			return nil
+		}
+	}
+	return err
+}
+
+// sameDigest returns the indices of all chunks with the digest of chunk i.
+// Callers hold mu.
+func (t *Transfer) sameDigest(i int) map[int]bool {
+	out := map[int]bool{i: true}
+	for k, c := range t.manifest.Chunks {
+		if c.Digest == t.manifest.Chunks[i].Digest {
+			out[k] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/transfer/neighbours.go
@@ -0,0 +1,349 @@
+package transfer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/haveset"
+	"almondreel.example/almondreel/internal/peer"
+)
+
+const (
+	nearNeighbours = 6 // called in the own region, own data centre first
+	randomOfNear   = 2 // of these, drawn from the whole region
+	farNeighbours  = 2 // called in other regions
+	maxNeighbours  = 20
+	tendInterval   = 500 * time.Millisecond
+	maxFailures    = 3 // calls in a row before a neighbour is dropped
+	callerSilence  = 6 * time.Second
+	exchangeGap    = 40 * time.Millisecond
+	unknownGap     = 150 * time.Millisecond
+	idleGap        = time.Second
+	completeGap    = 4 * time.Second
+)
+
+// neighbour is an agent whose holdings are followed. Transfer.mu guards it.
+type neighbour struct {
+	peer         gateway.Peer
+	client       *peer.Client
+	remote       *haveset.Remote
+	acknowledged agent.Mark // what it knows of the own holdings
+	toldSeen     uint64     // seenCount when the seen sets were last told
+	inFlight     int
+	notBefore    time.Time // it is not asked for chunks before
+	rejected     int       // chunks of it that were not what they claimed
+	failures     int
+	heardAt      time.Time
+	cancel       context.CancelFunc // ends the calls; nil when the neighbour calls
+}
+
+// tend keeps enough neighbours and calls each in a goroutine of its own.
+func (t *Transfer) tend(ctx context.Context) {
+	ended := make(chan struct{}, maxNeighbours)
+	running := 0
+	ticker := time.NewTicker(tendInterval)
+	defer ticker.Stop()
+	for {
+		running += t.choose(ctx, ended)
+		select {
+		case <-ended:
+			running--
+		case <-ticker.C:
+		case <-ctx.Done():
+			for ; running > 0; running-- {
+				<-ended
+			}
+			t.closeAll()
+			return
+		}
+	}
+}
+
+// choose drops silent neighbours and starts calls to new ones, whose number it returns.
+func (t *Transfer) choose(ctx context.Context, ended chan<- struct{}) int {
+	peers := t.others()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members.update(t.plan, t.exchange.options.Self, peers, t.manifest)
+	t.dropSilent(time.Now())
+	if len(peers) == 0 && time.Since(t.startedAt) > settleTime {
+		t.exchanged = true
+	}
+	chosen := t.candidates(peers)
+	for _, p := range chosen {
+		n := t.meet(p)
+		callCtx, cancel := context.WithCancel(ctx)
+		n.cancel = cancel
+		go func() {
+			t.converse(callCtx, n)
+			ended <- struct{}{}
+		}()
+	}
+	return len(chosen)
+}
+
+// others returns the placed peers without the agent itself.
+func (t *Transfer) others() []gateway.Peer {
+	placed := make(map[string]bool, len(t.plan.Members))
+	for _, name := range t.plan.Members {
+		placed[name] = true
+	}
+	var out []gateway.Peer
+	for _, p := range t.exchange.options.Peers() {
+		if placed[p.Name] && p.Name != t.exchange.options.Self.Name {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (t *Transfer) dropSilent(now time.Time) {
+	for name, n := range t.neighbours {
+		if n.cancel == nil && n.inFlight == 0 && now.Sub(n.heardAt) > callerSilence {
+			n.client.Close()
+			delete(t.neighbours, name)
+		}
+	}
+}
+
+// candidates returns new neighbours: of the own data centre first, some of
+// the whole region at random, a few of other regions. Callers hold mu.
+func (t *Transfer) candidates(peers []gateway.Peer) []gateway.Peer {
+	var centre, region, far []gateway.Peer
+	near, away := 0, 0
+	for _, n := range t.neighbours {
+		if n.cancel == nil {
+			continue
+		}
+		if t.near(n.peer) {
+			near++
+		} else {
+			away++
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers {
+		switch {
+		case t.neighbours[p.Name] != nil:
+		case p.DataCentre == t.exchange.options.Self.DataCentre:
+			centre = append(centre, p)
+		case t.near(p):
+			region = append(region, p)
+		default:
+			far = append(far, p)
+		}
+	}
+	wanted := max(nearNeighbours-near, 0)
+	local := min(len(centre), max(wanted-randomOfNear, wanted-len(region)))
+	chosen := append([]gateway.Peer(nil), centre[:max(local, 0)]...)
+	chosen = append(chosen, region[:min(len(region), wanted-len(chosen))]...)
+	return append(chosen, far[:min(len(far), max(farNeighbours-away, 0))]...)
+}
+
+// meet records a neighbour. Callers hold mu.
+func (t *Transfer) meet(p gateway.Peer) *neighbour {
+	n := &neighbour{
+		peer:    p,
+		client:  peer.NewClient(p.Address, t.exchange.options.Transport),
+		remote:  haveset.NewRemote(len(t.manifest.Chunks)),
+		heardAt: time.Now(),
+	}
+	t.neighbours[p.Name] = n
+	return n
+}
+
+func (t *Transfer) closeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, n := range t.neighbours {
+		n.client.Close()
+	}
+}
+
+// converse exchanges holdings with n until ctx ends or n stays silent.
+func (t *Transfer) converse(ctx context.Context, n *neighbour) {
+	for {
+		request, changed := t.request(n)
+		reply, err := n.client.Have(ctx, request)
+		gap, lost := t.hear(n, reply, err)
+		if lost {
+			counter.Add("NeighboursLost", 1)
+			return
+		}
+		if !pause(ctx, gap) || !t.waitChange(ctx, n, changed) {
+			return
+		}
+	}
+}
+
+func (t *Transfer) request(n *neighbour) (agent.HaveRequest, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	self := t.exchange.options.Self
+	request := agent.HaveRequest{
+		From:       self.Name,
+		Region:     self.Region,
+		DataCentre: self.DataCentre,
+		Address:    self.Address,
+		Digest:     t.plan.Digest,
+		Holdings:   t.own.Since(n.acknowledged),
+		Known:      n.remote.Mark(),
+		Seen:       t.tell(n),
+	}
+	return request, t.changed
+}
+
+// tell returns the seen sets if they grew since n was last told. Callers hold mu.
+func (t *Transfer) tell(n *neighbour) agent.Seen {
+	if n.toldSeen == t.seenCount {
+		return agent.Seen{}
+	}
+	n.toldSeen = t.seenCount
+	return agent.Seen{
+		InRegion: append([]uint64(nil), t.region.Words()...),
+		Anywhere: append([]uint64(nil), t.anywhere.Words()...),
+	}
+}
+
+// hear takes in n's reply and returns the time until the next call; lost means
+// that n is no longer a neighbour.
+func (t *Transfer) hear(n *neighbour, reply agent.HaveReply, err error) (gap time.Duration, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		n.toldSeen = 0
+		n.failures++
+		if n.failures >= maxFailures {
+			n.cancel()
+			n.client.Close()
+			delete(t.neighbours, n.peer.Name)
+			return 0, true
+		}
+		return unknownGap, false
+	}
+	n.failures = 0
+	n.heardAt = time.Now()
+	if !reply.Known {
+		n.toldSeen = 0
+		n.acknowledged = agent.Mark{}
+		return unknownGap, false
+	}
+	t.exchanged = true
+	n.acknowledged = reply.Acknowledged
+	t.learn(n, reply.Holdings, reply.Seen)
+	return exchangeGap, false
+}
+
+// learn takes in what n holds and has seen. Callers hold mu.
+func (t *Transfer) learn(n *neighbour, h agent.Holdings, s agent.Seen) {
+	if err := n.remote.Apply(h); err != nil {
+		counter.Add("HoldingsRejected", 1)
+		return
+	}
+	before := t.seenCount
+	near := t.near(n.peer)
+	for i := range t.chunks {
+		if n.remote.Has(i) {
+			t.see(i, near)
+		}
+	}
+	if near {
+		t.merge(s.InRegion, true)
+	}
+	t.merge(s.Anywhere, false)
+	if t.seenCount != before {
+		t.announce()
+	}
+	t.poke()
+}
+
+func (t *Transfer) merge(words []uint64, near bool) {
+	if len(words) == 0 {
+		return
+	}
+	set, err := haveset.FromWords(words, len(t.chunks))
+	if err != nil {
+		counter.Add("HoldingsRejected", 1)
+		return
+	}
+	for i, ok := set.NextSet(0); ok; i, ok = set.NextSet(i + 1) {
+		t.see(int(i), near)
+	}
+}
+
+// waitChange waits until there is something new to tell n, or the idle gap is over.
+func (t *Transfer) waitChange(ctx context.Context, n *neighbour, changed <-chan struct{}) bool {
+	t.mu.Lock()
+	gap := idleGap
+	if n.remote.Complete() && t.own.Len() == len(t.chunks) {
+		gap = completeGap
+	}
+	t.mu.Unlock()
+	timer := time.NewTimer(gap)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// answer is the receiving side of an exchange. A caller without a name asks
+// only; a placed caller becomes a neighbour while there is room.
+func (t *Transfer) answer(request agent.HaveRequest, reply *agent.HaveReply) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.own == nil {
+		return nil
+	}
+	reply.Known = true
+	reply.Holdings = t.own.Since(request.Known)
+	for i, f := range t.flights {
+		if f.drawing {
+			reply.Drawing = append(reply.Drawing, uint32(i))
+		}
+	}
+	n := t.caller(request)
+	if n == nil {
+		return nil
+	}
+	n.heardAt = time.Now()
+	t.learn(n, request.Holdings, request.Seen)
+	reply.Acknowledged = n.remote.Mark()
+	reply.Seen = t.tell(n)
+	return nil
+}
+
+// caller returns the neighbour that sends request, or nil. Callers hold mu.
+func (t *Transfer) caller(request agent.HaveRequest) *neighbour {
+	n := t.neighbours[request.From]
+	if n != nil && n.peer.Address == request.Address {
+		return n
+	}
+	if n != nil || len(t.neighbours) >= maxNeighbours || !t.members.placed(request.From) {
+		return nil
+	}
+	return t.meet(gateway.Peer{
+		Name:       request.From,
+		Region:     request.Region,
+		DataCentre: request.DataCentre,
+		Address:    request.Address,
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
