--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -6,6 +6,7 @@
 	Stopping
 	Stopped
 	DutyFailed
+	InvariantBroken
 )
 
 // Events of configuration, placement and membership: 2000 to 2099.
@@ -24,6 +25,11 @@
 	MemberSuspected
 	MemberLost
 	DataCentreSilent
+	GatewaySilent
+	DocumentUndecodable
+	DutyFenced
+	TargetShort
+	VersionUnresolved
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -54,10 +60,11 @@
 )
 
 var catalogue = map[Number]string{
-	Started:    "program started",
-	Stopping:   "program stopping",
-	Stopped:    "program stopped",
-	DutyFailed: "duty failed and is restarted",
+	Started:         "program started",
+	Stopping:        "program stopping",
+	Stopped:         "program stopped",
+	DutyFailed:      "duty failed and is restarted",
+	InvariantBroken: "an invariant is broken: please report it",
 
 	ConfigurationAdopted: "configuration revision adopted",
 	ConfigurationOlder:   "older configuration revision offered and ignored",
@@ -73,6 +80,11 @@
 	MemberSuspected:      "instance suspected: one source is silent",
 	MemberLost:           "instance lost",
 	DataCentreSilent:     "whole data centre silent: treated as a partition",
+	GatewaySilent:        "gateway does not answer heartbeats: another is chosen",
+	DocumentUndecodable:  "document from a peer cannot be decoded",
+	DutyFenced:           "placement write lost against a newer revision",
+	TargetShort:          "too few instances for a class's target",
+	VersionUnresolved:    "origin does not resolve a version",
 
 	TransferStarted:   "transfer of a model started",
 	TransferVerified:  "transfer complete and verified",
