--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,351 @@
+// Package dispatch takes a gateway's admitted requests to agents and ends each
+// in exactly one outcome.
+//
+// A request is sent again only when it was certainly not run or its class is
+// idempotent. Refused is said only when no dispatch was accepted.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/desired"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/membership"
+	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/route"
+	"almondreel.example/almondreel/internal/transmit"
+	"almondreel.example/almondreel/pkg/limit"
+	"almondreel.example/almondreel/pkg/quarantine"
+)
+
+const (
+	maxAttempts   = 4
+	retryShare    = 0.1 // of the requests that may be sent again
+	noReplicaWait = time.Second
+	plainCost     = 16 // tokens that a plain call counts as
+)
+
+// Options of a Dispatcher.
+type Options struct {
+	Gateway    string // this gateway's name
+	Desired    *desired.State
+	Members    *membership.Table
+	Gateways   func() []string // names of the gateways; nil: only this one
+	Quarantine *quarantine.Table
+	Suspected  func(context.Context, quarantine.Entry) // tells the other gateways; may be nil
+	Claims     Claims                                  // nil refuses the calls that may not be repeated
+}
+
+// Dispatcher sends requests. It is safe for concurrent use.
+type Dispatcher struct {
+	options Options
+	client  *transmit.Client
+	router  *route.Router
+
+	mu      sync.Mutex
+	queues  map[string]*limit.Queue  // by service
+	budgets map[string]*limit.Budget // by class
+}
+
+// New returns a dispatcher.
+func New(o Options) *Dispatcher {
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.NewTable()
+	}
+	if o.Gateways == nil {
+		o.Gateways = func() []string { return []string{o.Gateway} }
+	}
+	return &Dispatcher{
+		options: o,
+		client:  transmit.NewClient(),
+		router:  route.NewRouter(),
+		queues:  map[string]*limit.Queue{},
+		budgets: map[string]*limit.Budget{},
+	}
+}
+
+// Stream runs a completion and passes its tokens to sink.
+func (d *Dispatcher) Stream(ctx context.Context, r Request, sink Sink) outcome.Outcome {
+	_, o := d.run(ctx, r, sink)
+	return o
+}
+
+// Call runs a plain call.
+func (d *Dispatcher) Call(ctx context.Context, r Request) (Answer, outcome.Outcome) {
+	return d.run(ctx, r, nil)
+}
+
+func (d *Dispatcher) run(ctx context.Context, r Request, sink Sink) (Answer, outcome.Outcome) {
+	l := newLife()
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	f := &flight{dispatcher: d, request: r, sink: sink, life: l, tried: map[string]bool{}, budget: d.budget(r.Class.Name)}
+	o := f.admitted(ctx)
+	return f.progress.answer, l.finish(r.ID, o)
+}
+
+// admitted waits for a permit and runs the request with it.
+func (f *flight) admitted(ctx context.Context) outcome.Outcome {
+	d, r := f.dispatcher, f.request
+	if d.options.Quarantine.Judge(r.Fingerprint, time.Now()) == quarantine.Convicted {
+		return outcome.Refused{Reason: outcome.Quarantined}
+	}
+	if !f.pin() {
+		return outcome.Refused{Reason: outcome.NoReplica, RetryAt: f.comeBack()}
+	}
+	queue := d.queue(r.Class.Service, f.members(time.Now()))
+	permit, err := queue.Acquire(ctx, f.ask())
+	var refusal *limit.Refusal
+	if errors.As(err, &refusal) {
+		return notAdmitted(ctx, refusal)
+	}
+	defer permit.Return()
+	f.queue, f.permit = queue, permit
+	f.life.fire("Admit")
+	f.budget.Request()
+	if r.Class.Idempotent {
+		return f.repeat(ctx)
+	}
+	return f.claimed(ctx)
+}
+
+func notAdmitted(ctx context.Context, r *limit.Refusal) outcome.Outcome {
+	switch r.Cause {
+	case limit.QueueFull:
+		return outcome.Refused{Reason: outcome.QueueFull, RetryAt: r.RetryAt}
+	case limit.Gone:
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return outcome.Refused{Reason: outcome.DeadlinePassed}
+		}
+		return outcome.Cancelled{}
+	}
+	return outcome.Refused{Reason: outcome.WaitTooLong, RetryAt: r.RetryAt}
+}
+
+// ask is for a start that leaves time to meet the class's target.
+func (f *flight) ask() limit.Ask {
+	r := f.request
+	target := r.Class.Target
+	startBy := r.Deadline.Add(-time.Until(r.Deadline) / 2)
+	if target.FirstTokenMilliseconds > 0 {
+		startBy = time.Now().Add(time.Duration(target.FirstTokenMilliseconds) * time.Millisecond / 2)
+	}
+	if startBy.After(r.Deadline) {
+		startBy = r.Deadline
+	}
+	return limit.Ask{
+		Organisation: r.Organisation,
+		Weight:       float64(max(1, r.Weight)),
+		Cost:         float64(len(r.Body)/4 + max(r.Tokens, plainCost)),
+		Priority:     r.Class.Priority,
+		StartBy:      startBy,
+	}
+}
+
+func (d *Dispatcher) queue(service string, members []gateway.Member) *limit.Queue {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slots := 0
+	for _, m := range members {
+		slots += m.Slots
+	}
+	q, ok := d.queues[service]
+	if !ok {
+		q = limit.NewQueue(limit.Options{Ceiling: slots})
+		d.queues[service] = q
+		return q
+	}
+	q.SetCeiling(slots)
+	return q
+}
+
+func (d *Dispatcher) budget(class string) *limit.Budget {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, ok := d.budgets[class]
+	if !ok {
+		b = limit.NewBudget(retryShare)
+		d.budgets[class] = b
+	}
+	return b
+}
+
+// Retries returns the requests and retries of a class so far.
+func (d *Dispatcher) Retries(class string) (requests, retries int64) {
+	return d.budget(class).Counts()
+}
+
+// Load returns the state of a service's queue.
+func (d *Dispatcher) Load(service string) limit.State {
+	d.mu.Lock()
+	q, ok := d.queues[service]
+	d.mu.Unlock()
+	if !ok {
+		return limit.State{}
+	}
+	return q.State()
+}
+
+// flight is one request on its way.
+type flight struct {
+	dispatcher *Dispatcher
+	request    Request
+	sink       Sink
+	life       *life
+	queue      *limit.Queue
+	permit     *limit.Permit
+	budget     *limit.Budget
+	progress   progress
+	tried      map[string]bool
+	accepted   bool // an attempt may have run
+	startedAt  time.Time
+}
+
+// pin fixes the version that must answer.
+func (f *flight) pin() bool {
+	snapshot, _ := f.dispatcher.options.Desired.Current()
+	a, ok := snapshot.Placement.Of(f.request.Class.Name)
+	if !ok {
+		return false
+	}
+	f.progress.digest = a.Digest
+	return true
+}
+
+// members returns the agents that may run the request now. A version that is
+// being replaced goes on serving until its successor is open on some agent.
+func (f *flight) members(now time.Time) []gateway.Member {
+	o := f.dispatcher.options
+	subset := route.Subset(o.Members.Routable(f.request.Class.Service, now), o.Gateways(), o.Gateway)
+	if f.request.Class.Kind != operator.Model {
+		return subset
+	}
+	var out []gateway.Member
+	for _, m := range subset {
+		if m.Digest == f.progress.digest && m.Digest != "" {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// repeat sends an idempotent request until an attempt brings the whole answer.
+func (f *flight) repeat(ctx context.Context) outcome.Outcome {
+	last := outcome.NoReplica
+	for i := 0; ; i++ {
+		if ctx.Err() != nil {
+			return f.giveUp(ctx, outcome.DeadlinePassed)
+		}
+		if i == maxAttempts {
+			return f.giveUp(ctx, last)
+		}
+		if i > 0 && !f.mayRetry(last) {
+			return f.giveUp(ctx, outcome.BudgetSpent)
+		}
+		r, ok := f.attempt(ctx)
+		if !ok {
+			return f.giveUp(ctx, last)
+		}
+		switch r := r.(type) {
+		case whole:
+			f.dispatcher.options.Quarantine.Completed(f.request.Fingerprint)
+			return outcome.Answered{Digest: string(f.progress.digest), Tokens: f.progress.tokens}
+		case gone:
+			return outcome.Cancelled{Tokens: f.progress.tokens}
+		case declined:
+			last = r.reason
+		case broken:
+			last = r.reason
+			if f.convicted(ctx, r) {
+				return outcome.Failed{Reason: outcome.Quarantined, Tokens: f.progress.tokens}
+			}
+		}
+	}
+}
+
+func (f *flight) mayRetry(reason outcome.Reason) bool {
+	if !f.budget.Retry() {
+		counter.Add("RetryRefused."+string(outcome.BudgetSpent), 1)
+		return false
+	}
+	counter.Add("Retried."+string(reason), 1)
+	event.Log(event.RequestRetried, "Request", f.request.ID, "Reason", string(reason))
+	return true
+}
+
+// giveUp ends a request that has no more attempts.
+func (f *flight) giveUp(ctx context.Context, reason outcome.Reason) outcome.Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return outcome.Cancelled{Tokens: f.progress.tokens}
+	}
+	if f.accepted {
+		return outcome.Failed{Reason: reason, Tokens: f.progress.tokens}
+	}
+	return outcome.Refused{Reason: reason, RetryAt: f.comeBack()}
+}
+
+func (f *flight) comeBack() time.Time {
+	if f.queue == nil {
+		return limit.Jittered(time.Now(), noReplicaWait)
+	}
+	return f.queue.RetryAt(time.Now())
+}
+
+// attempt sends the request once to an agent that was not tried; it reports
+// false when there is none.
+func (f *flight) attempt(ctx context.Context) (result, bool) {
+	m, suspect, ok := f.choose(ctx)
+	if !ok {
+		return nil, false
+	}
+	defer f.dispatcher.router.Ended(m.Name)
+	if suspect {
+		defer f.dispatcher.options.Quarantine.Leave(f.request.Fingerprint, m.Name)
+	}
+	f.tried[m.Name] = true
+	f.startedAt = time.Now()
+	f.life.fire("Dispatch")
+	a := &attempt{
+		dispatcher: f.dispatcher,
+		request:    f.request,
+		member:     m,
+		suspect:    suspect,
+		progress:   &f.progress,
+		sink:       f.sink,
+		begun:      f.begun,
+	}
+	r := a.run(ctx)
+	f.note(r, m, suspect)
+	return r, true
+}
+
+func (f *flight) begun() {
+	f.life.fire("Begin")
+	took := int(time.Since(f.startedAt).Milliseconds())
+	f.permit.Observed(took, f.request.Class.Target.FirstTokenMilliseconds)
+	counter.Observe("FirstTokenMilliseconds."+f.request.Class.Name, int64(took))
+}
+
+// note walks the chart and tells counters, events and limits of an attempt's end.
+func (f *flight) note(r result, m gateway.Member, suspect bool) {
+	switch r := r.(type) {
+	case declined:
+		f.life.fire("Decline")
+		counter.Add("Declined."+string(r.reason), 1)
+		event.Log(event.DispatchRefused, "Request", f.request.ID, "Reason", string(r.reason), "Peer", m.Name)
+		if r.reason == outcome.ReplicaBusy {
+			f.permit.Overloaded()
+		}
+	case broken:
+		f.accepted = true
+		f.life.fire("Interrupt")
+		counter.Add("Broken."+string(r.reason), 1)
+		f.diedOn(r, m, suspect)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"almondreel.example/almondreel/internal/engine"
+	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/operator"
+)
+
+const affinityBytes = 256 // of the prompt that decide where it prefers to run
+
+// Request is one request of a caller, checked.
+type Request struct {
+	ID           string
+	Organisation string
+	Weight       int // the organisation's share; 0 means 1
+	Class        operator.Class
+	Key          string // idempotency key; may be empty
+	Body         []byte
+	Prompt       string // of a completion
+	Tokens       int    // that a completion may generate at most; 0 for a plain call
+	Deadline     time.Time
+	Fingerprint  string
+}
+
+// Fingerprint identifies what a request asks for, whoever sends it again.
+func Fingerprint(organisation, class string, body []byte) string {
+	h := sha256.New()
+	_, _ = h.Write([]byte(organisation + "\x00" + class + "\x00"))
+	_, _ = h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (r Request) affinity() string {
+	prefix := r.Prompt
+	if len(prefix) > affinityBytes {
+		prefix = prefix[:affinityBytes]
+	}
+	return r.Class.Service + "\x00" + prefix
+}
+
+// Sink takes a completion's tokens in order.
+type Sink interface {
+	// Token passes one token on; an error says that the caller is gone.
+	Token(t engine.Token) error
+}
+
+// Answer is a plain service's answer.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// progress is what the attempts of one request have brought so far.
+type progress struct {
+	digest manifest.Digest // that the request is pinned to
+	tokens int             // that reached the caller
+	answer Answer
+}
--- a/internal/door/backend.go
+++ b/internal/door/backend.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -23,9 +22,6 @@
 )
 
 const (
-	probeTimeout  = 300 * time.Millisecond
-	probes        = 3
-	probePause    = 30 * time.Millisecond
 	cancelTimeout = 2 * time.Second
 )
 
@@ -193,25 +189,12 @@
 	if ctx.Err() != nil {
 		return outcome.CallerGone
 	}
-	if d.dead() {
+	if transmit.Refuses(d.backend.Address) {
 		return outcome.BackendDied
 	}
 	return outcome.StreamCut
 }
 
-// dead reports whether the backend server no longer takes connections.
-func (d *Door) dead() bool {
-	for i := 0; i < probes; i++ {
-		conn, err := net.DialTimeout("tcp", d.backend.Address, probeTimeout)
-		if err != nil {
-			return true
-		}
-		_ = conn.Close()
-		time.Sleep(probePause)
-	}
-	return false
-}
-
 // cancel asks the engine to stop, beside closing its connection.
 func (d *Door) cancel(o dispatch) {
 	select {
--- a/internal/transmit/transmit.go
+++ b/internal/transmit/transmit.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
 	"almondreel.example/almondreel/internal/errs"
@@ -26,6 +27,9 @@
 	idleTimeout        = 30 * time.Second
 	maxIdlePerPeer     = 64
 	maxResponseHeaders = 64 << 10
+	probeTimeout       = 300 * time.Millisecond
+	probes             = 3
+	probePause         = 20 * time.Millisecond
 )
 
 // errSealed is what a write on a sealed connection returns.
@@ -195,3 +199,17 @@
 	c.sealed = true
 	return c.written
 }
+
+// Refuses reports whether the peer's address refuses connections: its process
+// has ended. A peer that does not answer is not taken for dead.
+func Refuses(address string) bool {
+	for i := 0; i < probes; i++ {
+		conn, err := net.DialTimeout("tcp", address, probeTimeout)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		_ = conn.Close()
+		time.Sleep(probePause)
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/limit/adaptive.go
@@ -0,0 +1,78 @@
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	windowSamples   = 16
+	windowTime      = 100 * time.Millisecond
+	overShare       = 0.1  // share of late samples in a window that lowers the limit
+	lateAt          = 0.75 // share of the target from which a sample is late
+	decrease        = 0.85
+	increase        = 0.05 // share of the limit that a good window adds
+	overloadBackoff = 100 * time.Millisecond
+)
+
+// adaptive is a concurrency limit that rises slowly while first results come
+// in time and falls fast when they do not. It needs no load reports, so it does
+// not suffer from their lag.
+type adaptive struct {
+	limit     float64
+	ceiling   float64
+	openedAt  time.Time
+	samples   int
+	late      int
+	wanted    bool
+	loweredAt time.Time
+}
+
+func newAdaptive(ceiling int) adaptive {
+	c := math.Max(1, float64(ceiling))
+	return adaptive{limit: c, ceiling: c}
+}
+
+func (a *adaptive) allowed() int { return int(math.Max(1, a.limit)) }
+
+// setCeiling keeps the limit's share of the ceiling.
+func (a *adaptive) setCeiling(ceiling int) {
+	c := math.Max(1, float64(ceiling))
+	if c == a.ceiling {
+		return
+	}
+	a.limit = math.Max(1, a.limit*c/a.ceiling)
+	a.ceiling = c
+}
+
+func (a *adaptive) observe(now time.Time, took, target int, busy bool) {
+	if a.samples == 0 {
+		a.openedAt = now
+	}
+	a.samples++
+	a.wanted = a.wanted || busy
+	if target > 0 && float64(took) > lateAt*float64(target) {
+		a.late++
+	}
+	if a.samples < windowSamples || now.Sub(a.openedAt) < windowTime {
+		return
+	}
+	switch {
+	case float64(a.late) > overShare*float64(a.samples):
+		a.lower(now)
+	case a.wanted:
+		a.limit = math.Min(a.ceiling, a.limit+math.Max(1, increase*a.limit))
+	}
+	a.samples, a.late, a.wanted = 0, 0, false
+}
+
+func (a *adaptive) overloaded(now time.Time) {
+	if now.Sub(a.loweredAt) >= overloadBackoff {
+		a.lower(now)
+	}
+}
+
+func (a *adaptive) lower(now time.Time) {
+	a.limit = math.Max(1, a.limit*decrease)
+	a.loweredAt = now
+}
