--- a/cmd/almondreel-demo/load.go
+++ b/cmd/almondreel-demo/load.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/fleet"
 	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/standin/engine"
 	"almondreel.example/almondreel/pkg/client"
 )
 
@@ -129,7 +129,7 @@
 		if t.Digest != a.Record.Digest {
 			return fmt.Sprintf("token %d is from %s, the outcome says %s", i, t.Digest, a.Record.Digest)
 		}
-		if want := engine.Token(manifest.Digest(t.Digest), prompt, i); t.Text != want {
+		if want := engine.Text(manifest.Digest(t.Digest), prompt, i); t.Text != want {
 			return fmt.Sprintf("token %d is %q, not %q", i, t.Text, want)
 		}
 	}
--- a/internal/fleet/release.go
+++ b/internal/fleet/release.go
@@ -120,9 +120,19 @@
 
 // OriginSent returns the bytes of the version's weights that the origin has sent.
 func (f *Fleet) OriginSent(ctx context.Context, model, version string) (int64, error) {
-	var sent map[string]int64
+	var sent struct {
+		Versions []struct {
+			Model, Version string
+			Bytes          int64
+		}
+	}
 	if err := GetJSON(ctx, "http://"+f.Platform.Origin+"/v1/sent", &sent); err != nil {
 		return 0, err
 	}
-	return sent[model+":"+version], nil
+	for _, v := range sent.Versions {
+		if v.Model == model && v.Version == version {
+			return v.Bytes, nil
+		}
+	}
+	return 0, nil
 }
