Plan placements under a leased duty and write them by compare-and-swap

A new holder's first write changes the placement even if the assignments stand, so that whatever a paused holder writes later meets another revision. The placement, not the agents, bounds how many instances load at once: agents see only their peers, while the planner knows which instances still answer.

--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -134,3 +134,18 @@
 func (s *State) Adopt(d gateway.Documents, from string) error {
 	return errors.Join(s.AdoptConfiguration(d.Configuration, from), s.AdoptPlacement(d.Placement, from))
 }
+
+// AdoptStored puts the value of one of the two keys of the key-value service in
+// force if it is newer. A configuration's history is left out: only operators
+// read it and it would be most of the bytes that spread.
+func (s *State) AdoptStored(key string, value []byte, revision uint64) error {
+	const from = "key-value service"
+	if key == placement.Key {
+		return s.AdoptPlacement(gateway.Versioned{Value: value, Revision: revision}, from)
+	}
+	var d operator.Document
+	if err := json.Unmarshal(value, &d); err != nil {
+		return errs.Wrap(err, "decode configuration", from)
+	}
+	return s.AdoptConfiguration(gateway.Versioned{Value: d.WithoutHistory().Encode(), Revision: revision}, from)
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -52,6 +52,7 @@
 	gateways map[string]gatewayRecord
 	listed   map[string]instances.Instance // the platform's list, by name
 	listedAt time.Time
+	startAt  time.Time
 	sequence uint64 // rises with each change that other gateways are told
 	silent   map[string]bool
 }
@@ -79,6 +80,7 @@
 		gateways: map[string]gatewayRecord{},
 		listed:   map[string]instances.Instance{},
 		silent:   map[string]bool{},
+		startAt:  time.Now(),
 	}
 }
 
--- a/internal/membership/silence.go
+++ b/internal/membership/silence.go
@@ -21,6 +21,9 @@
 	leavingExpireAfter = 10 * time.Second
 	// listFresh is the age up to which the platform's list counts as a source.
 	listFresh = 2 * time.Minute
+	// settleAfter is the time after its start in which a gateway has not yet
+	// heard everyone.
+	settleAfter = 30 * time.Second
 )
 
 // contact is the time within which each other gateway has been asked once.
@@ -79,6 +82,22 @@
 	return !ok
 }
 
+// Gone reports whether the instance called name, of which nothing may be known
+// yet, is certainly not there: dead, or not listed, or listed in a data centre
+// that is heard while the instance is not.
+func (t *Table) Gone(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.records[name]; ok {
+		return t.dead(r, now)
+	}
+	if len(t.listed) == 0 || now.Sub(t.listedAt) > listFresh || now.Sub(t.startAt) < settleAfter {
+		return false
+	}
+	i, ok := t.listed[name]
+	return !ok || now.Sub(t.dataCentreHeard(i.DataCentre)) < silentAfter
+}
+
 // dataCentreHeard is the last moment at which anything in the data centre was heard.
 func (t *Table) dataCentreHeard(dataCentre string) time.Time {
 	var last time.Time
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,202 @@
+// Package planner keeps the placement in step with the configuration and the
+// members.
+//
+// Whichever gateway holds the duty plans. The duty's lease only saves double
+// work: what makes a plan safe is that it is written by compare-and-swap on the
+// placement it was made from, and that a new holder's first act is such a write.
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/desired"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/kv"
+	"almondreel.example/almondreel/internal/membership"
+	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/placement"
+	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/pkg/settle"
+)
+
+const (
+	planInterval = time.Second
+	planSpacing  = 200 * time.Millisecond
+	writeTimeout = 10 * time.Second
+)
+
+// Planner plans while it holds the duty.
+type Planner struct {
+	self     string
+	desired  *desired.State
+	table    *membership.Table
+	kv       *kv.Client
+	lease    *lease
+	resolver *resolver
+	granted  map[turn]time.Time // when an instance was let load a version
+}
+
+// New returns the planner of the gateway that s describes.
+func New(s settings.Gateway, d *desired.State, t *membership.Table, k *kv.Client) *Planner {
+	return &Planner{
+		self:     s.Name,
+		desired:  d,
+		table:    t,
+		kv:       k.For("Planning"),
+		lease:    newLease(s.Name, t, k.For("Duty")),
+		resolver: newResolver(s.Origin),
+		granted:  map[turn]time.Time{},
+	}
+}
+
+// Run seeks the duty and plans while it is held, until ctx ends.
+func (p *Planner) Run(ctx context.Context) error {
+	duties := []func(context.Context){p.lease.run, p.resolver.run, p.plan}
+	done := make(chan struct{}, len(duties))
+	for _, d := range duties {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			d(ctx)
+		}()
+	}
+	for range duties {
+		<-done
+	}
+	return ctx.Err()
+}
+
+func (p *Planner) plan(ctx context.Context) {
+	term := uint64(0) // of the duty, for which both documents were read
+	for ctx.Err() == nil {
+		_, changed := p.desired.Current()
+		held, now := p.lease.held(time.Now())
+		if held && now != term {
+			held = p.refresh(ctx)
+		}
+		if held {
+			term = now
+			p.step(ctx)
+		}
+		p.pause(ctx, changed)
+	}
+}
+
+func (p *Planner) pause(ctx context.Context, changed <-chan struct{}) {
+	sleep(ctx, planSpacing)
+	timer := time.NewTimer(planInterval - planSpacing)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-changed:
+	case <-p.resolver.resolved:
+	}
+}
+
+// refresh reads both documents, so that a new holder does not start from what
+// it happened to hold.
+func (p *Planner) refresh(ctx context.Context) bool {
+	for _, key := range []string{operator.ConfigurationKey, placement.Key} {
+		e, err := p.kv.Get(ctx, key)
+		if err != nil {
+			return false
+		}
+		if e.Revision == 0 {
+			continue
+		}
+		if err := p.desired.AdoptStored(key, e.Value, e.Revision); err != nil {
+			event.Fail(event.DocumentUndecodable, err, "Key", key)
+			return false
+		}
+	}
+	return true
+}
+
+// step plans once and writes the plan if it differs from what stands.
+func (p *Planner) step(ctx context.Context) {
+	s, _ := p.desired.Current()
+	if s.Configuration.Revision == 0 || s.Placement.PlannedFrom > s.Configuration.Revision {
+		return // an older configuration than the one that was planned from
+	}
+	now := time.Now()
+	next := Plan(Input{
+		Configuration: s.Configuration,
+		Current:       s.Placement,
+		Members:       p.table.EntriesAt(now),
+		Gone:          func(name string) bool { return p.table.Gone(name, now) },
+		Digest:        p.resolver.digest,
+		Stuck:         func(instance string, a placement.Assignment) bool { return p.stuck(turn{instance, a.Digest}, now) },
+		Now:           now,
+	})
+	p.remember(next, now)
+	next.Holder = p.self
+	if s.Placement.Holder == next.Holder && next.Same(s.Placement) {
+		return
+	}
+	p.write(ctx, s.Placement.Revision, next)
+}
+
+func (p *Planner) write(ctx context.Context, base uint64, next placement.Placement) {
+	if held, _ := p.lease.held(time.Now()); !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	next.ChangeID = uuid.NewString()
+	text, err := json.Marshal(next)
+	if err != nil {
+		panic(err)
+	}
+	if len(text) > kv.MaxValueBytes {
+		counter.Add("PlacementRefused.TooLarge", 1)
+		event.Log(event.TargetShort, "PlacementBytes", len(text), "MaxBytes", kv.MaxValueBytes)
+		return
+	}
+	key := kv.Key{Client: p.kv, Name: placement.Key}
+	w := settle.Write{Value: text, Revision: base, Trace: func(e settle.Entry) settle.Trace { return traceIn(e, next.ChangeID) }}
+	p.written(text, settle.Do(ctx, key, w))
+}
+
+func (p *Planner) written(text []byte, outcome settle.Outcome) {
+	switch o := outcome.(type) {
+	case settle.Accepted:
+		counter.Add("PlacementsWritten", 1)
+		event.Log(event.PlacementWritten, "Revision", o.Revision)
+		_ = p.desired.AdoptPlacement(gateway.Versioned{Value: text, Revision: o.Revision}, p.self)
+	case settle.Rejected:
+		counter.Add("PlacementRefused.Fenced", 1)
+		event.Log(event.DutyFenced, "Current", o.Current.Revision)
+		_ = p.desired.AdoptStored(placement.Key, o.Current.Value, o.Current.Revision)
+	case settle.NotWritten:
+		counter.Add("PlacementRefused.Unavailable", 1)
+	case settle.Unknown:
+		counter.Add("PlacementRefused.Unknown", 1)
+	}
+}
+
+// traceIn recognises a placement that this write made. A placement remembers
+// only its own write, so any other proves nothing about an earlier one.
+func traceIn(e settle.Entry, changeID string) settle.Trace {
+	var held placement.Placement
+	if json.Unmarshal(e.Value, &held) == nil && held.ChangeID == changeID {
+		return settle.Present
+	}
+	return settle.Absent
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/planner/roll.go
@@ -0,0 +1,206 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/membership"
+	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/placement"
+)
+
+const (
+	// loadingShare is the part of a class's instances, one in this many, that
+	// may stop answering at once to load a version.
+	loadingShare = 4
+	// dataCentreShare is the same for its instances in one data centre.
+	dataCentreShare = 2
+	stuckAfter      = 2 * time.Minute
+)
+
+// assign gives the class its group's instances and says how far the change
+// from the versions before has come.
+func (p *plan) assign(c operator.Class, g *group) placement.Assignment {
+	held, _ := p.Current.Of(c.Name)
+	a := placement.Assignment{
+		Class:     c.Name,
+		Kind:      g.kind,
+		Service:   g.service,
+		Model:     g.model,
+		Version:   g.version,
+		Digest:    g.digest,
+		ReadyBy:   c.Target.ReadyBy,
+		Weighing:  c.Target.Weighing,
+		Instances: slices.Sorted(slices.Values(g.instances)),
+	}
+	if g.kind == operator.Plain {
+		return a
+	}
+	a.Previous, a.Retiring = p.previous(a, held)
+	a.Waiting = p.waiting(g)
+	return a
+}
+
+// previous returns the older versions that still answer for the class and the
+// instances outside the new set that state them, until the new set is up.
+func (p *plan) previous(a, held placement.Assignment) ([]manifest.Digest, []string) {
+	if len(a.Instances) > 0 && p.allState(a.Instances, a.Digest) {
+		return nil, nil
+	}
+	versions := append(slices.Clone(held.Previous), held.Digest)
+	var answering []manifest.Digest
+	var retiring []string
+	for _, name := range append(slices.Clone(held.Instances), held.Retiring...) {
+		d := p.stated(name)
+		if d == "" || d == a.Digest || !slices.Contains(versions, d) {
+			continue
+		}
+		if !slices.Contains(answering, d) {
+			answering = append(answering, d)
+		}
+		if !slices.Contains(a.Instances, name) && !slices.Contains(retiring, name) {
+			retiring = append(retiring, name)
+		}
+	}
+	slices.Sort(answering)
+	slices.Sort(retiring)
+	return answering, retiring
+}
+
+func (p *plan) allState(instances []string, d manifest.Digest) bool {
+	for _, name := range instances {
+		if p.stated(name) != d {
+			return false
+		}
+	}
+	return true
+}
+
+// stated is the version that the instance answers with now.
+func (p *plan) stated(name string) manifest.Digest {
+	e, ok := p.members[name]
+	if !ok || e.State != membership.Live || e.Member.Leaving {
+		return ""
+	}
+	return e.Member.Digest
+}
+
+// waiting returns the instances of the group that must not load its version
+// yet: those that answer with an older version, until they have the new one
+// whole and few enough others are loading.
+func (p *plan) waiting(g *group) []string {
+	var waiting []string
+	r := newRoom(len(g.instances))
+	for _, name := range g.instances {
+		m := p.members[name].Member
+		r.placed[m.DataCentre]++
+		switch {
+		case p.stated(name) == g.digest:
+		case p.answersOlder(g, name) && !p.let(g, name):
+			waiting = append(waiting, name)
+		case whole(m, g.digest) && !p.stuck(g, name):
+			r.take(m.DataCentre)
+		}
+	}
+	slices.Sort(waiting)
+	return slices.DeleteFunc(waiting, func(name string) bool {
+		m := p.members[name].Member
+		return whole(m, g.digest) && r.offer(m.DataCentre)
+	})
+}
+
+// whole reports whether the instance has all of the version and is not
+// answering with it yet.
+func whole(m gateway.Member, d manifest.Digest) bool {
+	return m.Want == d && m.Chunks > 0 && m.Have == m.Chunks
+}
+
+// room bounds the instances of a group that load at once.
+type room struct {
+	replicas int
+	loading  int
+	placed   map[string]int // instances by data centre
+	taken    map[string]int // loading by data centre
+}
+
+func newRoom(replicas int) *room {
+	return &room{replicas: replicas, placed: map[string]int{}, taken: map[string]int{}}
+}
+
+func (r *room) take(dataCentre string) {
+	r.loading++
+	r.taken[dataCentre]++
+}
+
+func (r *room) offer(dataCentre string) bool {
+	all := r.loading >= max(1, r.replicas/loadingShare)
+	here := r.taken[dataCentre] >= max(1, r.placed[dataCentre]/dataCentreShare)
+	if all || here {
+		return false
+	}
+	r.take(dataCentre)
+	return true
+}
+
+// answersOlder reports whether one of the group's classes still answers with
+// the version that the instance states.
+func (p *plan) answersOlder(g *group, name string) bool {
+	d := p.stated(name)
+	if d == "" {
+		return false
+	}
+	for _, c := range g.classes {
+		if held, ok := p.Current.Of(c.Name); ok && held.Answers(name, d) {
+			return true
+		}
+	}
+	return false
+}
+
+// let reports whether the current placement lets the instance load the group's version.
+func (p *plan) let(g *group, name string) bool {
+	for _, c := range g.classes {
+		held, ok := p.Current.Of(c.Name)
+		if ok && held.Digest == g.digest && held.MayLoad(name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plan) stuck(g *group, name string) bool {
+	return p.Stuck(name, placement.Assignment{Digest: g.digest})
+}
+
+// turn is an instance that was let load a version.
+type turn struct {
+	instance string
+	digest   manifest.Digest
+}
+
+// remember notes when each instance was let load its version.
+func (p *Planner) remember(next placement.Placement, now time.Time) {
+	granted := map[turn]time.Time{}
+	for _, a := range next.Assignments {
+		for _, name := range a.Instances {
+			key := turn{name, a.Digest}
+			if !a.MayLoad(name) {
+				continue
+			}
+			granted[key] = now
+			if at, ok := p.granted[key]; ok {
+				granted[key] = at
+			}
+		}
+	}
+	p.granted = granted
+}
+
+// stuck reports whether an instance was let load a version so long ago that it
+// no longer counts as loading.
+func (p *Planner) stuck(t turn, now time.Time) bool {
+	at, ok := p.granted[t]
+	return ok && now.Sub(at) > stuckAfter
+}
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -110,3 +111,20 @@
 func refused(response *http.Response) error {
 	return &StatusError{Code: response.StatusCode, RetryAfter: response.Header.Get("Retry-After")}
 }
+
+// Latest reads the manifest that the source now publishes under a version's
+// name. Use its digest from then on: the name may be published again.
+func (c *Client) Latest(ctx context.Context, model, version string) (manifest.Manifest, error) {
+	text, err := c.text(ctx, ManifestPath(model, version))
+	if err != nil {
+		return manifest.Manifest{}, errs.Wrap(err, "read manifest", c.base)
+	}
+	var m manifest.Manifest
+	if err := json.Unmarshal(text, &m); err != nil {
+		return manifest.Manifest{}, errs.Wrap(err, "decode manifest", c.base)
+	}
+	if m.Model != model || m.Version != version {
+		return manifest.Manifest{}, errs.New("check manifest", c.base, "names %s %s, not %s %s", m.Model, m.Version, model, version)
+	}
+	return m, errs.Wrap(m.Check(), "check manifest", c.base)
+}
--- a/internal/spread/follow.go
+++ b/internal/spread/follow.go
@@ -24,7 +24,7 @@
 
 // follow adopts newer values of key until ctx ends. A watcher waits for them;
 // any other gateway asks once in a while whether there is one.
-func (s *Spread) follow(ctx context.Context, key string, adopt func(kv.Entry) error) {
+func (s *Spread) follow(ctx context.Context, key string) {
 	retry := firstRetry
 	down := false
 	for ctx.Err() == nil {
@@ -42,7 +42,7 @@
 		}
 		s.logUp(&down)
 		retry = firstRetry
-		s.take(e, newer, adopt)
+		s.take(e, newer)
 		s.pause(ctx, key, watching)
 	}
 }
@@ -56,11 +56,11 @@
 	}
 }
 
-func (s *Spread) take(e kv.Entry, newer bool, adopt func(kv.Entry) error) {
+func (s *Spread) take(e kv.Entry, newer bool) {
 	if !newer {
 		return
 	}
-	if err := adopt(e); err != nil {
+	if err := s.desired.AdoptStored(e.Key, e.Value, e.Revision); err != nil {
 		counter.Add("DocumentUndecodable", 1)
 		event.Fail(event.DocumentUndecodable, err, "Key", e.Key, "Revision", e.Revision)
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -9,14 +9,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/desired"
-	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/instances"
 	"almondreel.example/almondreel/internal/kv"
@@ -74,8 +72,8 @@
 		s.exchangeEverySecond,
 		s.sweepEverySecond,
 		s.readList,
-		func(ctx context.Context) { s.follow(ctx, operator.ConfigurationKey, s.adoptConfiguration) },
-		func(ctx context.Context) { s.follow(ctx, placement.Key, s.adoptPlacement) },
+		func(ctx context.Context) { s.follow(ctx, operator.ConfigurationKey) },
+		func(ctx context.Context) { s.follow(ctx, placement.Key) },
 	}
 	done := make(chan struct{}, len(duties))
 	for _, d := range duties {
@@ -91,20 +89,6 @@
 	return ctx.Err()
 }
 
-// adoptConfiguration puts the entry in force without the history, which only
-// operators read and which would be most of the bytes that spread.
-func (s *Spread) adoptConfiguration(e kv.Entry) error {
-	var d operator.Document
-	if err := json.Unmarshal(e.Value, &d); err != nil {
-		return errs.Wrap(err, "decode configuration", "key-value service")
-	}
-	return s.desired.AdoptConfiguration(gateway.Versioned{Value: d.WithoutHistory().Encode(), Revision: e.Revision}, "key-value service")
-}
-
-func (s *Spread) adoptPlacement(e kv.Entry) error {
-	return s.desired.AdoptPlacement(gateway.Versioned{Value: e.Value, Revision: e.Revision}, "key-value service")
-}
-
 func (s *Spread) sweepEverySecond(ctx context.Context) {
 	for sleep(ctx, time.Second) {
 		s.table.Sweep(time.Now())
