--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -171,11 +171,14 @@
 	if errors.Is(err, errCallerGone) {
 		return gone{}
 	}
+	var wrong *wrongAnswer
 	trailer := outcome.Reason(response.Trailer.Get(agent.TrailerEnd))
-	if trailer == agent.EndWhole && err == nil {
+	switch {
+	case trailer == agent.EndWhole && err == nil:
 		return whole{}
+	case a.progress.finished && !errors.As(err, &wrong):
+		return whole{} // only the end marker is missing
 	}
-	var wrong *wrongAnswer
 	if errors.As(err, &wrong) {
 		return broken{reason: wrong.reason, cause: err}
 	}
@@ -253,6 +256,7 @@
 		return errCallerGone
 	}
 	a.progress.tokens++
+	a.progress.finished = t.Finish != ""
 	return nil
 }
 
--- /dev/null
+++ b/internal/dispatch/claims.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"context"
+
+	"almondreel.example/almondreel/internal/outcome"
+)
+
+// Claims lets one request with a key run, whichever gateways its repeats reach.
+type Claims interface {
+	// Claim takes the key for r. Recalled is not nil when r must not be
+	// dispatched, and says how it ends.
+	Claim(ctx context.Context, r Request) (Claim, *Recalled)
+}
+
+// Claim is a key taken for one dispatch.
+type Claim interface {
+	// Settle records the outcome, in the background if the service is slow.
+	Settle(ctx context.Context, a Answer, o outcome.Outcome)
+	// Release gives the key back: the request was not run.
+	Release(ctx context.Context)
+}
+
+// Recalled is the end of a request that is not dispatched. Its outcome is that
+// of the first request with the key, unless it is Refused.
+type Recalled struct {
+	Answer  Answer
+	Outcome outcome.Outcome
+}
+
+// claimed runs a request that may not be repeated.
+func (f *flight) claimed(ctx context.Context) outcome.Outcome {
+	if f.request.Key == "" {
+		return outcome.Refused{Reason: outcome.KeyMissing}
+	}
+	if f.dispatcher.options.Claims == nil {
+		return outcome.Refused{Reason: outcome.KeyValueUnavailable, RetryAt: f.comeBack()}
+	}
+	claim, recalled := f.dispatcher.options.Claims.Claim(ctx, f.request)
+	if recalled != nil {
+		return f.recall(recalled)
+	}
+	o := f.once(ctx)
+	if _, notRun := o.(outcome.Refused); notRun {
+		claim.Release(ctx)
+		return o
+	}
+	claim.Settle(ctx, f.progress.answer, o)
+	return o
+}
+
+func (f *flight) recall(r *Recalled) outcome.Outcome {
+	if _, refused := r.Outcome.(outcome.Refused); !refused {
+		f.life.fire("Recall")
+		f.progress.answer = r.Answer
+	}
+	return r.Outcome
+}
+
+// once dispatches until one attempt is accepted.
+func (f *flight) once(ctx context.Context) outcome.Outcome {
+	last := outcome.NoReplica
+	for i := 0; i < maxAttempts; i++ {
+		if ctx.Err() != nil {
+			return outcome.Refused{Reason: outcome.DeadlinePassed, RetryAt: f.comeBack()}
+		}
+		if i > 0 && !f.mayRetry(last) {
+			return outcome.Refused{Reason: outcome.BudgetSpent, RetryAt: f.comeBack()}
+		}
+		r, ok := f.attempt(ctx)
+		if !ok {
+			break
+		}
+		switch r := r.(type) {
+		case whole:
+			return outcome.Answered{Digest: string(f.progress.digest), Tokens: f.progress.tokens}
+		case gone:
+			return outcome.Unknown{Reason: outcome.CallerGone}
+		case broken:
+			f.convicted(ctx, r)
+			return outcome.Unknown{Reason: r.reason}
+		case declined:
+			last = r.reason
+		}
+	}
+	return outcome.Refused{Reason: last, RetryAt: f.comeBack()}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,9 +44,10 @@
 
 // Dispatcher sends requests. It is safe for concurrent use.
 type Dispatcher struct {
-	options Options
-	client  *transmit.Client
-	router  *route.Router
+	options  Options
+	client   *transmit.Client
+	router   *route.Router
+	versions *versions
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue  // by service
@@ -62,11 +63,12 @@
 		o.Gateways = func() []string { return []string{o.Gateway} }
 	}
 	return &Dispatcher{
-		options: o,
-		client:  transmit.NewClient(),
-		router:  route.NewRouter(),
-		queues:  map[string]*limit.Queue{},
-		budgets: map[string]*limit.Budget{},
+		options:  o,
+		client:   transmit.NewClient(),
+		router:   route.NewRouter(),
+		versions: newVersions(),
+		queues:   map[string]*limit.Queue{},
+		budgets:  map[string]*limit.Budget{},
 	}
 }
 
@@ -214,15 +216,23 @@
 	if !ok {
 		return false
 	}
-	f.progress.digest = a.Digest
-	return true
+	if f.request.Class.Kind != operator.Model {
+		return true
+	}
+	placed := f.dispatcher.versions.place(a.Class, a.Digest)
+	f.progress.digest = placed.choose(f.subset(time.Now()))
+	return f.progress.digest != ""
 }
 
-// members returns the agents that may run the request now. A version that is
-// being replaced goes on serving until its successor is open on some agent.
-func (f *flight) members(now time.Time) []gateway.Member {
+// subset returns the class's agents that this gateway uses.
+func (f *flight) subset(now time.Time) []gateway.Member {
 	o := f.dispatcher.options
-	subset := route.Subset(o.Members.Routable(f.request.Class.Service, now), o.Gateways(), o.Gateway)
+	return route.Subset(o.Members.Routable(f.request.Class.Service, now), o.Gateways(), o.Gateway)
+}
+
+// members returns the agents that may run the request now.
+func (f *flight) members(now time.Time) []gateway.Member {
+	subset := f.subset(now)
 	if f.request.Class.Kind != operator.Model {
 		return subset
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -57,7 +57,8 @@
 
 // progress is what the attempts of one request have brought so far.
 type progress struct {
-	digest manifest.Digest // that the request is pinned to
-	tokens int             // that reached the caller
-	answer Answer
+	digest   manifest.Digest // that the request is pinned to
+	tokens   int             // that reached the caller
+	finished bool            // the last token reached the caller
+	answer   Answer
 }
