--- a/cmd/almondreel/main.go
+++ b/cmd/almondreel/main.go
@@ -1,4 +1,12 @@
-// Command almondreel is a placeholder until its package is wired in.
+// Command almondreel is the operators' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"almondreel.example/almondreel/internal/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -56,3 +56,21 @@
 	}
 	return 1
 }
+
+// takeFromLower gives a group that is short of instances some of those of
+// groups with a lower priority, the lowest first, and leaves each at least one.
+func (p *plan) takeFromLower(g *group) {
+	for i := len(p.groups) - 1; i >= 0 && len(g.instances) < g.replicas; i-- {
+		lower := p.groups[i]
+		if lower.priority >= g.priority || lower.service != g.service || lower.kind != g.kind {
+			continue
+		}
+		spare := min(len(lower.instances)-1, g.replicas-len(g.instances))
+		if spare <= 0 {
+			continue
+		}
+		moved := slices.Clone(lower.instances[len(lower.instances)-spare:])
+		lower.instances = lower.instances[:len(lower.instances)-spare]
+		g.instances = append(g.instances, moved...)
+	}
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -64,6 +64,7 @@
 	}
 	for _, g := range p.groups {
 		p.fill(g)
+		p.takeFromLower(g)
 	}
 	next := placement.Placement{PlannedFrom: in.Configuration.Revision}
 	for _, c := range in.Configuration.Classes {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,13 @@
 	return a.Listen
 }
 
+// Operator is the settings file of almondreel, the operators' command line.
+type Operator struct {
+	KeyValue string   `yaml:"KeyValue"` // base URL
+	Operator string   `yaml:"Operator"` // name that accepted changes are recorded under
+	Gateways []string `yaml:"Gateways"` // base URLs of gateways' ControlListen
+}
+
 // Invalid reports a settings value that cannot be used.
 type Invalid struct {
 	File, Key, Expected string
@@ -119,6 +126,15 @@
 	return a, a.check(file)
 }
 
+// LoadOperator reads and checks an operator's settings file.
+func LoadOperator(file string) (Operator, error) {
+	var o Operator
+	if err := Decode(file, &o); err != nil {
+		return Operator{}, err
+	}
+	return o, o.check(file)
+}
+
 // Decode reads one YAML document from file into target; unknown keys are errors
 // that name file, line and key.
 func Decode(file string, target any) error {
@@ -200,6 +216,20 @@
 	return errors.Join(checks...)
 }
 
+func (o Operator) check(file string) error {
+	checks := []error{baseURL(file, "KeyValue", o.KeyValue)}
+	if o.Operator == "" {
+		checks = append(checks, &Invalid{file, "Operator", "the operator's name"})
+	}
+	if len(o.Gateways) == 0 {
+		checks = append(checks, &Invalid{file, "Gateways", "at least one URL such as http://10.0.0.7:7000"})
+	}
+	for i, g := range o.Gateways {
+		checks = append(checks, baseURL(file, fmt.Sprintf("Gateways[%d]", i), g))
+	}
+	return errors.Join(checks...)
+}
+
 func (i Identity) check(file string) error {
 	var checks []error
 	for key, value := range map[string]string{"Name": i.Name, "Region": i.Region, "DataCentre": i.DataCentre} {
