--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -43,10 +43,10 @@
 // HeartbeatReply carries what the agent is behind on.
 type HeartbeatReply struct {
 	Documents    Documents
-	Peers        []Peer // agents that fetch or hold the agent's wanted version
-	PeersVersion uint64 // equal to the request's: Peers is left out, unchanged
-	Resend       bool   // the gateway does not know the agent: send Member whole
-	Behind       bool   // the gateway is behind: send Documents
+	Peers        []Peer    // agents that fetch or hold the agent's wanted version
+	PeersVersion uint64    // equal to the request's: Peers is left out, unchanged
+	Resend       bool      // the gateway does not know the agent: send Member whole
+	Revisions    Revisions // in force at the gateway, before it took the request's Documents
 }
 
 // Revisions are those of the two documents in force at a daemon.
--- a/internal/heartbeat/beater.go
+++ b/internal/heartbeat/beater.go
@@ -18,6 +18,9 @@
 const (
 	beatTimeout = 2 * time.Second
 	maxFailures = 3 // in a row, until another gateway is chosen
+	// lookInterval is how often a beater looks for a change that is worth a
+	// heartbeat of its own.
+	lookInterval = 200 * time.Millisecond
 )
 
 // beater sends heartbeats to one gateway.
@@ -28,8 +31,9 @@
 	cancel    context.CancelFunc
 	done      chan struct{}
 
-	acknowledged gateway.Member // last member that the gateway has whole
-	behind       bool           // the gateway asked for documents
+	acknowledged gateway.Member    // last member that the gateway has whole
+	known        gateway.Revisions // in force at the gateway
+	answered     bool              // known is from the last heartbeat
 	failures     int
 }
 
@@ -51,12 +55,22 @@
 
 func (b *beater) run(ctx context.Context) {
 	defer b.client.Close()
-	for {
-		b.beat(ctx)
-		if !sleep(ctx, interval*9/10+jitter(interval/10)) {
-			return
+	for b.beat(ctx); b.pause(ctx); b.beat(ctx) {
+	}
+}
+
+// pause waits until the next heartbeat is due: a jittered second, or less when
+// the gateway needs to hear of a change. It returns false when ctx ends.
+func (b *beater) pause(ctx context.Context) bool {
+	due := time.Now().Add(interval*9/10 + jitter(interval/10))
+	for sleep(ctx, lookInterval) {
+		now := time.Now()
+		changed := b.answered && b.heartbeat.member(0).Settled() != b.acknowledged
+		if changed || !now.Before(due) {
+			return true
 		}
 	}
+	return false
 }
 
 func (b *beater) beat(ctx context.Context) {
@@ -79,7 +93,7 @@
 	if reply.Resend {
 		b.acknowledged = gateway.Member{}
 	}
-	b.behind = reply.Behind
+	b.known, b.answered = reply.Revisions, true
 	b.adopt(reply)
 }
 
@@ -94,14 +108,14 @@
 		request.Member = member.Brief()
 		request.Brief = true
 	}
-	if b.behind {
-		request.Documents = gateway.Documents{Configuration: s.EncodedConfiguration, Placement: s.EncodedPlacement}
+	if b.answered {
+		request.Documents = s.Newer(b.known)
 	}
 	return request
 }
 
 func (b *beater) fail(err error) {
-	b.acknowledged = gateway.Member{}
+	b.acknowledged, b.answered = gateway.Member{}, false
 	b.failures++
 	reason := "Failed"
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -93,18 +93,19 @@
 }
 
 // readList reads the platform's list on a slow jittered poll, faster with
-// backoff while it has never been read.
+// backoff while it names no gateway.
 func (h *Heartbeat) readList(ctx context.Context) {
 	retry := listRetry
 	for {
-		wait := jitter(listInterval)
 		l, err := h.directory.List(ctx)
-		if err != nil {
+		gateways := l.Of(instances.RoleGateway)
+		wait := jitter(listInterval)
+		if err != nil || len(gateways) == 0 {
 			wait = jitter(retry)
 			retry = min(2*retry, maxListRetry)
 		} else {
 			retry = listRetry
-			h.setListed(l.Of(instances.RoleGateway))
+			h.setListed(gateways)
 		}
 		if !sleep(ctx, wait) {
 			return
--- /dev/null
+++ b/internal/loopback/gateway.go
@@ -0,0 +1,118 @@
+package loopback
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"almondreel.example/almondreel/internal/control"
+	"almondreel.example/almondreel/internal/desired"
+	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/kv"
+	"almondreel.example/almondreel/internal/membership"
+	"almondreel.example/almondreel/internal/planner"
+	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/spread"
+)
+
+// cutTimeout is longer than any caller waits for an answer.
+const cutTimeout = 3 * time.Second
+
+var errCut = errors.New("cut off")
+
+// Gateway is the control part of a gateway.
+type Gateway struct {
+	daemon
+	Desired *desired.State
+	Table   *membership.Table
+}
+
+// AddGateway starts a gateway. Call List to have it listed.
+func (s *Site) AddGateway(name, dataCentre string) (*Gateway, error) {
+	g := &Gateway{daemon: daemon{Name: name, DataCentre: dataCentre, site: s}}
+	s.settle(name, dataCentre)
+	s.Gateways = append(s.Gateways, g)
+	return g, g.Start()
+}
+
+// Start starts the gateway, with nothing in force.
+func (g *Gateway) Start() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	g.address = listener.Addr().String()
+	g.Desired = desired.NewState()
+	g.Table = membership.NewTable()
+	keyValue, err := g.site.serve(g.keyValueGuard())
+	if err != nil {
+		return err
+	}
+	s := settings.Gateway{
+		Identity:      settings.Identity{Name: g.Name, Region: g.DataCentre, DataCentre: g.DataCentre},
+		ControlListen: g.address,
+		KeyValue:      keyValue,
+		Instances:     g.site.instancesURL,
+		Origin:        g.site.originURL,
+	}
+	client := kv.NewClient(s.KeyValue)
+	sp := spread.New(s, g.Desired, g.Table, client, nil, nil)
+	handler, err := control.Handle(map[string]any{"Gateway": &receiver{spread: sp, gateway: g}})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.mu.Lock()
+	g.cancel = cancel
+	g.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	server := g.server
+	g.mu.Unlock()
+	g.run(ctx, func(context.Context) error { return server.Serve(listener) })
+	g.run(ctx, sp.Run)
+	g.run(ctx, planner.New(s, g.Desired, g.Table, client).Run)
+	return nil
+}
+
+// keyValueGuard passes calls to the key-value service unless the gateway's
+// data centre does not reach it.
+func (g *Gateway) keyValueGuard() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !g.site.reachesKeyValue(g.Name) {
+			panic(http.ErrAbortHandler)
+		}
+		g.site.KeyValue.ServeHTTP(w, r)
+	})
+}
+
+// receiver takes a gateway's calls unless the caller is cut off or the gateway
+// has stopped.
+type receiver struct {
+	spread  *spread.Spread
+	gateway *Gateway
+}
+
+// Heartbeat passes an agent's heartbeat on.
+func (r *receiver) Heartbeat(request gateway.HeartbeatRequest, reply *gateway.HeartbeatReply) error {
+	if err := r.admit(request.Member.Name); err != nil {
+		return err
+	}
+	return r.spread.Heartbeat(request, reply)
+}
+
+// Exchange passes a gateway's question on.
+func (r *receiver) Exchange(request gateway.ExchangeRequest, reply *gateway.ExchangeReply) error {
+	if err := r.admit(request.From.Name); err != nil {
+		return err
+	}
+	return r.spread.Exchange(request, reply)
+}
+
+func (r *receiver) admit(caller string) error {
+	if !r.gateway.Running() || !r.gateway.site.reaches(caller, r.gateway.Name) {
+		time.Sleep(cutTimeout)
+		return errCut
+	}
+	return nil
+}
--- a/internal/planner/roll.go
+++ b/internal/planner/roll.go
@@ -44,29 +44,43 @@
 }
 
 // previous returns the older versions that still answer for the class and the
-// instances outside the new set that state them, until the new set is up.
+// instances outside the new set that do, until the new set is up. Heartbeats
+// lag, so an instance counts until its own word, given after it knew of the
+// new version, says otherwise.
 func (p *plan) previous(a, held placement.Assignment) ([]manifest.Digest, []string) {
 	if len(a.Instances) > 0 && p.allState(a.Instances, a.Digest) {
 		return nil, nil
 	}
-	versions := append(slices.Clone(held.Previous), held.Digest)
+	versions := slices.Clone(held.Previous)
+	if held.Digest != a.Digest && held.Digest != "" {
+		versions = append(versions, held.Digest)
+	}
 	var answering []manifest.Digest
 	var retiring []string
-	for _, name := range append(slices.Clone(held.Instances), held.Retiring...) {
+	for _, name := range slices.Concat(held.Instances, held.Retiring) {
 		d := p.stated(name)
-		if d == "" || d == a.Digest || !slices.Contains(versions, d) {
+		older := slices.Contains(versions, d)
+		if !older && !p.unaware(name, a.Digest) {
 			continue
 		}
-		if !slices.Contains(answering, d) {
+		if older {
 			answering = append(answering, d)
+		} else {
+			answering = append(answering, versions...)
 		}
-		if !slices.Contains(a.Instances, name) && !slices.Contains(retiring, name) {
+		if older && !slices.Contains(a.Instances, name) {
 			retiring = append(retiring, name)
 		}
 	}
 	slices.Sort(answering)
 	slices.Sort(retiring)
-	return answering, retiring
+	return slices.Compact(answering), slices.Compact(retiring)
+}
+
+// unaware reports whether a live instance has not yet said that it wants or has d.
+func (p *plan) unaware(name string, d manifest.Digest) bool {
+	e, ok := p.members[name]
+	return ok && e.State == membership.Live && !e.Member.Leaving && e.Member.Want != d && e.Member.Digest != d
 }
 
 func (p *plan) allState(instances []string, d manifest.Digest) bool {
@@ -144,15 +158,20 @@
 	return true
 }
 
-// answersOlder reports whether one of the group's classes still answers with
-// the version that the instance states.
+// answersOlder reports whether the instance carried an older version for one
+// of the group's classes and may still answer with it. It no longer does when
+// it says so while it knows of the new version.
 func (p *plan) answersOlder(g *group, name string) bool {
-	d := p.stated(name)
-	if d == "" {
+	m := p.members[name].Member
+	if m.Want == g.digest && m.Digest == "" {
 		return false
 	}
 	for _, c := range g.classes {
-		if held, ok := p.Current.Of(c.Name); ok && held.Answers(name, d) {
+		held, ok := p.Current.Of(c.Name)
+		if !ok || held.Digest == "" || !slices.Contains(held.Instances, name) {
+			continue
+		}
+		if held.Digest != g.digest || slices.Contains(held.Waiting, name) {
 			return true
 		}
 	}
--- a/internal/spread/heartbeat.go
+++ b/internal/spread/heartbeat.go
@@ -27,7 +27,7 @@
 		event.Fail(event.DocumentUndecodable, err, "Instance", request.Member.Name)
 	}
 	snapshot, _ := s.desired.Current()
-	reply.Behind = snapshot.Behind(request.Revisions)
+	reply.Revisions = snapshot.Revisions()
 	reply.Documents = snapshot.Newer(request.Revisions)
 	peers := s.table.Peers(request.Member.Name, maxPeers, now)
 	reply.PeersVersion = version(peers)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -100,7 +100,7 @@
 	for {
 		wait := jitter(listInterval)
 		l, err := s.directory.List(ctx)
-		if err != nil {
+		if err != nil || len(l.Instances) == 0 {
 			wait = jitter(retry)
 			retry = min(2*retry, listInterval)
 		} else {
