--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -78,6 +78,16 @@
 	return c.err()
 }
 
+func (o Operator) check(c checker) error {
+	c.baseURL("KeyValue", o.KeyValue)
+	c.name("Operator", o.Operator)
+	c.refuse(len(o.Gateways) > 0, "Gateways", "at least one URL such as http://10.0.0.7:7000")
+	for i, g := range o.Gateways {
+		c.baseURL(fmt.Sprintf("Gateways[%d]", i), g)
+	}
+	return c.err()
+}
+
 func (c *checker) backend(b Backend) {
 	c.refuse(b.Kind == KindEngine || b.Kind == KindPlain, "Backend.Kind", "Engine or Plain")
 	c.name("Backend.Service", b.Service)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,13 @@
 	return a.Listen
 }
 
+// Operator is the settings file of almondreel, the operators' command line.
+type Operator struct {
+	KeyValue string   `yaml:"KeyValue"` // base URL
+	Operator string   `yaml:"Operator"` // name that accepted changes are recorded under
+	Gateways []string `yaml:"Gateways"` // base URLs of gateways' ControlListen
+}
+
 // LoadGateway reads and checks a gateway's settings file.
 func LoadGateway(file string) (Gateway, error) {
 	var g Gateway
@@ -100,6 +107,16 @@
 	return a, a.check(checker{document: d})
 }
 
+// LoadOperator reads and checks an operator's settings file.
+func LoadOperator(file string) (Operator, error) {
+	var o Operator
+	d, err := decode(file, &o)
+	if err != nil {
+		return Operator{}, err
+	}
+	return o, o.check(checker{document: d})
+}
+
 // Decode reads one YAML document from file into target. Unknown keys and values
 // of another kind are an error that joins an *Invalid for each.
 func Decode(file string, target any) error {
