--- /dev/null
+++ b/internal/service/client.go
@@ -0,0 +1,23 @@
+package service
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"almondreel.example/almondreel/internal/errs"
+)
+
+const dialTimeout = time.Second
+
+// Answers reports whether the plain service at address takes connections.
+func Answers(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errs.Wrap(err, "connect", address)
+	}
+	return conn.Close()
+}
--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -75,7 +75,7 @@
 // open opens the lowest chunks that nobody is known to hold. Callers hold mu.
 func (t *Transfer) open(now time.Time) {
 	seen := t.anywhere
-	if t.plan.Weighing != operator.OriginBytes {
+	if t.terms.Weighing != operator.OriginBytes {
 		seen = t.region
 	}
 	left := window
@@ -95,7 +95,7 @@
 	switch {
 	case inRegion:
 		return t.taskFor(i, t.members.region, t.members.nearAt[i], s.nearAt.Add(lostAfter), now, true)
-	case t.plan.Weighing == operator.OriginBytes && t.anywhere.Test(uint(i)):
+	case t.terms.Weighing == operator.OriginBytes && t.anywhere.Test(uint(i)):
 		job, ok := t.taskFor(i, t.members.region, t.members.nearAt[i], s.seenAt, now, false)
 		if ok && !t.hurry(i, now) {
 			job.way = fromRegion{t.holders(i, c)}
--- a/internal/transfer/hurry.go
+++ b/internal/transfer/hurry.go
@@ -38,11 +38,11 @@
 // The links between regions go on with the lowest chunks; of the rest, those
 // that they would not carry in time are drawn. Callers hold mu.
 func (t *Transfer) hurry(i int, now time.Time) bool {
-	if t.plan.ReadyBy.IsZero() || now.Sub(t.startedAt) < rateMin {
+	if t.terms.ReadyBy.IsZero() || now.Sub(t.startedAt) < rateMin {
 		return false
 	}
 	rate := t.regionRate.perSecond(now, t.startedAt)
-	carried := rate * max(t.plan.ReadyBy.Sub(now).Seconds(), 0)
+	carried := rate * max(t.terms.ReadyBy.Sub(now).Seconds(), 0)
 	before := 0
 	for k := range t.chunks[:i] {
 		if !t.region.Test(uint(k)) {
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -68,7 +68,7 @@
 	peers := t.others()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.members.update(t.plan, t.exchange.options.Self, peers, t.manifest)
+	t.members.update(t.terms, t.exchange.options.Self, peers, t.manifest)
 	t.dropSilent(time.Now())
 	if len(peers) == 0 && time.Since(t.startedAt) > settleTime {
 		t.exchanged = true
@@ -88,8 +88,11 @@
 
 // others returns the placed peers without the agent itself.
 func (t *Transfer) others() []gateway.Peer {
-	placed := make(map[string]bool, len(t.plan.Members))
-	for _, name := range t.plan.Members {
+	t.mu.Lock()
+	names := t.terms.Members
+	t.mu.Unlock()
+	placed := make(map[string]bool, len(names))
+	for _, name := range names {
 		placed[name] = true
 	}
 	var out []gateway.Peer
--- a/internal/transfer/sources.go
+++ b/internal/transfer/sources.go
@@ -90,12 +90,15 @@
 // origin bytes weigh more, else the one that promises to be done first.
 func (t *Transfer) pickSource() *sourceState {
 	now := time.Now()
+	t.mu.Lock()
+	thrifty := t.terms.Weighing == operator.OriginBytes
+	t.mu.Unlock()
 	var best *sourceState
 	for _, s := range t.exchange.sources {
 		if !s.usable(now) {
 			continue
 		}
-		if best == nil || (t.plan.Weighing != operator.OriginBytes && s.load() < best.load()) {
+		if best == nil || (!thrifty && s.load() < best.load()) {
 			best = s
 		}
 	}
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +36,7 @@
 // fetched; mu guards what other goroutines tell it.
 type Transfer struct {
 	exchange *Exchange
-	plan     Plan
+	plan     Plan // as started; its Members, ReadyBy and Weighing are in terms
 	machine  *chart.Machine
 	done     chan struct{} // closes when the whole is verified or failed for good
 	ended    chan struct{} // closes when no goroutine of the transfer runs
@@ -43,6 +44,7 @@
 	landed   chan landing
 
 	mu         sync.Mutex
+	terms      Plan
 	err        error
 	manifest   manifest.Manifest
 	own        *haveset.Own
@@ -85,6 +87,7 @@
 	return &Transfer{
 		exchange:   x,
 		plan:       p,
+		terms:      p,
 		machine:    charts.Start(transferChart),
 		done:       make(chan struct{}),
 		ended:      make(chan struct{}),
@@ -96,6 +99,16 @@
 	}
 }
 
+// Update changes the members, the deadline and the weighing of a running transfer.
+func (t *Transfer) Update(p Plan) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !slices.Equal(p.Members, t.terms.Members) || p.Weighing != t.terms.Weighing {
+		t.members.key = ""
+	}
+	t.terms = p
+}
+
 // Done closes when the whole is held and verified, or cannot be: see Err.
 func (t *Transfer) Done() <-chan struct{} { return t.done }
 
