--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -23,7 +23,6 @@
 	outcome.TooLarge:     http.StatusRequestEntityTooLarge,
 	outcome.KeyReused:    http.StatusUnprocessableEntity,
 	outcome.Quarantined:  http.StatusUnprocessableEntity,
-	outcome.ClaimPending: http.StatusConflict,
 	outcome.QueueFull:    http.StatusTooManyRequests,
 	outcome.WaitTooLong:  http.StatusTooManyRequests,
 }
@@ -104,11 +103,16 @@
 		v.refuse(refused)
 		return
 	}
-	v.state(http.StatusBadGateway, v.record(o))
+	status := http.StatusBadGateway
+	if unknown, ok := o.(outcome.Unknown); ok && unknown.Reason == outcome.ClaimPending {
+		status = http.StatusConflict
+	}
+	v.state(status, v.record(o))
 }
 
 // answer sends a plain service's answer and states the outcome in the trailer.
 func (v *visit) answer(a dispatch.Answer, o outcome.Outcome) {
+	v.repeat = a.Repeat
 	if _, whole := o.(outcome.Answered); !whole {
 		v.answerUnbegun(o)
 		return
--- a/internal/caller/front.go
+++ b/internal/caller/front.go
@@ -175,6 +175,7 @@
 	id           string
 	organisation string
 	class        string
+	repeat       bool // the outcome is that of an earlier request
 }
 
 // record counts and keeps the request's outcome.
@@ -184,6 +185,7 @@
 	r.Organisation = v.organisation
 	r.Class = v.class
 	r.At = time.Now().UTC()
+	r.Repeat = v.repeat
 	counter.Add("Outcomes."+r.Outcome, 1)
 	if r.Reason != "" {
 		counter.Add(r.Outcome+"."+string(r.Reason), 1)
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -53,6 +53,7 @@
 	if _, refused := r.Outcome.(outcome.Refused); !refused {
 		f.life.fire("Recall")
 		f.progress.answer = r.Answer
+		f.progress.answer.Repeat = true
 	}
 	return r.Outcome
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -53,6 +53,7 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	Repeat      bool // the outcome is that of an earlier request with the key
 }
 
 // progress is what the attempts of one request have brought so far.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -57,6 +57,7 @@
 	LedgerDelayed
 	DrainStarted
 	DrainEnded
+	ClaimUnsettled
 )
 
 var catalogue = map[Number]string{
@@ -106,4 +107,5 @@
 	LedgerDelayed:    "outcome records wait for the key-value service",
 	DrainStarted:     "drain started: no new work",
 	DrainEnded:       "drain ended: no request in progress",
+	ClaimUnsettled:   "claim could not be settled: repeats are told that its outcome is unknown",
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -25,7 +25,10 @@
 }
 
 // Unknown means that the request may have run.
-type Unknown struct{ Reason Reason }
+type Unknown struct {
+	Reason  Reason
+	RetryAt time.Time // when more may be known; zero: it never will
+}
 
 // Cancelled means that the caller went away.
 type Cancelled struct{ Tokens int }
@@ -61,7 +64,8 @@
 	StreamCut           Reason = "StreamCut"
 	DeadlinePassed      Reason = "DeadlinePassed"
 	Quarantined         Reason = "Quarantined"
-	ClaimPending        Reason = "ClaimPending"
+	ClaimPending        Reason = "ClaimPending"    // a request with the same key is in progress
+	ClaimHolderLost     Reason = "ClaimHolderLost" // the gateway that claimed the key never told the end
 	KeyValueUnavailable Reason = "KeyValueUnavailable"
 	BudgetSpent         Reason = "RetryBudgetSpent"
 	ShuttingDown        Reason = "ShuttingDown"
@@ -89,6 +93,22 @@
 	Digest       string    `json:"Digest,omitempty"`
 	Tokens       int       `json:"Tokens"`
 	At           time.Time `json:"At"`
+	Repeat       bool      `json:"Repeat,omitempty"` // told again for an idempotency key; not billed
+}
+
+// FromRecord returns the outcome that r was made of.
+func FromRecord(r Record) Outcome {
+	switch r.Outcome {
+	case NameAnswered:
+		return Answered{Digest: r.Digest, Tokens: r.Tokens}
+	case NameRefused:
+		return Refused{Reason: r.Reason, RetryAt: r.RetryAt}
+	case NameFailed:
+		return Failed{Reason: r.Reason, Tokens: r.Tokens}
+	case NameCancelled:
+		return Cancelled{Tokens: r.Tokens}
+	}
+	return Unknown{Reason: r.Reason, RetryAt: r.RetryAt}
 }
 
 // NewRecord fills a record from o; the caller adds request, organisation, class and time.
@@ -101,7 +121,7 @@
 	case Failed:
 		return Record{Outcome: NameFailed, Reason: o.Reason, Tokens: o.Tokens}
 	case Unknown:
-		return Record{Outcome: NameUnknown, Reason: o.Reason}
+		return Record{Outcome: NameUnknown, Reason: o.Reason, RetryAt: o.RetryAt}
 	case Cancelled:
 		return Record{Outcome: NameCancelled, Reason: CallerGone, Tokens: o.Tokens}
 	}
