--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/caller"
+	"almondreel.example/almondreel/internal/claims"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
@@ -17,9 +18,11 @@
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/kv"
+	"almondreel.example/almondreel/internal/ledger"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/internal/spread"
+	"almondreel.example/almondreel/internal/suspicion"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
 
@@ -29,6 +32,7 @@
 	maxHeaderBytes    = 16 << 10
 	stopTimeout       = 2 * time.Second
 	drainLimit        = 10 * time.Minute
+	flushLimit        = 10 * time.Second
 )
 
 // gatewayParts is a gateway's state and duties.
@@ -39,6 +43,9 @@
 	quarantine *quarantine.Table
 	front      *caller.Front
 	spread     *spread.Spread
+	suspicion  *suspicion.Share
+	claims     *claims.Keeper
+	ledger     *ledger.Ledger
 	ready      *readiness
 }
 
@@ -62,6 +69,9 @@
 	tree.Add("callers", serve(callers, newServer(parts.front)))
 	tree.Add("control", serve(controls, newServer(handler)))
 	tree.Add("spread", parts.spread.Run)
+	tree.Add("suspicion", parts.suspicion.Run)
+	tree.Add("claims", parts.claims.Run)
+	tree.Add("ledger", parts.ledger.Run)
 	return duty.Main("almondreel-gateway", tree, parts.drain)
 }
 
@@ -72,21 +82,48 @@
 		members:    membership.NewTable(),
 		quarantine: quarantine.NewTable(),
 	}
+	store := kv.NewClient(s.KeyValue)
 	p.ready = &readiness{desired: p.desired}
-	p.spread = spread.New(s, p.desired, p.members, kv.NewClient(s.KeyValue), p.convictions, p.adoptConvictions)
+	p.spread = spread.New(s, p.desired, p.members, store, p.convictions, p.adoptConvictions)
+	p.suspicion = suspicion.New(s.Name, p.quarantine, p.peers, store)
+	p.claims = claims.New(s.Name, store)
+	p.ledger = ledger.New(s.Name, store)
 	dispatcher := dispatch.New(dispatch.Options{
 		Gateway:    s.Name,
 		Desired:    p.desired,
 		Members:    p.members,
+		Gateways:   p.gateways,
 		Quarantine: p.quarantine,
+		Suspected:  p.suspicion.Tell,
+		Claims:     p.claims,
+	})
+	p.front = caller.NewFront(caller.Options{
+		Settings:   s,
+		Desired:    p.desired,
+		Dispatcher: dispatcher,
+		Record:     p.ledger.Add,
+		Outcomes:   p.claims,
 	})
-	p.front = caller.NewFront(caller.Options{Settings: s, Desired: p.desired, Dispatcher: dispatcher})
 	return p
 }
 
+// peers returns the other gateways, heard or listed.
+func (p *gatewayParts) peers() []gateway.Peer {
+	return p.members.Gateways(p.settings.Name, time.Now())
+}
+
+// gateways returns the names of all live gateways.
+func (p *gatewayParts) gateways() []string {
+	names := []string{p.settings.Name}
+	for _, g := range p.members.LiveGateways(p.settings.Name, time.Now()) {
+		names = append(names, g.Name)
+	}
+	return names
+}
+
 // control serves what other processes ask of the gateway.
 func (p *gatewayParts) control() (http.Handler, error) {
-	calls, err := control.Handle(map[string]any{"Gateway": p.spread})
+	calls, err := control.Handle(map[string]any{"Gateway": p.spread, suspicion.Name: p.suspicion.Receiver()})
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +146,9 @@
 	case <-ctx.Done():
 		event.Fail(event.DrainEnded, ctx.Err(), "Running", p.front.Running())
 	}
+	flush, stop := context.WithTimeout(context.WithoutCancel(ctx), flushLimit)
+	defer stop()
+	p.ledger.Flush(flush)
 }
 
 func (p *gatewayParts) convictions() []gateway.Conviction {
