--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -20,8 +20,10 @@
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/ledger"
 	"almondreel.example/almondreel/internal/membership"
+	"almondreel.example/almondreel/internal/planner"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/internal/spread"
+	"almondreel.example/almondreel/internal/status"
 	"almondreel.example/almondreel/internal/suspicion"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
@@ -43,6 +45,7 @@
 	quarantine *quarantine.Table
 	front      *caller.Front
 	spread     *spread.Spread
+	planner    *planner.Planner
 	suspicion  *suspicion.Share
 	claims     *claims.Keeper
 	ledger     *ledger.Ledger
@@ -69,6 +72,7 @@
 	tree.Add("callers", serve(callers, newServer(parts.front)))
 	tree.Add("control", serve(controls, newServer(handler)))
 	tree.Add("spread", parts.spread.Run)
+	tree.Add("planner", parts.planner.Run)
 	tree.Add("suspicion", parts.suspicion.Run)
 	tree.Add("claims", parts.claims.Run)
 	tree.Add("ledger", parts.ledger.Run)
@@ -85,6 +89,7 @@
 	store := kv.NewClient(s.KeyValue)
 	p.ready = &readiness{desired: p.desired}
 	p.spread = spread.New(s, p.desired, p.members, store, p.convictions, p.adoptConvictions)
+	p.planner = planner.New(s, p.desired, p.members, store)
 	p.suspicion = suspicion.New(s.Name, p.quarantine, p.peers, store)
 	p.claims = claims.New(s.Name, store)
 	p.ledger = ledger.New(s.Name, store)
@@ -131,6 +136,7 @@
 	mux.Handle(control.Path, calls)
 	p.ready.handle(mux)
 	mux.Handle("GET /metrics", counter.Handler())
+	mux.Handle("GET "+status.Path, status.Handler(p.desired, p.members))
 	return mux, nil
 }
 
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"syscall"
@@ -68,7 +69,7 @@
 	event.Log(event.Started, "Program", program)
 	err := group.Run()
 	event.Log(event.Stopped, "Program", program)
-	if _, ok := err.(run.SignalError); ok {
+	if errors.Is(err, run.ErrSignal) {
 		return nil
 	}
 	return err
