Let agents load a version in their turn, and answer with the placed versions

The agent orders a load only when the placement lets it, and opens for the versions that the placement says may answer, older ones included while a class changes or moves. The gateway pins requests by the same rule, so one that starts in the middle of a release routes to the old version as well.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -99,6 +99,7 @@
 	add(p.Command, "status", "show how far each class is from its target", &showStatus{line: l})
 	change := add(p.Command, "change", "ask about changes", &struct{}{})
 	add(change, "status", "tell whether a change was accepted", &changeStatus{line: l})
+	add(p.Command, "invoice", "sum the outcomes of requests by organisation and class", &showInvoice{line: l})
 	add(p.Command, "check", "check a settings file as start-up would", &check{line: l})
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,10 +44,9 @@
 
 // Dispatcher sends requests. It is safe for concurrent use.
 type Dispatcher struct {
-	options  Options
-	client   *transmit.Client
-	router   *route.Router
-	versions *versions
+	options Options
+	client  *transmit.Client
+	router  *route.Router
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue  // by service
@@ -63,12 +62,11 @@
 		o.Gateways = func() []string { return []string{o.Gateway} }
 	}
 	return &Dispatcher{
-		options:  o,
-		client:   transmit.NewClient(),
-		router:   route.NewRouter(),
-		versions: newVersions(),
-		queues:   map[string]*limit.Queue{},
-		budgets:  map[string]*limit.Budget{},
+		options: o,
+		client:  transmit.NewClient(),
+		router:  route.NewRouter(),
+		queues:  map[string]*limit.Queue{},
+		budgets: map[string]*limit.Budget{},
 	}
 }
 
@@ -219,8 +217,7 @@
 	if f.request.Class.Kind != operator.Model {
 		return true
 	}
-	placed := f.dispatcher.versions.place(a.Class, a.Digest)
-	f.progress.digest = placed.choose(f.subset(time.Now()))
+	f.progress.digest = chooseVersion(a, f.subset(time.Now()))
 	return f.progress.digest != ""
 }
 
--- a/internal/dispatch/versions.go
+++ b/internal/dispatch/versions.go
@@ -2,53 +2,24 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/placement"
 )
 
-// versions remembers, by class, the placed version and the one before it, which
-// goes on answering while instances change over. It is safe for concurrent use.
-type versions struct {
-	mu     sync.Mutex
-	placed map[string]placedVersion
-}
-
-type placedVersion struct {
-	current, previous manifest.Digest
-}
-
-func newVersions() *versions {
-	return &versions{placed: map[string]placedVersion{}}
-}
-
-// place records the class's placed version and returns both.
-func (v *versions) place(class string, d manifest.Digest) placedVersion {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	p, ok := v.placed[class]
-	if !ok || p.current != d {
-		p = placedVersion{current: d, previous: p.current}
-		v.placed[class] = p
-	}
-	return p
-}
-
-// choose returns the version that a new request is pinned to: each in
-// proportion to the members that serve it.
-func (p placedVersion) choose(members []gateway.Member) manifest.Digest {
-	current, previous := 0, 0
+// chooseVersion returns the version that a new request of the class is pinned
+// to: of those that may answer for it, each in proportion to the members that
+// serve it.
+func chooseVersion(a placement.Assignment, members []gateway.Member) manifest.Digest {
+	var answering []manifest.Digest
 	for _, m := range members {
-		switch m.Digest {
-		case p.current:
-			current++
-		case p.previous:
-			previous++
+		if m.Digest != "" && a.Answers(m.Name, m.Digest) {
+			answering = append(answering, m.Digest)
 		}
 	}
-	if p.previous == "" || previous == 0 || rand.IntN(current+previous) < current {
-		return p.current
+	if len(answering) == 0 {
+		return a.Digest
 	}
-	return p.previous
+	return answering[rand.IntN(len(answering))]
 }
--- a/internal/replica/order.go
+++ b/internal/replica/order.go
@@ -47,7 +47,7 @@
 // maybeOrder gives the load order for a version that is held whole and that
 // the engine neither states nor loads.
 func (r *Replica) maybeOrder(ctx context.Context, revision uint64) {
-	if r.order != nil || r.machine.State() != "Held" || r.silence > 0 || time.Now().Before(r.retryAt) {
+	if !r.mayLoad || r.order != nil || r.machine.State() != "Held" || r.silence > 0 || time.Now().Before(r.retryAt) {
 		return
 	}
 	if r.state.Loading != "" && r.state.Loading == r.plan.Digest {
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/placement"
 	"almondreel.example/almondreel/internal/transfer"
@@ -49,3 +50,28 @@
 	}
 	return a
 }
+
+// mayLoad reports whether the placement lets the instance load d now. While a
+// class changes version, only some of its instances may at once.
+func mayLoad(p placement.Placement, instance string, d manifest.Digest) bool {
+	for _, a := range p.On(instance) {
+		if a.Digest == d && a.MayLoad(instance) {
+			return true
+		}
+	}
+	return false
+}
+
+// answers returns the versions that the instance may answer with: the placed
+// one, and the older ones that it still serves while a class is moved or changed.
+func answers(p placement.Placement, instance string) map[manifest.Digest]bool {
+	out := map[manifest.Digest]bool{}
+	for _, a := range p.Assignments {
+		for _, d := range append([]manifest.Digest{a.Digest}, a.Previous...) {
+			if d != "" && a.Answers(instance, d) {
+				out[d] = true
+			}
+		}
+	}
+	return out
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,7 +38,9 @@
 	engine   *engine.Client
 	machine  *chart.Machine
 
-	plan     transfer.Plan // empty Digest: not placed
+	plan     transfer.Plan            // empty Digest: not placed
+	mayLoad  bool                     // it is this instance's turn to load the plan's version
+	answers  map[manifest.Digest]bool // versions that may answer here
 	transfer *transfer.Transfer
 	stop     context.CancelFunc       // of the transfer
 	verified map[manifest.Digest]bool // versions that were verified whole in this run
@@ -109,6 +111,8 @@
 		return
 	}
 	plan := planOf(snapshot.Placement, r.settings.Name)
+	r.mayLoad = mayLoad(snapshot.Placement, r.settings.Name, plan.Digest)
+	r.answers = answers(snapshot.Placement, r.settings.Name)
 	if plan.Digest == r.plan.Digest {
 		r.refresh(plan)
 		return
@@ -192,7 +196,7 @@
 		have, chunks = r.transfer.Progress()
 	}
 	digest := r.state.Digest
-	open := r.silence < maxSilence && r.plan.Digest != "" && digest != "" && r.verified[digest]
+	open := r.silence < maxSilence && r.answers[digest] && r.verified[digest]
 	r.board.Update(func(s *serving.Status) {
 		s.Open = open
 		s.Digest = digest
