--- a/internal/heartbeat/beater.go
+++ b/internal/heartbeat/beater.go
@@ -64,15 +64,22 @@
 func (b *beater) pause(ctx context.Context) bool {
 	due := time.Now().Add(interval*9/10 + jitter(interval/10))
 	for sleep(ctx, lookInterval) {
-		now := time.Now()
-		changed := b.answered && b.heartbeat.member(0).Settled() != b.acknowledged
-		if changed || !now.Before(due) {
+		if !time.Now().Before(due) || b.hurries() {
 			return true
 		}
 	}
 	return false
 }
 
+// hurries reports whether the gateway needs to hear of a change, or the agent
+// waits for its turn to load a version that it has whole.
+func (b *beater) hurries() bool {
+	m := b.heartbeat.member(0)
+	changed := b.answered && m.Settled() != b.acknowledged
+	waits := m.Want != "" && m.Want != m.Digest && m.Have == m.Chunks && m.Chunks > 0
+	return changed || waits
+}
+
 func (b *beater) beat(ctx context.Context) {
 	snapshot, _ := b.heartbeat.desired.Current()
 	request := b.request(snapshot)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -55,6 +55,7 @@
 	startAt  time.Time
 	sequence uint64 // rises with each change that other gateways are told
 	silent   map[string]bool
+	news     chan struct{} // closes at the next change that others need to hear
 }
 
 type record struct {
@@ -81,6 +82,7 @@
 		listed:   map[string]instances.Instance{},
 		silent:   map[string]bool{},
 		startAt:  time.Now(),
+		news:     make(chan struct{}),
 	}
 }
 
@@ -133,6 +135,20 @@
 func (t *Table) changed(r *record) {
 	t.sequence++
 	r.changedAt = t.sequence
+	t.announce()
+}
+
+func (t *Table) announce() {
+	close(t.news)
+	t.news = make(chan struct{})
+}
+
+// Changed returns a channel that closes when a member changes in more than the
+// fields of every heartbeat.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.news
 }
 
 // progressSteps bounds how often the progress of one transfer is told on.
--- a/internal/membership/sources.go
+++ b/internal/membership/sources.go
@@ -52,6 +52,9 @@
 	for _, name := range silent {
 		t.tellSilent(from, name)
 	}
+	if len(members)+len(silent) > 0 {
+		t.announce()
+	}
 }
 
 func (t *Table) tellSilent(from, name string) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -75,6 +75,7 @@
 	term := uint64(0) // of the duty, for which both documents were read
 	for ctx.Err() == nil {
 		_, changed := p.desired.Current()
+		news := p.table.Changed()
 		held, now := p.lease.held(time.Now())
 		if held && now != term {
 			held = p.refresh(ctx)
@@ -83,11 +84,11 @@
 			term = now
 			p.step(ctx)
 		}
-		p.pause(ctx, changed)
+		p.pause(ctx, changed, news)
 	}
 }
 
-func (p *Planner) pause(ctx context.Context, changed <-chan struct{}) {
+func (p *Planner) pause(ctx context.Context, changed, news <-chan struct{}) {
 	sleep(ctx, planSpacing)
 	timer := time.NewTimer(planInterval - planSpacing)
 	defer timer.Stop()
@@ -95,6 +96,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-changed:
+	case <-news:
 	case <-p.resolver.resolved:
 	}
 }
