--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -64,11 +64,29 @@
 
 // decode reads file into target and returns where its keys stand.
 func decode(file string, target any) (document, error) {
-	d := document{file: file, nodes: map[string]*yaml.Node{}}
-	root, err := parse(file)
+	text, err := read(file)
+	if err != nil {
+		return document{}, err
+	}
+	root, err := parse(file, text)
+	if err != nil {
+		return document{}, err
+	}
+	return fill(file, root, target)
+}
+
+// read returns the file's text.
+func read(file string) ([]byte, error) {
+	text, err := os.ReadFile(file)
 	if err != nil {
-		return d, err
+		return nil, fmt.Errorf("settings: %w", err)
 	}
+	return text, nil
+}
+
+// fill puts the document at root into target and returns where its keys stand.
+func fill(file string, root *yaml.Node, target any) (document, error) {
+	d := document{file: file, nodes: map[string]*yaml.Node{}}
 	w := walker{document: d}
 	w.value(root, reflect.TypeOf(target).Elem(), "")
 	if len(w.problems) > 0 {
@@ -80,18 +98,14 @@
 	return d, nil
 }
 
-// parse returns the root of the file's only YAML document.
-func parse(file string) (*yaml.Node, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
+// parse returns the root of the only YAML document in text.
+func parse(file string, text []byte) (*yaml.Node, error) {
 	if len(text) > maxFileBytes {
 		return nil, fmt.Errorf("%s: settings file exceeds %d bytes", file, maxFileBytes)
 	}
 	decoder := yaml.NewDecoder(bytes.NewReader(text))
 	var root, second yaml.Node
-	err = decoder.Decode(&root)
+	err := decoder.Decode(&root)
 	if errors.Is(err, io.EOF) {
 		return nil, fmt.Errorf("%s: empty settings file", file)
 	}
--- a/internal/settings/program.go
+++ b/internal/settings/program.go
@@ -18,16 +18,33 @@
 // Check reads file as the program that its keys point to would, and returns
 // that program and what it would refuse.
 func Check(file string) (Program, error) {
-	root, err := parse(file)
+	text, err := read(file)
+	if err != nil {
+		return "", err
+	}
+	return CheckText(file, text)
+}
+
+// CheckText is Check of a text; file stands in its errors.
+func CheckText(file string, text []byte) (Program, error) {
+	root, err := parse(file, text)
 	if err != nil {
 		return "", err
 	}
 	switch programOf(root) {
 	case ProgramGateway:
-		_, err := LoadGateway(file)
+		var g Gateway
+		d, err := fill(file, root, &g)
+		if err == nil {
+			err = g.check(checker{document: d})
+		}
 		return ProgramGateway, err
 	case ProgramAgent:
-		_, err := LoadAgent(file)
+		var a Agent
+		d, err := fill(file, root, &a)
+		if err == nil {
+			err = a.check(checker{document: d})
+		}
 		return ProgramAgent, err
 	}
 	return "", fmt.Errorf("%s: expected the settings of a gateway (with CallerListen) or of an agent (with Backend)", file)
