--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -60,17 +60,13 @@
 
 // once dispatches until one attempt is accepted.
 func (f *flight) once(ctx context.Context) outcome.Outcome {
-	last := outcome.NoReplica
-	for i := 0; i < maxAttempts; i++ {
+	for {
 		if ctx.Err() != nil {
-			return outcome.Refused{Reason: outcome.DeadlinePassed, RetryAt: f.comeBack()}
-		}
-		if i > 0 && !f.mayRetry(last) {
-			return outcome.Refused{Reason: outcome.BudgetSpent, RetryAt: f.comeBack()}
+			return f.giveUp(ctx, outcome.DeadlinePassed)
 		}
 		r, ok := f.attempt(ctx)
 		if !ok {
-			break
+			return f.giveUp(ctx, f.last)
 		}
 		switch r := r.(type) {
 		case whole:
@@ -80,9 +76,9 @@
 		case broken:
 			f.convicted(ctx, r)
 			return outcome.Unknown{Reason: r.reason}
-		case declined:
-			last = r.reason
+		}
+		if reason := f.next(ctx, r); reason != "" {
+			return f.giveUp(ctx, reason)
 		}
 	}
-	return outcome.Refused{Reason: last, RetryAt: f.comeBack()}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -25,7 +25,8 @@
 )
 
 const (
-	maxAttempts   = 4
+	maxBreaks     = 4   // attempts of a request that may have run
+	maxDeclines   = 8   // attempts of a request that were not run
 	retryShare    = 0.1 // of the requests that may be sent again
 	noReplicaWait = time.Second
 	plainCost     = 16 // tokens that a plain call counts as
@@ -87,7 +88,7 @@
 	l := newLife()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	f := &flight{dispatcher: d, request: r, sink: sink, life: l, tried: map[string]bool{}, budget: d.budget(r.Class.Name)}
+	f := &flight{dispatcher: d, request: r, sink: sink, life: l, tried: map[string]bool{}, last: outcome.NoReplica, budget: d.budget(r.Class.Name)}
 	o := f.admitted(ctx)
 	return f.progress.answer, l.finish(r.ID, o)
 }
@@ -207,6 +208,11 @@
 	tried      map[string]bool
 	accepted   bool // an attempt may have run
 	startedAt  time.Time
+	last       outcome.Reason // why the last attempt failed
+	lastTried  string
+	suspect    bool // the last attempt ran as a suspect
+	breaks     int
+	declines   int
 }
 
 // pin fixes the version that must answer.
@@ -247,20 +253,13 @@
 
 // repeat sends an idempotent request until an attempt brings the whole answer.
 func (f *flight) repeat(ctx context.Context) outcome.Outcome {
-	last := outcome.NoReplica
-	for i := 0; ; i++ {
+	for {
 		if ctx.Err() != nil {
 			return f.giveUp(ctx, outcome.DeadlinePassed)
 		}
-		if i == maxAttempts {
-			return f.giveUp(ctx, last)
-		}
-		if i > 0 && !f.mayRetry(last) {
-			return f.giveUp(ctx, outcome.BudgetSpent)
-		}
 		r, ok := f.attempt(ctx)
 		if !ok {
-			return f.giveUp(ctx, last)
+			return f.giveUp(ctx, f.last)
 		}
 		switch r := r.(type) {
 		case whole:
@@ -268,15 +267,41 @@
 			return outcome.Answered{Digest: string(f.progress.digest), Tokens: f.progress.tokens}
 		case gone:
 			return outcome.Cancelled{Tokens: f.progress.tokens}
-		case declined:
-			last = r.reason
 		case broken:
-			last = r.reason
 			if f.convicted(ctx, r) {
 				return outcome.Failed{Reason: outcome.Quarantined, Tokens: f.progress.tokens}
 			}
 		}
+		if reason := f.next(ctx, r); reason != "" {
+			return f.giveUp(ctx, reason)
+		}
+	}
+}
+
+// next reports why the request may not be sent again after r, or "".
+func (f *flight) next(ctx context.Context, r result) outcome.Reason {
+	switch r := r.(type) {
+	case declined:
+		f.last = r.reason
+		f.declines++
+		if f.suspect && r.reason == outcome.ReplicaBusy {
+			delete(f.tried, f.lastTried) // another gateway's suspect runs there
+			f.declines--
+			f.wait(ctx, suspectPause)
+			return ""
+		}
+		f.awaitNews(ctx, r.reason)
+	case broken:
+		f.last = r.reason
+		f.breaks++
+	}
+	if f.breaks >= maxBreaks || f.declines >= maxDeclines {
+		return f.last
+	}
+	if !f.mayRetry(f.last) {
+		return outcome.BudgetSpent
 	}
+	return ""
 }
 
 func (f *flight) mayRetry(reason outcome.Reason) bool {
@@ -319,6 +344,7 @@
 		defer f.dispatcher.options.Quarantine.Leave(f.request.Fingerprint, m.Name)
 	}
 	f.tried[m.Name] = true
+	f.lastTried, f.suspect = m.Name, suspect
 	f.startedAt = time.Now()
 	f.life.fire("Dispatch")
 	a := &attempt{
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/route"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
@@ -16,6 +18,9 @@
 	convictionLasts = time.Hour
 	tellTimeout     = 250 * time.Millisecond
 	suspectPause    = 20 * time.Millisecond
+	newsPause       = 100 * time.Millisecond
+	busyPause       = 10 * time.Millisecond
+	deathPause      = 40 * time.Millisecond
 )
 
 // choose returns the agent for the next attempt, and whether the request runs
@@ -29,7 +34,7 @@
 		case quarantine.Convicted:
 			return gateway.Member{}, false, false
 		case quarantine.Clear:
-			m, ok := f.dispatcher.router.Pick(members, route.Want{Affinity: f.request.affinity(), Exclude: f.tried})
+			m, ok := f.dispatcher.router.Pick(members, f.want())
 			return m, false, ok
 		}
 		m, ok := f.enter(members)
@@ -43,11 +48,26 @@
 	}
 }
 
-// enter takes the first agent in the fingerprint's rank that runs no suspect.
-// All gateways rank alike, so a suspect's repeats meet on one agent.
+// want keeps a request that was never seen to complete on few agents.
+func (f *flight) want() route.Want {
+	w := route.Want{Affinity: f.request.affinity(), Exclude: f.tried}
+	if !f.dispatcher.options.Quarantine.Vouched(f.request.Fingerprint, time.Now()) {
+		w.Novelty = f.request.Fingerprint
+		if len(f.tried) > 0 {
+			w.Affinity = f.request.Fingerprint // where its suspects go, too
+		}
+	}
+	return w
+}
+
+// enter takes an agent that runs no suspect: the first for the prompt, then by
+// the fingerprint's rank. All gateways rank alike, so a suspect's repeats meet.
 func (f *flight) enter(members []gateway.Member) (gateway.Member, bool) {
 	ranked := append([]gateway.Member(nil), members...)
-	route.Rank(ranked, f.request.Fingerprint)
+	route.Rank(ranked, f.request.affinity())
+	if len(ranked) > 1 {
+		route.Rank(ranked[1:], f.request.Fingerprint)
+	}
 	for _, m := range ranked {
 		if !f.tried[m.Name] && f.dispatcher.options.Quarantine.Enter(f.request.Fingerprint, m.Name) {
 			return m, true
@@ -78,6 +98,31 @@
 	return true
 }
 
+// awaitNews holds a request that was never seen to complete back from its next
+// agent when one is gone: if its own repeat killed that one, the news of it is
+// on the way.
+func (f *flight) awaitNews(ctx context.Context, reason outcome.Reason) {
+	if f.want().Novelty == "" {
+		return
+	}
+	switch reason {
+	case outcome.BackendUnreachable, outcome.ReplicaUnreachable:
+		f.wait(ctx, newsPause)
+	case outcome.ReplicaBusy:
+		f.wait(ctx, busyPause)
+	}
+}
+
+// wait waits for d to 2d, or until ctx ends.
+func (f *flight) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d + rand.N(d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // diedOn records that an agent's backend server died while it ran the request.
 func (f *flight) diedOn(b broken, m gateway.Member, suspect bool) {
 	if !b.died {
@@ -96,7 +141,8 @@
 }
 
 // convicted tells the other gateways of a death before anything else happens
-// to the request, and reports whether it must not run again.
+// to the request, leaves them time to tell of theirs, and reports whether it
+// must not run again.
 func (f *flight) convicted(ctx context.Context, b broken) bool {
 	table := f.dispatcher.options.Quarantine
 	e, ok := table.Find(f.request.Fingerprint, time.Now())
@@ -104,6 +150,8 @@
 		tell, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout)
 		defer cancel()
 		f.dispatcher.options.Suspected(tell, e)
+		f.wait(ctx, deathPause)
+		e, ok = table.Find(f.request.Fingerprint, time.Now())
 	}
 	return ok && e.Convicted
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -27,6 +27,7 @@
 // Want describes the agent that a request needs.
 type Want struct {
 	Affinity string          // requests with the same value prefer the same agent
+	Novelty  string          // not empty: use only the first agents for Affinity and for this
 	Exclude  map[string]bool // names of agents that were tried
 }
 
@@ -68,8 +69,11 @@
 	if len(candidates) == 0 {
 		return gateway.Member{}, false
 	}
-	Rank(candidates, w.Affinity)
 	bound := math.Ceil(loadBound * (total + 1) / float64(len(candidates)))
+	if w.Novelty != "" {
+		candidates = r.narrowed(candidates, w, now)
+	}
+	Rank(candidates, w.Affinity)
 	chosen := r.bounded(candidates, bound, now)
 	l := r.loads[chosen.Name]
 	l.own++
@@ -77,6 +81,22 @@
 	return chosen, true
 }
 
+// narrowed returns the first agents for the affinity and for the novelty, the
+// same on every gateway, so that a request never seen to complete is on two
+// agents at most. While both are full it returns all.
+func (r *Router) narrowed(candidates []gateway.Member, w Want, now time.Time) []gateway.Member {
+	Rank(candidates, w.Novelty)
+	second := candidates[0]
+	Rank(candidates, w.Affinity)
+	first := candidates[0]
+	for _, m := range []gateway.Member{first, second} {
+		if l := r.loads[m.Name]; l.at(now) < float64(l.slots) {
+			return []gateway.Member{first, second}
+		}
+	}
+	return candidates
+}
+
 // bounded returns the first in rank under the bound with a free slot, else the
 // better of the first two.
 func (r *Router) bounded(ranked []gateway.Member, bound float64, now time.Time) gateway.Member {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// Vouched reports whether the fingerprint was lately seen to complete.
+func (t *Table) Vouched(fingerprint string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.vouched[fingerprint])
+}
+
 // vouch remembers a completion; a full table forgets any other one.
 func (t *Table) vouch(fingerprint string, until time.Time) {
 	if _, ok := t.vouched[fingerprint]; !ok && len(t.vouched) >= maxEntries {
@@ -151,13 +158,21 @@
 	return t.changed
 }
 
-// Adopt takes entries that another holder told. A conviction overrides a suspicion.
+// Adopt takes entries that another holder told. A conviction overrides a
+// suspicion, and suspicions from two servers convict as in Died.
 func (t *Table) Adopt(entries []Entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range entries {
 		held, ok := t.entries[e.Fingerprint]
-		if !ok || e.Convicted && !held.Convicted || e.Convicted == held.Convicted && e.ExpiresAt.After(held.ExpiresAt) {
+		switch {
+		case !ok || e.Convicted && !held.Convicted:
+			t.put(e)
+		case held.Convicted && !e.Convicted:
+		case !held.Convicted && e.Server != held.Server && !time.Now().Before(t.vouched[e.Fingerprint]):
+			e.Convicted = true
+			t.put(e)
+		case e.ExpiresAt.After(held.ExpiresAt):
 			t.put(e)
 		}
 	}
