Let requests end before an engine is ordered to load another version

Cause: the agent sent the load order while its door still let requests in. An engine that changes its version then answered the end of a request from the new one, which the door cut: 1 request failed and 1 was refused for ReplicaServesOtherVersion in a release to Comptoir's site under load. Ruled out: the gateway's pinning (both requests were pinned to the old version). The agent now closes its board once the version is held, waits until the requests that were let in have ended, and only then gives the order.

--- a/internal/replica/order.go
+++ b/internal/replica/order.go
@@ -56,7 +56,7 @@
 	m, ok := r.weights.Store.Manifest(r.plan.Digest)
 	held := ok && r.weights.Store.Verified(r.plan.Digest)
 	invariant.Assert(held, invariant.VerifiedBeforeLoad, "version %s", r.plan.Digest)
-	if !held {
+	if !held || !r.drained() {
 		return
 	}
 	charts.Fire(r.machine, "Order")
@@ -69,6 +69,17 @@
 	})
 }
 
+// drained closes the board and reports whether the requests that were let in
+// before have ended. An engine may change its version in the middle of them.
+// Every dispatch has a deadline, so the wait ends.
+func (r *Replica) drained() bool {
+	if !r.closed {
+		r.closed = true
+		return false // show closes the board before the next look
+	}
+	return r.board.Status().Running == 0
+}
+
 func (r *Replica) send(ctx context.Context, l engine.LoadModel) {
 	invariant.Assert(r.order == nil, invariant.OneOrderAtATime, "order for %s", l.Digest)
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -105,6 +116,7 @@
 
 func (r *Replica) confirm() {
 	charts.Fire(r.machine, "Confirm")
+	r.closed = false
 	r.failures = 0
 	event.Log(event.LoadConfirmed, "Digest", r.plan.Digest)
 }
@@ -172,6 +184,7 @@
 }
 
 func (r *Replica) backOff() {
+	r.closed = false
 	wait := min(orderRetry<<min(r.failures, 8), orderRetryMax)
 	r.failures++
 	r.retryAt = time.Now().Add(wait/2 + rand.N(wait))
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -47,6 +47,7 @@
 	order    *order                   // without an answer; nil: none
 	settle   settling
 	state    engine.State
+	closed   bool // no request is let in: an order is given or about to be
 	silence  int
 	polls    int
 	retryAt  time.Time // no order is given before
@@ -119,6 +120,7 @@
 	}
 	r.stopTransfer()
 	r.plan = plan
+	r.closed = false
 	r.failures, r.retryAt = 0, time.Time{}
 	if plan.Digest == "" {
 		charts.Fire(r.machine, "Remove")
@@ -196,7 +198,7 @@
 		have, chunks = r.transfer.Progress()
 	}
 	digest := r.state.Digest
-	open := r.silence < maxSilence && r.answers[digest] && r.verified[digest]
+	open := !r.closed && r.silence < maxSilence && r.answers[digest] && r.verified[digest]
 	r.board.Update(func(s *serving.Status) {
 		s.Open = open
 		s.Digest = digest
