--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -77,6 +78,9 @@
 func (c *Client) Swap(ctx context.Context, s Swap) (Entry, error) {
 	var e Entry
 	err := c.call(ctx, SwapPath, callTimeout, s, &e)
+	if err == nil && len(s.Value) > 0 && e.Revision == 0 {
+		return Entry{}, c.failed(SwapPath, errors.New("answer to a write without a revision"), true)
+	}
 	return e, err
 }
 
