--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -25,7 +25,8 @@
 )
 
 const (
-	maxAttempts   = 4
+	maxBreaks     = 4   // attempts of a request that may have run
+	maxDeclines   = 8   // attempts of a request that were not run
 	retryShare    = 0.1 // of the requests that may be sent again
 	noReplicaWait = time.Second
 	plainCost     = 16 // tokens that a plain call counts as
@@ -44,10 +45,9 @@
 
 // Dispatcher sends requests. It is safe for concurrent use.
 type Dispatcher struct {
-	options  Options
-	client   *transmit.Client
-	router   *route.Router
-	versions *versions
+	options Options
+	client  *transmit.Client
+	router  *route.Router
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue  // by service
@@ -63,12 +63,11 @@
 		o.Gateways = func() []string { return []string{o.Gateway} }
 	}
 	return &Dispatcher{
-		options:  o,
-		client:   transmit.NewClient(),
-		router:   route.NewRouter(),
-		versions: newVersions(),
-		queues:   map[string]*limit.Queue{},
-		budgets:  map[string]*limit.Budget{},
+		options: o,
+		client:  transmit.NewClient(),
+		router:  route.NewRouter(),
+		queues:  map[string]*limit.Queue{},
+		budgets: map[string]*limit.Budget{},
 	}
 }
 
@@ -87,7 +86,7 @@
 	l := newLife()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	f := &flight{dispatcher: d, request: r, sink: sink, life: l, tried: map[string]bool{}, budget: d.budget(r.Class.Name)}
+	f := &flight{dispatcher: d, request: r, sink: sink, life: l, tried: map[string]bool{}, last: outcome.NoReplica, budget: d.budget(r.Class.Name)}
 	o := f.admitted(ctx)
 	return f.progress.answer, l.finish(r.ID, o)
 }
@@ -207,6 +206,11 @@
 	tried      map[string]bool
 	accepted   bool // an attempt may have run
 	startedAt  time.Time
+	last       outcome.Reason // why the last attempt failed
+	lastTried  string
+	suspect    bool // the last attempt ran as a suspect
+	breaks     int
+	declines   int
 }
 
 // pin fixes the version that must answer.
@@ -219,8 +223,7 @@
 	if f.request.Class.Kind != operator.Model {
 		return true
 	}
-	placed := f.dispatcher.versions.place(a.Class, a.Digest)
-	f.progress.digest = placed.choose(f.subset(time.Now()))
+	f.progress.digest = chooseVersion(a, f.subset(time.Now()))
 	return f.progress.digest != ""
 }
 
@@ -247,20 +250,13 @@
 
 // repeat sends an idempotent request until an attempt brings the whole answer.
 func (f *flight) repeat(ctx context.Context) outcome.Outcome {
-	last := outcome.NoReplica
-	for i := 0; ; i++ {
+	for {
 		if ctx.Err() != nil {
 			return f.giveUp(ctx, outcome.DeadlinePassed)
 		}
-		if i == maxAttempts {
-			return f.giveUp(ctx, last)
-		}
-		if i > 0 && !f.mayRetry(last) {
-			return f.giveUp(ctx, outcome.BudgetSpent)
-		}
 		r, ok := f.attempt(ctx)
 		if !ok {
-			return f.giveUp(ctx, last)
+			return f.giveUp(ctx, f.last)
 		}
 		switch r := r.(type) {
 		case whole:
@@ -268,15 +264,41 @@
 			return outcome.Answered{Digest: string(f.progress.digest), Tokens: f.progress.tokens}
 		case gone:
 			return outcome.Cancelled{Tokens: f.progress.tokens}
-		case declined:
-			last = r.reason
 		case broken:
-			last = r.reason
 			if f.convicted(ctx, r) {
 				return outcome.Failed{Reason: outcome.Quarantined, Tokens: f.progress.tokens}
 			}
 		}
+		if reason := f.next(ctx, r); reason != "" {
+			return f.giveUp(ctx, reason)
+		}
+	}
+}
+
+// next reports why the request may not be sent again after r, or "".
+func (f *flight) next(ctx context.Context, r result) outcome.Reason {
+	switch r := r.(type) {
+	case declined:
+		f.last = r.reason
+		f.declines++
+		if f.suspect && r.reason == outcome.ReplicaBusy {
+			delete(f.tried, f.lastTried) // another gateway's suspect runs there
+			f.declines--
+			f.wait(ctx, suspectPause)
+			return ""
+		}
+		f.awaitNews(ctx, r.reason)
+	case broken:
+		f.last = r.reason
+		f.breaks++
+	}
+	if f.breaks >= maxBreaks || f.declines >= maxDeclines {
+		return f.last
+	}
+	if !f.mayRetry(f.last) {
+		return outcome.BudgetSpent
 	}
+	return ""
 }
 
 func (f *flight) mayRetry(reason outcome.Reason) bool {
@@ -319,6 +341,7 @@
 		defer f.dispatcher.options.Quarantine.Leave(f.request.Fingerprint, m.Name)
 	}
 	f.tried[m.Name] = true
+	f.lastTried, f.suspect = m.Name, suspect
 	f.startedAt = time.Now()
 	f.life.fire("Dispatch")
 	a := &attempt{
