--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -62,26 +62,13 @@
 	return strings.HasSuffix(key, ".Key")
 }
 
-// decode reads file into target and returns where its keys stand.
-func decode(file string, target any) (document, error) {
-	text, err := read(file)
-	if err != nil {
-		return document{}, err
-	}
-	root, err := parse(file, text)
-	if err != nil {
-		return document{}, err
-	}
-	return fill(file, root, target)
-}
-
-// read returns the file's text.
-func read(file string) ([]byte, error) {
+// readRoot returns the root of the file's only YAML document.
+func readRoot(file string) (*yaml.Node, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return text, nil
+	return parse(file, text)
 }
 
 // fill puts the document at root into target and returns where its keys stand.
--- a/internal/settings/program.go
+++ b/internal/settings/program.go
@@ -11,18 +11,19 @@
 
 // Programs.
 const (
-	ProgramGateway Program = "almondreel-gateway"
-	ProgramAgent   Program = "almondreel-agent"
+	ProgramGateway  Program = "almondreel-gateway"
+	ProgramAgent    Program = "almondreel-agent"
+	ProgramOperator Program = "almondreel"
 )
 
 // Check reads file as the program that its keys point to would, and returns
 // that program and what it would refuse.
 func Check(file string) (Program, error) {
-	text, err := read(file)
+	root, err := readRoot(file)
 	if err != nil {
 		return "", err
 	}
-	return CheckText(file, text)
+	return checkRoot(file, root)
 }
 
 // CheckText is Check of a text; file stands in its errors.
@@ -31,23 +32,20 @@
 	if err != nil {
 		return "", err
 	}
-	switch programOf(root) {
+	return checkRoot(file, root)
+}
+
+func checkRoot(file string, root *yaml.Node) (Program, error) {
+	program := programOf(root)
+	switch program {
 	case ProgramGateway:
-		var g Gateway
-		d, err := fill(file, root, &g)
-		if err == nil {
-			err = g.check(checker{document: d})
-		}
-		return ProgramGateway, err
+		return program, fillChecked(file, root, &Gateway{})
 	case ProgramAgent:
-		var a Agent
-		d, err := fill(file, root, &a)
-		if err == nil {
-			err = a.check(checker{document: d})
-		}
-		return ProgramAgent, err
+		return program, fillChecked(file, root, &Agent{})
+	case ProgramOperator:
+		return program, fillChecked(file, root, &Operator{})
 	}
-	return "", fmt.Errorf("%s: expected the settings of a gateway (with CallerListen) or of an agent (with Backend)", file)
+	return "", fmt.Errorf("%s: expected a key CallerListen (gateway), Backend (agent) or Operator (operator)", file)
 }
 
 // programOf tells a settings file by the keys that only one program has.
@@ -57,10 +55,12 @@
 	}
 	for i := 0; i+1 < len(root.Content); i += 2 {
 		switch root.Content[i].Value {
-		case "CallerListen", "ControlListen", "KeyValue", "Organisations", "MaxBodyBytes":
+		case "CallerListen", "ControlListen", "Organisations", "MaxBodyBytes":
 			return ProgramGateway
 		case "Listen", "Backend", "Link":
 			return ProgramAgent
+		case "Operator", "Gateways":
+			return ProgramOperator
 		}
 	}
 	return ""
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,8 @@
 // missing addresses and values out of range are refused with file, line and key.
 package settings
 
+import "gopkg.in/yaml.v3"
+
 // Identity says who a daemon is and where it runs.
 type Identity struct {
 	Name       string `yaml:"Name"`
@@ -90,36 +92,52 @@
 // LoadGateway reads and checks a gateway's settings file.
 func LoadGateway(file string) (Gateway, error) {
 	var g Gateway
-	d, err := decode(file, &g)
-	if err != nil {
-		return Gateway{}, err
-	}
-	return g, g.check(checker{document: d})
+	err := load(file, &g)
+	return g, err
 }
 
 // LoadAgent reads and checks an agent's settings file.
 func LoadAgent(file string) (Agent, error) {
 	var a Agent
-	d, err := decode(file, &a)
-	if err != nil {
-		return Agent{}, err
-	}
-	return a, a.check(checker{document: d})
+	err := load(file, &a)
+	return a, err
 }
 
 // LoadOperator reads and checks an operator's settings file.
 func LoadOperator(file string) (Operator, error) {
 	var o Operator
-	d, err := decode(file, &o)
-	if err != nil {
-		return Operator{}, err
-	}
-	return o, o.check(checker{document: d})
+	err := load(file, &o)
+	return o, err
 }
 
 // Decode reads one YAML document from file into target. Unknown keys and values
 // of another kind are an error that joins an *Invalid for each.
 func Decode(file string, target any) error {
-	_, err := decode(file, target)
+	root, err := readRoot(file)
+	if err != nil {
+		return err
+	}
+	_, err = fill(file, root, target)
 	return err
 }
+
+// checked is a program's settings.
+type checked interface {
+	check(c checker) error
+}
+
+func load(file string, target checked) error {
+	root, err := readRoot(file)
+	if err != nil {
+		return err
+	}
+	return fillChecked(file, root, target)
+}
+
+func fillChecked(file string, root *yaml.Node, target checked) error {
+	d, err := fill(file, root, target)
+	if err != nil {
+		return err
+	}
+	return target.check(checker{document: d})
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,11 @@
 Link: {UpBytesPerSecond: 1000000}
 `
 
+const operator = `KeyValue: http://127.0.0.1:7001
+Operator: head-office
+Gateways: [http://127.0.0.1:7300]
+`
+
 func write(t *testing.T, text string) string {
 	file := filepath.Join(t.TempDir(), "s.yaml")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
@@ -45,6 +50,9 @@
 }
 
 func TestWholeSettingsLoad(t *testing.T) {
+	o, err := settings.LoadOperator(write(t, operator))
+	require.NoError(t, err)
+	require.Equal(t, []string{"http://127.0.0.1:7300"}, o.Gateways)
 	g, err := settings.LoadGateway(write(t, gateway))
 	require.NoError(t, err)
 	require.Equal(t, "delta", g.Region)
@@ -57,8 +65,9 @@
 
 func TestCheckTellsTheProgram(t *testing.T) {
 	for text, want := range map[string]settings.Program{
-		gateway: settings.ProgramGateway,
-		agent:   settings.ProgramAgent,
+		gateway:  settings.ProgramGateway,
+		agent:    settings.ProgramAgent,
+		operator: settings.ProgramOperator,
 	} {
 		got, err := settings.Check(write(t, text))
 		require.NoError(t, err)
@@ -84,11 +93,12 @@
 		"same credential":    {gateway, "secret-2", "secret-1", ":12: key Organisations[1].Key: expected a credential that no other organisation has"},
 		"list expected":      {gateway, "Organisations:\n", "Organisations: none\nOther:\n", `:9: key Organisations: found "none", expected a list`},
 		"body limit":         {gateway, "Origin:", "MaxBodyBytes: -1\nOrigin:", `:8: key MaxBodyBytes: found "-1"`},
+		"no gateway URLs":    {operator, "[http://127.0.0.1:7300]", "[]", ":3: key Gateways: expected at least one URL"},
+		"bad gateway URL":    {operator, "http://127.0.0.1:7300", "x", `:3: key Gateways[0]: found "x", expected a URL`},
 		"unknown kind":       {agent, "Engine", "Magic", `:6: key Backend.Kind: found "Magic", expected Engine or Plain`},
 		"backend port 0":     {agent, ":7200", ":0", ":8: key Backend.Address: found"},
 		"negative rate":      {agent, "1000000", "-1", `:11: key Link.UpBytesPerSecond: found "-1", expected bytes per second`},
 		"keys expected":      {agent, "Link: {UpBytesPerSecond: 1000000}", "Link: 7", `:11: key Link: found "7", expected keys and values`},
-		"not a mapping":      {agent, agent, "- a\n", ":1: expected keys and values"},
 		"syntax":             {agent, "Backend:", "Backend: [", ":4: yaml: line 4:"},
 		"two documents":      {agent, "Link:", "---\nLink:", ": expected one YAML document"},
 	}
@@ -97,18 +107,24 @@
 			changed := strings.Replace(c.text, c.old, c.new, 1)
 			require.NotEqual(t, c.text, changed)
 			file := write(t, changed)
-			var err error
-			if c.text == gateway {
-				_, err = settings.LoadGateway(file)
-			} else {
-				_, err = settings.LoadAgent(file)
-			}
+			_, err := settings.Check(file)
 			require.ErrorContains(t, err, file+c.want[:strings.Index(c.want, " ")])
 			require.ErrorContains(t, err, c.want)
 		})
 	}
 }
 
+func TestFileForAnotherProgramIsRefused(t *testing.T) {
+	_, err := settings.LoadAgent(write(t, "- a\n"))
+	require.ErrorContains(t, err, "s.yaml:1: expected keys and values")
+	_, err = settings.LoadAgent(write(t, gateway))
+	require.ErrorContains(t, err, ":4: key CallerListen: expected one of the keys")
+	_, err = settings.LoadGateway(write(t, agent))
+	require.ErrorContains(t, err, ":4: key Listen: expected one of the keys")
+	_, err = settings.LoadOperator(filepath.Join(t.TempDir(), "none.yaml"))
+	require.ErrorContains(t, err, "none.yaml")
+}
+
 func TestAllProblemsAreToldAtOnceAndNoCredential(t *testing.T) {
 	text := strings.Replace(gateway, "gateway-1", "a b", 1)
 	text = strings.Replace(text, "secret-2", "secret-1", 1)
