Write metrics in the whole text format and hold their names to a rule

A histogram with a reason was written as NAME{reason}_count, which no reader of the format takes; it is now a summary with quantile labels, and each family has its type. What follows a name's dot is a class as often as a reason, so the label is called 'of'.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -6,8 +6,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"net/http"
-	"sort"
+	"slices"
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
@@ -38,7 +40,8 @@
 	metrics.DefaultRegistry.GetOrRegister(name, sample).(metrics.Histogram).Update(n)
 }
 
-// Handler serves all metrics in the Prometheus text format.
+// Handler serves all metrics in the Prometheus text format, with the prefix
+// almondreel_. What follows the first dot of a name becomes the label "of".
 func Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
@@ -48,39 +51,76 @@
 	})
 }
 
+// lines lists the metrics in order of name, each base name after its type.
 func lines() []string {
+	all := map[string]any{}
+	metrics.DefaultRegistry.Each(func(name string, metric any) { all[name] = metric })
 	var out []string
-	metrics.DefaultRegistry.Each(func(name string, metric any) {
-		out = append(out, describe(name, metric)...)
-	})
-	sort.Strings(out)
+	described := ""
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		s := newSeries(name)
+		if s.base != described {
+			described = s.base
+			out = append(out, "# TYPE "+s.base+" "+typeOf(all[name]))
+		}
+		out = append(out, s.describe(all[name])...)
+	}
 	return out
 }
 
-func describe(name string, metric any) []string {
-	series := seriesName(name)
+func typeOf(metric any) string {
+	switch metric.(type) {
+	case metrics.Counter:
+		return "counter"
+	case metrics.Gauge:
+		return "gauge"
+	default:
+		return "summary"
+	}
+}
+
+// series is a metric's name as the text format has it.
+type series struct {
+	base   string
+	labels []string
+}
+
+// newSeries turns Refused.QueueFull into almondreel_Refused{of="QueueFull"}.
+func newSeries(name string) series {
+	base, of, found := strings.Cut(name, ".")
+	s := series{base: "almondreel_" + base}
+	if found {
+		s.labels = []string{label("of", of)}
+	}
+	return s
+}
+
+func label(name, value string) string {
+	return fmt.Sprintf("%s=%q", name, value)
+}
+
+func (s series) line(suffix string, value any, labels ...string) string {
+	all := append(slices.Clone(s.labels), labels...)
+	if len(all) == 0 {
+		return fmt.Sprintf("%s%s %v", s.base, suffix, value)
+	}
+	return fmt.Sprintf("%s%s{%s} %v", s.base, suffix, strings.Join(all, ","), value)
+}
+
+func (s series) describe(metric any) []string {
 	switch m := metric.(type) {
 	case metrics.Counter:
-		return []string{fmt.Sprintf("%s %d", series, m.Count())}
+		return []string{s.line("", m.Count())}
 	case metrics.Gauge:
-		return []string{fmt.Sprintf("%s %d", series, m.Value())}
+		return []string{s.line("", m.Value())}
 	case metrics.Histogram:
-		s := m.Snapshot()
-		return []string{
-			fmt.Sprintf("%s_count %d", series, s.Count()),
-			fmt.Sprintf("%s_p50 %.0f", series, s.Percentile(0.5)),
-			fmt.Sprintf("%s_p95 %.0f", series, s.Percentile(0.95)),
-			fmt.Sprintf("%s_p99 %.0f", series, s.Percentile(0.99)),
+		snapshot := m.Snapshot()
+		var out []string
+		for _, quantile := range []float64{0.5, 0.95, 0.99} {
+			value := int64(math.Round(snapshot.Percentile(quantile)))
+			out = append(out, s.line("", value, label("quantile", fmt.Sprint(quantile))))
 		}
+		return append(out, s.line("_sum", m.Sum()), s.line("_count", m.Count()))
 	}
 	return nil
 }
-
-// seriesName turns Refused.QueueFull into almondreel_Refused{reason="QueueFull"}.
-func seriesName(name string) string {
-	base, reason, found := strings.Cut(name, ".")
-	if !found {
-		return "almondreel_" + base
-	}
-	return fmt.Sprintf("almondreel_%s{reason=%q}", base, reason)
-}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -244,7 +244,7 @@
 		return &wrongAnswer{outcome.ReplicaOther, fmt.Sprintf("token of version %s, not %s", t.Digest, a.progress.digest)}
 	}
 	if t.Index < a.progress.tokens {
-		counter.Add("TokensRepeated", 1)
+		counter.Add("RepeatedTokens", 1)
 		return nil
 	}
 	if t.Index > a.progress.tokens {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -164,9 +164,9 @@
 		counter.Add("UploadsCut", 1)
 		panic(http.ErrAbortHandler)
 	}
-	counter.Add("ChunkBytesSent", int64(len(data)))
+	counter.Add("ChunkSentBytes", int64(len(data)))
 	if region != nil {
-		counter.Add("RegionBytesSent", int64(len(data)))
+		counter.Add("RegionSentBytes", int64(len(data)))
 	}
 }
 
--- a/internal/transfer/sources.go
+++ b/internal/transfer/sources.go
@@ -122,7 +122,7 @@
 		return err
 	}
 	counter.Add("ChunksDrawn."+string(s.client.Kind()), 1)
-	counter.Add("ChunkBytesDrawn."+string(s.client.Kind()), c.Bytes)
+	counter.Add("ChunkDrawnBytes."+string(s.client.Kind()), c.Bytes)
 	return nil
 }
 
