--- /dev/null
+++ b/internal/operator/change_test.go
@@ -0,0 +1,246 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/kv"
+	"almondreel.example/almondreel/internal/operator"
+	standkv "almondreel.example/almondreel/internal/standin/kv"
+)
+
+func service(t *testing.T) (*standkv.Server, kv.Key) {
+	s := standkv.New(standkv.Options{})
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, kv.Key{Client: kv.NewClient(server.URL), Name: operator.ConfigurationKey}
+}
+
+func setPriority(priority int) operator.Edit {
+	return func(held operator.Class, found bool) (operator.Class, error) {
+		if !found {
+			held = operator.Class{Kind: operator.Plain, Service: "ledger"}
+		}
+		held.Priority = priority
+		return held, nil
+	}
+}
+
+func named(name string, edit operator.Edit) operator.Edit {
+	return func(held operator.Class, found bool) (operator.Class, error) {
+		c, err := edit(held, found)
+		c.Name = name
+		return c, err
+	}
+}
+
+func document(t *testing.T, k kv.Key) operator.Document {
+	e, err := k.Read(context.Background())
+	require.NoError(t, err)
+	d, err := operator.Decode(e)
+	require.NoError(t, err)
+	return d
+}
+
+func accepted(d operator.Document, id string) bool {
+	for _, c := range d.History {
+		if c.ChangeID == id {
+			return true
+		}
+	}
+	return false
+}
+
+type told struct {
+	class    string
+	priority int
+	outcome  operator.Outcome
+}
+
+// Operators race over two classes while answers get lost and writes come late.
+func TestRacingOperatorsAreToldTheTruth(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	s, k := service(t)
+	stop := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		faults(s, random, stop)
+	}()
+	all := raceOperators(k)
+	close(stop)
+	<-stopped
+	s.SetFaults(standkv.Faults{})
+	time.Sleep(400 * time.Millisecond) // late writes arrive
+	d := document(t, k)
+	last := map[string]int{}
+	for _, c := range d.History {
+		for _, r := range all {
+			if id(r.outcome) == c.ChangeID {
+				last[c.Class] = r.priority
+			}
+		}
+	}
+	counts := map[string]int{}
+	for _, r := range all {
+		counts[fmt.Sprintf("%T", r.outcome)]++
+		switch o := r.outcome.(type) {
+		case operator.Accepted:
+			require.True(t, accepted(d, o.ChangeID), "%s was told accepted", o.ChangeID)
+		case operator.Rejected:
+			require.False(t, accepted(d, o.ChangeID), "%s was told rejected", o.ChangeID)
+			require.NotEmpty(t, o.Differences, "the loser is told what changed")
+			require.IsType(t, operator.Rejected{}, operator.Status(context.Background(), k, o.ChangeID))
+		}
+	}
+	t.Logf("outcomes %v", counts)
+	for name, priority := range last {
+		c, _ := d.Class(name)
+		require.Equal(t, priority, c.Priority, "class %s has what its last accepted change set", name)
+	}
+}
+
+func id(o operator.Outcome) string {
+	switch o := o.(type) {
+	case operator.Accepted:
+		return o.ChangeID
+	case operator.Rejected:
+		return o.ChangeID
+	case operator.Unknown:
+		return o.ChangeID
+	}
+	return ""
+}
+
+func raceOperators(k kv.Key) []told {
+	const operators, changes = 6, 40
+	var mu sync.Mutex
+	var all []told
+	done := make(chan struct{}, operators)
+	for o := range operators {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for c := range changes {
+				ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+				name := fmt.Sprintf("class-%d", (o+c)%2)
+				priority := 1 + o*changes + c
+				e := operator.Editor{Store: k, Operator: fmt.Sprintf("operator-%d", o)}
+				outcome := e.Apply(ctx, name, named(name, setPriority(priority)))
+				cancel()
+				mu.Lock()
+				all = append(all, told{name, priority, outcome})
+				mu.Unlock()
+			}
+		}()
+	}
+	for range operators {
+		<-done
+	}
+	return all
+}
+
+func faults(s *standkv.Server, random *rand.Rand, stop <-chan struct{}) {
+	for {
+		choices := []standkv.Faults{{}, {LoseAnswersOneIn: 2}, {LateWriteMilliseconds: 150}, {Down: true}, {StaleReads: true}, {DelayMilliseconds: 30}}
+		s.SetFaults(choices[random.IntN(len(choices))])
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(20+random.IntN(120)) * time.Millisecond):
+		}
+	}
+}
+
+func TestLostAnswerIsAccepted(t *testing.T) {
+	s, k := service(t)
+	s.SetFaults(standkv.Faults{LoseAnswersOneIn: 1})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	outcome := operator.Editor{Store: k, Operator: "a"}.Apply(ctx, "c", named("c", setPriority(3)))
+	// Every answer is lost, conflicts too, so that it stays unknown until asked for later.
+	require.IsType(t, operator.Unknown{}, outcome)
+	s.SetFaults(standkv.Faults{})
+	require.IsType(t, operator.Accepted{}, operator.Status(context.Background(), k, id(outcome)))
+}
+
+func TestLateWriteIsNotToldRejected(t *testing.T) {
+	s, k := service(t)
+	s.SetFaults(standkv.Faults{LateWriteMilliseconds: 700})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	outcome := operator.Editor{Store: k, Operator: "a"}.Apply(ctx, "c", named("c", setPriority(3)))
+	require.IsType(t, operator.Unknown{}, outcome)
+	s.SetFaults(standkv.Faults{})
+	require.IsType(t, operator.Unknown{}, operator.Status(context.Background(), k, id(outcome)), "the write is still on its way")
+	require.Eventually(t, func() bool {
+		_, ok := operator.Status(context.Background(), k, id(outcome)).(operator.Accepted)
+		return ok
+	}, 3*time.Second, 20*time.Millisecond)
+}
+
+func TestChangeOfAnotherClassIsMadeAgain(t *testing.T) {
+	_, k := service(t)
+	a, b := operator.Editor{Store: k, Operator: "a"}, operator.Editor{Store: k, Operator: "b"}
+	ctx := context.Background()
+	outcome := a.Apply(ctx, "one", func(operator.Class, bool) (operator.Class, error) {
+		inner := b.Apply(ctx, "two", named("two", setPriority(2)))
+		require.IsType(t, operator.Accepted{}, inner)
+		return named("one", setPriority(1))(operator.Class{}, false)
+	})
+	require.IsType(t, operator.Accepted{}, outcome)
+	require.Len(t, document(t, k).Classes, 2)
+}
+
+func TestChangeOfTheSameClassIsRejectedWithTheDifference(t *testing.T) {
+	_, k := service(t)
+	a, b := operator.Editor{Store: k, Operator: "a"}, operator.Editor{Store: k, Operator: "b"}
+	ctx := context.Background()
+	require.IsType(t, operator.Accepted{}, a.Apply(ctx, "one", named("one", setPriority(1))))
+	outcome := a.Apply(ctx, "one", func(held operator.Class, found bool) (operator.Class, error) {
+		require.IsType(t, operator.Accepted{}, b.Apply(ctx, "one", setPriority(7)))
+		return setPriority(5)(held, found)
+	})
+	rejected, ok := outcome.(operator.Rejected)
+	require.True(t, ok, "%+v", outcome)
+	require.Equal(t, []string{`Priority: "1" is now "7"`}, rejected.Differences)
+	require.Equal(t, "b", rejected.By.Operator)
+}
+
+func TestDocumentOfABusyDayFits(t *testing.T) {
+	var d operator.Document
+	for i := range 400 {
+		d = d.WithClass(operator.Class{Name: fmt.Sprintf("class-of-work-number-%d", i), Kind: operator.Model, Service: "assistant",
+			Target: operator.Target{Model: "assistant", Version: "2026-12-04.1", Replicas: 400, ReadyBy: time.Now(), Weighing: operator.Time, AnswerMilliseconds: 30000}})
+	}
+	for i := range 1000 {
+		d = d.WithChange(operator.Change{ChangeID: fmt.Sprintf("%d-123e4567-e89b-12d3-a456-426614174000", 1000000+i),
+			Class: fmt.Sprintf("class-of-work-number-%d", i%400), Operator: "an-operator", At: time.Now(), Revision: uint64(1000000 + i)})
+	}
+	require.Len(t, d.History, operator.MaxHistory)
+	text, err := json.Marshal(d)
+	require.NoError(t, err)
+	t.Logf("%d bytes, %d without history", len(text), len(d.WithoutHistory().Encode()))
+	require.Less(t, len(text), operator.MaxDocumentBytes/2)
+}
+
+func TestDocumentThatDoesNotFitIsRefusedWithTheReason(t *testing.T) {
+	_, k := service(t)
+	huge := func(held operator.Class, _ bool) (operator.Class, error) {
+		held.Service = string(make([]byte, operator.MaxDocumentBytes))
+		return held, nil
+	}
+	outcome := operator.Editor{Store: k}.Apply(context.Background(), "one", named("one", huge))
+	failed, ok := outcome.(operator.Failed)
+	require.True(t, ok)
+	require.ErrorContains(t, failed.Err, "at most 1048576 fit")
+}
