--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -152,9 +152,24 @@
 			held = append(held, a.Instances...)
 		}
 	}
+	for _, name := range p.ownRetiring(g) {
+		if p.stated(name) == g.digest {
+			held = append(held, name)
+		}
+	}
 	p.choose(g, p.keepable(g, held))
 }
 
+// ownRetiring returns the instances that the group's classes are being moved off.
+func (p *plan) ownRetiring(g *group) []string {
+	var out []string
+	for _, c := range g.classes {
+		held, _ := p.Current.Of(c.Name)
+		out = append(out, held.Retiring...)
+	}
+	return out
+}
+
 // keepOther gives the group instances that its classes have with another version.
 func (p *plan) keepOther(g *group) {
 	var held []string
@@ -164,6 +179,7 @@
 		}
 	}
 	p.choose(g, p.keepable(g, held))
+	p.choose(g, p.keepable(g, p.ownRetiring(g)))
 }
 
 // fill gives the group free instances of its service.
--- a/internal/planner/roll.go
+++ b/internal/planner/roll.go
@@ -60,12 +60,10 @@
 	for _, name := range slices.Concat(held.Instances, held.Retiring) {
 		d := p.stated(name)
 		older := slices.Contains(versions, d)
-		if !older && !p.unaware(name, a.Digest) {
-			continue
-		}
 		if older {
 			answering = append(answering, d)
-		} else {
+		}
+		if p.unaware(name, a.Digest) {
 			answering = append(answering, versions...)
 		}
 		if older && !slices.Contains(a.Instances, name) {
@@ -168,6 +166,9 @@
 	}
 	for _, c := range g.classes {
 		held, ok := p.Current.Of(c.Name)
+		if ok && slices.Contains(held.Retiring, name) {
+			return true
+		}
 		if !ok || held.Digest == "" || !slices.Contains(held.Instances, name) {
 			continue
 		}
