--- a/bench/distribution/distribution_test.go
+++ b/bench/distribution/distribution_test.go
@@ -122,7 +122,9 @@
 		b.Run(fmt.Sprintf("Agents=%d", z.agents), func(b *testing.B) {
 			for range b.N {
 				s, m := start(b, z)
+				watching := trace(b, s, z)
 				took := await(b, s, m, z.weighing, nil)
+				watching()
 				b.ReportMetric(took, "s")
 				b.ReportMetric(took/z.bound(), "x-bound")
 				b.ReportMetric(float64(s.Origin.Sent().Bytes)/float64(z.bytes), "origin-copies")
@@ -130,3 +132,39 @@
 		})
 	}
 }
+
+// trace logs, with TRACE set, when shares of all chunks were held.
+func trace(b testing.TB, s *swarm.Swarm, z size) (stop func()) {
+	if os.Getenv("TRACE") == "" {
+		return func() {}
+	}
+	end, ended := make(chan struct{}), make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(time.Duration(z.bound() * float64(time.Second) / 10))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-end:
+				return
+			case <-ticker.C:
+				held, least := 0, 1<<30
+				for _, a := range s.Agents() {
+					if t := a.Transfer(); t != nil {
+						have, _ := t.Progress()
+						held += have
+						least = min(least, have)
+					}
+				}
+				total := int(z.bytes / z.chunk)
+				b.Logf("%.2f of bound: held %.3f, least %.3f, origin %.3f", time.Since(began).Seconds()/z.bound(),
+					float64(held)/float64(total*z.agents), float64(least)/float64(total), float64(s.Origin.Sent().Bytes)/float64(z.bytes))
+			}
+		}
+	}()
+	return func() {
+		close(end)
+		<-ended
+	}
+}
--- a/internal/haveset/haveset.go
+++ b/internal/haveset/haveset.go
@@ -72,6 +72,13 @@
 // Has reports whether the other agent said that it holds chunk i.
 func (r *Remote) Has(i int) bool { return r.bits.Test(uint(i)) }
 
+// Each calls f with every chunk of the set.
+func (r *Remote) Each(f func(i int)) {
+	for i, ok := r.bits.NextSet(0); ok; i, ok = r.bits.NextSet(i + 1) {
+		f(int(i))
+	}
+}
+
 // Complete reports whether the other agent holds all chunks.
 func (r *Remote) Complete() bool { return int(r.bits.Count()) == r.chunks }
 
--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -54,7 +54,7 @@
 }
 
 // launchBrings starts what is the agent's turn. Callers hold mu.
-func (t *Transfer) launchBrings(ctx context.Context, now time.Time) {
+func (t *Transfer) launchBrings(ctx context.Context, now time.Time, copies []int) {
 	if !t.exchanged && now.Sub(t.startedAt) < settleTime || t.members.drawAt == nil {
 		return
 	}
@@ -63,7 +63,7 @@
 		if t.drawing >= maxDraws && t.far >= maxFar {
 			return
 		}
-		if t.own.Has(i) || t.flights[i] != nil || now.Before(t.chunks[i].retryAt) || t.copies(i) > 0 {
+		if t.own.Has(i) || t.flights[i] != nil || now.Before(t.chunks[i].retryAt) || copies[i] > 0 {
 			continue
 		}
 		if job, ok := t.turn(i, now); ok {
--- a/internal/transfer/launch.go
+++ b/internal/transfer/launch.go
@@ -53,8 +53,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	copies := t.copies()
 	for t.fetching < maxFetches {
-		i, n := t.rarest(now)
+		i, n := t.rarest(now, copies)
 		if n == nil {
 			i, n = t.oldest(now)
 		}
@@ -63,33 +64,31 @@
 		}
 		t.fetch(ctx, i, n)
 	}
-	t.launchBrings(ctx, now)
+	t.launchBrings(ctx, now, copies)
 }
 
 // rarest returns the missing chunk with the fewest copies among the
 // neighbours, and the least busy neighbour that holds it. Callers hold mu.
-func (t *Transfer) rarest(now time.Time) (int, *neighbour) {
+func (t *Transfer) rarest(now time.Time, copies []int) (int, *neighbour) {
 	usable := t.usable(now)
 	if len(usable) == 0 {
 		return 0, nil
 	}
 	best, bestCopies := -1, len(t.neighbours)+1
-	var from *neighbour
 	offset := rand.IntN(len(t.chunks))
 	for k := range t.chunks {
 		i := (k + offset) % len(t.chunks)
-		if t.own.Has(i) || t.flights[i] != nil {
-			continue
-		}
-		holder := pickHolder(usable, i)
-		if holder == nil {
+		if copies[i] == 0 || copies[i] >= bestCopies || t.own.Has(i) || t.flights[i] != nil {
 			continue
 		}
-		if copies := t.copies(i); copies < bestCopies {
-			best, bestCopies, from = i, copies, holder
+		if pickHolder(usable, i) != nil {
+			best, bestCopies = i, copies[i]
 		}
 	}
-	return best, from
+	if best < 0 {
+		return 0, nil
+	}
+	return best, pickHolder(usable, best)
 }
 
 // usable returns the near neighbours that may be asked for a chunk now. Callers hold mu.
@@ -114,15 +113,15 @@
 	return best
 }
 
-// copies counts the near neighbours that hold chunk i. Callers hold mu.
-func (t *Transfer) copies(i int) int {
-	count := 0
+// copies counts, by chunk, the near neighbours that hold it. Callers hold mu.
+func (t *Transfer) copies() []int {
+	counts := make([]int, len(t.chunks))
 	for _, n := range t.neighbours {
-		if t.near(n.peer) && n.rejected < maxRejected && n.remote.Has(i) {
-			count++
+		if t.near(n.peer) && n.rejected < maxRejected {
+			n.remote.Each(func(i int) { counts[i]++ })
 		}
 	}
-	return count
+	return counts
 }
 
 // oldest returns, when all missing chunks are in flight, the oldest flight
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -249,11 +249,7 @@
 	}
 	before := t.seenCount
 	near := t.near(n.peer)
-	for i := range t.chunks {
-		if n.remote.Has(i) {
-			t.see(i, near)
-		}
-	}
+	n.remote.Each(func(i int) { t.see(i, near) })
 	if near {
 		t.merge(s.InRegion, true)
 	}
