--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	defaultTokens = 16
-	maxTokens     = 1 << 16
-	busyWait      = time.Second
+	defaultTokens  = 16
+	maxTokens      = 1 << 16
+	busyWait       = time.Second
+	firstBodyBytes = 2 << 10
 )
 
 // completion is the body of a completion, which takes no other keys.
@@ -40,6 +41,7 @@
 	body     []byte
 	key      string
 	deadline time.Time // zero: the class's
+	reserved int64     // bytes of the memory for bodies
 }
 
 // admit checks credential, headers and body, and hands the request to then.
@@ -52,18 +54,15 @@
 	}
 	a.account = organisation
 	a.organisation = organisation.Name
-	if !f.reserve(f.maxBody) {
-		a.refuse(outcome.Refused{Reason: outcome.QueueFull, RetryAt: limit.Jittered(time.Now(), busyWait)})
-		return
-	}
-	reserved := f.maxBody
-	defer func() { f.release(reserved) }()
+	defer func() { f.release(a.reserved) }()
 	if reason := a.read(r); reason != "" {
-		a.refuse(outcome.Refused{Reason: reason})
+		refused := outcome.Refused{Reason: reason}
+		if reason == outcome.QueueFull {
+			refused.RetryAt = limit.Jittered(time.Now(), busyWait)
+		}
+		a.refuse(refused)
 		return
 	}
-	f.release(reserved - int64(len(a.body)))
-	reserved = int64(len(a.body))
 	then(a)
 }
 
@@ -82,19 +81,49 @@
 	}
 	controller := http.NewResponseController(a.writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(a.writer, r.Body, a.front.maxBody))
+	err := a.readBody(http.MaxBytesReader(a.writer, r.Body, a.front.maxBody))
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == errNoMemory:
+		return outcome.QueueFull
 	case errors.As(err, &tooLarge):
 		return outcome.TooLarge
 	case err != nil:
 		return outcome.Malformed
 	}
-	a.body = body
 	return ""
 }
 
+// errNoMemory reports that the bodies of other requests take all the memory
+// that bodies may use.
+var errNoMemory = errors.New("too many bodies at once")
+
+// readBody reads to the end. It takes memory as bytes arrive, so a caller that
+// announces a large body and sends nothing holds little.
+func (a *admitted) readBody(body io.Reader) error {
+	for {
+		if len(a.body) == cap(a.body) {
+			grown := max(firstBodyBytes, 2*cap(a.body))
+			if !a.front.reserve(int64(grown - cap(a.body))) {
+				return errNoMemory
+			}
+			a.reserved += int64(grown - cap(a.body))
+			larger := make([]byte, len(a.body), grown)
+			copy(larger, a.body)
+			a.body = larger
+		}
+		n, err := body.Read(a.body[len(a.body):cap(a.body)])
+		a.body = a.body[:len(a.body)+n]
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // request builds the dispatch of body to class, or returns why it is refused.
 func (a *admitted) request(class operator.Class, body []byte) (dispatch.Request, outcome.Reason) {
 	if !class.Idempotent && a.key == "" {
