--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -37,6 +37,7 @@
 	text string
 }
 
+// Error is the text for the operator.
 func (e *exit) Error() string { return e.text }
 
 // line is one run of the command line.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -205,6 +205,7 @@
 	detail string
 }
 
+// Error says how the answer differs from what was asked for.
 func (e *wrongAnswer) Error() string { return e.detail }
 
 // readTokens passes each token on once and in order.
--- a/internal/door/backend.go
+++ b/internal/door/backend.go
@@ -31,6 +31,7 @@
 	cause  error
 }
 
+// Error names the reason and the cause.
 func (c *cut) Error() string { return fmt.Sprintf("%s: %v", c.reason, c.cause) }
 
 // complete runs a completion and passes its events on.
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -22,7 +22,10 @@
 	run  Func
 }
 
+// Serve runs the duty for the supervisor.
 func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String is the duty's name in the supervisor's reports.
 func (s service) String() string                  { return s.name }
 
 // Tree is a supervisor of named duties.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -25,6 +25,7 @@
 	Text string
 }
 
+// Error names the status and the engine's text.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Code, e.Text) }
 
 // Client reads an engine's state and gives it orders. It is safe for concurrent use.
--- a/internal/kv/errors.go
+++ b/internal/kv/errors.go
@@ -7,6 +7,7 @@
 	Current Entry
 }
 
+// Error names the key and its revision.
 func (e *Conflict) Error() string {
 	return fmt.Sprintf("key %q is at revision %d", e.Current.Key, e.Current.Revision)
 }
@@ -17,6 +18,7 @@
 	Cause error
 }
 
+// Error names the cause.
 func (e *Ambiguous) Error() string { return "answer lost: " + e.Cause.Error() }
 
 // Unwrap returns the cause.
@@ -27,6 +29,7 @@
 	Cause error
 }
 
+// Error names the cause.
 func (e *Unavailable) Error() string { return "key-value service unavailable: " + e.Cause.Error() }
 
 // Unwrap returns the cause.
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -56,6 +56,7 @@
 // BadInput reports a change that cannot be made whatever the store says.
 type BadInput struct{ Reason string }
 
+// Error says what was expected.
 func (e *BadInput) Error() string { return e.Reason }
 
 // Editor makes changes to the document in a store.
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -26,6 +26,7 @@
 	Expected string
 }
 
+// Error names file, line, key, what was found and what was expected.
 func (e *Invalid) Error() string {
 	found := ""
 	if e.Found != "" {
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -28,6 +28,7 @@
 	RetryAfter string // as the source sent it; may be empty
 }
 
+// Error names the status.
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("status %d", e.Code)
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -85,6 +85,7 @@
 	return &handler{desired: d, table: t, startedAt: time.Now(), projector: newProjector()}
 }
 
+// ServeHTTP answers Status as JSON.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet {
 		w.WriteHeader(http.StatusMethodNotAllowed)
--- a/internal/transmit/transmit.go
+++ b/internal/transmit/transmit.go
@@ -38,6 +38,7 @@
 // Unsent reports a request of which certainly no byte was written, now or later.
 type Unsent struct{ Cause error }
 
+// Error names the cause.
 func (e *Unsent) Error() string { return "not sent: " + e.Cause.Error() }
 
 // Unwrap returns the cause.
--- a/pkg/chart/chart.go
+++ b/pkg/chart/chart.go
@@ -36,6 +36,7 @@
 	Chart, State, Event string
 }
 
+// Error names the chart, the state and the event.
 func (e *IllegalTransition) Error() string {
 	return fmt.Sprintf("chart %s: event %q is not allowed in state %q", e.Chart, e.Event, e.State)
 }
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -35,6 +35,7 @@
 	RetryAt time.Time
 }
 
+// Error names the reason.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("not admitted (cause %d), retry at %s", r.Cause, r.RetryAt.Format(time.RFC3339Nano))
 }
