--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -26,7 +26,7 @@
 func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
 
 // String is the duty's name in the supervisor's reports.
-func (s service) String() string                  { return s.name }
+func (s service) String() string { return s.name }
 
 // Tree is a supervisor of named duties.
 type Tree struct {
