--- a/cmd/almondreel-standin/proxy.go
+++ b/cmd/almondreel-standin/proxy.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/jessevdk/go-flags"
+
 	"almondreel.example/almondreel/internal/standin"
 	"almondreel.example/almondreel/internal/standin/faultproxy"
 )
@@ -37,7 +39,7 @@
 		pairs = append(pairs, proxyPair{listen: c.Listen, target: c.Target})
 	}
 	if len(pairs) == 0 {
-		return fmt.Errorf("proxy needs a --route LISTEN=TARGET")
+		return &flags.Error{Type: flags.ErrRequired, Message: "expected a --route LISTEN=TARGET, or --listen and --target"}
 	}
 	var routes []*faultproxy.Route
 	for _, p := range pairs {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"syscall"
 	"time"
 
@@ -118,28 +119,30 @@
 
 // Serve serves handler on address until SIGINT or SIGTERM.
 func Serve(name, address string, handler http.Handler) error {
+	ctx, release := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer release()
 	listener, err := Listen(name, address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	ctx, cancel := context.WithCancel(ctx)
 	var group run.Group
-	group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
+	group.Add(
+		func() error {
+			<-ctx.Done()
+			return nil
+		},
+		func(error) { cancel() })
 	group.Add(
 		func() error { return server.Serve(listener) },
 		func(error) { stop(server) })
-	if err := group.Run(); !IsSignal(err) {
+	if err := group.Run(); err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
 	return nil
 }
 
-// IsSignal reports whether a run group ended by a signal.
-func IsSignal(err error) bool {
-	var signal run.SignalError
-	return errors.As(err, &signal)
-}
-
 func stop(server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
