--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	SOAK=1 go test -count 1 -timeout 40m -run Soak -v ./...
 
 format:
-	gofmt -l -w cmd internal pkg test
+	gofmt -l -w bench charts cmd docs internal pkg test
 
 vet:
 	go vet ./... $(PROGRAM_DIRS)
