--- a/cmd/almondreel-demo/main.go
+++ b/cmd/almondreel-demo/main.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"almondreel.example/almondreel/internal/fleet"
+	"almondreel.example/almondreel/internal/liveload"
 )
 
 const (
@@ -96,15 +97,15 @@
 	}
 	fmt.Printf("%s: version %s serves on %d instances\n", f.Site.Name, f.Site.Model.First.Version, f.Site.Engines())
 
-	load := startLoad(ctx, f)
+	load := liveload.Start(ctx, f)
 	time.Sleep(warmUp)
 	r, err := release(ctx, f)
 	if err != nil {
-		load.stop()
+		load.Stop()
 		return result{}, err
 	}
 	time.Sleep(coolDown)
-	r.load = load.stop()
+	r.load = load.Stop()
 	r.first = first
 	return r, nil
 }
--- a/cmd/almondreel-demo/report.go
+++ b/cmd/almondreel-demo/report.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 
 	"almondreel.example/almondreel/internal/fleet"
+	"almondreel.example/almondreel/internal/liveload"
 )
 
 // result is what a release under live load gave.
@@ -16,7 +17,7 @@
 	toAccept        float64 // seconds from the operator's change to its acceptance
 	toServing       float64 // seconds from the operator's change until all replicas serve
 	originBytesSent int64
-	load            []answer
+	load            []liveload.Answer
 }
 
 func (r result) print(w io.Writer, site fleet.Site) error {
@@ -63,13 +64,13 @@
 	counts := map[kind]int{}
 	seconds := map[kind][]float64{}
 	for _, a := range r.load {
-		if a.class != class {
+		if a.Class != class {
 			continue
 		}
-		k := kind{a.outcome, a.reason}
+		k := kind{a.Outcome, a.Reason}
 		counts[k]++
-		if a.firstTokens > 0 {
-			seconds[k] = append(seconds[k], a.firstTokens)
+		if a.FirstToken > 0 {
+			seconds[k] = append(seconds[k], a.FirstToken)
 		}
 	}
 	var out []string
@@ -96,14 +97,14 @@
 	var wrong []error
 	answered := 0
 	for _, a := range r.load {
-		if a.wrong != "" {
-			wrong = append(wrong, fmt.Errorf("%s: %s", a.class, a.wrong))
+		if a.Wrong != "" {
+			wrong = append(wrong, fmt.Errorf("%s: %s", a.Class, a.Wrong))
 		}
-		if a.outcome == "Answered" {
+		if a.Outcome == "Answered" {
 			answered++
 		}
-		if a.digest != "" && a.digest != r.first && a.digest != r.next {
-			wrong = append(wrong, fmt.Errorf("%s: answered by %s, which was not released", a.class, a.digest))
+		if a.Digest != "" && a.Digest != r.first && a.Digest != r.next {
+			wrong = append(wrong, fmt.Errorf("%s: answered by %s, which was not released", a.Class, a.Digest))
 		}
 	}
 	if answered == 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,6 +46,7 @@
 	dir string
 
 	mu        sync.Mutex
+	away      map[string]bool // gateways that the platform's balancer passes over
 	processes map[string]*Process
 	daemons   []string
 	standIns  []string
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Site: site, bin: absolute, dir: dir, processes: map[string]*Process{}}
+	f := &Fleet{Site: site, bin: absolute, dir: dir, away: map[string]bool{}, processes: map[string]*Process{}}
 	if err := f.layOut(); err != nil {
 		return nil, err
 	}
@@ -184,6 +185,26 @@
 	return f.processes[name]
 }
 
+// Balanced returns the gateways that the platform's balancer sends callers to.
+func (f *Fleet) Balanced() []Gateway {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Gateway
+	for _, g := range f.Gateways {
+		if !f.away[g.Name] {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// SetBalanced says whether the balancer sends callers to a gateway.
+func (f *Fleet) SetBalanced(name string, balanced bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away[name] = !balanced
+}
+
 // Stop ends all processes, the daemons before the stand-ins that they need. It
 // returns an error that names the processes that did not end by themselves.
 func (f *Fleet) Stop() error {
--- a/internal/fleet/release.go
+++ b/internal/fleet/release.go
@@ -136,3 +136,12 @@
 	}
 	return 0, nil
 }
+
+// AwaitOpen waits until the backend server's agent takes requests.
+func (f *Fleet) AwaitOpen(ctx context.Context, b Backend) error {
+	return await(ctx, b.Instance+" does not take requests", func() bool {
+		var s struct{ Open bool }
+		err := GetJSON(ctx, "http://"+b.Agent+"/v1/serving", &s)
+		return err == nil && s.Open
+	})
+}
--- a/cmd/almondreel-demo/load.go
+++ b/internal/liveload/liveload.go
@@ -1,4 +1,6 @@
-package main
+// Package liveload sends an example site's requests at their classes' rates and
+// checks each answer, for the demo and for end-to-end tests.
+package liveload
 
 import (
 	"context"
@@ -14,28 +16,29 @@
 	"almondreel.example/almondreel/pkg/client"
 )
 
-// answer is one finished request of the live load.
-type answer struct {
-	class       string
-	outcome     string
-	reason      string
-	digest      string
-	firstTokens float64 // seconds to the first token; 0 for a plain call
-	wrong       string  // why the answer is not whole or correct; empty: it is
+// Answer is one finished request of the live load.
+type Answer struct {
+	Class      string
+	Outcome    string
+	Reason     string
+	Digest     string
+	FirstToken float64 // seconds to the first token; 0 for a plain call
+	Wrong      string  // why the answer is not whole or correct; empty: it is
 }
 
-// load sends the site's live requests at their classes' rates.
-type load struct {
+// Load sends the site's live requests at their classes' rates.
+type Load struct {
 	cancel  context.CancelFunc
-	answers chan answer
+	answers chan Answer
 	senders sync.WaitGroup
 	sent    atomic.Int64
-	result  chan []answer
+	result  chan []Answer
 }
 
-func startLoad(ctx context.Context, f *fleet.Fleet) *load {
+// Start sends requests until ctx ends or the load is stopped.
+func Start(ctx context.Context, f *fleet.Fleet) *Load {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &load{cancel: cancel, answers: make(chan answer, 1024), result: make(chan []answer, 1)}
+	l := &Load{cancel: cancel, answers: make(chan Answer, 1024), result: make(chan []Answer, 1)}
 	go l.collect()
 	for _, c := range f.Site.Classes {
 		l.senders.Add(1)
@@ -44,23 +47,23 @@
 	return l
 }
 
-// stop ends new requests, waits for those in progress and returns all answers.
-func (l *load) stop() []answer {
+// Stop ends new requests, waits for those in progress and returns all answers.
+func (l *Load) Stop() []Answer {
 	l.cancel()
 	l.senders.Wait()
 	close(l.answers)
 	return <-l.result
 }
 
-func (l *load) collect() {
-	var all []answer
+func (l *Load) collect() {
+	var all []Answer
 	for a := range l.answers {
 		all = append(all, a)
 	}
 	l.result <- all
 }
 
-func (l *load) sendClass(ctx context.Context, f *fleet.Fleet, c fleet.Class) {
+func (l *Load) sendClass(ctx context.Context, f *fleet.Fleet, c fleet.Class) {
 	defer l.senders.Done()
 	if c.RequestsPerSecond <= 0 {
 		return
@@ -83,10 +86,11 @@
 
 // send sends one request through a random gateway for a random organisation.
 // It outlives the load's context, so that stopping the load cuts no request.
-func send(f *fleet.Fleet, c fleet.Class, number int64) answer {
+func send(f *fleet.Fleet, c fleet.Class, number int64) Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	gateway := f.Gateways[rand.IntN(len(f.Gateways))]
+	gateways := f.Balanced()
+	gateway := gateways[rand.IntN(len(gateways))]
 	organisation := f.Site.Organisations[rand.IntN(len(f.Site.Organisations))]
 	caller := client.New("http://"+gateway.Caller, organisation.Key, nil)
 	text := fmt.Sprintf("%s #%d", c.Prompt, number)
@@ -97,23 +101,23 @@
 	a, err := caller.Complete(ctx, client.Completion{Class: c.Name, Prompt: text, MaxTokens: c.MaxTokens})
 	out := finished(c, a, err)
 	if err == nil && a.Record.Outcome == "Answered" {
-		out.firstTokens = a.FirstTokenAt.Sub(sentAt).Seconds()
-		out.wrong = checkCompletion(a, text, c.MaxTokens)
+		out.FirstToken = a.FirstTokenAt.Sub(sentAt).Seconds()
+		out.Wrong = checkCompletion(a, text, c.MaxTokens)
 	}
 	return out
 }
 
-func plainCall(ctx context.Context, caller *client.Client, c fleet.Class, text string, number int64) answer {
+func plainCall(ctx context.Context, caller *client.Client, c fleet.Class, text string, number int64) Answer {
 	body := fmt.Appendf(nil, `{"text":%q}`, text)
 	a, err := caller.Call(ctx, c.Name, fmt.Sprintf("demo-%s-%d", c.Name, number), body)
 	return finished(c, a, err)
 }
 
-func finished(c fleet.Class, a client.Answer, err error) answer {
+func finished(c fleet.Class, a client.Answer, err error) Answer {
 	if err != nil {
-		return answer{class: c.Name, outcome: "none", reason: err.Error(), wrong: err.Error()}
+		return Answer{Class: c.Name, Outcome: "none", Reason: err.Error(), Wrong: err.Error()}
 	}
-	return answer{class: c.Name, outcome: a.Record.Outcome, reason: a.Record.Reason, digest: a.Record.Digest}
+	return Answer{Class: c.Name, Outcome: a.Record.Outcome, Reason: a.Record.Reason, Digest: a.Record.Digest}
 }
 
 // checkCompletion compares the answer with what the version in its outcome
