Fetch eight chunks at once and open eight draws

Cause: with four fetches an agent waited for busy senders while its own link was idle; with sixteen open draws the first chunks all ended together.

--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -28,7 +28,7 @@
 
 const (
 	settleTime   = 300 * time.Millisecond // for the first exchange, before the first draw
-	window       = 16                     // open chunks
+	window       = 8                      // open chunks
 	takeOverStep = time.Second
 	lostAfter    = 3 * time.Second // a chunk seen that no neighbour holds is brought again
 	maxAhead     = 6               // members asked before a take-over
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -21,7 +21,7 @@
 
 const (
 	stepInterval = 20 * time.Millisecond
-	maxFetches   = 4 // chunks fetched from agents of the region at once
+	maxFetches   = 8 // chunks fetched from agents of the region at once
 	maxDraws     = 2 // chunks drawn from sources at once
 	maxFar       = 1 // chunks fetched from other regions at once
 )
