--- a/internal/transfer/launch.go
+++ b/internal/transfer/launch.go
@@ -48,11 +48,16 @@
 func (failed) isOutcome()    {}
 func (postponed) isOutcome() {}
 
-// launch starts as many flights as the bounds allow.
+// launch starts as many flights as the bounds allow. Chunks are brought into
+// the region only once in stepInterval.
 func (t *Transfer) launch(ctx context.Context) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	due := !now.Before(t.bringAt)
+	if t.fetching >= maxFetches && !due {
+		return
+	}
 	copies := t.copies()
 	for t.fetching < maxFetches {
 		i, n := t.rarest(now, copies)
@@ -64,7 +69,10 @@
 		}
 		t.fetch(ctx, i, n)
 	}
-	t.launchBrings(ctx, now, copies)
+	if due {
+		t.bringAt = now.Add(stepInterval)
+		t.launchBrings(ctx, now, copies)
+	}
 }
 
 // rarest returns the missing chunk with the fewest copies among the
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -20,7 +20,8 @@
 	tendInterval   = 500 * time.Millisecond
 	maxFailures    = 3 // calls in a row before a neighbour is dropped
 	callerSilence  = 6 * time.Second
-	exchangeGap    = 40 * time.Millisecond
+	exchangeLeast  = 30 * time.Millisecond // between two calls to one neighbour
+	exchangeMost   = 400 * time.Millisecond
 	unknownGap     = 150 * time.Millisecond
 	idleGap        = time.Second
 	completeGap    = 4 * time.Second
@@ -238,18 +239,32 @@
 	t.exchanged = true
 	n.acknowledged = reply.Acknowledged
 	t.learn(n, reply.Holdings, reply.Seen)
-	return exchangeGap, false
+	return t.exchangeGap(), false
+}
+
+// exchangeGap is the time in which about one chunk arrives. Callers hold mu.
+func (t *Transfer) exchangeGap() time.Duration {
+	down := t.exchange.options.Down
+	if down == nil {
+		return exchangeLeast
+	}
+	seconds := float64(t.manifest.Chunks[0].Bytes) / float64(down.Limit())
+	return min(max(time.Duration(seconds*float64(time.Second)), exchangeLeast), exchangeMost)
 }
 
 // learn takes in what n holds and has seen. Callers hold mu.
 func (t *Transfer) learn(n *neighbour, h agent.Holdings, s agent.Seen) {
+	known := n.remote.Mark()
 	if err := n.remote.Apply(h); err != nil {
 		counter.Add("HoldingsRejected", 1)
 		return
 	}
 	before := t.seenCount
 	near := t.near(n.peer)
-	n.remote.Each(func(i int) { t.see(i, near) })
+	if n.remote.Mark() != known {
+		n.remote.Each(func(i int) { t.see(i, near) })
+		t.poke()
+	}
 	if near {
 		t.merge(s.InRegion, true)
 	}
@@ -257,7 +272,6 @@
 	if t.seenCount != before {
 		t.announce()
 	}
-	t.poke()
 }
 
 func (t *Transfer) merge(words []uint64, near bool) {
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -60,7 +60,8 @@
 	drawing    int
 	far        int
 	startedAt  time.Time
-	exchanged  bool // a neighbour answered, or there is none
+	bringAt    time.Time // next look at chunks to bring into the region
+	exchanged  bool      // a neighbour answered, or there is none
 	drawTime   time.Duration
 	regionRate regionRate
 }
