--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -304,3 +304,6 @@
 		}
 	}
 }
+
+// Backend returns the base URL of the backend server, past all proxies.
+func (r *Replica) Backend() string { return r.backend.URL }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -150,12 +150,9 @@
 }
 
 func (d *Dispatcher) queue(service string, members []gateway.Member) *limit.Queue {
+	slots := d.router.Room(members)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slots := 0
-	for _, m := range members {
-		slots += m.Slots
-	}
 	q, ok := d.queues[service]
 	if !ok {
 		q = limit.NewQueue(limit.Options{Ceiling: slots})
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -27,6 +27,7 @@
 const (
 	maxBodyBytes = 16 << 20
 	defaultSlots = 64
+	spareDivisor = 4 // of the slots that may wait inside the backend server
 	drainPoll    = 10 * time.Millisecond
 )
 
@@ -147,7 +148,7 @@
 		return outcome.NoReplica
 	case s.Digest != o.digest:
 		return outcome.ReplicaOther
-	case s.Running >= slots(s):
+	case s.Running >= capacity(s):
 		return outcome.ReplicaBusy
 	case o.suspect && d.suspects > 0:
 		return outcome.ReplicaBusy
@@ -157,6 +158,12 @@
 	return ""
 }
 
+// capacity lets a few more in than the backend server runs at once, so that it
+// never waits for the next request.
+func capacity(s serving.Status) int {
+	return slots(s) + max(1, slots(s)/spareDivisor)
+}
+
 func slots(s serving.Status) int {
 	if s.Slots <= 0 {
 		return defaultSlots
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -131,6 +131,20 @@
 	}
 }
 
+// Room returns how many requests of this gateway the members can run at once
+// beside those of others.
+func (r *Router) Room(members []gateway.Member) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	room := 0.0
+	for _, m := range members {
+		l := r.load(m, now)
+		room += math.Max(0, float64(l.slots)-l.othersAt(now))
+	}
+	return int(room)
+}
+
 // Told takes what an agent said of its load in an answer.
 func (r *Router) Told(name string, running, slots int) {
 	r.mu.Lock()
@@ -165,8 +179,12 @@
 
 // at is the agent's load now; what was told of others fades with its age.
 func (l *load) at(now time.Time) float64 {
+	return float64(l.own) + l.othersAt(now)
+}
+
+func (l *load) othersAt(now time.Time) float64 {
 	fresh := 1 - float64(now.Sub(l.toldAt))/float64(reportAge)
-	return float64(l.own) + math.Max(0, fresh)*float64(l.others)
+	return math.Max(0, fresh) * float64(l.others)
 }
 
 // forget drops agents that were not used for long.
--- a/pkg/limit/adaptive.go
+++ b/pkg/limit/adaptive.go
@@ -6,20 +6,22 @@
 )
 
 const (
-	windowSamples   = 16
+	windowSamples   = 8
 	windowTime      = 100 * time.Millisecond
 	overShare       = 0.1  // share of late samples in a window that lowers the limit
 	lateAt          = 0.75 // share of the target from which a sample is late
 	decrease        = 0.85
+	busyDecrease    = 0.97
 	increase        = 0.05 // share of the limit that a good window adds
 	overloadBackoff = 100 * time.Millisecond
 )
 
 // adaptive is a concurrency limit that rises slowly while first results come
 // in time and falls fast when they do not. It needs no load reports, so it does
-// not suffer from their lag.
+// not suffer from their lag. It is a share of the ceiling, so it follows the
+// ceiling both ways.
 type adaptive struct {
-	limit     float64
+	share     float64 // above 0, at most 1
 	ceiling   float64
 	openedAt  time.Time
 	samples   int
@@ -29,20 +31,13 @@
 }
 
 func newAdaptive(ceiling int) adaptive {
-	c := math.Max(1, float64(ceiling))
-	return adaptive{limit: c, ceiling: c}
+	return adaptive{share: 1, ceiling: math.Max(1, float64(ceiling))}
 }
 
-func (a *adaptive) allowed() int { return int(math.Max(1, a.limit)) }
+func (a *adaptive) allowed() int { return int(math.Max(1, math.Round(a.share*a.ceiling))) }
 
-// setCeiling keeps the limit's share of the ceiling.
 func (a *adaptive) setCeiling(ceiling int) {
-	c := math.Max(1, float64(ceiling))
-	if c == a.ceiling {
-		return
-	}
-	a.limit = math.Max(1, a.limit*c/a.ceiling)
-	a.ceiling = c
+	a.ceiling = math.Max(1, float64(ceiling))
 }
 
 func (a *adaptive) observe(now time.Time, took, target int, busy bool) {
@@ -59,20 +54,20 @@
 	}
 	switch {
 	case float64(a.late) > overShare*float64(a.samples):
-		a.lower(now)
+		a.lower(now, decrease)
 	case a.wanted:
-		a.limit = math.Min(a.ceiling, a.limit+math.Max(1, increase*a.limit))
+		a.share = math.Min(1, a.share+math.Max(1/a.ceiling, increase*a.share))
 	}
 	a.samples, a.late, a.wanted = 0, 0, false
 }
 
 func (a *adaptive) overloaded(now time.Time) {
 	if now.Sub(a.loweredAt) >= overloadBackoff {
-		a.lower(now)
+		a.lower(now, busyDecrease)
 	}
 }
 
-func (a *adaptive) lower(now time.Time) {
-	a.limit = math.Max(1, a.limit*decrease)
+func (a *adaptive) lower(now time.Time, factor float64) {
+	a.share = math.Max(1/a.ceiling, a.share*factor)
 	a.loweredAt = now
 }
--- a/pkg/limit/budget.go
+++ b/pkg/limit/budget.go
@@ -3,7 +3,7 @@
 import "sync"
 
 const (
-	maxReserve = 64 // retries that may come at once
+	maxReserve = 32 // retries that may come at once
 )
 
 // Budget bounds retries to a share of the requests, plus a fixed reserve. It is
--- a/pkg/limit/queue_test.go
+++ b/pkg/limit/queue_test.go
@@ -134,5 +134,5 @@
 	}
 	requests, retries := b.Counts()
 	require.EqualValues(t, 10000, requests)
-	require.LessOrEqual(t, retries, int64(1000+64))
+	require.LessOrEqual(t, retries, int64(1000+32))
 }
--- a/test/requests/random_test.go
+++ b/test/requests/random_test.go
@@ -62,9 +62,9 @@
 	var group sync.WaitGroup
 	told := &posted{outcomes: map[string][]client.Record{}}
 	for i := range 12 {
-		r := rand.New(rand.NewPCG(random.Uint64(), uint64(i)))
-		group.Go(func() { ask(ctx, t, s, r) })
-		group.Go(func() { postSome(ctx, t, s, r.Uint64(), told) })
+		asks, posts := rand.New(rand.NewPCG(random.Uint64(), uint64(i))), random.Uint64()
+		group.Go(func() { ask(ctx, t, s, asks) })
+		group.Go(func() { postSome(ctx, t, s, posts, told) })
 	}
 	for ctx.Err() == nil {
 		disturb(s, random)
