--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -22,8 +22,11 @@
 	run  Func
 }
 
+// Serve runs the duty for the supervisor.
 func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
-func (s service) String() string                  { return s.name }
+
+// String is the duty's name in the supervisor's reports.
+func (s service) String() string { return s.name }
 
 // Tree is a supervisor of named duties.
 type Tree struct {
