--- a/internal/loopback/gateway.go
+++ b/internal/loopback/gateway.go
@@ -1,6 +1,7 @@
 package loopback
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -75,17 +76,43 @@
 	return nil
 }
 
-// keyValueGuard passes calls to the key-value service unless the gateway's
-// data centre does not reach it.
+// keyValueGuard passes calls to the key-value service unless the gateway has
+// stopped or its data centre does not reach the service, also while a call waits.
 func (g *Gateway) keyValueGuard() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !g.site.reachesKeyValue(g.Name) {
-			panic(http.ErrAbortHandler)
-		}
-		g.site.KeyValue.ServeHTTP(w, r)
+		g.checkKeyValue()
+		answer := &buffer{header: http.Header{}, status: http.StatusOK}
+		g.site.KeyValue.ServeHTTP(answer, r)
+		g.checkKeyValue()
+		answer.copyTo(w)
 	})
 }
 
+func (g *Gateway) checkKeyValue() {
+	if !g.Running() || !g.site.reachesKeyValue(g.Name) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// buffer holds an answer until it is known whether it gets through.
+type buffer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (b *buffer) Header() http.Header            { return b.header }
+func (b *buffer) WriteHeader(status int)         { b.status = status }
+func (b *buffer) Write(data []byte) (int, error) { return b.body.Write(data) }
+
+func (b *buffer) copyTo(w http.ResponseWriter) {
+	for name, values := range b.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(b.status)
+	_, _ = w.Write(b.body.Bytes())
+}
+
 // receiver takes a gateway's calls unless the caller is cut off or the gateway
 // has stopped.
 type receiver struct {
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -70,7 +70,7 @@
 // Apply makes an edit of the class called name. It is made again on a newer
 // document only if the class itself was not changed meanwhile.
 func (e Editor) Apply(ctx context.Context, name string, edit Edit) Outcome {
-	entry, err := settle.Read(ctx, e.Store)
+	entry, err := settle.Fresh(ctx, e.Store)
 	if err != nil {
 		return Failed{err}
 	}
@@ -170,7 +170,7 @@
 	if err != nil {
 		return Failed{err}
 	}
-	entry, err := settle.Read(ctx, s)
+	entry, err := settle.Fresh(ctx, s)
 	if err != nil {
 		return Unknown{id, err}
 	}
--- a/pkg/settle/settle.go
+++ b/pkg/settle/settle.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"time"
 
 	"github.com/sethvargo/go-retry"
@@ -177,6 +179,34 @@
 	}
 }
 
+// noRevision is one that no value ever has.
+const noRevision = math.MaxInt64
+
+// Fresh returns the entry as it stands, also when reads answer with older ones:
+// it makes a write that cannot succeed and takes the entry from the conflict.
+// It repeats until the store answers or ctx ends.
+func Fresh(ctx context.Context, s Store) (Entry, error) {
+	pauses := Pauses()
+	for {
+		var err error
+		switch a := s.Swap(ctx, nil, noRevision).(type) {
+		case Conflict:
+			return a.Current, nil
+		case Written:
+			return Entry{}, fmt.Errorf("store took a write at revision %d, which no value has", uint64(noRevision))
+		case Refused:
+			return Entry{}, a.Err
+		case Lost:
+			err = a.Err
+		case Unavailable:
+			err = a.Err
+		}
+		if !pause(ctx, pauses) {
+			return Entry{}, err
+		}
+	}
+}
+
 // Read reads until the store answers or ctx ends.
 func Read(ctx context.Context, s Store) (Entry, error) {
 	pauses := Pauses()
