Set faults after the fresh read in the tests of lost and late writes

An editor's read is now a conditional write too, so that a fault set before it ended in a plain failure, with nothing written, and not in the case under test.

--- a/internal/operator/change_test.go
+++ b/internal/operator/change_test.go
@@ -161,12 +161,19 @@
 	}
 }
 
+// under is an edit of class c after which the service has the faults.
+func under(s *standkv.Server, f standkv.Faults) operator.Edit {
+	return func(held operator.Class, found bool) (operator.Class, error) {
+		s.SetFaults(f)
+		return named("c", setPriority(3))(held, found)
+	}
+}
+
 func TestLostAnswerIsAccepted(t *testing.T) {
 	s, k := service(t)
-	s.SetFaults(standkv.Faults{LoseAnswersOneIn: 1})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	outcome := operator.Editor{Store: k, Operator: "a"}.Apply(ctx, "c", named("c", setPriority(3)))
+	outcome := operator.Editor{Store: k, Operator: "a"}.Apply(ctx, "c", under(s, standkv.Faults{LoseAnswersOneIn: 1}))
 	// Every answer is lost, conflicts too, so that it stays unknown until asked for later.
 	require.IsType(t, operator.Unknown{}, outcome)
 	s.SetFaults(standkv.Faults{})
@@ -175,10 +182,9 @@
 
 func TestLateWriteIsNotToldRejected(t *testing.T) {
 	s, k := service(t)
-	s.SetFaults(standkv.Faults{LateWriteMilliseconds: 700})
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	outcome := operator.Editor{Store: k, Operator: "a"}.Apply(ctx, "c", named("c", setPriority(3)))
+	outcome := operator.Editor{Store: k, Operator: "a"}.Apply(ctx, "c", under(s, standkv.Faults{LateWriteMilliseconds: 700}))
 	require.IsType(t, operator.Unknown{}, outcome)
 	s.SetFaults(standkv.Faults{})
 	require.IsType(t, operator.Unknown{}, operator.Status(context.Background(), k, id(outcome)), "the write is still on its way")
