Count every ledger batch once, and hand it over when a gateway ends in an outage

Cause: a batch whose answer was lost was put back among the records and written again, with newer ones, under the next key: its requests were on the invoice twice (TestBatchIsCountedOnceWhenItsAnswerIsLost failed: 2 records still waited after the flush, to be written a second time). The drain's flush also ran beside the duty's and shared its sequence number without a lock. A gateway that ended in an outage of the key-value service dropped what it had not written. A batch now keeps its key and bytes from its first try, one goroutine writes at a time, and a gateway that ends hands its batches to another one, which writes them under the same keys. Not covered: a gateway that is killed loses the records of its last second.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -34,7 +34,8 @@
 	maxHeaderBytes    = 16 << 10
 	stopTimeout       = 2 * time.Second
 	drainLimit        = 10 * time.Minute
-	flushLimit        = 10 * time.Second
+	flushLimit        = 3 * time.Second
+	handOverLimit     = 5 * time.Second
 )
 
 // gatewayParts is a gateway's state and duties.
@@ -128,7 +129,7 @@
 
 // control serves what other processes ask of the gateway.
 func (p *gatewayParts) control() (http.Handler, error) {
-	calls, err := control.Handle(map[string]any{"Gateway": p.spread, suspicion.Name: p.suspicion.Receiver()})
+	calls, err := control.Handle(map[string]any{"Gateway": p.spread, suspicion.Name: p.suspicion.Receiver(), ledger.Name: p.ledger.Receiver()})
 	if err != nil {
 		return nil, err
 	}
@@ -152,9 +153,18 @@
 	case <-ctx.Done():
 		event.Fail(event.DrainEnded, ctx.Err(), "Running", p.front.Running())
 	}
-	flush, stop := context.WithTimeout(context.WithoutCancel(ctx), flushLimit)
+	p.closeLedger(context.WithoutCancel(ctx))
+}
+
+// closeLedger writes the outcome records that wait, or hands them to another
+// gateway when the key-value service does not take them.
+func (p *gatewayParts) closeLedger(ctx context.Context) {
+	flush, stop := context.WithTimeout(ctx, flushLimit)
 	defer stop()
 	p.ledger.Flush(flush)
+	handOver, stopHandOver := context.WithTimeout(ctx, handOverLimit)
+	defer stopHandOver()
+	_ = p.ledger.HandOver(handOver, p.peers())
 }
 
 func (p *gatewayParts) convictions() []gateway.Conviction {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -58,6 +58,8 @@
 	DrainStarted
 	DrainEnded
 	ClaimUnsettled
+	LedgerKeyTaken
+	LedgerNotHandedOver
 )
 
 var catalogue = map[Number]string{
@@ -97,15 +99,17 @@
 	LoadUnsettled:     "load order without an answer: reading engine state",
 	OrderRefused:      "order refused: older fencing number",
 
-	RequestRefused:   "request refused, not run",
-	RequestFailed:    "request failed",
-	RequestUnknown:   "request outcome unknown",
-	RequestRetried:   "request retried",
-	RequestConvicted: "request quarantined: it crashes backend servers",
-	DispatchRefused:  "dispatch refused by agent, not run",
-	BackendDied:      "backend server died",
-	LedgerDelayed:    "outcome records wait for the key-value service",
-	DrainStarted:     "drain started: no new work",
-	DrainEnded:       "drain ended: no request in progress",
-	ClaimUnsettled:   "claim could not be settled: repeats are told that its outcome is unknown",
+	RequestRefused:      "request refused, not run",
+	RequestFailed:       "request failed",
+	RequestUnknown:      "request outcome unknown",
+	RequestRetried:      "request retried",
+	RequestConvicted:    "request quarantined: it crashes backend servers",
+	DispatchRefused:     "dispatch refused by agent, not run",
+	BackendDied:         "backend server died",
+	LedgerDelayed:       "outcome records wait for the key-value service",
+	DrainStarted:        "drain started: no new work",
+	DrainEnded:          "drain ended: no request in progress",
+	ClaimUnsettled:      "claim could not be settled: repeats are told that its outcome is unknown",
+	LedgerKeyTaken:      "ledger key holds another batch: the batch is not in the ledger",
+	LedgerNotHandedOver: "outcome records could not be handed to another gateway",
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,7 +4,11 @@
 // Each gateway writes batches under its own keys, so its writes a second do not
 // grow with its requests. While the service is down, records wait in bounded
 // memory; beyond it they are summed by organisation, class and outcome, so no
-// request is lost from the invoice.
+// request is lost from the invoice. A gateway that ends before the service is
+// back hands its batches to another gateway.
+//
+// A batch keeps its key and its bytes from the first try on. Whoever writes it,
+// and however often, it enters the ledger once.
 package ledger
 
 import (
@@ -16,6 +20,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/outcome"
@@ -51,16 +56,24 @@
 	Totals  []Total          `json:"Totals,omitempty"`
 }
 
+// Parcel is a batch with the key that it is written under.
+type Parcel struct {
+	Key   string
+	Value []byte
+}
+
 // Ledger takes records and writes them. It is safe for concurrent use.
 type Ledger struct {
-	gateway  string
-	open     func(key string) settle.Store
-	sequence uint64
+	gateway string
+	open    func(key string) settle.Store
+	writing sync.Mutex // held by the goroutine that writes
 
-	mu      sync.Mutex
-	records []outcome.Record
-	totals  map[Total]Total // by their names, with the sums at 0
-	late    bool
+	mu       sync.Mutex
+	sequence uint64
+	records  []outcome.Record
+	totals   map[Total]Total // by their names, with the sums at 0
+	parcels  []Parcel        // tried or taken over, oldest first
+	late     bool
 }
 
 // New returns the ledger of a gateway. Sequences begin at the time, so a
@@ -97,11 +110,11 @@
 	l.totals[name] = sum
 }
 
-// Waiting returns the number of records that are not written yet.
+// Waiting returns the number of records, sums and batches that are not written yet.
 func (l *Ledger) Waiting() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.records) + len(l.totals)
+	return len(l.records) + len(l.totals) + len(l.parcels)
 }
 
 // Run writes batches until ctx ends.
@@ -120,78 +133,86 @@
 
 // Flush writes all that waits, until ctx ends or the service fails.
 func (l *Ledger) Flush(ctx context.Context) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
 	for ctx.Err() == nil {
-		b, ok := l.take()
-		if !ok {
-			return
-		}
-		if !l.write(ctx, b) {
-			l.giveBack(b)
+		p, ok := l.first()
+		if !ok || !l.write(ctx, p) {
 			return
 		}
+		l.drop(p)
 	}
 }
 
-func (l *Ledger) take() (Batch, bool) {
+// first returns the oldest batch, made from the records if there is none. It
+// stays until it is dropped.
+func (l *Ledger) first() (Parcel, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.parcels) == 0 && !l.pack() {
+		return Parcel{}, false
+	}
+	return l.parcels[0], true
+}
+
+// pack moves records and sums into a batch, if there are any. Callers hold mu.
+func (l *Ledger) pack() bool {
 	n := min(len(l.records), maxBatch)
-	b := Batch{Gateway: l.gateway, Records: append([]outcome.Record(nil), l.records[:n]...)}
-	l.records = append([]outcome.Record(nil), l.records[n:]...)
+	b := Batch{Gateway: l.gateway, Records: l.records[:n]}
 	for name, sum := range l.totals {
 		name.Requests, name.Tokens = sum.Requests, sum.Tokens
 		b.Totals = append(b.Totals, name)
 	}
-	l.totals = map[Total]Total{}
+	if len(b.Records)+len(b.Totals) == 0 {
+		return false
+	}
 	sort.Slice(b.Totals, func(i, j int) bool { return fmt.Sprint(b.Totals[i]) < fmt.Sprint(b.Totals[j]) })
-	return b, len(b.Records)+len(b.Totals) > 0
+	value, err := json.Marshal(b)
+	if err != nil {
+		panic(err)
+	}
+	l.sequence++
+	l.parcels = append(l.parcels, Parcel{Key: fmt.Sprintf("%s%s/%020d", Prefix, l.gateway, l.sequence), Value: value})
+	l.records = append([]outcome.Record(nil), l.records[n:]...)
+	l.totals = map[Total]Total{}
+	return true
 }
 
-// giveBack puts a batch that was not written back in front.
-func (l *Ledger) giveBack(b Batch) {
+func (l *Ledger) drop(p Parcel) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.records = append(b.Records, l.records...)
-	for _, t := range b.Totals {
-		name := t
-		name.Requests, name.Tokens = 0, 0
-		sum := l.totals[name]
-		sum.Requests += t.Requests
-		sum.Tokens += t.Tokens
-		l.totals[name] = sum
+	for i, q := range l.parcels {
+		if q.Key == p.Key {
+			l.parcels = append(l.parcels[:i:i], l.parcels[i+1:]...)
+			return
+		}
 	}
 }
 
-// write repeats one batch under one key until its outcome is certain, so a lost
-// answer cannot enter it twice.
-func (l *Ledger) write(ctx context.Context, b Batch) bool {
-	value, err := json.Marshal(b)
-	if err != nil {
-		panic(err)
-	}
-	key := fmt.Sprintf("%s%s/%020d", Prefix, l.gateway, l.sequence)
-	for {
+// write repeats one batch under its key until its outcome is certain, and
+// reports whether it is in the ledger.
+func (l *Ledger) write(ctx context.Context, p Parcel) bool {
+	for ctx.Err() == nil {
 		try, cancel := context.WithTimeout(ctx, writeTimeout)
-		o := settle.Do(try, l.open(key), settle.Write{Value: value, Trace: traceOf(value)})
+		o := settle.Do(try, l.open(p.Key), settle.Write{Value: p.Value, Trace: traceOf(p.Value)})
 		cancel()
 		switch o := o.(type) {
 		case settle.Accepted:
-			l.sequence++
 			l.told(false, nil)
 			return true
 		case settle.Rejected:
-			l.sequence++
-			return false
+			// Keys carry a gateway's name and the time at which it started.
+			event.Fail(event.LedgerKeyTaken, errs.New("write batch", p.Key, "key holds another batch"))
+			counter.Add("LedgerKeysTaken", 1)
+			return true
 		case settle.NotWritten:
 			l.told(true, o.Err)
 			return false
 		case settle.Unknown:
 			l.told(true, o.Err)
 		}
-		if ctx.Err() != nil {
-			return false
-		}
 	}
+	return false
 }
 
 // traceOf tells a batch that took effect from another writer's.
@@ -205,9 +226,13 @@
 }
 
 func (l *Ledger) told(late bool, err error) {
-	counter.Set("LedgerWaiting", int64(l.Waiting()))
-	if late && !l.late {
-		event.Fail(event.LedgerDelayed, err, "Waiting", l.Waiting())
-	}
+	waiting := l.Waiting()
+	counter.Set("LedgerWaiting", int64(waiting))
+	l.mu.Lock()
+	first := late && !l.late
 	l.late = late
+	l.mu.Unlock()
+	if first {
+		event.Fail(event.LedgerDelayed, err, "Waiting", waiting)
+	}
 }
