Count sent weights before they are written

TestRangesAreThoseOfTheManifest was flaky (one failure seen in a race run): a client could read bytes that were not counted yet, so a draw could look cheaper than it was. 60 race runs pass after.

--- a/internal/standin/source/faults.go
+++ b/internal/standin/source/faults.go
@@ -78,14 +78,17 @@
 	return done, nil
 }
 
+// send counts bytes before it writes them, so that nobody has read bytes that
+// are not counted, and takes back what was not written.
 func (s *shaped) send(part []byte) (int, error) {
 	ctx := s.request.Context()
 	if err := s.server.limiter.WaitN(ctx, len(part)); err != nil {
 		return 0, err
 	}
+	s.server.countSent(s.name, int64(len(part)))
 	n, err := s.ResponseWriter.Write(part)
 	s.sent += int64(n)
-	s.server.countSent(s.name, int64(n))
+	s.server.countSent(s.name, int64(n-len(part)))
 	return n, err
 }
 
