--- /dev/null
+++ b/internal/door/engine_fuzz_test.go
@@ -0,0 +1,86 @@
+package door_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/engine"
+	"almondreel.example/almondreel/internal/settings"
+)
+
+// FuzzEngineAnswer gives a dispatch an arbitrary engine's answer: only tokens of
+// this attempt and of the version served are passed on, and the answer counts as
+// whole only when the engine said so.
+func FuzzEngineAnswer(f *testing.F) {
+	const token = `data: {"id":"a1","digest":"sha256:fuzz","index":0,"text":"x"}` + "\n\n"
+	const done = "data: [DONE]\n\n"
+	for _, text := range []string{
+		token + done,
+		token,
+		done,
+		strings.ReplaceAll(token, "a1", "a2") + done,
+		strings.ReplaceAll(token, "fuzz", "other") + done,
+		"data: " + strings.Repeat("x", 1<<17) + "\n\n" + done,
+		"event: outcome\ndata: [DONE]\n\n",
+		"data: [DONE]\ndata: more\n\n",
+		": comment\r\rid: 7\rdata:[DONE]",
+		"data: null\n\n" + done,
+		"\xef\xbb\xbf" + token + done,
+	} {
+		f.Add(http.StatusOK, []byte(text))
+	}
+	f.Add(http.StatusServiceUnavailable, []byte(done))
+	f.Add(http.StatusInternalServerError, []byte(token+done))
+	var status int
+	var body []byte
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(status)
+		_, _ = w.Write(body)
+	}))
+	f.Cleanup(backend.Close)
+	d, board := open(backend, settings.KindEngine, fuzzDigest)
+	f.Fuzz(func(t *testing.T, answerStatus int, answerBody []byte) {
+		if answerStatus < 200 || answerStatus > 599 {
+			return
+		}
+		status, body = answerStatus, answerBody
+		answer := dispatched{attempt: "a1", digest: string(fuzzDigest), deadline: year2100, body: []byte(`{"prompt":"x"}`)}.to(d)
+		passed, err := io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		require.Zero(t, board.Status().Running)
+		if answer.Header.Get(agent.HeaderRefused) != "" {
+			require.Empty(t, passed)
+			return
+		}
+		whole := answer.Trailer.Get(agent.TrailerEnd) == agent.EndWhole
+		requireOwnTokens(t, string(passed), whole)
+	})
+}
+
+// requireOwnTokens checks the events that a door passed on.
+func requireOwnTokens(t *testing.T, passed string, whole bool) {
+	events := strings.Split(passed, "\n\n")
+	require.Empty(t, events[len(events)-1])
+	events = events[:len(events)-1]
+	if whole {
+		require.NotEmpty(t, events)
+		require.Equal(t, "data: "+engine.Done, events[len(events)-1])
+		events = events[:len(events)-1]
+	}
+	for _, e := range events {
+		data, found := strings.CutPrefix(e, "data: ")
+		require.True(t, found)
+		var token engine.Token
+		require.NoError(t, json.Unmarshal([]byte(data), &token), data)
+		require.Equal(t, "a1", token.RequestID)
+		require.Equal(t, fuzzDigest, token.Digest)
+	}
+}
