--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -6,6 +6,7 @@
 	"go/token"
 	"io/fs"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -56,6 +57,7 @@
 
 var (
 	pascalCase = regexp.MustCompile(`^[A-Z][a-z0-9]+([A-Z][a-z0-9]+)*$`)
+	documented = regexp.MustCompile("(?m)^\\| `(\\w+)[^`]*` \\| (\\w+) \\|")
 	unit       = regexp.MustCompile(`(Milliseconds|Bytes|Tokens)`)
 	unitLast   = regexp.MustCompile(`(Milliseconds|Bytes|Tokens)$`)
 )
@@ -78,6 +80,22 @@
 	}
 }
 
+// TestDocumentedMetricsExist holds docs/METRICS.md to the code. The counters of
+// outcomes are named for the outcome and stand in no literal.
+func TestDocumentedMetricsExist(t *testing.T) {
+	text, err := os.ReadFile("../../docs/METRICS.md")
+	require.NoError(t, err)
+	types := map[string]string{"Refused": "counter", "Failed": "counter", "Unknown": "counter", "Cancelled": "counter"}
+	for _, u := range findUses(t, "../..") {
+		types[u.name] = map[string]string{"Add": "counter", "Set": "gauge", "Observe": "summary"}[u.function]
+	}
+	rows := documented.FindAllStringSubmatch(string(text), -1)
+	require.NotEmpty(t, rows)
+	for _, row := range rows {
+		require.Equal(t, types[row[1]], row[2], "%s in docs/METRICS.md", row[1])
+	}
+}
+
 // findUses reads the names out of the Go files below root.
 func findUses(t *testing.T, root string) []use {
 	var uses []use
