--- a/cmd/almondreel-standin/backend.go
+++ b/cmd/almondreel-standin/backend.go
@@ -36,16 +36,22 @@
 }
 
 func crash() {
-	fmt.Fprintln(os.Stderr, "almondreel-standin: engine crashed by a request")
+	fmt.Fprintln(os.Stderr, "almondreel-standin: backend server crashed by a request")
 	os.Exit(exitCrash)
 }
 
 type serviceCommand struct {
-	Listen string `long:"listen" required:"true" description:"address to listen on, IP:port"`
-	Answer int    `long:"answer-ms" default:"10" description:"milliseconds that a call takes"`
+	Listen      string `long:"listen" required:"true" description:"address to listen on, IP:port"`
+	Answer      int    `long:"answer-ms" default:"10" description:"milliseconds that a call takes"`
+	CrashMarker string `long:"crash-marker" description:"a body with this text ends the process"`
 }
 
-// Execute serves the plain service until a signal.
+// Execute serves the plain service until a signal or a crash.
 func (c *serviceCommand) Execute([]string) error {
-	return standin.Serve("service", c.Listen, service.New(service.Options{AnswerMilliseconds: c.Answer}))
+	server := service.New(service.Options{
+		AnswerMilliseconds: c.Answer,
+		CrashMarker:        c.CrashMarker,
+		Crash:              crash,
+	})
+	return standin.Serve("service", c.Listen, server)
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -3,6 +3,8 @@
 package service
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -21,7 +23,9 @@
 
 // Options of a service.
 type Options struct {
-	AnswerMilliseconds int // a call's time
+	AnswerMilliseconds int    // a call's time
+	CrashMarker        string // a body with it ends the service; empty: none does
+	Crash              func() // called once by a crash, after which nothing is answered
 }
 
 // Faults are the service's fault switches.
@@ -47,6 +51,8 @@
 type Server struct {
 	options Options
 	mux     *http.ServeMux
+	crashed context.Context // ends with the crash
+	crash   context.CancelFunc
 
 	mu      sync.Mutex
 	faults  Faults
@@ -56,6 +62,7 @@
 // New returns a service that has run nothing.
 func New(o Options) *Server {
 	s := &Server{options: o, mux: http.NewServeMux()}
+	s.crashed, s.crash = context.WithCancel(context.Background())
 	s.mux.HandleFunc("POST "+service.CallsPath, s.call)
 	s.mux.HandleFunc("GET "+JournalPath, func(w http.ResponseWriter, _ *http.Request) {
 		standin.Answer(w, http.StatusOK, s.Journal())
@@ -70,7 +77,12 @@
 }
 
 // ServeHTTP answers the calls of internal/service.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.crashed.Err() != nil {
+		standin.Abort()
+	}
+	s.mux.ServeHTTP(w, r)
+}
 
 // Faults returns the fault switches.
 func (s *Server) Faults() Faults {
@@ -114,14 +126,34 @@
 	}
 	standin.Sleep(r.Context(), faults.DelayMilliseconds)
 	s.run(r, body)
-	standin.Sleep(r.Context(), s.options.AnswerMilliseconds)
-	if faults.AnswerLost {
+	s.crashIf(body)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.crashed, cancel)()
+	standin.Sleep(ctx, s.options.AnswerMilliseconds)
+	if faults.AnswerLost || s.crashed.Err() != nil {
 		standin.Abort()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(Answer(body))
 }
 
+// crashIf ends the service when the body holds the crash marker.
+func (s *Server) crashIf(body []byte) {
+	marker := s.options.CrashMarker
+	if marker == "" || !bytes.Contains(body, []byte(marker)) {
+		return
+	}
+	s.mu.Lock()
+	first := s.crashed.Err() == nil
+	s.crash()
+	s.mu.Unlock()
+	if first && s.options.Crash != nil {
+		s.options.Crash()
+	}
+	standin.Abort()
+}
+
 // run enters the call in the journal, also when its sender is gone: a plain
 // service does not stop a call that it has read.
 func (s *Server) run(r *http.Request, body []byte) {
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -49,3 +50,28 @@
 		{RequestID: "r3", Class: "postings", Body: "pay"},
 	}, server.Journal().Entries)
 }
+
+func TestCrashMarkerEndsTheServiceAndAllItsCalls(t *testing.T) {
+	crashes := make(chan struct{}, 2)
+	server := standinservice.New(standinservice.Options{
+		AnswerMilliseconds: 60_000,
+		CrashMarker:        "BOOM",
+		Crash:              func() { crashes <- struct{}{} },
+	})
+	listener := httptest.NewServer(server)
+	defer listener.Close()
+	innocent := make(chan error, 1)
+	go func() {
+		_, err := call(t, listener.URL, "r1", "pay")
+		innocent <- err
+	}()
+	require.Eventually(t, func() bool { return len(server.Journal().Entries) == 1 }, 10*time.Second, time.Millisecond)
+	_, err := call(t, listener.URL, "r2", "pay BOOM")
+	require.Error(t, err)
+	<-crashes
+	require.Error(t, <-innocent)
+	_, err = call(t, listener.URL, "r3", "pay")
+	require.Error(t, err)
+	require.Len(t, server.Journal().Entries, 2)
+	require.Empty(t, crashes)
+}
