--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -21,7 +21,7 @@
 
 const (
 	stepInterval = 20 * time.Millisecond
-	maxFetches   = 4 // chunks fetched from agents of the region at once
+	maxFetches   = 8 // chunks fetched from agents of the region at once
 	maxDraws     = 2 // chunks drawn from sources at once
 	maxFar       = 1 // chunks fetched from other regions at once
 )
@@ -60,7 +60,8 @@
 	drawing    int
 	far        int
 	startedAt  time.Time
-	exchanged  bool // a neighbour answered, or there is none
+	bringAt    time.Time // next look at chunks to bring into the region
+	exchanged  bool      // a neighbour answered, or there is none
 	drawTime   time.Duration
 	regionRate regionRate
 }
