--- a/internal/standin/engine/batch.go
+++ b/internal/standin/batch/batch.go
@@ -1,4 +1,6 @@
-package engine
+// Package batch admits an engine stand-in's requests to its slots by priority
+// and reports its load with a lag.
+package batch
 
 import (
 	"container/heap"
@@ -9,11 +11,11 @@
 	"almondreel.example/almondreel/internal/engine"
 )
 
-// batch admits at most slots requests at once; the others wait in order of
-// priority, then of arrival.
-type batch struct {
-	slots     int
-	lagMillis int
+// Batch admits at most slots requests at once; the others wait in order of
+// priority, then of arrival. It is safe for concurrent use.
+type Batch struct {
+	slots           int
+	lagMilliseconds int
 
 	mu       sync.Mutex
 	running  int
@@ -29,31 +31,32 @@
 	load engine.Load
 }
 
-// ticket is a request that waits.
-type ticket struct {
+// Ticket is a request that waits or runs.
+type Ticket struct {
 	priority int
 	arrival  uint64
 	admitted chan struct{}
 	index    int // in the queue; -1: left it
 }
 
-func newBatch(slots, lagMillis int) *batch {
-	return &batch{slots: slots, lagMillis: lagMillis}
+// New returns a batch of slots whose load report lags by lagMilliseconds.
+func New(slots, lagMilliseconds int) *Batch {
+	return &Batch{slots: slots, lagMilliseconds: lagMilliseconds}
 }
 
-// join queues a request, or admits it at once when a slot is free.
-func (b *batch) join(priority int) *ticket {
+// Join queues a request, or admits it at once when a slot is free.
+func (b *Batch) Join(priority int) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.arrivals++
-	t := &ticket{priority: priority, arrival: b.arrivals, admitted: make(chan struct{})}
+	t := &Ticket{priority: priority, arrival: b.arrivals, admitted: make(chan struct{})}
 	heap.Push(&b.waiting, t)
 	b.admit()
 	return t
 }
 
-// wait waits for the ticket's slot. It returns ctx's error when ctx ends first.
-func (b *batch) wait(ctx context.Context, t *ticket) error {
+// Wait waits for the ticket's slot. It returns ctx's error when ctx ends first.
+func (b *Batch) Wait(ctx context.Context, t *Ticket) error {
 	select {
 	case <-t.admitted:
 		return nil
@@ -64,7 +67,7 @@
 }
 
 // abandon gives up a ticket, or its slot if it was admitted meanwhile.
-func (b *batch) abandon(t *ticket) {
+func (b *Batch) abandon(t *Ticket) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if t.index < 0 {
@@ -75,8 +78,8 @@
 	b.admit()
 }
 
-// leave gives a slot back.
-func (b *batch) leave() {
+// Leave gives a slot back.
+func (b *Batch) Leave() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
@@ -84,9 +87,9 @@
 }
 
 // admit fills free slots and records the load. The lock is held.
-func (b *batch) admit() {
+func (b *Batch) admit() {
 	for b.running < b.slots && b.waiting.Len() > 0 {
-		t := heap.Pop(&b.waiting).(*ticket)
+		t := heap.Pop(&b.waiting).(*Ticket)
 		b.running++
 		close(t.admitted)
 	}
@@ -97,8 +100,8 @@
 	}
 }
 
-// drained returns a channel that closes when nothing runs or waits.
-func (b *batch) drained() <-chan struct{} {
+// Drained returns a channel that closes when nothing runs or waits.
+func (b *Batch) Drained() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.idle == nil {
@@ -112,27 +115,27 @@
 	return idle
 }
 
-func (b *batch) record(now time.Time) {
+func (b *Batch) record(now time.Time) {
 	load := engine.Load{Running: b.running, Waiting: b.waiting.Len(), Slots: b.slots}
 	b.history = append(b.history, sample{at: now, load: load})
 	b.forget(now)
 }
 
 // forget drops the samples that no report can need any more.
-func (b *batch) forget(now time.Time) {
-	shown := now.Add(-time.Duration(b.lagMillis) * time.Millisecond)
+func (b *Batch) forget(now time.Time) {
+	shown := now.Add(-time.Duration(b.lagMilliseconds) * time.Millisecond)
 	for len(b.history) > 1 && !b.history[1].at.After(shown) {
 		b.history = b.history[1:]
 	}
 }
 
-// report returns the load as it was the lag ago.
-func (b *batch) report() engine.Load {
+// Report returns the load as it was the lag ago.
+func (b *Batch) Report() engine.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	b.forget(now)
-	shown := now.Add(-time.Duration(b.lagMillis) * time.Millisecond)
+	shown := now.Add(-time.Duration(b.lagMilliseconds) * time.Millisecond)
 	if len(b.history) == 0 || b.history[0].at.After(shown) {
 		return engine.Load{Slots: b.slots}
 	}
@@ -140,7 +143,7 @@
 }
 
 // queue is a heap of tickets, highest priority first.
-type queue []*ticket
+type queue []*Ticket
 
 // Len returns the number of tickets.
 func (q queue) Len() int { return len(q) }
@@ -159,9 +162,9 @@
 	q[i].index, q[j].index = i, j
 }
 
-// Push appends a *ticket.
+// Push appends a *Ticket.
 func (q *queue) Push(x any) {
-	t := x.(*ticket)
+	t := x.(*Ticket)
 	t.index = len(*q)
 	*q = append(*q, t)
 }
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -9,6 +9,7 @@
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/standin"
+	"almondreel.example/almondreel/internal/standin/batch"
 )
 
 const (
@@ -26,7 +27,7 @@
 	completion engine.Completion
 	digest     manifest.Digest // fixed when the request arrives
 	faults     Faults
-	ticket     *ticket
+	ticket     *batch.Ticket
 	ctx        context.Context // ends with the caller, a cancellation or a crash
 	end        func()
 	writer     http.ResponseWriter
@@ -52,10 +53,10 @@
 		return
 	}
 	defer q.end()
-	if s.batch.wait(q.ctx, q.ticket) != nil {
+	if s.batch.Wait(q.ctx, q.ticket) != nil {
 		standin.Abort()
 	}
-	defer s.batch.leave()
+	defer s.batch.Leave()
 	s.crashIf(c.Prompt)
 	s.answer(q)
 }
@@ -78,7 +79,7 @@
 		completion: c,
 		digest:     s.digest,
 		faults:     s.faults,
-		ticket:     s.batch.join(c.Priority),
+		ticket:     s.batch.Join(c.Priority),
 		ctx:        ctx,
 		writer:     w,
 	}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -118,7 +118,7 @@
 	s.refuseNew(true)
 	defer s.refuseNew(false)
 	select {
-	case <-s.batch.drained():
+	case <-s.batch.Drained():
 	case <-ctx.Done():
 		return http.StatusConflict, errors.New("replaced by another order")
 	}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -15,6 +15,7 @@
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/standin"
+	"almondreel.example/almondreel/internal/standin/batch"
 )
 
 const (
@@ -50,7 +51,7 @@
 type Server struct {
 	options Options
 	mux     *http.ServeMux
-	batch   *batch
+	batch   *batch.Batch
 	prefix  *prefixCache
 	crashed context.Context // ends with the crash
 	crash   context.CancelFunc
@@ -73,7 +74,7 @@
 	s := &Server{
 		options: o,
 		mux:     http.NewServeMux(),
-		batch:   newBatch(o.Slots, o.LoadLagMilliseconds),
+		batch:   batch.New(o.Slots, o.LoadLagMilliseconds),
 		prefix:  newPrefixCache(),
 		started: uuid.NewString(),
 		digest:  o.Digest,
@@ -87,7 +88,7 @@
 		standin.Answer(w, http.StatusOK, s.State())
 	})
 	s.mux.HandleFunc("GET "+engine.LoadPath, func(w http.ResponseWriter, _ *http.Request) {
-		standin.Answer(w, http.StatusOK, s.batch.report())
+		standin.Answer(w, http.StatusOK, s.batch.Report())
 	})
 	standin.HandleFaults(s.mux, func() any { return s.Faults() }, s.decodeFaults)
 	return s
