--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -36,17 +36,19 @@
 	Member       Member
 	Brief        bool      // only the fields of Member.Brief are set; the rest is as last sent
 	Revisions    Revisions // in force at the agent
-	PeersVersion uint64    // of the peers that the agent holds from this gateway
+	PeersVersion uint32    // of the peers that the agent holds from this gateway
 	Documents    Documents // what the gateway said that it is behind on
 }
 
 // HeartbeatReply carries what the agent is behind on.
 type HeartbeatReply struct {
 	Documents    Documents
-	Peers        []Peer    // agents that fetch or hold the agent's wanted version
-	PeersVersion uint64    // equal to the request's: Peers is left out, unchanged
-	Resend       bool      // the gateway does not know the agent: send Member whole
-	Revisions    Revisions // in force at the gateway, before it took the request's Documents
+	PeersChanged bool
+	PeersVersion uint32 // set if PeersChanged, as is Peers
+	Peers        []Peer // agents that fetch or hold the agent's wanted version
+	Resend       bool   // the gateway does not know the agent: send Member whole
+	Behind       bool   // the gateway has Revisions and wants newer Documents
+	Revisions    Revisions
 }
 
 // Revisions are those of the two documents in force at a daemon.
--- a/internal/heartbeat/beater.go
+++ b/internal/heartbeat/beater.go
@@ -31,9 +31,10 @@
 	cancel    context.CancelFunc
 	done      chan struct{}
 
-	acknowledged gateway.Member    // last member that the gateway has whole
-	known        gateway.Revisions // in force at the gateway
-	answered     bool              // known is from the last heartbeat
+	acknowledged gateway.Member // last member that the gateway has whole
+	behind       bool           // the gateway wants documents newer than known
+	known        gateway.Revisions
+	answered     bool // the last heartbeat was
 	failures     int
 }
 
@@ -100,7 +101,7 @@
 	if reply.Resend {
 		b.acknowledged = gateway.Member{}
 	}
-	b.known, b.answered = reply.Revisions, true
+	b.known, b.behind, b.answered = reply.Revisions, reply.Behind, true
 	b.adopt(reply)
 }
 
@@ -115,14 +116,14 @@
 		request.Member = member.Brief()
 		request.Brief = true
 	}
-	if b.answered {
+	if b.behind {
 		request.Documents = s.Newer(b.known)
 	}
 	return request
 }
 
 func (b *beater) fail(err error) {
-	b.acknowledged, b.answered = gateway.Member{}, false
+	b.acknowledged, b.behind, b.answered = gateway.Member{}, false, false
 	b.failures++
 	reason := "Failed"
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -173,7 +174,7 @@
 	}
 }
 
-func (h *Heartbeat) peersVersion(gatewayName string) uint64 {
+func (h *Heartbeat) peersVersion(gatewayName string) uint32 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.peers[gatewayName].version
@@ -182,7 +183,7 @@
 func (h *Heartbeat) setPeers(gatewayName string, reply gateway.HeartbeatReply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.peers[gatewayName].version != reply.PeersVersion {
+	if reply.PeersChanged {
 		h.peers[gatewayName] = peerList{version: reply.PeersVersion, peers: reply.Peers}
 	}
 }
--- a/internal/heartbeat/choose.go
+++ b/internal/heartbeat/choose.go
@@ -9,11 +9,11 @@
 
 const (
 	// allGateways is the number of gateways up to which an agent talks to all.
-	allGateways = 4
+	allGateways = 3
 	// chosenGateways is the number that an agent talks to when there are more.
-	chosenGateways = 3
+	chosenGateways = 2
 	// ownGateways is how many of those are of the agent's own data centre.
-	ownGateways = 2
+	ownGateways = 1
 	avoidTime   = 30 * time.Second
 )
 
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -44,7 +44,7 @@
 }
 
 type peerList struct {
-	version uint64
+	version uint32
 	peers   []gateway.Peer
 }
 
--- a/internal/loopback/gateway.go
+++ b/internal/loopback/gateway.go
@@ -40,20 +40,25 @@
 
 // Start starts the gateway, with nothing in force.
 func (g *Gateway) Start() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	agents, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	g.address = listener.Addr().String()
+	gateways, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	g.address = agents.Addr().String()
 	g.Desired = desired.NewState()
 	g.Table = membership.NewTable()
-	keyValue, err := g.site.serve(g.keyValueGuard())
+	keyValue, err := g.site.serve(g.keyValueGuard(), &g.site.traffic.KeyValue)
 	if err != nil {
 		return err
 	}
 	s := settings.Gateway{
 		Identity:      settings.Identity{Name: g.Name, Region: g.DataCentre, DataCentre: g.DataCentre},
 		ControlListen: g.address,
+		Advertise:     gateways.Addr().String(),
 		KeyValue:      keyValue,
 		Instances:     g.site.instancesURL,
 		Origin:        g.site.originURL,
@@ -70,7 +75,8 @@
 	g.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	server := g.server
 	g.mu.Unlock()
-	g.run(ctx, func(context.Context) error { return server.Serve(listener) })
+	g.run(ctx, func(context.Context) error { return server.Serve(counted{agents, &g.site.traffic.Heartbeats}) })
+	g.run(ctx, func(context.Context) error { return server.Serve(counted{gateways, &g.site.traffic.Exchanges}) })
 	g.run(ctx, sp.Run)
 	g.run(ctx, planner.New(s, g.Desired, g.Table, client).Run)
 	return nil
--- a/internal/loopback/site.go
+++ b/internal/loopback/site.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondreel.example/almondreel/internal/instances"
@@ -41,6 +42,7 @@
 	instancesURL string
 	originURL    string
 	servers      []*http.Server
+	traffic      Traffic
 
 	mu   sync.Mutex
 	cuts map[[2]string]bool // pairs of data centres that do not reach each other
@@ -83,17 +85,17 @@
 
 func (s *Site) startPlatform() error {
 	var err error
-	if s.keyValueURL, err = s.serve(s.KeyValue); err != nil {
+	if s.keyValueURL, err = s.serve(s.KeyValue, new(atomic.Int64)); err != nil {
 		return err
 	}
-	if s.instancesURL, err = s.serve(s.Instances); err != nil {
+	if s.instancesURL, err = s.serve(s.Instances, new(atomic.Int64)); err != nil {
 		return err
 	}
-	s.originURL, err = s.serve(s.Origin)
+	s.originURL, err = s.serve(s.Origin, new(atomic.Int64))
 	return err
 }
 
-func (s *Site) serve(h http.Handler) (string, error) {
+func (s *Site) serve(h http.Handler, bytes *atomic.Int64) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -103,7 +105,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = server.Serve(listener)
+		_ = server.Serve(counted{listener, bytes})
 	}()
 	return "http://" + listener.Addr().String(), nil
 }
--- a/internal/spread/heartbeat.go
+++ b/internal/spread/heartbeat.go
@@ -27,18 +27,20 @@
 		event.Fail(event.DocumentUndecodable, err, "Instance", request.Member.Name)
 	}
 	snapshot, _ := s.desired.Current()
-	reply.Revisions = snapshot.Revisions()
+	if snapshot.Behind(request.Revisions) {
+		reply.Behind = true
+		reply.Revisions = snapshot.Revisions()
+	}
 	reply.Documents = snapshot.Newer(request.Revisions)
 	peers := s.table.Peers(request.Member.Name, maxPeers, now)
-	reply.PeersVersion = version(peers)
-	if reply.PeersVersion != request.PeersVersion {
-		reply.Peers = peers
+	if v := version(peers); v != request.PeersVersion {
+		reply.PeersChanged, reply.PeersVersion, reply.Peers = true, v, peers
 	}
 	return nil
 }
 
 // version identifies a list of peers; 0 is the empty list.
-func version(peers []gateway.Peer) uint64 {
+func version(peers []gateway.Peer) uint32 {
 	if len(peers) == 0 {
 		return 0
 	}
@@ -46,5 +48,5 @@
 	for _, p := range peers {
 		_, _ = d.WriteString(p.Name + "\x00" + p.Address + "\x00")
 	}
-	return d.Sum64()
+	return uint32(d.Sum64()) | 1
 }
