Prove the transfer under faults; leave liars, stalled senders and lost chunks faster

The tests failed first: with two agents whose chunks are always corrupt, cut short or too long the others stayed at 53 of 64 chunks, because they asked the same liar again as the holder of a lost chunk; with a death, a stall and 1% corrupt chunks the transfer took 18.6 s and 1.109 copies, because a stalled sender still counted as a holder and went on drawing chunks that nobody could take from it. A sender whose last chunk stalled is no holder, one that lied twice is not asked, and a member with four drawn chunks that nobody took waits.

--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -23,6 +23,10 @@
 // none does. A death so costs one step, a slow draw costs a question, and a
 // second draw happens only when the first member cannot be reached.
 //
+// A member that has brought maxUnpassed chunks which nobody took from it waits
+// until one is taken, at most passTime: its death, or a link that no longer
+// carries its uploads, then costs the source few chunks.
+//
 // Only the lowest chunks that nobody is known to hold are open, so that the
 // source sends few chunks at a time and each is soon passed on.
 
@@ -33,6 +37,8 @@
 	lostAfter    = 3 * time.Second // a chunk seen that no neighbour holds is brought again
 	maxAhead     = 6               // members asked before a take-over
 	farTries     = 3               // agents of other regions tried for one chunk
+	maxUnpassed  = 4               // chunks brought lately that no neighbour holds
+	passTime     = 10 * time.Second
 )
 
 // way is how a chunk is brought.
@@ -59,6 +65,9 @@
 		return
 	}
 	t.open(now)
+	if t.unpassed(now, copies) >= maxUnpassed {
+		return
+	}
 	for i := range t.chunks {
 		if t.drawing >= maxDraws && t.far >= maxFar {
 			return
@@ -72,6 +81,25 @@
 	}
 }
 
+// unpassed counts the chunks that the agent brought lately and no neighbour of
+// its region holds, if one fetches the version. Callers hold mu.
+func (t *Transfer) unpassed(now time.Time, copies []int) int {
+	taken := false
+	for _, n := range t.neighbours {
+		taken = taken || t.near(n.peer) && n.remote.Mark().Run != 0
+	}
+	if !taken {
+		return 0
+	}
+	count := 0
+	for i, at := range t.brought {
+		if copies[i] == 0 && now.Sub(at) < passTime {
+			count++
+		}
+	}
+	return count
+}
+
 // open opens the lowest chunks that nobody is known to hold. Callers hold mu.
 func (t *Transfer) open(now time.Time) {
 	seen := t.anywhere
@@ -117,17 +145,28 @@
 	if lost {
 		asked += maxAhead
 	}
-	ask := t.members.ahead(t.manifest.Chunks[i], names, asked)
+	ask := t.honest(t.members.ahead(t.manifest.Chunks[i], names, asked))
 	return task{chunk: i, ask: ask[:min(len(ask), maxAhead)], way: fromSource{}}, true
 }
 
+// honest leaves out agents whose chunks were not what they claimed. Callers hold mu.
+func (t *Transfer) honest(peers []gateway.Peer) []gateway.Peer {
+	var out []gateway.Peer
+	for _, p := range peers {
+		if t.rejected[p.Name] < maxRejected {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 func (t *Transfer) step() time.Duration { return takeOverStep + 2*t.drawTime }
 
 // holders returns agents of other regions that hold chunk c or drew it. Callers hold mu.
 func (t *Transfer) holders(i int, c manifest.Chunk) []gateway.Peer {
 	var out []gateway.Peer
 	for _, n := range t.neighbours {
-		if !t.near(n.peer) && n.rejected < maxRejected && n.remote.Has(i) {
+		if !t.near(n.peer) && t.rejected[n.peer.Name] < maxRejected && n.remote.Has(i) {
 			out = append(out, n.peer)
 		}
 	}
@@ -168,8 +207,7 @@
 	if len(job.ask) > 0 {
 		a := t.ask(ctx, job)
 		if a.holder != nil {
-			client := peer.NewClient(a.holder.Address, t.exchange.options.Transport)
-			return result(t.fetchFrom(ctx, client, c))
+			return result(t.fetchOf(ctx, *a.holder, c))
 		}
 		if a.drawn {
 			return postponed{}
@@ -186,6 +224,17 @@
 	}
 }
 
+// fetchOf fetches a chunk from an agent that need not be a neighbour.
+func (t *Transfer) fetchOf(ctx context.Context, p gateway.Peer, c manifest.Chunk) error {
+	err := t.fetchFrom(ctx, peer.NewClient(p.Address, t.exchange.options.Transport), c)
+	if isLie(err) {
+		t.mu.Lock()
+		t.rejected[p.Name]++
+		t.mu.Unlock()
+	}
+	return err
+}
+
 func (t *Transfer) claim(i int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -240,8 +289,7 @@
 func (t *Transfer) fetchFar(ctx context.Context, c manifest.Chunk, candidates []gateway.Peer) error {
 	err := error(peer.ErrUnknown)
 	for _, p := range candidates {
-		client := peer.NewClient(p.Address, t.exchange.options.Transport)
-		if err = t.fetchFrom(ctx, client, c); err == nil {
+		if err = t.fetchOf(ctx, p, c); err == nil {
 			counter.Add("ChunksFetchedFar", 1)
 			return nil
 		}
--- a/internal/transfer/launch.go
+++ b/internal/transfer/launch.go
@@ -20,7 +20,8 @@
 	failedGap           = 500 * time.Millisecond
 	rejectedGap         = 20 * time.Second // a sender of corrupt chunks is avoided
 	maxRejected         = 2                // after which it no longer counts as a holder
-	endGameAge          = time.Second      // a fetch this old may be doubled at the end
+	stalledGap          = 5 * time.Second
+	endGameAge          = time.Second // a fetch this old may be doubled at the end
 	maxDoubled          = 2
 )
 
@@ -125,7 +126,7 @@
 func (t *Transfer) copies() []int {
 	counts := make([]int, len(t.chunks))
 	for _, n := range t.neighbours {
-		if t.near(n.peer) && n.rejected < maxRejected {
+		if t.near(n.peer) && !n.suspect && t.rejected[n.peer.Name] < maxRejected {
 			n.remote.Each(func(i int) { counts[i]++ })
 		}
 	}
@@ -270,9 +271,11 @@
 		return // evicted with its version
 	}
 	if l.from != nil {
-		l.from.rejected = 0
+		l.from.suspect = false
+		t.rejected[l.from.peer.Name] = 0
 	}
 	if l.bring {
+		t.brought[l.chunk] = time.Now()
 		t.drawTime = (3*t.drawTime + l.took) / 4
 	}
 	for i := range t.sameDigest(l.chunk) {
@@ -302,15 +305,22 @@
 	switch {
 	case errors.Is(err, peer.ErrBusy):
 		return jittered(busyGap)
-	case errors.Is(err, manifest.ErrMismatch), errors.Is(err, link.ErrTooLong), errors.Is(err, link.ErrCutShort):
-		n.rejected++
+	case isLie(err):
+		t.rejected[n.peer.Name]++
 		return jittered(rejectedGap)
-	case errors.Is(err, link.ErrStalled):
-		return jittered(rejectedGap / 4)
+	}
+	n.suspect = true
+	if errors.Is(err, link.ErrStalled) {
+		return jittered(stalledGap)
 	}
 	return jittered(failedGap)
 }
 
+// isLie reports bytes that are not the chunk that was asked for.
+func isLie(err error) bool {
+	return errors.Is(err, manifest.ErrMismatch) || errors.Is(err, link.ErrTooLong) || errors.Is(err, link.ErrCutShort)
+}
+
 func reason(err error) string {
 	reasons := []struct {
 		err  error
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -36,7 +36,7 @@
 	toldSeen     uint64     // seenCount when the seen sets were last told
 	inFlight     int
 	notBefore    time.Time // it is not asked for chunks before
-	rejected     int       // chunks of it that were not what they claimed
+	suspect      bool      // its last chunk stalled or failed
 	failures     int
 	heardAt      time.Time
 	cancel       context.CancelFunc // ends the calls; nil when the neighbour calls
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -53,6 +53,8 @@
 	seenCount  uint64
 	changed    chan struct{} // closes when own or the seen sets grow
 	neighbours map[string]*neighbour
+	rejected   map[string]int    // by agent, chunks in a row that were not what they claimed
+	brought    map[int]time.Time // when the agent itself brought chunks into the region
 	flights    map[int]*flight
 	chunks     []chunkState
 	members    members
@@ -96,6 +98,8 @@
 		landed:     make(chan landing, maxFetches+maxDraws+maxFar),
 		changed:    make(chan struct{}),
 		neighbours: map[string]*neighbour{},
+		rejected:   map[string]int{},
+		brought:    map[int]time.Time{},
 		flights:    map[int]*flight{},
 	}
 }
--- /dev/null
+++ b/internal/weights/weights_test.go
@@ -0,0 +1,351 @@
+package weights_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"k8s.io/klog/v2"
+
+	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/settings"
+	standin "almondreel.example/almondreel/internal/standin/source"
+	"almondreel.example/almondreel/internal/swarm"
+	"almondreel.example/almondreel/internal/transfer"
+)
+
+const (
+	modelBytes = 4 << 20
+	chunkBytes = 64 << 10
+	linkBytes  = 4 << 20 // per second: the bound is about one second
+)
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(nullWriter{})
+	os.Exit(m.Run())
+}
+
+type nullWriter struct{}
+
+func (nullWriter) Write(p []byte) (int, error) { return len(p), nil }
+
+func options(agents int) swarm.Options {
+	return swarm.Options{
+		Agents:      agents,
+		OriginBytes: 2 * linkBytes,
+		Link:        settings.Link{DownBytesPerSecond: linkBytes, UpBytesPerSecond: linkBytes},
+	}
+}
+
+func start(t *testing.T, o swarm.Options) *swarm.Swarm {
+	t.Helper()
+	s, err := swarm.Start(o)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func publish(t *testing.T, s *swarm.Swarm, version string, seed uint64) manifest.Manifest {
+	t.Helper()
+	m, err := s.Origin.Publish("model", version, standin.Version{
+		Bytes: modelBytes, Seed: seed, ChunkBytes: chunkBytes, SharedBytes: modelBytes / 2, SharedSeed: 99,
+	})
+	require.NoError(t, err)
+	return m
+}
+
+func fetch(s *swarm.Swarm, plan transfer.Plan) {
+	for _, a := range s.Agents() {
+		if a.Alive() {
+			a.Fetch(plan)
+		}
+	}
+}
+
+// held waits until every living agent holds the version whole.
+func held(t *testing.T, s *swarm.Swarm, d manifest.Digest, within time.Duration) {
+	t.Helper()
+	deadline := time.After(within)
+	for _, a := range s.Agents() {
+		if !a.Alive() {
+			continue
+		}
+		select {
+		case <-a.Transfer().Done():
+		case <-deadline:
+			have, chunks := a.Transfer().Progress()
+			require.Failf(t, "not held", "%s holds %d of %d chunks after %s", a.Settings.Name, have, chunks, within)
+		}
+		require.NoError(t, a.Transfer().Err())
+		require.True(t, a.Weights.Store.Verified(d))
+	}
+}
+
+func copies(s *swarm.Swarm) float64 {
+	return float64(s.Origin.Sent().Bytes) / modelBytes
+}
+
+// progressed waits until the agents together hold the share of all chunks.
+func progressed(t *testing.T, s *swarm.Swarm, share float64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		have, all := 0, 0
+		for _, a := range s.Agents() {
+			if a.Transfer() != nil {
+				h, c := a.Transfer().Progress()
+				have, all = have+h, all+c
+			}
+		}
+		return all > 0 && float64(have) >= share*float64(all)
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+func TestOneCopyIsDrawn(t *testing.T) {
+	t.Parallel()
+	s := start(t, options(8))
+	m := publish(t, s, "1", 1)
+	fetch(s, s.PlanOf(m))
+	held(t, s, m.Digest(), 15*time.Second)
+	require.LessOrEqual(t, copies(s), 1.02)
+}
+
+func TestDeathStallAndCorruptionInMidTransfer(t *testing.T) {
+	t.Parallel()
+	s := start(t, options(12))
+	m := publish(t, s, "1", 1)
+	agents := s.Agents()
+	for _, a := range agents {
+		a.SetFaults(swarm.Faults{CorruptOneIn: 100})
+	}
+	s.Origin.SetFaults(standin.Faults{CorruptOneIn: 100})
+	fetch(s, s.PlanOf(m))
+	progressed(t, s, 0.1)
+	agents[3].Kill()
+	agents[4].SetFaults(swarm.Faults{Stalled: true})
+	held(t, s, m.Digest(), 25*time.Second)
+	require.LessOrEqual(t, copies(s), 1.1)
+}
+
+func TestEveryKindOfLieIsRejected(t *testing.T) {
+	t.Parallel()
+	for name, f := range map[string]swarm.Faults{
+		"corrupt":   {CorruptOneIn: 1},
+		"cut short": {CutShortOneIn: 1},
+		"too long":  {TooLongOneIn: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, options(6))
+			m := publish(t, s, "1", 1)
+			s.Agents()[0].SetFaults(f)
+			s.Agents()[1].SetFaults(f)
+			fetch(s, s.PlanOf(m))
+			held(t, s, m.Digest(), 30*time.Second)
+		})
+	}
+}
+
+func TestOriginThatFailsAndComesBack(t *testing.T) {
+	t.Parallel()
+	for name, f := range map[string]standin.Faults{
+		"down":      {Down: true},
+		"stalled":   {StallAfterBytes: 1000},
+		"slow":      {DelayMilliseconds: 1500},
+		"changed":   {ChangeBytes: true},
+		"corrupt":   {CorruptOneIn: 2},
+		"cut short": {CutShortOneIn: 2},
+		"too long":  {TooLongOneIn: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, options(5))
+			m := publish(t, s, "1", 1)
+			fetch(s, s.PlanOf(m))
+			progressed(t, s, 0.05)
+			s.Origin.SetFaults(f)
+			time.Sleep(2 * time.Second)
+			s.Origin.SetFaults(standin.Faults{})
+			held(t, s, m.Digest(), 25*time.Second)
+		})
+	}
+}
+
+func TestManifestThatDoesNotMatchIsNeverTaken(t *testing.T) {
+	t.Parallel()
+	s := start(t, options(3))
+	m := publish(t, s, "1", 1)
+	_, err := s.Origin.Publish("model", "1", standin.Version{Bytes: modelBytes, Seed: 2, ChunkBytes: chunkBytes})
+	require.NoError(t, err)
+	fetch(s, s.PlanOf(m))
+	time.Sleep(2 * time.Second)
+	for _, a := range s.Agents() {
+		have, _ := a.Transfer().Progress()
+		require.Zero(t, have)
+	}
+	again := publish(t, s, "1", 1)
+	require.Equal(t, m.Digest(), again.Digest())
+	held(t, s, m.Digest(), 20*time.Second)
+}
+
+func TestManifestThatContradictsItselfFails(t *testing.T) {
+	t.Parallel()
+	s := start(t, options(2))
+	a := s.Agents()[0]
+	m := publish(t, s, "1", 1)
+	m.Whole = manifest.Sum([]byte("other"))
+	a.Weights.Store.Keep(m.Digest(), m)
+	transferred := a.Fetch(s.PlanOf(m))
+	select {
+	case <-transferred.Done():
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "the transfer does not end")
+	}
+	require.True(t, errors.Is(transferred.Err(), transfer.ErrWhole))
+	require.False(t, a.Weights.Store.Verified(m.Digest()))
+}
+
+func TestNewerVersionsInMidTransferShareChunks(t *testing.T) {
+	t.Parallel()
+	s := start(t, options(6))
+	var last manifest.Manifest
+	for i := range 3 {
+		last = publish(t, s, strconv.Itoa(i), uint64(i))
+		fetch(s, s.PlanOf(last))
+		if i < 2 {
+			progressed(t, s, 0.2)
+		}
+	}
+	held(t, s, last.Digest(), 20*time.Second)
+	// Half of each version is shared, and the first two were left early.
+	require.LessOrEqual(t, copies(s), 2.1)
+	before := copies(s)
+	former := publish(t, s, "0", 0)
+	fetch(s, s.PlanOf(former))
+	held(t, s, former.Digest(), 20*time.Second)
+	require.LessOrEqual(t, copies(s)-before, 0.52)
+}
+
+func TestReplacedAgentsDrawNothing(t *testing.T) {
+	t.Parallel()
+	s := start(t, options(6))
+	m := publish(t, s, "1", 1)
+	fetch(s, s.PlanOf(m))
+	held(t, s, m.Digest(), 15*time.Second)
+	before := s.Origin.Sent().Bytes
+	s.Agents()[0].Kill()
+	s.Agents()[1].Kill()
+	for range 2 {
+		_, err := s.Add()
+		require.NoError(t, err)
+	}
+	plan := s.PlanOf(m)
+	for _, a := range s.Agents()[6:] {
+		a.Fetch(plan)
+	}
+	for _, a := range s.Agents()[2:6] {
+		a.Transfer().Update(plan)
+	}
+	held(t, s, m.Digest(), 15*time.Second)
+	require.Equal(t, before, s.Origin.Sent().Bytes)
+}
+
+func TestRegionsDrawByWeighing(t *testing.T) {
+	t.Parallel()
+	for weighing, limit := range map[operator.Weighing]float64{operator.OriginBytes: 1.02, operator.Time: 3.05} {
+		t.Run(string(weighing), func(t *testing.T) {
+			t.Parallel()
+			o := options(9)
+			o.Regions = 3
+			s := start(t, o)
+			m := publish(t, s, "1", 1)
+			plan := s.PlanOf(m)
+			plan.Weighing = weighing
+			fetch(s, plan)
+			held(t, s, m.Digest(), 25*time.Second)
+			require.LessOrEqual(t, copies(s), limit)
+		})
+	}
+}
+
+func TestThriftyRegionsHurryBeforeTheDeadline(t *testing.T) {
+	t.Parallel()
+	o := options(6)
+	o.Regions = 2
+	o.Link.RegionBytesPerSecond = 64 << 10 // 4 MiB take 21 s over three links
+	s := start(t, o)
+	m := publish(t, s, "1", 1)
+	plan := s.PlanOf(m)
+	plan.Weighing = operator.OriginBytes
+	plan.ReadyBy = time.Now().Add(10 * time.Second)
+	fetch(s, plan)
+	held(t, s, m.Digest(), 15*time.Second)
+	require.Greater(t, copies(s), 1.1)
+	require.LessOrEqual(t, copies(s), 2.0)
+}
+
+func seed(t *testing.T) uint64 {
+	t.Helper()
+	value := rand.Uint64()
+	if text := os.Getenv("SEED"); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+		value = parsed
+	}
+	t.Logf("SEED=%d", value)
+	return value
+}
+
+// TestRandomFaults changes faults, deaths, replacements and versions at random
+// moments; at the end every living agent holds the last version whole.
+func TestRandomFaults(t *testing.T) {
+	runs := 1
+	if os.Getenv("SOAK") != "" {
+		runs = 30
+	}
+	first := seed(t)
+	for k := range runs {
+		value := first + uint64(k)
+		t.Run(fmt.Sprintf("SEED=%d", value), func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(value, 1))) })
+	}
+}
+
+func randomFaults(t *testing.T, r *rand.Rand) {
+	s := start(t, options(10))
+	last := publish(t, s, "0", 0)
+	fetch(s, s.PlanOf(last))
+	killed := 0
+	for step := range 8 {
+		time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
+		a := s.Agents()[r.IntN(10)]
+		switch r.IntN(6) {
+		case 0:
+			if killed < 3 && a.Alive() {
+				killed++
+				a.Kill()
+			}
+		case 1:
+			a.SetFaults(swarm.Faults{Stalled: true})
+		case 2:
+			a.SetFaults(swarm.Faults{CorruptOneIn: 1 + r.IntN(20), CutShortOneIn: 1 + r.IntN(20)})
+		case 3:
+			s.Origin.SetFaults(standin.Faults{CorruptOneIn: 1 + r.IntN(20), TooLongOneIn: 1 + r.IntN(20)})
+		case 4:
+			s.Origin.SetFaults(standin.Faults{Down: true})
+		case 5:
+			last = publish(t, s, strconv.Itoa(step+1), r.Uint64())
+			fetch(s, s.PlanOf(last))
+		}
+	}
+	s.Origin.SetFaults(standin.Faults{})
+	for _, a := range s.Agents() {
+		a.SetFaults(swarm.Faults{})
+	}
+	held(t, s, last.Digest(), 40*time.Second)
+}
