--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -205,6 +205,7 @@
 	detail string
 }
 
+// Error says how the answer differs from what was asked for.
 func (e *wrongAnswer) Error() string { return e.detail }
 
 // readTokens passes each token on once and in order.
@@ -244,7 +245,7 @@
 		return &wrongAnswer{outcome.ReplicaOther, fmt.Sprintf("token of version %s, not %s", t.Digest, a.progress.digest)}
 	}
 	if t.Index < a.progress.tokens {
-		counter.Add("TokensRepeated", 1)
+		counter.Add("RepeatedTokens", 1)
 		return nil
 	}
 	if t.Index > a.progress.tokens {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"syscall"
@@ -21,8 +22,11 @@
 	run  Func
 }
 
+// Serve runs the duty for the supervisor.
 func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
-func (s service) String() string                  { return s.name }
+
+// String is the duty's name in the supervisor's reports.
+func (s service) String() string { return s.name }
 
 // Tree is a supervisor of named duties.
 type Tree struct {
@@ -68,7 +72,7 @@
 	event.Log(event.Started, "Program", program)
 	err := group.Run()
 	event.Log(event.Stopped, "Program", program)
-	if _, ok := err.(run.SignalError); ok {
+	if errors.Is(err, run.ErrSignal) {
 		return nil
 	}
 	return err
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -27,6 +27,7 @@
 // Want describes the agent that a request needs.
 type Want struct {
 	Affinity string          // requests with the same value prefer the same agent
+	Novelty  string          // not empty: use only the first agents for Affinity and for this
 	Exclude  map[string]bool // names of agents that were tried
 }
 
@@ -68,8 +69,11 @@
 	if len(candidates) == 0 {
 		return gateway.Member{}, false
 	}
-	Rank(candidates, w.Affinity)
 	bound := math.Ceil(loadBound * (total + 1) / float64(len(candidates)))
+	if w.Novelty != "" {
+		candidates = r.narrowed(candidates, w, now)
+	}
+	Rank(candidates, w.Affinity)
 	chosen := r.bounded(candidates, bound, now)
 	l := r.loads[chosen.Name]
 	l.own++
@@ -77,6 +81,22 @@
 	return chosen, true
 }
 
+// narrowed returns the first agents for the affinity and for the novelty, the
+// same on every gateway, so that a request never seen to complete is on two
+// agents at most. While both are full it returns all.
+func (r *Router) narrowed(candidates []gateway.Member, w Want, now time.Time) []gateway.Member {
+	Rank(candidates, w.Novelty)
+	second := candidates[0]
+	Rank(candidates, w.Affinity)
+	first := candidates[0]
+	for _, m := range []gateway.Member{first, second} {
+		if l := r.loads[m.Name]; l.at(now) < float64(l.slots) {
+			return []gateway.Member{first, second}
+		}
+	}
+	return candidates
+}
+
 // bounded returns the first in rank under the bound with a free slot, else the
 // better of the first two.
 func (r *Router) bounded(ranked []gateway.Member, bound float64, now time.Time) gateway.Member {
@@ -111,6 +131,20 @@
 	}
 }
 
+// Room returns how many requests of this gateway the members can run at once
+// beside those of others.
+func (r *Router) Room(members []gateway.Member) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	room := 0.0
+	for _, m := range members {
+		l := r.load(m, now)
+		room += math.Max(0, float64(l.slots)-l.othersAt(now))
+	}
+	return int(room)
+}
+
 // Told takes what an agent said of its load in an answer.
 func (r *Router) Told(name string, running, slots int) {
 	r.mu.Lock()
@@ -145,8 +179,12 @@
 
 // at is the agent's load now; what was told of others fades with its age.
 func (l *load) at(now time.Time) float64 {
+	return float64(l.own) + l.othersAt(now)
+}
+
+func (l *load) othersAt(now time.Time) float64 {
 	fresh := 1 - float64(now.Sub(l.toldAt))/float64(reportAge)
-	return float64(l.own) + math.Max(0, fresh)*float64(l.others)
+	return math.Max(0, fresh) * float64(l.others)
 }
 
 // forget drops agents that were not used for long.
