--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -208,7 +208,7 @@
 	}
 	store := kv.NewClient(s.kvURL)
 	share := suspicion.New(name, g.Quarantine, func() []gateway.Peer { return s.peers(name) }, store)
-	g.Claims = claims.New(name, store)
+	g.Claims = claims.New(name, func() int { return max(1, o.Gateways) }, store)
 	g.Ledger = ledger.New(name, store)
 	g.Dispatcher = dispatch.New(dispatch.Options{
 		Gateway: name, Desired: d, Members: g.Members, Gateways: s.gatewayNames,
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -104,8 +104,13 @@
 		return
 	}
 	status := http.StatusBadGateway
-	if unknown, ok := o.(outcome.Unknown); ok && unknown.Reason == outcome.ClaimPending {
-		status = http.StatusConflict
+	switch o := o.(type) {
+	case outcome.Answered: // told again; its tokens are not kept
+		status = http.StatusOK
+	case outcome.Unknown:
+		if o.Reason == outcome.ClaimPending {
+			status = http.StatusConflict
+		}
 	}
 	v.state(status, v.record(o))
 }
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -185,7 +185,9 @@
 	request.Prompt = c.Prompt
 	request.Tokens = c.MaxTokens
 	s := &stream{visit: &a.visit, controller: http.NewResponseController(a.writer)}
-	s.end(f.options.Dispatcher.Stream(ctx, request, s))
+	answer, o := f.options.Dispatcher.Stream(ctx, request, s)
+	a.repeat = answer.Repeat
+	s.end(o)
 }
 
 // parseCompletion refuses unknown keys, trailing text and values out of range.
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -25,29 +25,49 @@
 const Prefix = "claims/"
 
 const (
-	claimTimeout   = 1500 * time.Millisecond
-	settleTimeout  = 1500 * time.Millisecond
-	findTimeout    = 1500 * time.Millisecond
-	holderGrace    = 5 * time.Second // after a request's deadline until its holder counts as lost
-	comeBackAfter  = 500 * time.Millisecond
-	maxResultBytes = 16 << 10 // of an answer that is kept for repeats
+	claimTimeout  = 1500 * time.Millisecond
+	settleTimeout = 1500 * time.Millisecond
+	findTimeout   = 1500 * time.Millisecond
+	holderGrace   = 5 * time.Second // after a request's deadline until its holder counts as lost
+	comeBackAfter = 500 * time.Millisecond
+	shareInterval = 5 * time.Second
+	// writesPerSecond of all gateways together.
+	writesPerSecond = 150
+	maxResultBytes  = 16 << 10 // of an answer that is kept for repeats
 )
 
 // Keeper implements dispatch.Claims and caller.Outcomes.
 type Keeper struct {
-	gateway string
-	table   *claim.Table
+	gateway  string
+	table    *claim.Table
+	gateways func() int
 }
 
-// New returns a keeper for the gateway.
-func New(gateway string, k *kv.Client) *Keeper {
+// New returns a keeper for the gateway. gateways returns the number of
+// gateways, which share the writes.
+func New(gateway string, gateways func() int, k *kv.Client) *Keeper {
 	client := k.For("Claims")
 	open := func(key string) settle.Store { return kv.Key{Client: client, Name: key} }
-	return &Keeper{gateway: gateway, table: claim.New(claim.Options{Open: open, Prefix: Prefix})}
+	return &Keeper{gateway: gateway, gateways: gateways, table: claim.New(claim.Options{Open: open, Prefix: Prefix})}
 }
 
 // Run commits claims and results until ctx ends.
-func (k *Keeper) Run(ctx context.Context) error { return k.table.Run(ctx) }
+func (k *Keeper) Run(ctx context.Context) error {
+	committed := make(chan error, 1)
+	go func() {
+		committed <- k.table.Run(ctx)
+	}()
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		k.table.SetWrites(writesPerSecond / float64(max(1, k.gateways())))
+		select {
+		case err := <-committed:
+			return err
+		case <-ticker.C:
+		}
+	}
+}
 
 // result is what a claim keeps of its request.
 type result struct {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -91,7 +91,7 @@
 	p.spread = spread.New(s, p.desired, p.members, store, p.convictions, p.adoptConvictions)
 	p.planner = planner.New(s, p.desired, p.members, store)
 	p.suspicion = suspicion.New(s.Name, p.quarantine, p.peers, store)
-	p.claims = claims.New(s.Name, store)
+	p.claims = claims.New(s.Name, func() int { return len(p.gateways()) }, store)
 	p.ledger = ledger.New(s.Name, store)
 	dispatcher := dispatch.New(dispatch.Options{
 		Gateway:    s.Name,
--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -181,7 +181,7 @@
 	for name, first := range cases {
 		t.Run(name, func(t *testing.T) {
 			var sink kept
-			o := site(t, first, whole).Stream(context.Background(), question(), &sink)
+			_, o := site(t, first, whole).Stream(context.Background(), question(), &sink)
 			require.Equal(t, outcome.Answered{Digest: string(digest), Tokens: 4}, o)
 			require.Equal(t, []int{0, 1, 2, 3}, sink.indices)
 		})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/invariant"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
@@ -48,6 +49,7 @@
 	options Options
 	client  *transmit.Client
 	router  *route.Router
+	gone    *unreachable
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue  // by service
@@ -66,15 +68,16 @@
 		options: o,
 		client:  transmit.NewClient(),
 		router:  route.NewRouter(),
+		gone:    newUnreachable(),
 		queues:  map[string]*limit.Queue{},
 		budgets: map[string]*limit.Budget{},
 	}
 }
 
-// Stream runs a completion and passes its tokens to sink.
-func (d *Dispatcher) Stream(ctx context.Context, r Request, sink Sink) outcome.Outcome {
-	_, o := d.run(ctx, r, sink)
-	return o
+// Stream runs a completion and passes its tokens to sink. Of the answer only
+// Repeat is set.
+func (d *Dispatcher) Stream(ctx context.Context, r Request, sink Sink) (Answer, outcome.Outcome) {
+	return d.run(ctx, r, sink)
 }
 
 // Call runs a plain call.
@@ -234,7 +237,7 @@
 func (f *flight) members(now time.Time) []gateway.Member {
 	subset := f.subset(now)
 	if f.request.Class.Kind != operator.Model {
-		return subset
+		return f.dispatcher.gone.without(subset, now)
 	}
 	var out []gateway.Member
 	for _, m := range subset {
@@ -242,7 +245,7 @@
 			out = append(out, m)
 		}
 	}
-	return out
+	return f.dispatcher.gone.without(out, now)
 }
 
 // repeat sends an idempotent request until an attempt brings the whole answer.
@@ -340,6 +343,7 @@
 	f.tried[m.Name] = true
 	f.lastTried, f.suspect = m.Name, suspect
 	f.startedAt = time.Now()
+	invariant.Assert(f.request.Class.Idempotent || !f.accepted, invariant.OneDispatchOfClaim, "request %s is dispatched again", f.request.ID)
 	f.life.fire("Dispatch")
 	a := &attempt{
 		dispatcher: f.dispatcher,
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -18,9 +18,9 @@
 	convictionLasts = time.Hour
 	tellTimeout     = 250 * time.Millisecond
 	suspectPause    = 20 * time.Millisecond
-	newsPause       = 100 * time.Millisecond
+	newsPause       = 200 * time.Millisecond
 	busyPause       = 10 * time.Millisecond
-	deathPause      = 40 * time.Millisecond
+	deathPause      = 100 * time.Millisecond
 )
 
 // choose returns the agent for the next attempt, and whether the request runs
@@ -102,14 +102,17 @@
 // agent when one is gone: if its own repeat killed that one, the news of it is
 // on the way.
 func (f *flight) awaitNews(ctx context.Context, reason outcome.Reason) {
-	if f.want().Novelty == "" {
-		return
-	}
+	novel := f.want().Novelty != ""
 	switch reason {
 	case outcome.BackendUnreachable, outcome.ReplicaUnreachable:
-		f.wait(ctx, newsPause)
+		if novel {
+			f.wait(ctx, newsPause)
+		}
+		f.dispatcher.gone.add(f.lastTried, time.Now())
 	case outcome.ReplicaBusy:
-		f.wait(ctx, busyPause)
+		if novel {
+			f.wait(ctx, busyPause)
+		}
 	}
 }
 
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -82,6 +82,11 @@
 	return t
 }
 
+// SetWrites sets the writes a second, such as one of several processes' share.
+func (t *Table) SetWrites(perSecond float64) {
+	t.limiter.SetLimit(rate.Limit(perSecond))
+}
+
 // Run commits operations until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
 	done := make(chan struct{}, workers)
