--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,68 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/invoice"
+	"almondreel.example/almondreel/internal/kv"
+	"almondreel.example/almondreel/internal/ledger"
+	"almondreel.example/almondreel/internal/outcome"
+	kvstandin "almondreel.example/almondreel/internal/standin/kv"
+)
+
+func record(n int, o outcome.Outcome) outcome.Record {
+	r := outcome.NewRecord(o)
+	r.RequestID = fmt.Sprint(n)
+	r.Organisation, r.Class = "north", "questions"
+	return r
+}
+
+func TestEveryRecordReachesTheInvoiceOnce(t *testing.T) {
+	service := kvstandin.New(kvstandin.Options{})
+	server := httptest.NewServer(service)
+	defer server.Close()
+	client := kv.NewClient(server.URL)
+	l := ledger.New("g1", client)
+	ctx := context.Background()
+	const each = 12000
+	add := func() {
+		for i := range each {
+			l.Add(record(i, outcome.Answered{Tokens: 3}))
+		}
+		l.Add(record(each, outcome.Refused{Reason: outcome.QueueFull}))
+		again := record(each, outcome.Answered{Tokens: 3})
+		again.Repeat = true
+		l.Add(again)
+	}
+	service.SetFaults(kvstandin.Faults{Down: true})
+	add()
+	add() // beyond the records held one by one
+	down, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	l.Flush(down)
+	cancel()
+	require.NotZero(t, l.Waiting())
+	require.LessOrEqual(t, l.Waiting(), 24000)
+
+	service.SetFaults(kvstandin.Faults{LoseAnswersOneIn: 2})
+	require.Eventually(t, func() bool {
+		l.Flush(ctx)
+		return l.Waiting() == 0
+	}, 20*time.Second, 10*time.Millisecond)
+	service.SetFaults(kvstandin.Faults{})
+
+	all, err := invoice.Read(ctx, client)
+	require.NoError(t, err)
+	require.Len(t, all.Lines, 1)
+	line := all.Lines[0]
+	require.EqualValues(t, 2*each+2, line.Requests)
+	require.EqualValues(t, 2*each, line.Outcomes[outcome.NameAnswered])
+	require.EqualValues(t, 2, line.Reasons["Refused.QueueFull"])
+	require.EqualValues(t, 6*each, line.Tokens)
+	require.Empty(t, all.For("south").Lines)
+}
