--- a/internal/caller/front.go
+++ b/internal/caller/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -53,6 +52,9 @@
 	options Options
 	mux     *http.ServeMux
 	maxBody int64
+	// organisations by the SHA-256 of their credential, so that the time of a
+	// look-up tells nothing of a credential.
+	organisations map[[sha256.Size]byte]settings.Organisation
 
 	mu      sync.Mutex
 	closed  bool
@@ -64,6 +66,10 @@
 // NewFront returns a front that takes requests.
 func NewFront(o Options) *Front {
 	f := &Front{options: o, mux: http.NewServeMux(), maxBody: o.Settings.MaxBodyBytes, idle: make(chan struct{})}
+	f.organisations = map[[sha256.Size]byte]settings.Organisation{}
+	for _, a := range o.Settings.Organisations {
+		f.organisations[sha256.Sum256([]byte(a.Key))] = a
+	}
 	if f.maxBody == 0 {
 		f.maxBody = defaultMaxBody
 	}
@@ -149,16 +155,8 @@
 	if !ok {
 		return settings.Organisation{}, false
 	}
-	sum := sha256.Sum256([]byte(key))
-	var found settings.Organisation
-	matched := false
-	for _, o := range f.options.Settings.Organisations {
-		want := sha256.Sum256([]byte(o.Key))
-		if subtle.ConstantTimeCompare(sum[:], want[:]) == 1 {
-			found, matched = o, true
-		}
-	}
-	return found, matched
+	found, ok := f.organisations[sha256.Sum256([]byte(key))]
+	return found, ok
 }
 
 // class returns the class called name.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,7 @@
 	client  *transmit.Client
 	router  *route.Router
 	gone    *unreachable
+	subsets *subsets
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue  // by service
@@ -69,6 +70,7 @@
 		client:  transmit.NewClient(),
 		router:  route.NewRouter(),
 		gone:    newUnreachable(),
+		subsets: newSubsets(o),
 		queues:  map[string]*limit.Queue{},
 		budgets: map[string]*limit.Budget{},
 	}
@@ -229,8 +231,7 @@
 
 // subset returns the class's agents that this gateway uses.
 func (f *flight) subset(now time.Time) []gateway.Member {
-	o := f.dispatcher.options
-	return route.Subset(o.Members.Routable(f.request.Class.Service, now), o.Gateways(), o.Gateway)
+	return f.dispatcher.subsets.of(f.request.Class.Service, now)
 }
 
 // members returns the agents that may run the request now.
