Count control bytes and calls; benchmark what daemons spend for control

The target for control is 2% of a core, 32 MB and 3 KB a second a daemon, and nothing measured any of it. The connection of net/rpc is wrapped at both ends, which counts what the wire carries, gob's descriptions of types included; counting in the messages would have needed a second encoding.

The site's agents may share one backend server process, so that a size of 200 daemons needs 205 processes, and start in batches of 20.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROGRAMS := almondreel almondreel-agent almondreel-demo almondreel-gateway almondreel-standin
 PROGRAM_DIRS := $(addprefix ./cmd/,$(PROGRAMS))
 
-.PHONY: all build demo test race known-red bench soak format lint vet clean
+.PHONY: all build demo test race known-red bench bench-capacity soak format lint vet clean
 
 all: build
 
@@ -34,6 +34,10 @@
 bench: build
 	go test -run '^$$' -bench . -benchtime 1x ./bench/...
 
+# What the daemons spend for control, a request and a token (docs/CAPACITY.md).
+bench-capacity: build
+	go test -run '^$$' -bench . -benchtime 1x -timeout 20m ./bench/capacity
+
 # Long randomised runs; SEED=n repeats one.
 soak: build
 	SOAK=1 go test -count 1 -timeout 40m -run Soak -v ./...
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
 )
 
@@ -26,7 +27,7 @@
 			return nil, errs.Wrap(err, "register "+name, "")
 		}
 	}
-	return server, nil
+	return counted(server), nil
 }
 
 // Path is where the handler must be mounted.
@@ -53,6 +54,7 @@
 	if err != nil {
 		return errs.Wrap(err, "connect", c.address)
 	}
+	counter.Add("ControlCalls."+method, 1)
 	call := client.Go(method, request, reply, make(chan *rpc.Call, 1))
 	select {
 	case done := <-call.Done:
@@ -116,5 +118,5 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return rpc.NewClient(conn), nil
+	return rpc.NewClient(countedConn{conn}), nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,7 +72,7 @@
 	for _, s := range f.Site.Services {
 		backends += s.Instances
 	}
-	free, err := freeAddresses(4 + 2*gateways + 2*backends)
+	free, err := freeAddresses(4 + 2*gateways + 2*backends + len(f.Site.Services))
 	if err != nil {
 		return err
 	}
@@ -89,10 +89,15 @@
 		}
 	}
 	for _, s := range f.Site.Services {
+		shared := take()
 		for i := range s.Instances {
+			address := shared
+			if !s.OneProcess {
+				address = take()
+			}
 			r := f.Site.Regions[i%len(f.Site.Regions)]
 			name := fmt.Sprintf("%s-%d", s.Name, i+1)
-			f.Backends = append(f.Backends, Backend{Service: s, Region: r, Instance: name, Address: take(), Agent: take()})
+			f.Backends = append(f.Backends, Backend{Service: s, Region: r, Instance: name, Address: address, Agent: take()})
 		}
 	}
 	return nil
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -96,6 +96,16 @@
 	return p.ended
 }
 
+// ID returns the operating system's number of the current run; 0 before the first.
+func (p *Process) ID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Log returns the path of the process's log file.
 func (p *Process) Log() string { return p.log }
 
--- a/internal/fleet/site.go
+++ b/internal/fleet/site.go
@@ -21,6 +21,7 @@
 	Kind         string `yaml:"Kind"` // settings.KindEngine or settings.KindPlain
 	Instances    int    `yaml:"Instances"`
 	ChecksOrders bool   `yaml:"ChecksOrders"`
+	OneProcess   bool   `yaml:"OneProcess"` // all instances share one backend server process
 	// Times of the stand-ins.
 	FirstTokenMilliseconds    int `yaml:"FirstTokenMilliseconds"`
 	BetweenTokensMilliseconds int `yaml:"BetweenTokensMilliseconds"`
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -21,6 +21,9 @@
 	kvWritesPerSecond = 400
 	kvReadsPerSecond  = 2000
 	pollEvery         = 50 * time.Millisecond
+	// Agents start in batches, so that a large site does not take the whole machine.
+	startBatch = 20
+	startPause = 400 * time.Millisecond
 )
 
 // Start starts the platform's stand-ins, the backend servers and the daemons.
@@ -35,17 +38,18 @@
 	if err := f.ListInstances(ctx, nil); err != nil {
 		return err
 	}
-	for _, b := range f.Backends {
-		if err := f.startBackend(b); err != nil {
-			return err
-		}
+	if err := f.startBackends(); err != nil {
+		return err
 	}
 	for _, g := range f.Gateways {
 		if err := f.run(g.Name, "almondreel-gateway", "--settings", f.settingsFile(g.Name)); err != nil {
 			return err
 		}
 	}
-	for _, b := range f.Backends {
+	for i, b := range f.Backends {
+		if i%startBatch == startBatch-1 {
+			time.Sleep(startPause)
+		}
 		if err := f.run(b.Instance, "almondreel-agent", "--settings", f.settingsFile(b.Instance)); err != nil {
 			return err
 		}
@@ -53,6 +57,21 @@
 	return nil
 }
 
+// startBackends starts each backend server once, also where instances share one.
+func (f *Fleet) startBackends() error {
+	started := map[string]bool{}
+	for _, b := range f.Backends {
+		if started[b.Address] {
+			continue
+		}
+		started[b.Address] = true
+		if err := f.startBackend(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) startPlatform() error {
 	p, m, l := f.Platform, f.Site.Model, f.Site.Links
 	published := []string{
--- a/internal/instances/client.go
+++ b/internal/instances/client.go
@@ -47,7 +47,12 @@
 		return List{}, errs.New("read instances", c.base, "status %d", response.StatusCode)
 	}
 	var l List
-	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&l)
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	counter.Add("InstanceListReceivedBytes", int64(len(text)))
+	if err != nil {
+		return l, errs.Wrap(err, "read instances", c.base)
+	}
+	err = json.Unmarshal(text, &l)
 	return l, errs.Wrap(err, "decode instances", c.base)
 }
 
