Leave it to the placement which versions may answer; prove an undone late order

The placement already lists the versions that may answer while a class changes, so the replica's own note of the former version stood twice. The new test passes also without that list: the board is closed before each order, so the late version is guarded twice. go test ./internal/replica

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -44,7 +44,6 @@
 	transfer *transfer.Transfer
 	stop     context.CancelFunc       // of the transfer
 	verified map[manifest.Digest]bool // versions that were verified whole in this run
-	former   manifest.Digest          // served when plan was placed, until the engine states plan's
 	order    *order                   // without an answer; nil: none
 	settle   settling
 	state    engine.State
@@ -191,19 +190,8 @@
 	}
 }
 
-// served returns the version for which the board is open, or "".
-func (r *Replica) served() manifest.Digest {
-	d := r.state.Digest
-	placed := d == r.plan.Digest || d == r.former
-	if r.plan.Digest == "" || r.silence >= maxSilence || !placed || !r.verified[d] {
-		return ""
-	}
-	return d
-}
-
 // show writes the state on the board. It is open only for a version that the
-// engine states and that was verified whole: the placed one, or the one before
-// it until the engine first states the placed one.
+// engine states, that was verified whole and that the placement lets answer.
 func (r *Replica) show() {
 	have, chunks := 0, 0
 	if r.transfer != nil {
@@ -213,7 +201,7 @@
 	open := !r.closed && r.silence < maxSilence && r.answers[digest] && r.verified[digest]
 	r.board.Update(func(s *serving.Status) {
 		s.Open = open
-		s.Digest = r.state.Digest
+		s.Digest = digest
 		s.Want = r.plan.Digest
 		s.Have = have
 		s.Chunks = chunks
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -25,6 +25,7 @@
 	"almondreel.example/almondreel/internal/replica"
 	"almondreel.example/almondreel/internal/serving"
 	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/source"
 	standinengine "almondreel.example/almondreel/internal/standin/engine"
 	standin "almondreel.example/almondreel/internal/standin/source"
 	"almondreel.example/almondreel/internal/swarm"
@@ -46,6 +47,8 @@
 	desired *desired.State
 	board   *serving.Board
 
+	engineAddress string
+
 	mu       sync.Mutex
 	engine   *standinengine.Server
 	orders   []engine.LoadModel
@@ -63,8 +66,9 @@
 	b.engine = standinengine.New(o)
 	server := httptest.NewServer(http.HandlerFunc(b.serve))
 	t.Cleanup(server.Close)
+	b.engineAddress = strings.TrimPrefix(server.URL, "http://")
 	configured := b.agent.Settings
-	configured.Backend = settings.Backend{Kind: settings.KindEngine, Address: strings.TrimPrefix(server.URL, "http://")}
+	configured.Backend = settings.Backend{Kind: settings.KindEngine, Address: b.engineAddress}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- replica.New(configured, b.desired, b.board, b.agent.Weights).Run(ctx) }()
@@ -251,3 +255,29 @@
 	b.place(m, 3)
 	b.awaitServing(m.Digest())
 }
+
+// An engine that ignores fencing numbers takes an order that arrives late. The
+// board must not open for it though the version was verified and served before.
+func TestLateOrderThatTakesEffectIsUndone(t *testing.T) {
+	b := start(t, standinengine.Options{}, 0)
+	first, second := b.publish("1", 1), b.publish("2", 2)
+	b.place(first, 1)
+	b.awaitServing(first.Digest())
+	b.place(second, 2)
+	b.awaitServing(second.Digest())
+	late := engine.LoadModel{
+		Digest:        first.Digest(),
+		Whole:         first.Whole,
+		Source:        b.agent.Settings.Origin + source.WeightsPath("model", "1"),
+		FencingNumber: 1,
+	}
+	_, err := engine.NewClient(b.engineAddress).LoadModel(context.Background(), late)
+	require.NoError(t, err)
+	until := time.Now().Add(2 * time.Second)
+	for time.Now().Before(until) {
+		s := b.board.Status()
+		require.False(t, s.Open && s.Digest != second.Digest(), "open for %s", s.Digest)
+		time.Sleep(2 * time.Millisecond)
+	}
+	b.awaitServing(second.Digest())
+}
