--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -191,7 +191,7 @@
 }
 
 // show writes the state on the board. It is open only for a version that the
-// engine states, that was verified whole, and that the placement lets answer.
+// engine states, that was verified whole and that the placement lets answer.
 func (r *Replica) show() {
 	have, chunks := 0, 0
 	if r.transfer != nil {
