--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -34,7 +34,7 @@
 	maxWaiting   = 20000 // records held one by one
 	maxBatch     = 2000  // records a key
 	flushEvery   = time.Second
-	writeTimeout = 5 * time.Second
+	writeTimeout = 2 * time.Second
 	maxTotals    = 4096 // distinct sums
 )
 
@@ -189,28 +189,23 @@
 	}
 }
 
-// write repeats one batch under its key until its outcome is certain, and
-// reports whether it is in the ledger.
+// write tries one batch under its key, and reports whether it is in the ledger.
 func (l *Ledger) write(ctx context.Context, p Parcel) bool {
-	for ctx.Err() == nil {
-		try, cancel := context.WithTimeout(ctx, writeTimeout)
-		o := settle.Do(try, l.open(p.Key), settle.Write{Value: p.Value, Trace: traceOf(p.Value)})
-		cancel()
-		switch o := o.(type) {
-		case settle.Accepted:
-			l.told(false, nil)
-			return true
-		case settle.Rejected:
-			// Keys carry a gateway's name and the time at which it started.
-			event.Fail(event.LedgerKeyTaken, errs.New("write batch", p.Key, "key holds another batch"))
-			counter.Add("LedgerKeysTaken", 1)
-			return true
-		case settle.NotWritten:
-			l.told(true, o.Err)
-			return false
-		case settle.Unknown:
-			l.told(true, o.Err)
-		}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	switch o := settle.Do(ctx, l.open(p.Key), settle.Write{Value: p.Value, Trace: traceOf(p.Value)}).(type) {
+	case settle.Accepted:
+		l.told(false, nil)
+		return true
+	case settle.Rejected:
+		// Keys carry a gateway's name and the time at which it started.
+		event.Fail(event.LedgerKeyTaken, errs.New("write batch", p.Key, "key holds another batch"))
+		counter.Add("LedgerKeysTaken", 1)
+		return true
+	case settle.NotWritten:
+		l.told(true, o.Err)
+	case settle.Unknown:
+		l.told(true, o.Err)
 	}
 	return false
 }
