--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -30,6 +30,7 @@
 	DutyFenced
 	TargetShort
 	VersionUnresolved
+	PlacementTooLarge
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -86,6 +87,7 @@
 	DutyFenced:           "placement write lost against a newer revision",
 	TargetShort:          "too few instances for a class's target",
 	VersionUnresolved:    "origin does not resolve a version",
+	PlacementTooLarge:    "placement is larger than the key-value service holds",
 
 	TransferStarted:   "transfer of a model started",
 	TransferVerified:  "transfer complete and verified",
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -94,6 +94,7 @@
 	Sequence  uint64   // of the replying gateway's view
 	Members   []Member // changed, and heard directly by the replying gateway
 	Silent    []string // members that it heard directly and no longer hears
+	Leaving   []string // instances that the platform lists as leaving
 	Convicted []Conviction
 }
 
--- a/internal/heartbeat/choose.go
+++ b/internal/heartbeat/choose.go
@@ -61,4 +61,8 @@
 	h.avoided[name] = until
 	h.mu.Unlock()
 	h.wake()
+	select {
+	case h.unanswered <- struct{}{}:
+	default: // the list is about to be read
+	}
 }
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -21,10 +21,12 @@
 
 const (
 	interval     = time.Second
-	listInterval = 20 * time.Second
-	listRetry    = time.Second
-	maxListRetry = 15 * time.Second
-	reselect     = 2 * time.Second
+	listInterval = 2 * time.Minute
+	// leastListInterval is the time between two readings when gateways do not answer.
+	leastListInterval = 5 * time.Second
+	listRetry         = time.Second
+	maxListRetry      = 15 * time.Second
+	reselect          = 2 * time.Second
 )
 
 // Heartbeat is the duty that keeps an agent in touch with its gateways.
@@ -41,6 +43,8 @@
 	avoided  map[string]time.Time // gateway name to the time until which it is passed over
 	peers    map[string]peerList  // by gateway name
 	changed  chan struct{}
+
+	unanswered chan struct{} // wakes the reader of the list
 }
 
 type peerList struct {
@@ -59,6 +63,8 @@
 		avoided:   map[string]time.Time{},
 		peers:     map[string]peerList{},
 		changed:   make(chan struct{}, 1),
+
+		unanswered: make(chan struct{}, 1),
 	}
 }
 
@@ -92,8 +98,8 @@
 	return ctx.Err()
 }
 
-// readList reads the platform's list on a slow jittered poll, faster with
-// backoff while it names no gateway.
+// readList reads the platform's list on a slow jittered poll, sooner when a
+// gateway does not answer, and with backoff while it names none.
 func (h *Heartbeat) readList(ctx context.Context) {
 	retry := listRetry
 	for {
@@ -107,12 +113,27 @@
 			retry = listRetry
 			h.setListed(gateways)
 		}
-		if !sleep(ctx, wait) {
+		least := min(wait, jitter(leastListInterval))
+		if !sleep(ctx, least) || !h.awaitList(ctx, wait-least) {
 			return
 		}
 	}
 }
 
+// awaitList waits until the list is to be read again. It returns false when ctx ends.
+func (h *Heartbeat) awaitList(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-h.unanswered:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (h *Heartbeat) setListed(gateways []instances.Instance) {
 	h.mu.Lock()
 	h.listed = gateways
--- a/internal/instances/client.go
+++ b/internal/instances/client.go
@@ -46,8 +46,12 @@
 		counter.Add("InstanceListFailed", 1)
 		return List{}, errs.New("read instances", c.base, "status %d", response.StatusCode)
 	}
-	var l List
-	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&l)
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return List{}, errs.Wrap(err, "read instances", c.base)
+	}
+	l := List{Bytes: len(text)}
+	err = json.Unmarshal(text, &l)
 	return l, errs.Wrap(err, "decode instances", c.base)
 }
 
--- a/internal/instances/messages.go
+++ b/internal/instances/messages.go
@@ -35,4 +35,5 @@
 // List is the platform's answer.
 type List struct {
 	Instances []Instance `json:"Instances"`
+	Bytes     int        `json:"-"` // of the encoded list
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -53,7 +53,8 @@
 	listed   map[string]instances.Instance // the platform's list, by name
 	listedAt time.Time
 	startAt  time.Time
-	sequence uint64 // rises with each change that other gateways are told
+	told     map[string]map[string]bool // instances that other gateways say are listed as leaving, by gateway
+	sequence uint64                     // rises with each change that other gateways are told
 	silent   map[string]bool
 	news     chan struct{} // closes at the next change that others need to hear
 }
@@ -82,6 +83,7 @@
 		listed:   map[string]instances.Instance{},
 		silent:   map[string]bool{},
 		startAt:  time.Now(),
+		told:     map[string]map[string]bool{},
 		news:     make(chan struct{}),
 	}
 }
@@ -211,8 +213,18 @@
 	return now.Sub(r.directAt) > movedAfter && t.heardByOthers(r, now)
 }
 
+// leaving reports whether the member itself, the platform's list as read here
+// or as another gateway read it says so.
 func (t *Table) leaving(r *record) bool {
-	return r.member.Leaving || t.listed[r.member.Name].State == instances.Leaving
+	if r.member.Leaving || t.listed[r.member.Name].State == instances.Leaving {
+		return true
+	}
+	for _, names := range t.told {
+		if names[r.member.Name] {
+			return true
+		}
+	}
+	return false
 }
 
 // Service counts the members of a service that are neither leaving nor dead.
--- a/internal/membership/sources.go
+++ b/internal/membership/sources.go
@@ -68,6 +68,39 @@
 	}
 }
 
+// TellLeaving records which instances another gateway reads as leaving in the
+// platform's list; it replaces what that gateway said before.
+func (t *Table) TellLeaving(from string, names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.told, from)
+	if len(names) == 0 {
+		return
+	}
+	t.told[from] = map[string]bool{}
+	for _, name := range names {
+		t.told[from][name] = true
+	}
+}
+
+// ListedLeaving returns the instances that the platform's list, if fresh, says
+// are leaving.
+func (t *Table) ListedLeaving(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.listedAt) > listFresh {
+		return nil
+	}
+	var names []string
+	for name, i := range t.listed {
+		if i.State == instances.Leaving {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // HearGateway records that another gateway was heard.
 func (t *Table) HearGateway(p gateway.Peer, at time.Time) {
 	t.mu.Lock()
@@ -89,6 +122,7 @@
 	for name, g := range t.gateways {
 		if !live[name] && at.Sub(g.heardAt) > expireAfter {
 			delete(t.gateways, name)
+			delete(t.told, name)
 		}
 	}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -141,9 +141,22 @@
 	if s.Placement.Holder == next.Holder && next.Same(s.Placement) {
 		return
 	}
+	p.logShort(s.Configuration, s.Placement, next)
 	p.write(ctx, s.Placement.Revision, next)
 }
 
+// logShort logs each class that comes to have fewer instances than its target.
+func (p *Planner) logShort(d operator.Document, held, next placement.Placement) {
+	for _, c := range d.Classes {
+		before, _ := held.Of(c.Name)
+		now, _ := next.Of(c.Name)
+		if len(now.Instances) < c.Target.Replicas && len(now.Instances) != len(before.Instances) {
+			counter.Add("TargetsShort", 1)
+			event.Log(event.TargetShort, "Class", c.Name, "Instances", len(now.Instances), "Replicas", c.Target.Replicas)
+		}
+	}
+}
+
 func (p *Planner) write(ctx context.Context, base uint64, next placement.Placement) {
 	if held, _ := p.lease.held(time.Now()); !held {
 		return
@@ -157,7 +170,7 @@
 	}
 	if len(text) > kv.MaxValueBytes {
 		counter.Add("PlacementRefused.TooLarge", 1)
-		event.Log(event.TargetShort, "PlacementBytes", len(text), "MaxBytes", kv.MaxValueBytes)
+		event.Log(event.PlacementTooLarge, "Bytes", len(text), "Most", kv.MaxValueBytes)
 		return
 	}
 	key := kv.Key{Client: p.kv, Name: placement.Key}
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -85,6 +85,7 @@
 	s.table.HearGateway(p, now)
 	whole := reply.Run != known.run
 	s.table.Tell(p.Name, reply.Members, reply.Silent, whole, now)
+	s.table.TellLeaving(p.Name, reply.Leaving)
 	s.mu.Lock()
 	s.views[p.Name] = view{run: reply.Run, sequence: reply.Sequence}
 	s.mu.Unlock()
@@ -107,6 +108,7 @@
 	reply.Documents = snapshot.Newer(request.Revisions)
 	reply.Run = s.run
 	reply.Members, reply.Silent, reply.Sequence = s.table.Changes(after)
+	reply.Leaving = s.table.ListedLeaving(time.Now())
 	reply.Convicted = s.convicted()
 	s.takeConvicted(request.Convicted)
 	if snapshot.Behind(request.Revisions) {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -95,14 +95,17 @@
 	}
 }
 
+// readList reads the platform's list as often as its size allows. Each gateway
+// tells the others which instances it lists as leaving, so that together they
+// know within seconds also when the list is long.
 func (s *Spread) readList(ctx context.Context) {
 	retry := listRetry
 	for {
-		wait := jitter(listInterval)
 		l, err := s.directory.List(ctx)
+		wait := jitter(listInterval(l.Bytes))
 		if err != nil || len(l.Instances) == 0 {
 			wait = jitter(retry)
-			retry = min(2*retry, listInterval)
+			retry = min(2*retry, maxListInterval)
 		} else {
 			retry = listRetry
 			s.table.List(l, time.Now())
@@ -114,10 +117,17 @@
 }
 
 const (
-	listInterval = 10 * time.Second
-	listRetry    = time.Second
+	listBytesPerSecond = 1000
+	minListInterval    = 3 * time.Second
+	maxListInterval    = time.Minute
+	listRetry          = time.Second
 )
 
+func listInterval(bytes int) time.Duration {
+	d := time.Duration(bytes) * time.Second / listBytesPerSecond
+	return min(max(d, minListInterval), maxListInterval)
+}
+
 // jitter returns a time between half and one and a half of d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
--- a/pkg/settle/settle_test.go
+++ b/pkg/settle/settle_test.go
@@ -192,13 +192,13 @@
 		{"written", []settle.Answer{settle.Written{Revision: 6}}, settle.Absent, settle.Accepted{Revision: 6}},
 		{"lost, then written", []settle.Answer{lost, settle.Written{Revision: 6}}, settle.Absent, settle.Accepted{Revision: 6}},
 		{"lost, then present", []settle.Answer{lost, newer}, settle.Present, settle.Accepted{Revision: 9}},
-		{"lost, then absent", []settle.Answer{lost, newer}, settle.Absent, settle.Rejected{Current: newer.Current}},
+		{"lost, then absent", []settle.Answer{lost, newer}, settle.Absent, settle.Rejected(newer)},
 		{"lost, then forgotten", []settle.Answer{lost, newer}, settle.Forgotten, settle.Unknown{Err: errFault}},
 		{"lost, then an older conflict, then written", []settle.Answer{lost, older, settle.Written{Revision: 6}}, settle.Absent, settle.Accepted{Revision: 6}},
 		{"down for good", []settle.Answer{down}, settle.Absent, settle.NotWritten{Err: errFault}},
 		{"lost, then down for good", []settle.Answer{lost, down}, settle.Absent, settle.Unknown{Err: errFault}},
 		{"lost, then refused", []settle.Answer{lost, settle.Refused{Err: errFault}}, settle.Absent, settle.Unknown{Err: errFault}},
-		{"conflict at once", []settle.Answer{newer}, settle.Present, settle.Rejected{Current: newer.Current}},
+		{"conflict at once", []settle.Answer{newer}, settle.Present, settle.Rejected(newer)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
