--- a/internal/instances/client.go
+++ b/internal/instances/client.go
@@ -47,6 +47,7 @@
 		return List{}, errs.New("read instances", c.base, "status %d", response.StatusCode)
 	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	counter.Add("InstanceListReceivedBytes", int64(len(text)))
 	if err != nil {
 		return List{}, errs.Wrap(err, "read instances", c.base)
 	}
