Have a holder that is cut off from most gateways give the duty up

A holder that reached the key-value service but not the other data centres kept the duty, saw nobody else's progress, and a release stood still for as long as the cut lasted: TestHolderCutFromTheOthersGivesTheDutyUp failed with 0 of 4 instances after 30 s. It now yields when it has not heard half of the gateways for six seconds; the release went on and was done after 9.74 s.

--- a/internal/membership/sources.go
+++ b/internal/membership/sources.go
@@ -166,6 +166,46 @@
 	return out
 }
 
+// Connected reports whether at least half of the gateways that are known are
+// heard by self, itself counted.
+func (t *Table) Connected(self string, now time.Time) bool {
+	known, heard := 1, 1
+	for _, p := range t.known(self) {
+		known++
+		if t.heard(p, now) {
+			heard++
+		}
+	}
+	return 2*heard >= known
+}
+
+// known returns the names of the other gateways, listed or heard at any time.
+func (t *Table) known(self string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := map[string]bool{}
+	for name, i := range t.listed {
+		found[name] = i.Role == instances.RoleGateway
+	}
+	for name := range t.gateways {
+		found[name] = true
+	}
+	delete(found, self)
+	var out []string
+	for name, is := range found {
+		if is {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (t *Table) heard(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.gatewayHeard(name, now)
+}
+
 // Peers returns up to limit members that fetch or serve the version that the
 // member called name wants: of its data centre first, then of its region.
 func (t *Table) Peers(name string, limit int, now time.Time) []gateway.Peer {
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -22,6 +22,8 @@
 	renewInterval   = 1500 * time.Millisecond
 	seekInterval    = 2 * time.Second
 	maxSeekInterval = 8 * time.Second
+	cutOffAfter     = 6 * time.Second
+	yieldPause      = 12 * time.Second
 	// candidates is the number of gateways that seek the duty.
 	candidates = 3
 )
@@ -35,6 +37,7 @@
 
 	mu       sync.Mutex
 	until    time.Time // zero: not held
+	since    time.Time // when it was acquired
 	term     uint64    // rises each time the duty is acquired
 	id       string
 	revision uint64 // of the key
@@ -56,6 +59,10 @@
 	for ctx.Err() == nil {
 		held, _ := l.held(time.Now())
 		switch {
+		case held && l.cutOff(time.Now()):
+			counter.Add("DutyYielded", 1)
+			l.release()
+			sleep(ctx, jitter(yieldPause))
 		case held:
 			l.renew(ctx)
 			sleep(ctx, renewInterval)
@@ -71,6 +78,15 @@
 	l.release()
 }
 
+// cutOff reports whether the holder has not heard half of the gateways for so
+// long that another would plan better. Alone it takes the duty again after a
+// pause, since some planning is better than none.
+func (l *lease) cutOff(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.since) > cutOffAfter && !l.table.Connected(l.self, now)
+}
+
 func (l *lease) candidate(now time.Time) bool {
 	names := []string{l.self}
 	for _, g := range l.table.LiveGateways(l.self, now) {
@@ -103,6 +119,7 @@
 	l.mu.Lock()
 	l.id, l.revision = granted.Lease, e.Revision
 	l.until = asked.Add(leaseTime)
+	l.since = asked
 	l.term++
 	l.mu.Unlock()
 	counter.Add("DutyAcquired", 1)
--- a/test/configuration/outage_test.go
+++ b/test/configuration/outage_test.go
@@ -167,6 +167,38 @@
 	})
 }
 
+// TestHolderCutFromTheOthersGivesTheDutyUp cuts the holder's data centre from
+// the others, but not from the key-value service.
+func TestHolderCutFromTheOthersGivesTheDutyUp(t *testing.T) {
+	t.Parallel()
+	s := serving(t, loopback.Options{DataCentres: 3, Gateways: 3, Agents: 9}, 6)
+	second := publish(t, s, "2", 2)
+	holder := newest(s).Holder
+	home := ""
+	for _, g := range s.Gateways {
+		if g.Name == holder {
+			home = g.DataCentre
+		}
+	}
+	for i := range 3 {
+		if other := fmt.Sprintf("centre-%d", i); other != home {
+			s.Cut(home, other, true)
+		}
+	}
+	set(t, s, class("2", 6))
+	took := eventually(t, 30*time.Second, "the release goes on in the other data centres", func() (bool, string) {
+		n := 0
+		for _, a := range s.Agents {
+			if a.DataCentre != home && a.Board.Status().Digest == second {
+				n++
+			}
+		}
+		return n >= 4, fmt.Sprintf("%d serve; holder %s", n, newest(s).Holder)
+	})
+	t.Logf("four instances outside the cut serve after %s", took)
+	require.NotEqual(t, holder, newest(s).Holder)
+}
+
 func TestDeadReplicaIsReplaced(t *testing.T) {
 	t.Parallel()
 	s := serving(t, loopback.Options{DataCentres: 3, Gateways: 3, Agents: 9}, 3)
