--- a/internal/instances/client.go
+++ b/internal/instances/client.go
@@ -46,12 +46,12 @@
 		counter.Add("InstanceListFailed", 1)
 		return List{}, errs.New("read instances", c.base, "status %d", response.StatusCode)
 	}
-	var l List
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
 	counter.Add("InstanceListReceivedBytes", int64(len(text)))
 	if err != nil {
-		return l, errs.Wrap(err, "read instances", c.base)
+		return List{}, errs.Wrap(err, "read instances", c.base)
 	}
+	l := List{Bytes: len(text)}
 	err = json.Unmarshal(text, &l)
 	return l, errs.Wrap(err, "decode instances", c.base)
 }
