--- a/bench/capacity/control_test.go
+++ b/bench/capacity/control_test.go
@@ -18,11 +18,10 @@
 )
 
 const (
-	settle       = 15 * time.Second // until first transfers and the first list have passed
-	quiet        = 20 * time.Second
-	changes      = 6
-	changePause  = 4 * time.Second
-	changedClass = "lookups-0"
+	settle      = 15 * time.Second // until every daemon has read its first list
+	quiet       = 20 * time.Second
+	changes     = 6
+	changePause = 4 * time.Second
 )
 
 // control is one size's result.
@@ -32,7 +31,7 @@
 	resident, residentMost [2]float64
 	anonymous              [2]float64
 	inForce                []time.Duration // each change, until the last daemon has it
-	placed                 []time.Duration // each change, until the last daemon has a placement planned from it
+	placed                 []time.Duration // each change, until the last daemon has the next placement
 	calls                  map[string]float64
 }
 
@@ -91,7 +90,7 @@
 	time.Sleep(quiet)
 	c.calls = callRates(callsBefore, kvCalls(b, f), time.Since(at))
 	after := sampleGroups(b, groups)
-	made := makeChanges(b, f, agents)
+	made := makeChanges(b, f)
 	last := sampleGroups(b, groups)
 	for i, g := range groups {
 		c.idle[i], c.changing[i] = between(before[i], after[i]), between(after[i], last[i])
@@ -129,11 +128,11 @@
 
 var acceptedLine = regexp.MustCompile(`revision (\d+)`)
 
-// makeChanges changes one class's replicas a few seconds apart.
-func makeChanges(b *testing.B, f *fleet.Fleet, agents int) []accepted {
+// makeChanges creates classes a few seconds apart; each changes the placement too.
+func makeChanges(b *testing.B, f *fleet.Fleet) []accepted {
 	var out []accepted
 	for i := range changes {
-		text, code, err := f.Operator("class", "set", changedClass, "--replicas", strconv.Itoa(agents-1-i))
+		text, code, err := f.Operator("class", "create", fmt.Sprintf("added-%d", i), "--kind", "Plain", "--service", "lookups")
 		require.NoError(b, err)
 		require.Zero(b, code, text)
 		found := acceptedLine.FindStringSubmatch(text)
--- a/bench/capacity/site_test.go
+++ b/bench/capacity/site_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -15,7 +16,6 @@
 )
 
 const (
-	binaries     = "../../bin"
 	startTimeout = 2 * time.Minute
 	regions      = 3
 	dataCentres  = 11
@@ -38,9 +38,17 @@
 	return []settings.Organisation{{Name: "capacity", Key: "capacity-key"}}
 }
 
+// binaries is the directory of the programs; CAPACITY_BIN names another build's.
+func binaries() string {
+	if other := os.Getenv("CAPACITY_BIN"); other != "" {
+		return other
+	}
+	return "../../bin"
+}
+
 // startSite starts a site and waits until every daemon is ready.
 func startSite(b *testing.B, site fleet.Site) *fleet.Fleet {
-	f, err := fleet.New(site, binaries, b.TempDir())
+	f, err := fleet.New(site, binaries(), b.TempDir())
 	require.NoError(b, err)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
--- a/bench/capacity/spread_test.go
+++ b/bench/capacity/spread_test.go
@@ -24,6 +24,9 @@
 	"placement":     event.PlacementAdopted,
 }
 
+// notSeen stands for a change that some daemon did not adopt while it was watched.
+const notSeen = time.Hour
+
 // spreadTimes returns for each change the time until the last daemon adopted
 // the document: for a placement, the next one that it adopted after the change.
 func spreadTimes(b *testing.B, f *fleet.Fleet, made []accepted, document string) []time.Duration {
@@ -38,7 +41,7 @@
 		for _, log := range logs {
 			at, ok := firstSince(log, m, document == "placement")
 			if !ok {
-				out[i] = -1
+				out[i] = notSeen
 				break
 			}
 			out[i] = max(out[i], at.Sub(m.at))
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -109,6 +110,14 @@
 // Log returns the path of the process's log file.
 func (p *Process) Log() string { return p.log }
 
+// Ports below those that the kernel gives to outgoing connections, which would
+// take a port between its choice and the daemon's start.
+const (
+	firstPort  = 12000
+	ports      = 20000
+	portTrials = 50
+)
+
 // freeAddresses returns n loopback addresses on which nothing listens.
 func freeAddresses(n int) ([]string, error) {
 	listeners := make([]net.Listener, 0, n)
@@ -119,7 +128,7 @@
 	}()
 	out := make([]string, 0, n)
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenFree()
 		if err != nil {
 			return nil, err
 		}
@@ -128,3 +137,14 @@
 	}
 	return out, nil
 }
+
+func listenFree() (net.Listener, error) {
+	var err error
+	for range portTrials {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
