--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -208,7 +208,7 @@
 	}
 	store := kv.NewClient(s.kvURL)
 	share := suspicion.New(name, g.Quarantine, func() []gateway.Peer { return s.peers(name) }, store)
-	g.Claims = claims.New(name, store)
+	g.Claims = claims.New(name, func() int { return max(1, o.Gateways) }, store)
 	g.Ledger = ledger.New(name, store)
 	g.Dispatcher = dispatch.New(dispatch.Options{
 		Gateway: name, Desired: d, Members: g.Members, Gateways: s.gatewayNames,
@@ -304,3 +304,6 @@
 		}
 	}
 }
+
+// Backend returns the base URL of the backend server, past all proxies.
+func (r *Replica) Backend() string { return r.backend.URL }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/invariant"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
@@ -48,6 +49,8 @@
 	options Options
 	client  *transmit.Client
 	router  *route.Router
+	gone    *unreachable
+	subsets *subsets
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue  // by service
@@ -66,15 +69,17 @@
 		options: o,
 		client:  transmit.NewClient(),
 		router:  route.NewRouter(),
+		gone:    newUnreachable(),
+		subsets: newSubsets(o),
 		queues:  map[string]*limit.Queue{},
 		budgets: map[string]*limit.Budget{},
 	}
 }
 
-// Stream runs a completion and passes its tokens to sink.
-func (d *Dispatcher) Stream(ctx context.Context, r Request, sink Sink) outcome.Outcome {
-	_, o := d.run(ctx, r, sink)
-	return o
+// Stream runs a completion and passes its tokens to sink. Of the answer only
+// Repeat is set.
+func (d *Dispatcher) Stream(ctx context.Context, r Request, sink Sink) (Answer, outcome.Outcome) {
+	return d.run(ctx, r, sink)
 }
 
 // Call runs a plain call.
@@ -150,12 +155,9 @@
 }
 
 func (d *Dispatcher) queue(service string, members []gateway.Member) *limit.Queue {
+	slots := d.router.Room(members)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slots := 0
-	for _, m := range members {
-		slots += m.Slots
-	}
 	q, ok := d.queues[service]
 	if !ok {
 		q = limit.NewQueue(limit.Options{Ceiling: slots})
@@ -229,15 +231,14 @@
 
 // subset returns the class's agents that this gateway uses.
 func (f *flight) subset(now time.Time) []gateway.Member {
-	o := f.dispatcher.options
-	return route.Subset(o.Members.Routable(f.request.Class.Service, now), o.Gateways(), o.Gateway)
+	return f.dispatcher.subsets.of(f.request.Class.Service, now)
 }
 
 // members returns the agents that may run the request now.
 func (f *flight) members(now time.Time) []gateway.Member {
 	subset := f.subset(now)
 	if f.request.Class.Kind != operator.Model {
-		return subset
+		return f.dispatcher.gone.without(subset, now)
 	}
 	var out []gateway.Member
 	for _, m := range subset {
@@ -245,7 +246,7 @@
 			out = append(out, m)
 		}
 	}
-	return out
+	return f.dispatcher.gone.without(out, now)
 }
 
 // repeat sends an idempotent request until an attempt brings the whole answer.
@@ -343,6 +344,7 @@
 	f.tried[m.Name] = true
 	f.lastTried, f.suspect = m.Name, suspect
 	f.startedAt = time.Now()
+	invariant.Assert(f.request.Class.Idempotent || !f.accepted, invariant.OneDispatchOfClaim, "request %s is dispatched again", f.request.ID)
 	f.life.fire("Dispatch")
 	a := &attempt{
 		dispatcher: f.dispatcher,
--- a/internal/loopback/gateway.go
+++ b/internal/loopback/gateway.go
@@ -1,6 +1,7 @@
 package loopback
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -39,20 +40,25 @@
 
 // Start starts the gateway, with nothing in force.
 func (g *Gateway) Start() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	agents, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	g.address = listener.Addr().String()
+	gateways, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	g.address = agents.Addr().String()
 	g.Desired = desired.NewState()
 	g.Table = membership.NewTable()
-	keyValue, err := g.site.serve(g.keyValueGuard())
+	keyValue, err := g.site.serve(g.keyValueGuard(), &g.site.traffic.KeyValue)
 	if err != nil {
 		return err
 	}
 	s := settings.Gateway{
 		Identity:      settings.Identity{Name: g.Name, Region: g.DataCentre, DataCentre: g.DataCentre},
 		ControlListen: g.address,
+		Advertise:     gateways.Addr().String(),
 		KeyValue:      keyValue,
 		Instances:     g.site.instancesURL,
 		Origin:        g.site.originURL,
@@ -69,23 +75,50 @@
 	g.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	server := g.server
 	g.mu.Unlock()
-	g.run(ctx, func(context.Context) error { return server.Serve(listener) })
+	g.run(ctx, func(context.Context) error { return server.Serve(counted{agents, &g.site.traffic.Heartbeats}) })
+	g.run(ctx, func(context.Context) error { return server.Serve(counted{gateways, &g.site.traffic.Exchanges}) })
 	g.run(ctx, sp.Run)
 	g.run(ctx, planner.New(s, g.Desired, g.Table, client).Run)
 	return nil
 }
 
-// keyValueGuard passes calls to the key-value service unless the gateway's
-// data centre does not reach it.
+// keyValueGuard passes calls to the key-value service unless the gateway has
+// stopped or its data centre does not reach the service, also while a call waits.
 func (g *Gateway) keyValueGuard() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !g.site.reachesKeyValue(g.Name) {
-			panic(http.ErrAbortHandler)
-		}
-		g.site.KeyValue.ServeHTTP(w, r)
+		g.checkKeyValue()
+		answer := &buffer{header: http.Header{}, status: http.StatusOK}
+		g.site.KeyValue.ServeHTTP(answer, r)
+		g.checkKeyValue()
+		answer.copyTo(w)
 	})
 }
 
+func (g *Gateway) checkKeyValue() {
+	if !g.Running() || !g.site.reachesKeyValue(g.Name) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// buffer holds an answer until it is known whether it gets through.
+type buffer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (b *buffer) Header() http.Header            { return b.header }
+func (b *buffer) WriteHeader(status int)         { b.status = status }
+func (b *buffer) Write(data []byte) (int, error) { return b.body.Write(data) }
+
+func (b *buffer) copyTo(w http.ResponseWriter) {
+	for name, values := range b.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(b.status)
+	_, _ = w.Write(b.body.Bytes())
+}
+
 // receiver takes a gateway's calls unless the caller is cut off or the gateway
 // has stopped.
 type receiver struct {
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -21,7 +21,7 @@
 
 const (
 	stepInterval = 20 * time.Millisecond
-	maxFetches   = 4 // chunks fetched from agents of the region at once
+	maxFetches   = 8 // chunks fetched from agents of the region at once
 	maxDraws     = 2 // chunks drawn from sources at once
 	maxFar       = 1 // chunks fetched from other regions at once
 )
@@ -53,6 +53,8 @@
 	seenCount  uint64
 	changed    chan struct{} // closes when own or the seen sets grow
 	neighbours map[string]*neighbour
+	rejected   map[string]int    // by agent, chunks in a row that were not what they claimed
+	brought    map[int]time.Time // when the agent itself brought chunks into the region
 	flights    map[int]*flight
 	chunks     []chunkState
 	members    members
@@ -60,7 +62,8 @@
 	drawing    int
 	far        int
 	startedAt  time.Time
-	exchanged  bool // a neighbour answered, or there is none
+	bringAt    time.Time // next look at chunks to bring into the region
+	exchanged  bool      // a neighbour answered, or there is none
 	drawTime   time.Duration
 	regionRate regionRate
 }
@@ -95,6 +98,8 @@
 		landed:     make(chan landing, maxFetches+maxDraws+maxFar),
 		changed:    make(chan struct{}),
 		neighbours: map[string]*neighbour{},
+		rejected:   map[string]int{},
+		brought:    map[int]time.Time{},
 		flights:    map[int]*flight{},
 	}
 }
