--- a/bench/capacity/request_test.go
+++ b/bench/capacity/request_test.go
@@ -31,7 +31,8 @@
 	betweenTokens = 10 // milliseconds
 )
 
-func requestSite() fleet.Site {
+// requestSite has engines that generate a token every few milliseconds.
+func requestSite(betweenTokens, slots int) fleet.Site {
 	v := fleet.Version{Version: "1", Bytes: 1 << 20, ChunkBytes: 1 << 18, Seed: 1}
 	next := v
 	next.Version = "2"
@@ -39,7 +40,7 @@
 		Name:    "capacity",
 		Regions: []fleet.Region{{Name: "region-0", DataCentre: "region-0-dc-0", Gateways: 1}},
 		Services: []fleet.Service{{Name: "assistant", Kind: settings.KindEngine, Instances: engines, ChecksOrders: true,
-			FirstTokenMilliseconds: betweenTokens, BetweenTokensMilliseconds: betweenTokens, Slots: 64}},
+			FirstTokenMilliseconds: 10, BetweenTokensMilliseconds: betweenTokens, Slots: slots}},
 		Organisations: organisations(),
 		Classes: []fleet.Class{{Name: modelClass, Kind: "Model", Service: "assistant", Replicas: engines, Priority: 1,
 			FirstToken: "2s", AnswerWithin: "30s", Weighing: "Time"}},
@@ -59,11 +60,7 @@
 
 // BenchmarkRequests prints the processor time of a request and of a token.
 func BenchmarkRequests(b *testing.B) {
-	f := startSite(b, requestSite())
-	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
-	defer cancel()
-	_, err := f.AwaitServing(ctx, "1", engines)
-	require.NoError(b, err)
+	f := startServing(b, requestSite(betweenTokens, 64))
 	groups := rolesOf(f)
 	idle := measureLoad(b, groups, func() load { time.Sleep(idleTime); return load{} })
 	short := measureLoad(b, groups, func() load { return callers(b, f, shortCallers, shortTokens) })
@@ -71,6 +68,15 @@
 	printLoads(idle, short, long)
 }
 
+func startServing(b *testing.B, site fleet.Site) *fleet.Fleet {
+	f := startSite(b, site)
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	_, err := f.AwaitServing(ctx, "1", engines)
+	require.NoError(b, err)
+	return f
+}
+
 func measureLoad(b *testing.B, groups [2][]daemon, run func() load) load {
 	before, began := sampleGroups(b, groups), time.Now()
 	l := run()
--- a/bench/capacity/state_test.go
+++ b/bench/capacity/state_test.go
@@ -32,7 +32,15 @@
 	name    string
 	number  int
 	heap    int64
-	encoded int // bytes on the wire; 0: not sent as one document
+	encoded int // bytes as the key-value service keeps it; 0: it does not
+	sent    int // bytes between daemons; 0: not sent as one document
+}
+
+// sentBytes returns the bytes of a document between daemons.
+func sentBytes(b *testing.B, value []byte) int {
+	text, err := gateway.Versioned{Value: value, Revision: 1}.GobEncode()
+	require.NoError(b, err)
+	return len(text)
 }
 
 // BenchmarkState prints the bytes of what a daemon holds, at two sizes each.
@@ -50,13 +58,13 @@
 		all = append(all, heldConvictions(n))
 	}
 	for _, n := range []int{2000, 20000} {
-		all = append(all, heldRecords(n))
+		all = append(all, heldRecords(b, n))
 	}
 	all = append(all, heldClaims(b, 1000))
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "state\tnumber\theap KB\theap bytes each\tencoded bytes\t")
+	fmt.Fprintln(w, "state\tnumber\theap KB\theap bytes each\tencoded bytes\tsent bytes\t")
 	for _, h := range all {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t\n", h.name, h.number, h.heap/1024, h.heap/int64(h.number), h.encoded)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t\n", h.name, h.number, h.heap/1024, h.heap/int64(h.number), h.encoded, h.sent)
 	}
 	_ = w.Flush()
 }
@@ -114,7 +122,7 @@
 		require.NoError(b, d.AdoptPlacement(gateway.Versioned{Value: append([]byte(nil), text...), Revision: 1}, "test"))
 		return d
 	})
-	return holding{fmt.Sprintf("instances in a placement of %d classes", classes), instances, heap, len(text)}
+	return holding{fmt.Sprintf("instances in a placement of %d classes", classes), instances, heap, len(text), sentBytes(b, text)}
 }
 
 func heldConfiguration(b *testing.B, classes, history int) holding {
@@ -133,7 +141,7 @@
 		require.NoError(b, s.AdoptStored(operator.ConfigurationKey, text, 1))
 		return s
 	})
-	return holding{fmt.Sprintf("classes, %d changes of history", history), classes, heap, len(text)}
+	return holding{fmt.Sprintf("classes, %d changes of history", history), classes, heap, len(text), sentBytes(b, d.WithoutHistory().Encode())}
 }
 
 func heldConvictions(n int) holding {
@@ -164,18 +172,27 @@
 		require.NoError(b, err)
 		return text
 	}
-	return holding{"settled claims in a shard", n, heapOf(encode), len(encode().([]byte))}
+	return holding{"settled claims in a shard", n, heapOf(encode), len(encode().([]byte)), 0}
 }
 
-func heldRecords(n int) holding {
+func heldRecords(b *testing.B, n int) holding {
+	record := func(i int) outcome.Record {
+		r := outcome.NewRecord(outcome.Answered{Digest: fmt.Sprintf("sha256:%064d", 1), Tokens: 400})
+		r.RequestID, r.Organisation, r.Class, r.At = fmt.Sprintf("%036d", i), "organisation", "auction-questions", time.Now().UTC()
+		return r
+	}
 	heap := heapOf(func() any {
 		l := ledger.New("gateway", kv.NewClient("http://127.0.0.1:1"))
 		for i := range n {
-			r := outcome.NewRecord(outcome.Answered{})
-			r.RequestID, r.Organisation, r.Class, r.At, r.Tokens = fmt.Sprintf("%036d", i), "organisation", "class", time.Now(), 400
-			l.Add(r)
+			l.Add(record(i))
 		}
 		return l
 	})
-	return holding{name: "ledger records waiting", number: n, heap: heap}
+	batch := ledger.Batch{Gateway: "gateway"}
+	for i := range n {
+		batch.Records = append(batch.Records, record(i))
+	}
+	text, err := json.Marshal(batch)
+	require.NoError(b, err)
+	return holding{"ledger records waiting", n, heap, len(text), 0}
 }
