--- a/internal/replica/drain_test.go
+++ b/internal/replica/drain_test.go
@@ -29,20 +29,12 @@
 	require.Eventually(t, func() bool {
 		s := b.board.Status()
 		return s.Want == next.Digest() && s.Have == s.Chunks && s.Chunks > 0 && !s.Open
-<<<<<<< HEAD
 	}, 10*time.Second, 10*time.Millisecond, "the board closes once the version is held")
 	require.Never(t, func() bool { return b.engine.State().FencingNumber > 5 }, time.Second, 10*time.Millisecond)
 	require.Len(t, b.ordered(), 1)
-=======
-	}, 15*time.Second, 10*time.Millisecond, "the board closes once the version is held")
-	require.Never(t, func() bool { return b.engine.State().FencingNumber > 5 }, time.Second, 10*time.Millisecond)
->>>>>>> platform
 
 	b.board.Update(func(s *serving.Status) { s.Running-- })
 	b.awaitServing(next.Digest())
 	require.Equal(t, uint64(6), b.engine.State().FencingNumber)
-<<<<<<< HEAD
 	b.assertOrders()
-=======
->>>>>>> platform
 }
