Pin a request that was not run anew in the middle of a release; say unknown when nothing shows that it began

Cause: a request was pinned once to one of the versions that answer during a release. TestRequestThatWasNotRunIsPinnedAnew failed on its second request before the change and passes after it. Also: a request whose attempts were all cut before an agent said that it took them ended as Failed, which claims that it ran or began. It is Unknown now (TestRequestThatMayNotHaveBegunIsUnknown failed before).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -207,6 +207,7 @@
 	progress   progress
 	tried      map[string]bool
 	accepted   bool // an attempt may have run
+	began      bool // an agent took an attempt to its backend server
 	startedAt  time.Time
 	last       outcome.Reason // why the last attempt failed
 	lastTried  string
@@ -282,6 +283,9 @@
 	case declined:
 		f.last = r.reason
 		f.declines++
+		if r.reason == outcome.ReplicaOther || r.reason == outcome.NoReplica {
+			f.pinAnew()
+		}
 		if f.suspect && r.reason == outcome.ReplicaBusy {
 			delete(f.tried, f.lastTried) // another gateway's suspect runs there
 			f.declines--
@@ -317,9 +321,12 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return outcome.Cancelled{Tokens: f.progress.tokens}
 	}
-	if f.accepted {
+	if f.began {
 		return outcome.Failed{Reason: reason, Tokens: f.progress.tokens}
 	}
+	if f.accepted {
+		return outcome.Unknown{Reason: reason}
+	}
 	return outcome.Refused{Reason: reason, RetryAt: f.comeBack()}
 }
 
@@ -362,6 +369,7 @@
 
 func (f *flight) begun() {
 	f.life.fire("Begin")
+	f.began = true
 	took := int(time.Since(f.startedAt).Milliseconds())
 	f.permit.Observed(took, f.request.Class.Target.FirstTokenMilliseconds)
 	counter.Observe("FirstTokenMilliseconds."+f.request.Class.Name, int64(took))
