Complete a brief heartbeat with what was heard here

A brief heartbeat says that the rest is as last sent to this gateway. It was completed with what another gateway had told since, so a member that changed and changed back could stay wrong until its next change: TestBriefHeartbeatMeansWhatWasHeardHere failed and passes now.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -62,6 +62,7 @@
 type record struct {
 	member     gateway.Member
 	machine    *chart.Machine
+	whole      gateway.Member  // as last heard directly
 	directAt   time.Time       // last heartbeat; zero: never heard directly
 	isSilent   bool            // heard directly before, and no longer
 	via        map[string]bool // gateways that hear it directly
@@ -101,23 +102,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[b.Name]
-	if !ok || r.member.Started != b.Started || r.directAt.IsZero() {
+	if !ok || r.whole.Started != b.Started || r.directAt.IsZero() {
 		return false
 	}
-	t.hear(r.member.WithBrief(b), at)
+	t.hear(r.whole.WithBrief(b), at)
 	return true
 }
 
+// hear takes a member's own word. A brief heartbeat completes what was heard
+// here, so that is kept apart from what other gateways told later.
 func (t *Table) hear(m gateway.Member, at time.Time) {
 	r := t.record(m, at)
-	if newer(r.member, m) && !r.directAt.IsZero() {
+	if r.member.Started != m.Started || (!r.directAt.IsZero() && newer(r.whole, m)) {
 		return
 	}
-	if r.directAt.IsZero() || r.isSilent || tellable(r.member, m) {
+	first := r.directAt.IsZero()
+	r.whole = m
+	r.directAt = at
+	if first || r.isSilent || tellable(r.member, m) {
 		t.changed(r)
 	}
-	r.member = m
-	r.directAt = at
+	if first || !newer(r.member, m) {
+		r.member = m
+	}
 	r.isSilent = false
 	r.toldSilent = false
 	t.step(r, at)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -158,3 +158,19 @@
 	require.Empty(t, members)
 	require.Equal(t, []string{"instance-2"}, silent)
 }
+
+// TestBriefHeartbeatMeansWhatWasHeardHere has another gateway tell of a state
+// that the member has left again before its next heartbeat here.
+func TestBriefHeartbeatMeansWhatWasHeardHere(t *testing.T) {
+	w := newWorld()
+	m := w.member(0, 0)
+	m.Digest = "d1"
+	w.table.Hear(m, w.now)
+	between := w.member(0, 0)
+	w.table.HearGateway(gateway.Peer{Name: "gateway-1"}, w.now)
+	w.table.Tell("gateway-1", []gateway.Member{between}, nil, false, w.now)
+	require.Empty(t, w.entry(t, 0).Member.Digest)
+	m.Sequence = between.Sequence + 1
+	require.True(t, w.table.HearBrief(m.Brief(), w.now))
+	require.EqualValues(t, "d1", w.entry(t, 0).Member.Digest)
+}
