--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"almondreel.example/almondreel/internal/agent"
@@ -39,6 +40,7 @@
 	farTries     = 3               // agents of other regions tried for one chunk
 	maxUnpassed  = 4               // chunks brought lately that no neighbour holds
 	passTime     = 10 * time.Second
+	absentTime   = 10 * time.Second // a member that did not answer is passed over
 )
 
 // way is how a chunk is brought.
@@ -68,16 +70,40 @@
 	if t.unpassed(now, copies) >= maxUnpassed {
 		return
 	}
-	for i := range t.chunks {
-		if t.drawing >= maxDraws && t.far >= maxFar {
-			return
-		}
-		if t.own.Has(i) || t.flights[i] != nil || now.Before(t.chunks[i].retryAt) || copies[i] > 0 {
-			continue
+	for k := range t.chunks {
+		if t.drawing >= maxDraws {
+			break
 		}
-		if job, ok := t.turn(i, now); ok {
-			t.start(ctx, job)
+		t.launchBring(ctx, t.members.nth(k), now, copies, false)
+	}
+	for k := range t.chunks {
+		if t.far >= maxFar {
+			break
 		}
+		t.launchBring(ctx, t.members.nth(t.farOrder(k)), now, copies, true)
+	}
+}
+
+// farOrder returns the position of the k-th chunk to fetch from other regions.
+// Where the region draws too, draws go up and fetches come down, so that they
+// meet and no chunk comes twice. Callers hold mu.
+func (t *Transfer) farOrder(k int) int {
+	if t.terms.Weighing == operator.OriginBytes {
+		return k
+	}
+	return len(t.chunks) - 1 - k
+}
+
+func (t *Transfer) launchBring(ctx context.Context, i int, now time.Time, copies []int, far bool) {
+	if t.own.Has(i) || t.flights[i] != nil || now.Before(t.chunks[i].retryAt) || copies[i] > 0 {
+		return
+	}
+	look := t.drawTurn
+	if far {
+		look = t.farTurn
+	}
+	if job, ok := look(i, now); ok {
+		t.start(ctx, job)
 	}
 }
 
@@ -100,60 +126,109 @@
 	return count
 }
 
-// open opens the lowest chunks that nobody is known to hold. Callers hold mu.
+// open opens the lowest chunks that nobody is known to hold. One that has been
+// open for long no longer counts. Callers hold mu.
 func (t *Transfer) open(now time.Time) {
 	seen := t.anywhere
 	if t.terms.Weighing != operator.OriginBytes {
 		seen = t.region
 	}
 	left := window
-	for i, ok := seen.NextClear(0); ok && left > 0 && int(i) < len(t.chunks); i, ok = seen.NextClear(i + 1) {
-		if t.chunks[i].openedAt.IsZero() {
-			t.chunks[i].openedAt = now
+	for k := 0; k < len(t.chunks) && left > 0; k++ {
+		i := t.members.nth(k)
+		if seen.Test(uint(i)) {
+			continue
+		}
+		s := &t.chunks[i]
+		if s.openedAt.IsZero() {
+			s.openedAt = now
+		}
+		if now.Sub(s.openedAt) < takeOverStep {
+			left--
 		}
-		left--
 	}
 }
 
-// turn returns the task for chunk i if it is the agent's turn. Callers hold mu.
-func (t *Transfer) turn(i int, now time.Time) (task, bool) {
+// drawTurn returns the task to draw chunk i from a source, or to bring a lost
+// chunk again, if it is the agent's turn. Callers hold mu.
+func (t *Transfer) drawTurn(i int, now time.Time) (task, bool) {
 	s := t.chunks[i]
-	c := t.manifest.Chunks[i]
-	inRegion := t.region.Test(uint(i))
 	switch {
-	case inRegion:
+	case t.region.Test(uint(i)):
 		return t.taskFor(i, t.members.region, t.members.nearAt[i], s.nearAt.Add(lostAfter), now, true)
 	case t.terms.Weighing == operator.OriginBytes && t.anywhere.Test(uint(i)):
-		job, ok := t.taskFor(i, t.members.region, t.members.nearAt[i], s.seenAt, now, false)
-		if ok && !t.hurry(i, now) {
-			job.way = fromRegion{t.holders(i, c)}
+		if !t.hurry(i, now) {
+			return task{}, false
 		}
-		return job, ok
+		return t.taskFor(i, t.members.region, t.members.nearAt[i], s.seenAt, now, false)
 	case s.openedAt.IsZero():
 		return task{}, false
 	}
 	return t.taskFor(i, t.members.draw, t.members.drawAt[i], s.openedAt, now, false)
 }
 
+// farTurn returns the task to fetch chunk i from another region, if it is the
+// agent's turn. Callers hold mu.
+func (t *Transfer) farTurn(i int, now time.Time) (task, bool) {
+	if t.region.Test(uint(i)) || !t.anywhere.Test(uint(i)) {
+		return task{}, false
+	}
+	job, ok := t.taskFor(i, t.members.region, t.members.nearAt[i], t.chunks[i].seenAt, now, false)
+	if ok {
+		job.way = fromRegion{t.holders(i, t.manifest.Chunks[i])}
+	}
+	return job, ok
+}
+
 // taskFor returns a task once the agent's turn among names has come. A lost
 // chunk is asked for behind the agent's rank too. Callers hold mu.
 func (t *Transfer) taskFor(i int, names []string, position int, opened, now time.Time, lost bool) (task, bool) {
-	if position < 0 || now.Before(stripe.Turn(opened, position, t.step())) {
+	if position < 0 || opened.After(now) {
+		return task{}, false
+	}
+	if now.Before(stripe.Turn(opened, t.present(i, names, position, now), t.step())) {
 		return task{}, false
 	}
 	asked := position
 	if lost {
 		asked += maxAhead
 	}
-	ask := t.honest(t.members.ahead(t.manifest.Chunks[i], names, asked))
+	ask := t.honest(t.members.ahead(t.manifest.Chunks[i], names, asked), now)
 	return task{chunk: i, ask: ask[:min(len(ask), maxAhead)], way: fromSource{}}, true
 }
 
-// honest leaves out agents whose chunks were not what they claimed. Callers hold mu.
-func (t *Transfer) honest(peers []gateway.Peer) []gateway.Peer {
+// note records whether a member answered a call. Callers hold mu.
+func (t *Transfer) note(name string, err error) {
+	if err == nil {
+		delete(t.absent, name)
+		return
+	}
+	if !errors.Is(err, context.Canceled) {
+		t.absent[name] = time.Now().Add(absentTime)
+	}
+}
+
+// present counts the members before position that are not known to be absent.
+// Callers hold mu.
+func (t *Transfer) present(i int, names []string, position int, now time.Time) int {
+	if position == 0 || len(t.absent) == 0 {
+		return position
+	}
+	count := 0
+	for _, name := range stripe.Rank(string(t.manifest.Chunks[i].Digest), names)[:position] {
+		if now.After(t.absent[name]) {
+			count++
+		}
+	}
+	return count
+}
+
+// honest leaves out agents that are absent or whose chunks were not what they
+// claimed. Callers hold mu.
+func (t *Transfer) honest(peers []gateway.Peer, now time.Time) []gateway.Peer {
 	var out []gateway.Peer
 	for _, p := range peers {
-		if t.rejected[p.Name] < maxRejected {
+		if t.rejected[p.Name] < maxRejected && now.After(t.absent[p.Name]) {
 			out = append(out, p)
 		}
 	}
@@ -162,23 +237,22 @@
 
 func (t *Transfer) step() time.Duration { return takeOverStep + 2*t.drawTime }
 
-// holders returns agents of other regions that hold chunk c or drew it. Callers hold mu.
+// holders returns agents of other regions that hold chunk c: the one that
+// first brought it, then neighbours. Callers hold mu.
 func (t *Transfer) holders(i int, c manifest.Chunk) []gateway.Peer {
 	var out []gateway.Peer
-	for _, n := range t.neighbours {
-		if !t.near(n.peer) && t.rejected[n.peer.Name] < maxRejected && n.remote.Has(i) {
-			out = append(out, n.peer)
-		}
-	}
-	for _, p := range t.members.ahead(c, t.members.draw, len(t.members.draw)) {
-		if len(out) >= farTries {
-			break
-		}
+	for _, p := range t.members.ahead(c, t.members.names, len(t.members.names)) {
 		if !t.near(p) {
 			out = append(out, p)
+			break
 		}
 	}
-	return out
+	for _, n := range t.neighbours {
+		if !t.near(n.peer) && n.remote.Has(i) && len(out) < farTries {
+			out = append(out, n.peer)
+		}
+	}
+	return t.honest(out, time.Now())
 }
 
 // start starts a task unless its kind is at its bound. Callers hold mu.
@@ -270,6 +344,9 @@
 	client := peer.NewClient(p.Address, t.exchange.options.Transport)
 	defer client.Close()
 	reply, err := client.Have(ctx, agent.HaveRequest{Digest: t.plan.Digest})
+	t.mu.Lock()
+	t.note(p.Name, err)
+	t.mu.Unlock()
 	if err != nil || !reply.Known {
 		return answers{}
 	}
--- a/internal/transfer/members.go
+++ b/internal/transfer/members.go
@@ -1,6 +1,8 @@
 package transfer
 
 import (
+	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -14,15 +16,20 @@
 // draws a chunk from a source, and who brings it into the own region.
 type members struct {
 	key    string
-	names  map[string]bool         // placed
+	names  []string                // placed
 	known  map[string]gateway.Peer // placed and heard of, without the agent itself
 	draw   []string
 	region []string
 	drawAt []int // by chunk, the agent's position among draw
 	nearAt []int // by chunk, the agent's position among region
+	chunks int
+	first  int // chunk at which the region begins, so that regions draw different ones
 }
 
-func (m *members) placed(name string) bool { return m.names[name] }
+// nth returns the index of the k-th chunk in the region's order.
+func (m *members) nth(k int) int { return (k + m.first) % m.chunks }
+
+func (m *members) placed(name string) bool { return slices.Contains(m.names, name) }
 
 // update ranks again when members came or went.
 func (m *members) update(p Plan, self gateway.Peer, peers []gateway.Peer, of manifest.Manifest) {
@@ -35,23 +42,34 @@
 		}
 	}
 	sort.Strings(region)
-	key := strings.Join(region, " ")
+	key := fmt.Sprint(strings.Join(region, " "), place(self.Region, peers), len(peers))
 	if key == m.key {
 		return
 	}
 	m.key, m.region = key, region
-	m.names = make(map[string]bool, len(p.Members))
-	for _, name := range p.Members {
-		m.names[name] = true
-	}
+	m.names = p.Members
+	m.chunks, m.first = len(of.Chunks), 0
 	m.draw = p.Members
 	if p.Weighing != operator.OriginBytes {
 		m.draw = region
+		m.first = m.chunks * place(self.Region, peers) / (1 + len(peers))
 	}
 	m.drawAt = positions(of, m.draw, self.Name)
 	m.nearAt = positions(of, m.region, self.Name)
 }
 
+// place returns how many of peers are in regions before region in order of
+// name: regions begin their draws apart in proportion to their sizes.
+func place(region string, peers []gateway.Peer) int {
+	count := 0
+	for _, p := range peers {
+		if p.Region < region {
+			count++
+		}
+	}
+	return count
+}
+
 func positions(of manifest.Manifest, names []string, self string) []int {
 	out := make([]int, len(of.Chunks))
 	for i, c := range of.Chunks {
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -218,6 +218,7 @@
 func (t *Transfer) hear(n *neighbour, reply agent.HaveReply, err error) (gap time.Duration, lost bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.note(n.peer.Name, err)
 	if err != nil {
 		n.toldSeen = 0
 		n.failures++
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -23,7 +23,7 @@
 	stepInterval = 20 * time.Millisecond
 	maxFetches   = 8 // chunks fetched from agents of the region at once
 	maxDraws     = 2 // chunks drawn from sources at once
-	maxFar       = 1 // chunks fetched from other regions at once
+	maxFar       = 4 // chunks fetched from other regions at once
 )
 
 // ErrWhole reports chunks that match the manifest but not its whole digest:
@@ -53,8 +53,9 @@
 	seenCount  uint64
 	changed    chan struct{} // closes when own or the seen sets grow
 	neighbours map[string]*neighbour
-	rejected   map[string]int    // by agent, chunks in a row that were not what they claimed
-	brought    map[int]time.Time // when the agent itself brought chunks into the region
+	absent     map[string]time.Time // members that did not answer, until when
+	rejected   map[string]int       // by agent, chunks in a row that were not what they claimed
+	brought    map[int]time.Time    // when the agent itself brought chunks into the region
 	flights    map[int]*flight
 	chunks     []chunkState
 	members    members
@@ -98,6 +99,7 @@
 		landed:     make(chan landing, maxFetches+maxDraws+maxFar),
 		changed:    make(chan struct{}),
 		neighbours: map[string]*neighbour{},
+		absent:     map[string]time.Time{},
 		rejected:   map[string]int{},
 		brought:    map[int]time.Time{},
 		flights:    map[int]*flight{},
@@ -196,6 +198,9 @@
 
 // see records that some agent holds chunk i. Callers hold mu.
 func (t *Transfer) see(i int, near bool) {
+	if t.region.Test(uint(i)) || !near && t.anywhere.Test(uint(i)) {
+		return
+	}
 	now := time.Now()
 	if !t.anywhere.Test(uint(i)) {
 		t.anywhere.Set(uint(i))
