Keep draws going beside a dead and a stalled member

Cause: members learnt of an absent one only at their own turn, and chunks of its turn filled the window of open chunks, so the origin was used at a third. An open chunk counts in the window while it is fresh; a member that no longer calls, or whose chunk stalled, is absent; one corrupt chunk no longer costs its sender twenty seconds; the step no longer grows with the questions asked. Left: the last lost chunk takes most of the tail.

--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -34,11 +34,11 @@
 const (
 	settleTime   = 300 * time.Millisecond // for the first exchange, before the first draw
 	window       = 8                      // open chunks
+	freshTime    = 250 * time.Millisecond // and some draws: an open chunk counts that long
 	takeOverStep = time.Second
-	lostAfter    = 3 * time.Second // a chunk seen that no neighbour holds is brought again
-	maxAhead     = 6               // members asked before a take-over
-	farTries     = 3               // agents of other regions tried for one chunk
-	maxUnpassed  = 4               // chunks brought lately that no neighbour holds
+	maxAhead     = 6 // members asked before a take-over
+	farTries     = 3 // agents of other regions tried for one chunk
+	maxUnpassed  = 4 // chunks brought lately that no neighbour holds
 	passTime     = 10 * time.Second
 	absentTime   = 10 * time.Second // a member that did not answer is passed over
 )
@@ -143,19 +143,20 @@
 		if s.openedAt.IsZero() {
 			s.openedAt = now
 		}
-		if now.Sub(s.openedAt) < takeOverStep {
+		if now.Sub(s.openedAt) < freshTime+3*t.drawTime {
 			left--
 		}
 	}
 }
 
 // drawTurn returns the task to draw chunk i from a source, or to bring a lost
-// chunk again, if it is the agent's turn. Callers hold mu.
+// chunk again, if it is the agent's turn. A chunk is lost when it was seen in
+// the region and no neighbour holds it one step later. Callers hold mu.
 func (t *Transfer) drawTurn(i int, now time.Time) (task, bool) {
 	s := t.chunks[i]
 	switch {
 	case t.region.Test(uint(i)):
-		return t.taskFor(i, t.members.region, t.members.nearAt[i], s.nearAt.Add(lostAfter), now, true)
+		return t.taskFor(i, t.members.region, t.members.nearAt[i], s.nearAt.Add(t.step()), now, true)
 	case t.terms.Weighing == operator.OriginBytes && t.anywhere.Test(uint(i)):
 		if !t.hurry(i, now) {
 			return task{}, false
@@ -269,9 +270,8 @@
 	ctx, end, f := t.takeOff(ctx, job.chunk)
 	f.drawing = len(job.ask) == 0
 	go func() {
-		started := time.Now()
 		o := t.bring(ctx, job)
-		t.landed <- landing{chunk: job.chunk, far: far, bring: true, took: time.Since(started), end: end, outcome: o}
+		t.landed <- landing{chunk: job.chunk, far: far, bring: true, end: end, outcome: o}
 	}()
 }
 
--- a/internal/transfer/launch.go
+++ b/internal/transfer/launch.go
@@ -31,7 +31,6 @@
 	from    *neighbour // nil unless fetched from a neighbour
 	far     bool
 	bring   bool // it was to bring the chunk into the region
-	took    time.Duration
 	end     context.CancelFunc
 	outcome outcome
 }
@@ -176,9 +175,8 @@
 	t.fetching++
 	c := t.manifest.Chunks[i]
 	go func() {
-		started := time.Now()
 		err := t.fetchFrom(ctx, n.client, c)
-		t.landed <- landing{chunk: i, from: n, took: time.Since(started), end: end, outcome: result(err)}
+		t.landed <- landing{chunk: i, from: n, end: end, outcome: result(err)}
 	}()
 }
 
@@ -272,11 +270,11 @@
 	}
 	if l.from != nil {
 		l.from.suspect = false
+		t.note(l.from.peer.Name, nil)
 		t.rejected[l.from.peer.Name] = 0
 	}
 	if l.bring {
 		t.brought[l.chunk] = time.Now()
-		t.drawTime = (3*t.drawTime + l.took) / 4
 	}
 	for i := range t.sameDigest(l.chunk) {
 		t.hold(i)
@@ -307,9 +305,15 @@
 		return jittered(busyGap)
 	case isLie(err):
 		t.rejected[n.peer.Name]++
+		if t.rejected[n.peer.Name] < maxRejected {
+			return jittered(failedGap)
+		}
 		return jittered(rejectedGap)
 	}
 	n.suspect = true
+	if !errors.Is(err, peer.ErrUnknown) {
+		t.note(n.peer.Name, err)
+	}
 	if errors.Is(err, link.ErrStalled) {
 		return jittered(stalledGap)
 	}
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -18,7 +19,8 @@
 	farNeighbours  = 2 // called in other regions
 	maxNeighbours  = 20
 	tendInterval   = 500 * time.Millisecond
-	maxFailures    = 3 // calls in a row before a neighbour is dropped
+	maxFailures    = 3               // calls in a row before a neighbour is dropped
+	callerAbsent   = 2 * time.Second // it calls at least once in idleGap
 	callerSilence  = 6 * time.Second
 	exchangeLeast  = 30 * time.Millisecond // between two calls to one neighbour
 	exchangeMost   = 400 * time.Millisecond
@@ -27,6 +29,8 @@
 	completeGap    = 4 * time.Second
 )
 
+var errSilent = errors.New("the neighbour no longer calls")
+
 // neighbour is an agent whose holdings are followed. Transfer.mu guards it.
 type neighbour struct {
 	peer         gateway.Peer
@@ -107,6 +111,9 @@
 
 func (t *Transfer) dropSilent(now time.Time) {
 	for name, n := range t.neighbours {
+		if n.cancel == nil && !n.remote.Complete() && now.Sub(n.heardAt) > callerAbsent {
+			t.note(name, errSilent)
+		}
 		if n.cancel == nil && n.inFlight == 0 && now.Sub(n.heardAt) > callerSilence {
 			n.client.Close()
 			delete(t.neighbours, name)
@@ -253,7 +260,8 @@
 	return min(max(time.Duration(seconds*float64(time.Second)), exchangeLeast), exchangeMost)
 }
 
-// learn takes in what n holds and has seen. Callers hold mu.
+// learn takes in what n holds and has seen. What an absent member holds does
+// not count as seen: nobody can get it from there. Callers hold mu.
 func (t *Transfer) learn(n *neighbour, h agent.Holdings, s agent.Seen) {
 	known := n.remote.Mark()
 	if err := n.remote.Apply(h); err != nil {
@@ -262,7 +270,7 @@
 	}
 	before := t.seenCount
 	near := t.near(n.peer)
-	if n.remote.Mark() != known {
+	if n.remote.Mark() != known && time.Now().After(t.absent[n.peer.Name]) {
 		n.remote.Each(func(i int) { t.see(i, near) })
 		t.poke()
 	}
--- a/internal/transfer/sources.go
+++ b/internal/transfer/sources.go
@@ -121,6 +121,9 @@
 	if err != nil {
 		return err
 	}
+	t.mu.Lock()
+	t.drawTime = (3*t.drawTime + time.Since(started)) / 4
+	t.mu.Unlock()
 	counter.Add("ChunksDrawn."+string(s.client.Kind()), 1)
 	counter.Add("ChunkDrawnBytes."+string(s.client.Kind()), c.Bytes)
 	return nil
