--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -118,26 +118,5 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-<<<<<<< HEAD
 	return rpc.NewClient(countedConn{conn}), nil
-=======
-	return rpc.NewClient(&countedConn{conn}), nil
-}
-
-// countedConn counts the bytes of a client's calls and their answers.
-type countedConn struct {
-	net.Conn
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	counter.Add("ControlReceivedBytes", int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	counter.Add("ControlSentBytes", int64(n))
-	return n, err
->>>>>>> distribution
 }
