Send documents between daemons compressed

Weighed: sending an agent only its own assignments, which is smaller still but takes from the agents what they bring to a gateway that starts in an outage of the key-value service; and differences between revisions, which need a base that both ends hold. The compressed form is made once a document and passed on as it came.

--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -50,6 +50,7 @@
 	if err := json.Unmarshal(v.Value, &d); err != nil {
 		return errs.Wrap(err, "decode configuration", from)
 	}
+	v = v.WithPacked()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.snapshot.EncodedConfiguration.Revision
@@ -73,6 +74,7 @@
 	if err := json.Unmarshal(v.Value, &p); err != nil {
 		return errs.Wrap(err, "decode placement", from)
 	}
+	v = v.WithPacked()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.snapshot.EncodedPlacement.Revision
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -67,6 +67,7 @@
 type Versioned struct {
 	Value    []byte
 	Revision uint64
+	packed   []byte // Value compressed, as it travels; empty until it is needed
 }
 
 // Peer is an agent that takes part in a transfer.
