Free an agent's slot at the deadline though its gateway's link stalls

A gateway that stopped reading held a slot for ever: the door's write blocks when the link's buffers are full, and a context does not end a blocked write. A body that stopped coming held its connection likewise. The door now sets a write deadline (the request's, and a second) and a read deadline of 10 s for the body.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROGRAMS := almondreel almondreel-agent almondreel-demo almondreel-gateway almondreel-standin
 PROGRAM_DIRS := $(addprefix ./cmd/,$(PROGRAMS))
 
-.PHONY: all build demo test race known-red bench bench-capacity soak format lint vet clean
+.PHONY: all build demo test race known-red bench bench-capacity soak fuzz format lint vet clean
 
 all: build
 
@@ -42,6 +42,16 @@
 soak: build
 	SOAK=1 go test -count 1 -timeout 40m -run Soak -v ./...
 
+# Each fuzz target in turn, for FUZZTIME.
+FUZZTIME ?= 30s
+fuzz:
+	@grep -rl '^func Fuzz' --include='*_test.go' . | while read -r file; do \
+		for target in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$file); do \
+			echo "$$(dirname $$file) $$target"; \
+			go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) -parallel 4 $$(dirname $$file) || exit 1; \
+		done; \
+	done
+
 format:
 	gofmt -l -w bench charts cmd docs internal pkg test
 
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -27,6 +27,8 @@
 const (
 	maxBodyBytes = 16 << 20
 	defaultSlots = 64
+	bodyTimeout  = 10 * time.Second // in which a gateway sends a dispatch's body
+	writeGrace   = time.Second      // after the deadline, for the end of the answer
 	spareDivisor = 4 // of the slots that may wait inside the backend server
 	drainPoll    = 10 * time.Millisecond
 )
@@ -67,18 +69,24 @@
 	body       []byte
 }
 
-// ServeHTTP takes one dispatch.
+// ServeHTTP takes one dispatch. A gateway whose link stalls holds a slot until
+// the request's deadline, not longer.
 func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = controller.SetWriteDeadline(time.Now().Add(bodyTimeout + writeGrace))
 	o, err := parse(w, r)
-	if err != nil {
+	if err != nil { // the read deadline stays, for what is left of the body
 		d.refuse(w, o, outcome.Malformed)
 		return
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	if reason := d.enter(o); reason != "" {
 		d.refuse(w, o, reason)
 		return
 	}
 	defer d.leave(o)
+	_ = controller.SetWriteDeadline(o.deadline.Add(writeGrace))
 	ctx, cancel := context.WithDeadline(r.Context(), o.deadline)
 	defer cancel()
 	if d.backend.Kind == settings.KindEngine {
