--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -29,7 +29,7 @@
 	defaultSlots = 64
 	bodyTimeout  = 10 * time.Second // in which a gateway sends a dispatch's body
 	writeGrace   = time.Second      // after the deadline, for the end of the answer
-	spareDivisor = 4 // of the slots that may wait inside the backend server
+	spareDivisor = 4                // of the slots that may wait inside the backend server
 	drainPoll    = 10 * time.Millisecond
 )
 
