--- a/bench/configuration/configuration_test.go
+++ b/bench/configuration/configuration_test.go
@@ -11,12 +11,14 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 	"k8s.io/klog/v2"
 
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/loopback"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/internal/standin/source"
 )
 
@@ -78,10 +80,10 @@
 		d = d.WithClass(operator.Class{Name: fmt.Sprintf("class-%d", i), Kind: operator.Model, Service: "assistant", Idempotent: true,
 			Target: operator.Target{Model: "assistant", Version: "1", Replicas: len(s.Agents) / 2, Weighing: operator.Time, AnswerMilliseconds: 1000}})
 	}
-	for i := range operator.MaxHistory {
-		d = d.WithChange(operator.Change{ChangeID: fmt.Sprintf("0-123e4567-e89b-12d3-a456-%012d", i), Class: "class-1", Operator: "operator", At: time.Now()})
+	for range operator.MaxHistory {
+		d = d.WithChange(operator.Change{ChangeID: "1000-" + uuid.NewString(), Class: "class-1", Operator: "operator", At: time.Now()})
 	}
-	_, err = kv.NewClient(s.KeyValueURL()).Swap(context.Background(), kv.Swap{Key: operator.ConfigurationKey, Value: d.Encode()})
+	_, err = kv.NewClient(s.KeyValueURL()).Swap(context.Background(), kv.Swap{Key: operator.ConfigurationKey, Value: packed.Pack(d.Encode())})
 	require.NoError(b, err)
 }
 
@@ -97,6 +99,8 @@
 	b.ReportMetric(float64(heartbeats)/seconds/float64(daemons-gateways), "B/s/agent")
 	// A byte between gateways is sent by one and received by another.
 	b.ReportMetric((float64(heartbeats)+2*float64(exchanges)+float64(keyValue))/seconds/float64(gateways), "B/s/gateway")
+	b.ReportMetric(2*float64(exchanges)/seconds/float64(gateways), "B/s/gateway-exchanges")
+	b.ReportMetric(float64(keyValue)/seconds/float64(gateways), "B/s/gateway-kv")
 	report(b, "steady", counted, callsByKey(s), seconds)
 }
 
--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -11,6 +11,7 @@
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/internal/placement"
 )
 
@@ -140,11 +141,15 @@
 // read it and it would be most of the bytes that spread.
 func (s *State) AdoptStored(key string, value []byte, revision uint64) error {
 	const from = "key-value service"
+	text, err := packed.Unpack(value)
+	if err != nil {
+		return errs.Wrap(err, "decode "+key, from)
+	}
 	if key == placement.Key {
-		return s.AdoptPlacement(gateway.Versioned{Value: value, Revision: revision}, from)
+		return s.AdoptPlacement(gateway.Versioned{Value: text, Revision: revision}, from)
 	}
 	var d operator.Document
-	if err := json.Unmarshal(value, &d); err != nil {
+	if err := json.Unmarshal(text, &d); err != nil {
 		return errs.Wrap(err, "decode configuration", from)
 	}
 	return s.AdoptConfiguration(gateway.Versioned{Value: d.WithoutHistory().Encode(), Revision: revision}, from)
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -12,11 +12,13 @@
 	"github.com/google/uuid"
 
 	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/pkg/settle"
 )
 
 const (
-	// MaxDocumentBytes bounds the encoded document.
+	// MaxDocumentBytes bounds the encoded document. It is stored compressed, so
+	// that it fits in a value of the key-value service with room to spare.
 	MaxDocumentBytes = 1 << 20
 	maxReapplied     = 32
 )
@@ -90,10 +92,11 @@
 func (e Editor) write(ctx context.Context, document Document, held, wanted Class) Outcome {
 	for range maxReapplied {
 		change := e.change(document, wanted)
-		value := document.WithClass(wanted).WithChange(change).Encode()
-		if len(value) > MaxDocumentBytes {
-			return Failed{&BadInput{fmt.Sprintf("configuration would have %d bytes; at most %d fit", len(value), MaxDocumentBytes)}}
+		text := document.WithClass(wanted).WithChange(change).Encode()
+		if len(text) > MaxDocumentBytes {
+			return Failed{&BadInput{fmt.Sprintf("configuration would have %d bytes; at most %d fit", len(text), MaxDocumentBytes)}}
 		}
+		value := packed.Pack(text)
 		trace := func(current settle.Entry) settle.Trace { return traceIn(current, change.ChangeID) }
 		outcome := settle.Do(ctx, e.Store, settle.Write{Value: value, Revision: document.Revision, Trace: trace})
 		switch o := outcome.(type) {
@@ -132,8 +135,12 @@
 	if e.Revision == 0 {
 		return Document{}, nil
 	}
+	text, err := packed.Unpack(e.Value)
+	if err != nil {
+		return Document{}, errs.Wrap(err, "decode configuration", "key-value service")
+	}
 	var d Document
-	if err := json.Unmarshal(e.Value, &d); err != nil {
+	if err := json.Unmarshal(text, &d); err != nil {
 		return Document{}, errs.Wrap(err, "decode configuration", "key-value service")
 	}
 	return d.WithRevision(e.Revision), nil
--- a/internal/operator/change_test.go
+++ b/internal/operator/change_test.go
@@ -10,10 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/packed"
 	standkv "almondreel.example/almondreel/internal/standin/kv"
 )
 
@@ -229,13 +231,13 @@
 			Target: operator.Target{Model: "assistant", Version: "2026-12-04.1", Replicas: 400, ReadyBy: time.Now(), Weighing: operator.Time, AnswerMilliseconds: 30000}})
 	}
 	for i := range 1000 {
-		d = d.WithChange(operator.Change{ChangeID: fmt.Sprintf("%d-123e4567-e89b-12d3-a456-426614174000", 1000000+i),
+		d = d.WithChange(operator.Change{ChangeID: fmt.Sprintf("%d-%s", 1000000+i, uuid.NewString()),
 			Class: fmt.Sprintf("class-of-work-number-%d", i%400), Operator: "an-operator", At: time.Now(), Revision: uint64(1000000 + i)})
 	}
 	require.Len(t, d.History, operator.MaxHistory)
 	text, err := json.Marshal(d)
 	require.NoError(t, err)
-	t.Logf("%d bytes, %d without history", len(text), len(d.WithoutHistory().Encode()))
+	t.Logf("%d bytes, %d without history, %d stored", len(text), len(d.WithoutHistory().Encode()), len(packed.Pack(text)))
 	require.Less(t, len(text), operator.MaxDocumentBytes/2)
 }
 
--- /dev/null
+++ b/internal/packed/packed.go
@@ -0,0 +1,43 @@
+// Package packed compresses the documents that daemons keep and send.
+package packed
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+)
+
+// MaxBytes bounds a document after decompression.
+const MaxBytes = 4 << 20
+
+// gzipMark begins every gzip stream; no JSON text begins with it.
+var gzipMark = []byte{0x1f, 0x8b}
+
+// Pack returns text compressed.
+func Pack(text []byte) []byte {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, _ = w.Write(text) // a buffer takes everything
+	_ = w.Close()
+	return out.Bytes()
+}
+
+// Unpack returns the text in data. Data that is not compressed is returned as it is.
+func Unpack(data []byte) ([]byte, error) {
+	if !bytes.HasPrefix(data, gzipMark) {
+		return data, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("decompress document: %w", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(r, MaxBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("decompress document: %w", err)
+	}
+	if len(text) > MaxBytes {
+		return nil, fmt.Errorf("decompress document: more than %d bytes", MaxBytes)
+	}
+	return text, nil
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -20,6 +20,7 @@
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/internal/placement"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/pkg/settle"
@@ -168,13 +169,13 @@
 	if err != nil {
 		panic(err)
 	}
-	if len(text) > kv.MaxValueBytes {
+	if len(text) > packed.MaxBytes {
 		counter.Add("PlacementRefused.TooLarge", 1)
-		event.Log(event.PlacementTooLarge, "Bytes", len(text), "Most", kv.MaxValueBytes)
+		event.Log(event.PlacementTooLarge, "Bytes", len(text), "Most", packed.MaxBytes)
 		return
 	}
 	key := kv.Key{Client: p.kv, Name: placement.Key}
-	w := settle.Write{Value: text, Revision: base, Trace: func(e settle.Entry) settle.Trace { return traceIn(e, next.ChangeID) }}
+	w := settle.Write{Value: packed.Pack(text), Revision: base, Trace: func(e settle.Entry) settle.Trace { return traceIn(e, next.ChangeID) }}
 	p.written(text, settle.Do(ctx, key, w))
 }
 
@@ -198,8 +199,12 @@
 // traceIn recognises a placement that this write made. A placement remembers
 // only its own write, so any other proves nothing about an earlier one.
 func traceIn(e settle.Entry, changeID string) settle.Trace {
+	text, err := packed.Unpack(e.Value)
+	if err != nil {
+		return settle.Forgotten
+	}
 	var held placement.Placement
-	if json.Unmarshal(e.Value, &held) == nil && held.ChangeID == changeID {
+	if json.Unmarshal(text, &held) == nil && held.ChangeID == changeID {
 		return settle.Present
 	}
 	return settle.Absent
--- a/test/configuration/frozen_test.go
+++ b/test/configuration/frozen_test.go
@@ -15,6 +15,7 @@
 	"almondreel.example/almondreel/internal/instances"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/internal/placement"
 	"almondreel.example/almondreel/internal/status"
 )
@@ -47,8 +48,10 @@
 func stored(ctx context.Context, t *testing.T, f *fleet.Fleet) placement.Placement {
 	e, err := kv.NewClient("http://"+f.Platform.KeyValue).Get(ctx, placement.Key)
 	require.NoError(t, err)
+	text, err := packed.Unpack(e.Value)
+	require.NoError(t, err)
 	var p placement.Placement
-	require.NoError(t, json.Unmarshal(e.Value, &p))
+	require.NoError(t, json.Unmarshal(text, &p))
 	return p.WithRevision(e.Revision)
 }
 
