--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -143,7 +143,7 @@
 // read it and it would be most of the bytes that spread.
 func (s *State) AdoptStored(key string, value []byte, revision uint64) error {
 	const from = "key-value service"
-	text, err := packed.Unpack(value)
+	text, err := packed.Text(value)
 	if err != nil {
 		return errs.Wrap(err, "decode "+key, from)
 	}
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -135,7 +135,7 @@
 	if e.Revision == 0 {
 		return Document{}, nil
 	}
-	text, err := packed.Unpack(e.Value)
+	text, err := packed.Text(e.Value)
 	if err != nil {
 		return Document{}, errs.Wrap(err, "decode configuration", "key-value service")
 	}
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -23,11 +23,19 @@
 	return out.Bytes()
 }
 
-// Unpack returns the text in data. Data that is not compressed is returned as it is.
-func Unpack(data []byte) ([]byte, error) {
+// Text returns the text in data, compressed or plain.
+func Text(data []byte) ([]byte, error) {
 	if !bytes.HasPrefix(data, gzipMark) {
 		return data, nil
 	}
+	return Unpack(data)
+}
+
+// Unpack returns the text that was packed into data; no data holds no text.
+func Unpack(data []byte) ([]byte, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, fmt.Errorf("decompress document: %w", err)
--- a/internal/packed/packed_test.go
+++ b/internal/packed/packed_test.go
@@ -15,9 +15,11 @@
 		require.NoError(t, err)
 		require.True(t, bytes.Equal(text, got))
 	}
-	plain, err := packed.Unpack([]byte("{}"))
+	plain, err := packed.Text([]byte("{}"))
 	require.NoError(t, err)
 	require.Equal(t, "{}", string(plain))
+	_, err = packed.Unpack([]byte("{}"))
+	require.Error(t, err)
 }
 
 func TestUnpackIsBounded(t *testing.T) {
@@ -33,7 +35,7 @@
 	f.Add([]byte{0x1f, 0x8b, 8})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		text, err := packed.Unpack(data)
-		if err == nil && len(text) > max(len(data), packed.MaxBytes) {
+		if err == nil && len(text) > packed.MaxBytes {
 			t.Fatalf("%d bytes came out of %d", len(text), len(data))
 		}
 	})
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -199,7 +199,7 @@
 // traceIn recognises a placement that this write made. A placement remembers
 // only its own write, so any other proves nothing about an earlier one.
 func traceIn(e settle.Entry, changeID string) settle.Trace {
-	text, err := packed.Unpack(e.Value)
+	text, err := packed.Text(e.Value)
 	if err != nil {
 		return settle.Forgotten
 	}
--- a/test/configuration/frozen_test.go
+++ b/test/configuration/frozen_test.go
@@ -48,7 +48,7 @@
 func stored(ctx context.Context, t *testing.T, f *fleet.Fleet) placement.Placement {
 	e, err := kv.NewClient("http://"+f.Platform.KeyValue).Get(ctx, placement.Key)
 	require.NoError(t, err)
-	text, err := packed.Unpack(e.Value)
+	text, err := packed.Text(e.Value)
 	require.NoError(t, err)
 	var p placement.Placement
 	require.NoError(t, json.Unmarshal(text, &p))
