--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -41,6 +41,7 @@
 	lease    *lease
 	resolver *resolver
 	granted  map[turn]time.Time // when an instance was let load a version
+	fenced   uint64             // term of the duty that has written a placement
 }
 
 // New returns the planner of the gateway that s describes.
@@ -83,7 +84,7 @@
 		}
 		if held {
 			term = now
-			p.step(ctx)
+			p.step(ctx, now)
 		}
 		p.pause(ctx, changed, news)
 	}
@@ -121,8 +122,10 @@
 	return true
 }
 
-// step plans once and writes the plan if it differs from what stands.
-func (p *Planner) step(ctx context.Context) {
+// step plans once and writes the plan if it differs from what stands, or if
+// this term of the duty has not written yet: the first write moves the revision
+// on, so that an earlier holder's plans meet another one.
+func (p *Planner) step(ctx context.Context, term uint64) {
 	s, _ := p.desired.Current()
 	if s.Configuration.Revision == 0 || s.Placement.PlannedFrom > s.Configuration.Revision {
 		return // an older configuration than the one that was planned from
@@ -139,11 +142,13 @@
 	})
 	p.remember(next, now)
 	next.Holder = p.self
-	if s.Placement.Holder == next.Holder && next.Same(s.Placement) {
+	if p.fenced == term && next.Same(s.Placement) {
 		return
 	}
 	p.logShort(s.Configuration, s.Placement, next)
-	p.write(ctx, s.Placement.Revision, next)
+	if p.write(ctx, s.Placement.Revision, next) {
+		p.fenced = term
+	}
 }
 
 // logShort logs each class that comes to have fewer instances than its target.
@@ -158,9 +163,10 @@
 	}
 }
 
-func (p *Planner) write(ctx context.Context, base uint64, next placement.Placement) {
+// write reports whether the placement was written.
+func (p *Planner) write(ctx context.Context, base uint64, next placement.Placement) bool {
 	if held, _ := p.lease.held(time.Now()); !held {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -172,19 +178,20 @@
 	if len(text) > packed.MaxBytes {
 		counter.Add("PlacementRefused.TooLarge", 1)
 		event.Log(event.PlacementTooLarge, "Bytes", len(text), "Most", packed.MaxBytes)
-		return
+		return false
 	}
 	key := kv.Key{Client: p.kv, Name: placement.Key}
 	w := settle.Write{Value: packed.Pack(text), Revision: base, Trace: func(e settle.Entry) settle.Trace { return traceIn(e, next.ChangeID) }}
-	p.written(text, settle.Do(ctx, key, w))
+	return p.written(text, settle.Do(ctx, key, w))
 }
 
-func (p *Planner) written(text []byte, outcome settle.Outcome) {
+func (p *Planner) written(text []byte, outcome settle.Outcome) bool {
 	switch o := outcome.(type) {
 	case settle.Accepted:
 		counter.Add("PlacementsWritten", 1)
 		event.Log(event.PlacementWritten, "Revision", o.Revision)
 		_ = p.desired.AdoptPlacement(gateway.Versioned{Value: text, Revision: o.Revision}, p.self)
+		return true
 	case settle.Rejected:
 		counter.Add("PlacementRefused.Fenced", 1)
 		event.Log(event.DutyFenced, "Current", o.Current.Revision)
@@ -194,6 +201,7 @@
 	case settle.Unknown:
 		counter.Add("PlacementRefused.Unknown", 1)
 	}
+	return false
 }
 
 // traceIn recognises a placement that this write made. A placement remembers
--- a/test/configuration/outage_test.go
+++ b/test/configuration/outage_test.go
@@ -1,12 +1,14 @@
 package configuration_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/loopback"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
@@ -355,3 +357,48 @@
 		return true, ""
 	})
 }
+
+// TestTwoHoldersOfTheDuty has the service forget who holds the duty while the
+// holder goes on believing it: two gateways plan, and compare-and-swap alone
+// keeps them from undoing each other's plans.
+func TestTwoHoldersOfTheDuty(t *testing.T) {
+	t.Parallel()
+	s := serving(t, loopback.Options{DataCentres: 3, Gateways: 4, Agents: 12}, 4)
+	client := kv.NewClient(s.KeyValueURL())
+	ctx := context.Background()
+	first := newest(s).Holder
+	held, err := client.Get(ctx, "duty/planner")
+	require.NoError(t, err)
+	_, err = client.Swap(ctx, kv.Swap{Key: "duty/planner", Revision: held.Revision})
+	require.NoError(t, err)
+	eventually(t, 10*time.Second, "a second holder plans", func() (bool, string) {
+		return newest(s).Holder != first, first
+	})
+	writes := swaps(s, placement.Key)
+	seen := newest(s).PlannedFrom
+	for n := 5; n <= 10; n++ {
+		set(t, s, class("1", n))
+		time.Sleep(700 * time.Millisecond)
+		now := newest(s).PlannedFrom
+		require.GreaterOrEqual(t, now, seen)
+		seen = now
+	}
+	eventually(t, 10*time.Second, "the last change is planned", func() (bool, string) {
+		a, _ := newest(s).Of("auction")
+		return len(a.Instances) == 10, fmt.Sprint(len(a.Instances))
+	})
+	last := newest(s)
+	time.Sleep(3 * time.Second)
+	require.True(t, newest(s).Same(last), "neither undoes the plan")
+	t.Logf("%d placement writes tried for 6 changes", swaps(s, placement.Key)-writes)
+	require.Less(t, swaps(s, placement.Key)-writes, 40)
+}
+
+func swaps(s *loopback.Site, key string) int {
+	for _, c := range s.KeyValue.Calls().Calls {
+		if c.Kind == standkv.KindSwap && c.Prefix == key {
+			return c.Count
+		}
+	}
+	return 0
+}
