--- a/bench/capacity/plan_test.go
+++ b/bench/capacity/plan_test.go
@@ -12,7 +12,7 @@
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/placement"
-	"almondreel.example/almondreel/internal/planner"
+	"almondreel.example/almondreel/internal/plan"
 	"almondreel.example/almondreel/internal/settings"
 )
 
@@ -21,25 +21,25 @@
 func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{50, 100, 200, 400, 600} {
 		in := planInput(n, 6)
-		first := planner.Plan(in)
+		first := plan.Make(in)
 		require.Len(b, first.Assignments[0].Instances, n)
 		b.Run(fmt.Sprintf("first/%d", n), func(b *testing.B) {
 			for b.Loop() {
-				planner.Plan(in)
+				plan.Make(in)
 			}
 		})
 		in.Current = first
 		b.Run(fmt.Sprintf("steady/%d", n), func(b *testing.B) {
 			for b.Loop() {
-				planner.Plan(in)
+				plan.Make(in)
 			}
 		})
 	}
 }
 
-func planInput(instances, classes int) planner.Input {
+func planInput(instances, classes int) plan.Input {
 	digest := manifest.Digest(fmt.Sprintf("sha256:%064d", 1))
-	in := planner.Input{
+	in := plan.Input{
 		Gone:   func(string) bool { return false },
 		Digest: func(string, string) manifest.Digest { return digest },
 		Stuck:  func(string, placement.Assignment) bool { return false },
--- a/internal/planner/choose.go
+++ b/internal/plan/choose.go
@@ -1,4 +1,4 @@
-package planner
+package plan
 
 import (
 	"cmp"
--- a/internal/planner/plan.go
+++ b/internal/plan/plan.go
@@ -1,4 +1,6 @@
-package planner
+// Package plan works out a placement from the configuration, the placement that
+// stands and the members. It has no state and does no input or output.
+package plan
 
 import (
 	"cmp"
@@ -46,9 +48,9 @@
 	groups  []*group
 }
 
-// Plan returns the placement that follows from in. Its revision, holder and
+// Make returns the placement that follows from in. Its revision, holder and
 // change ID are the writer's to set. The same input gives the same plan.
-func Plan(in Input) placement.Placement {
+func Make(in Input) placement.Placement {
 	p := &plan{Input: in, members: map[string]membership.Entry{}, placed: map[string]bool{}, taken: map[string]bool{}}
 	for _, e := range in.Members {
 		p.members[e.Member.Name] = e
--- a/internal/planner/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -1,4 +1,4 @@
-package planner_test
+package plan_test
 
 import (
 	"encoding/json"
@@ -17,7 +17,7 @@
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/placement"
-	"almondreel.example/almondreel/internal/planner"
+	"almondreel.example/almondreel/internal/plan"
 	"almondreel.example/almondreel/internal/settings"
 )
 
@@ -55,7 +55,7 @@
 	for _, name := range s.names() {
 		entries = append(entries, *s.members[name])
 	}
-	s.current = planner.Plan(planner.Input{
+	s.current = plan.Make(plan.Input{
 		Configuration: s.configuration,
 		Current:       s.current,
 		Members:       entries,
--- a/internal/planner/roll.go
+++ b/internal/plan/roll.go
@@ -1,8 +1,7 @@
-package planner
+package plan
 
 import (
 	"slices"
-	"time"
 
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/manifest"
@@ -17,7 +16,6 @@
 	loadingShare = 4
 	// dataCentreShare is the same for its instances in one data centre.
 	dataCentreShare = 2
-	stuckAfter      = 2 * time.Minute
 )
 
 // assign gives the class its group's instances and says how far the change
@@ -193,34 +191,3 @@
 func (p *plan) stuck(g *group, name string) bool {
 	return p.Stuck(name, placement.Assignment{Digest: g.digest})
 }
-
-// turn is an instance that was let load a version.
-type turn struct {
-	instance string
-	digest   manifest.Digest
-}
-
-// remember notes when each instance was let load its version.
-func (p *Planner) remember(next placement.Placement, now time.Time) {
-	granted := map[turn]time.Time{}
-	for _, a := range next.Assignments {
-		for _, name := range a.Instances {
-			key := turn{name, a.Digest}
-			if !a.MayLoad(name) {
-				continue
-			}
-			granted[key] = now
-			if at, ok := p.granted[key]; ok {
-				granted[key] = at
-			}
-		}
-	}
-	p.granted = granted
-}
-
-// stuck reports whether an instance was let load a version so long ago that it
-// no longer counts as loading.
-func (p *Planner) stuck(t turn, now time.Time) bool {
-	at, ok := p.granted[t]
-	return ok && now.Sub(at) > stuckAfter
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,6 +22,7 @@
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/internal/placement"
+	"almondreel.example/almondreel/internal/plan"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/pkg/settle"
 )
@@ -131,7 +132,7 @@
 		return // an older configuration than the one that was planned from
 	}
 	now := time.Now()
-	next := Plan(Input{
+	next := plan.Make(plan.Input{
 		Configuration: s.Configuration,
 		Current:       s.Placement,
 		Members:       p.table.EntriesAt(now),
