--- /dev/null
+++ b/test/distribution/distribution_test.go
@@ -0,0 +1,101 @@
+// Package distribution_test releases versions on real processes while agents
+// are killed, frozen and replaced.
+package distribution_test
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/fleet"
+	standin "almondreel.example/almondreel/internal/standin/source"
+)
+
+const (
+	programs = "../../bin"
+	engines  = 6
+	regions  = 3
+)
+
+// site is Hollister's site with six engines and a version that takes some seconds.
+func site(t *testing.T) fleet.Site {
+	t.Helper()
+	s, err := fleet.LoadSite("../../examples/hollister.yaml")
+	require.NoError(t, err)
+	s.Services[0].Instances = engines
+	for i := range s.Classes {
+		s.Classes[i].Replicas = min(s.Classes[i].Replicas, engines)
+	}
+	s.Model.First.Bytes = 2 << 20
+	s.Model.Next.Bytes = 16 << 20
+	s.Model.Next.ChunkBytes = 128 << 10
+	s.Links.OriginBytesPerSecond = 8 << 20
+	s.Links.InstanceDownBytesPerSecond = 4 << 20
+	s.Links.InstanceUpBytesPerSecond = 4 << 20
+	return s
+}
+
+func start(t *testing.T) (*fleet.Fleet, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
+	t.Cleanup(cancel)
+	f, err := fleet.New(site(t), programs, t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, f.Stop()) })
+	require.NoError(t, f.Start(ctx))
+	require.NoError(t, f.CreateClasses(ctx))
+	require.NoError(t, f.Ready(ctx))
+	_, err = f.AwaitServing(ctx, "1", engines)
+	require.NoError(t, err)
+	return f, ctx
+}
+
+// engineAgents returns the names of the agents beside engines.
+func engineAgents(f *fleet.Fleet) []string {
+	var out []string
+	for _, b := range f.Backends {
+		if b.Service.Name == "assistant" {
+			out = append(out, b.Instance)
+		}
+	}
+	return out
+}
+
+func drawn(t *testing.T, ctx context.Context, f *fleet.Fleet) float64 {
+	t.Helper()
+	bytes, err := f.OriginSent(ctx, f.Site.Model.Name, "2")
+	require.NoError(t, err)
+	return float64(bytes) / float64(f.Site.Model.Next.Bytes)
+}
+
+func TestAgentsDieFreezeAndReturnInMidTransfer(t *testing.T) {
+	f, ctx := start(t)
+	agents := engineAgents(f)
+	require.NoError(t, f.Release(ctx, "2"))
+	require.Eventually(t, func() bool { return drawn(t, ctx, f) > 0.2 }, 30*time.Second, 20*time.Millisecond)
+	killed, frozen := f.Process(agents[0]), f.Process(agents[1])
+	killed.Kill()
+	frozen.Signal(syscall.SIGSTOP)
+	time.Sleep(4 * time.Second)
+	frozen.Signal(syscall.SIGCONT)
+	require.NoError(t, killed.Start())
+	_, err := f.AwaitServing(ctx, "2", engines)
+	require.NoError(t, err)
+	require.LessOrEqual(t, drawn(t, ctx, f), regions*1.1)
+}
+
+func TestOriginGoesAwayAndComesBackInMidTransfer(t *testing.T) {
+	f, ctx := start(t)
+	require.NoError(t, f.Release(ctx, "2"))
+	require.Eventually(t, func() bool { return drawn(t, ctx, f) > 0.2 }, 30*time.Second, 20*time.Millisecond)
+	faults := "http://" + f.Platform.Origin + "/faults"
+	require.NoError(t, fleet.Put(ctx, faults, standin.Faults{Down: true}))
+	time.Sleep(3 * time.Second)
+	require.NoError(t, fleet.Put(ctx, faults, standin.Faults{CorruptOneIn: 50}))
+	_, err := f.AwaitServing(ctx, "2", engines)
+	require.NoError(t, err)
+	require.LessOrEqual(t, drawn(t, ctx, f), regions*1.1)
+}
