--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -27,7 +27,7 @@
 			return nil, errs.Wrap(err, "register "+name, "")
 		}
 	}
-	return server, nil
+	return counted(server), nil
 }
 
 // Path is where the handler must be mounted.
@@ -54,6 +54,7 @@
 	if err != nil {
 		return errs.Wrap(err, "connect", c.address)
 	}
+	counter.Add("ControlCalls."+method, 1)
 	call := client.Go(method, request, reply, make(chan *rpc.Call, 1))
 	select {
 	case done := <-call.Done:
@@ -117,22 +118,5 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return rpc.NewClient(&countedConn{conn}), nil
-}
-
-// countedConn counts the bytes of a client's calls and their answers.
-type countedConn struct {
-	net.Conn
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	counter.Add("ControlReceivedBytes", int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	counter.Add("ControlSentBytes", int64(n))
-	return n, err
+	return rpc.NewClient(countedConn{conn}), nil
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/invariant"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
@@ -48,6 +49,8 @@
 	options Options
 	client  *transmit.Client
 	router  *route.Router
+	gone    *unreachable
+	subsets *subsets
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue  // by service
@@ -66,15 +69,17 @@
 		options: o,
 		client:  transmit.NewClient(),
 		router:  route.NewRouter(),
+		gone:    newUnreachable(),
+		subsets: newSubsets(o),
 		queues:  map[string]*limit.Queue{},
 		budgets: map[string]*limit.Budget{},
 	}
 }
 
-// Stream runs a completion and passes its tokens to sink.
-func (d *Dispatcher) Stream(ctx context.Context, r Request, sink Sink) outcome.Outcome {
-	_, o := d.run(ctx, r, sink)
-	return o
+// Stream runs a completion and passes its tokens to sink. Of the answer only
+// Repeat is set.
+func (d *Dispatcher) Stream(ctx context.Context, r Request, sink Sink) (Answer, outcome.Outcome) {
+	return d.run(ctx, r, sink)
 }
 
 // Call runs a plain call.
@@ -202,6 +207,7 @@
 	progress   progress
 	tried      map[string]bool
 	accepted   bool // an attempt may have run
+	began      bool // an agent took an attempt to its backend server
 	startedAt  time.Time
 	last       outcome.Reason // why the last attempt failed
 	lastTried  string
@@ -226,15 +232,14 @@
 
 // subset returns the class's agents that this gateway uses.
 func (f *flight) subset(now time.Time) []gateway.Member {
-	o := f.dispatcher.options
-	return route.Subset(o.Members.Routable(f.request.Class.Service, now), o.Gateways(), o.Gateway)
+	return f.dispatcher.subsets.of(f.request.Class.Service, now)
 }
 
 // members returns the agents that may run the request now.
 func (f *flight) members(now time.Time) []gateway.Member {
 	subset := f.subset(now)
 	if f.request.Class.Kind != operator.Model {
-		return subset
+		return f.dispatcher.gone.without(subset, now)
 	}
 	var out []gateway.Member
 	for _, m := range subset {
@@ -242,7 +247,7 @@
 			out = append(out, m)
 		}
 	}
-	return out
+	return f.dispatcher.gone.without(out, now)
 }
 
 // repeat sends an idempotent request until an attempt brings the whole answer.
@@ -278,6 +283,9 @@
 	case declined:
 		f.last = r.reason
 		f.declines++
+		if r.reason == outcome.ReplicaOther || r.reason == outcome.NoReplica {
+			f.pinAnew()
+		}
 		if f.suspect && r.reason == outcome.ReplicaBusy {
 			delete(f.tried, f.lastTried) // another gateway's suspect runs there
 			f.declines--
@@ -313,9 +321,12 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return outcome.Cancelled{Tokens: f.progress.tokens}
 	}
-	if f.accepted {
+	if f.began {
 		return outcome.Failed{Reason: reason, Tokens: f.progress.tokens}
 	}
+	if f.accepted {
+		return outcome.Unknown{Reason: reason}
+	}
 	return outcome.Refused{Reason: reason, RetryAt: f.comeBack()}
 }
 
@@ -340,6 +351,7 @@
 	f.tried[m.Name] = true
 	f.lastTried, f.suspect = m.Name, suspect
 	f.startedAt = time.Now()
+	invariant.Assert(f.request.Class.Idempotent || !f.accepted, invariant.OneDispatchOfClaim, "request %s is dispatched again", f.request.ID)
 	f.life.fire("Dispatch")
 	a := &attempt{
 		dispatcher: f.dispatcher,
@@ -357,6 +369,7 @@
 
 func (f *flight) begun() {
 	f.life.fire("Begin")
+	f.began = true
 	took := int(time.Since(f.startedAt).Milliseconds())
 	f.permit.Observed(took, f.request.Class.Target.FirstTokenMilliseconds)
 	counter.Observe("FirstTokenMilliseconds."+f.request.Class.Name, int64(took))
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -30,6 +30,7 @@
 	DutyFenced
 	TargetShort
 	VersionUnresolved
+	PlacementTooLarge
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -58,6 +59,8 @@
 	DrainStarted
 	DrainEnded
 	ClaimUnsettled
+	LedgerKeyTaken
+	LedgerNotHandedOver
 )
 
 var catalogue = map[Number]string{
@@ -86,6 +89,7 @@
 	DutyFenced:           "placement write lost against a newer revision",
 	TargetShort:          "too few instances for a class's target",
 	VersionUnresolved:    "origin does not resolve a version",
+	PlacementTooLarge:    "placement is larger than the key-value service holds",
 
 	TransferStarted:   "transfer of a model started",
 	TransferVerified:  "transfer complete and verified",
@@ -97,15 +101,17 @@
 	LoadUnsettled:     "load order without an answer: reading engine state",
 	OrderRefused:      "order refused: older fencing number",
 
-	RequestRefused:   "request refused, not run",
-	RequestFailed:    "request failed",
-	RequestUnknown:   "request outcome unknown",
-	RequestRetried:   "request retried",
-	RequestConvicted: "request quarantined: it crashes backend servers",
-	DispatchRefused:  "dispatch refused by agent, not run",
-	BackendDied:      "backend server died",
-	LedgerDelayed:    "outcome records wait for the key-value service",
-	DrainStarted:     "drain started: no new work",
-	DrainEnded:       "drain ended: no request in progress",
-	ClaimUnsettled:   "claim could not be settled: repeats are told that its outcome is unknown",
+	RequestRefused:      "request refused, not run",
+	RequestFailed:       "request failed",
+	RequestUnknown:      "request outcome unknown",
+	RequestRetried:      "request retried",
+	RequestConvicted:    "request quarantined: it crashes backend servers",
+	DispatchRefused:     "dispatch refused by agent, not run",
+	BackendDied:         "backend server died",
+	LedgerDelayed:       "outcome records wait for the key-value service",
+	DrainStarted:        "drain started: no new work",
+	DrainEnded:          "drain ended: no request in progress",
+	ClaimUnsettled:      "claim could not be settled: repeats are told that its outcome is unknown",
+	LedgerKeyTaken:      "ledger key holds another batch: the batch is not in the ledger",
+	LedgerNotHandedOver: "outcome records could not be handed to another gateway",
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -96,9 +97,27 @@
 	return p.ended
 }
 
+// ID returns the operating system's number of the current run; 0 before the first.
+func (p *Process) ID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Log returns the path of the process's log file.
 func (p *Process) Log() string { return p.log }
 
+// Ports below those that the kernel gives to outgoing connections, which would
+// take a port between its choice and the daemon's start.
+const (
+	firstPort  = 12000
+	ports      = 20000
+	portTrials = 50
+)
+
 // freeAddresses returns n loopback addresses on which nothing listens.
 func freeAddresses(n int) ([]string, error) {
 	listeners := make([]net.Listener, 0, n)
@@ -109,7 +128,7 @@
 	}()
 	out := make([]string, 0, n)
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenFree()
 		if err != nil {
 			return nil, err
 		}
@@ -118,3 +137,14 @@
 	}
 	return out, nil
 }
+
+func listenFree() (net.Listener, error) {
+	var err error
+	for range portTrials {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -53,7 +53,8 @@
 	listed   map[string]instances.Instance // the platform's list, by name
 	listedAt time.Time
 	startAt  time.Time
-	sequence uint64 // rises with each change that other gateways are told
+	told     map[string]map[string]bool // instances that other gateways say are listed as leaving, by gateway
+	sequence uint64                     // rises with each change that other gateways are told
 	silent   map[string]bool
 	news     chan struct{} // closes at the next change that others need to hear
 }
@@ -61,6 +62,7 @@
 type record struct {
 	member     gateway.Member
 	machine    *chart.Machine
+	whole      gateway.Member  // as last heard directly
 	directAt   time.Time       // last heartbeat; zero: never heard directly
 	isSilent   bool            // heard directly before, and no longer
 	via        map[string]bool // gateways that hear it directly
@@ -82,6 +84,7 @@
 		listed:   map[string]instances.Instance{},
 		silent:   map[string]bool{},
 		startAt:  time.Now(),
+		told:     map[string]map[string]bool{},
 		news:     make(chan struct{}),
 	}
 }
@@ -99,23 +102,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[b.Name]
-	if !ok || r.member.Started != b.Started || r.directAt.IsZero() {
+	if !ok || r.whole.Started != b.Started || r.directAt.IsZero() {
 		return false
 	}
-	t.hear(r.member.WithBrief(b), at)
+	t.hear(r.whole.WithBrief(b), at)
 	return true
 }
 
+// hear takes a member's own word. A brief heartbeat completes what was heard
+// here, so that is kept apart from what other gateways told later.
 func (t *Table) hear(m gateway.Member, at time.Time) {
 	r := t.record(m, at)
-	if newer(r.member, m) && !r.directAt.IsZero() {
+	if r.member.Started != m.Started || (!r.directAt.IsZero() && newer(r.whole, m)) {
 		return
 	}
-	if r.directAt.IsZero() || r.isSilent || tellable(r.member, m) {
+	first := r.directAt.IsZero()
+	r.whole = m
+	r.directAt = at
+	if first || r.isSilent || tellable(r.member, m) {
 		t.changed(r)
 	}
-	r.member = m
-	r.directAt = at
+	if first || !newer(r.member, m) {
+		r.member = m
+	}
 	r.isSilent = false
 	r.toldSilent = false
 	t.step(r, at)
@@ -211,8 +220,18 @@
 	return now.Sub(r.directAt) > movedAfter && t.heardByOthers(r, now)
 }
 
+// leaving reports whether the member itself, the platform's list as read here
+// or as another gateway read it says so.
 func (t *Table) leaving(r *record) bool {
-	return r.member.Leaving || t.listed[r.member.Name].State == instances.Leaving
+	if r.member.Leaving || t.listed[r.member.Name].State == instances.Leaving {
+		return true
+	}
+	for _, names := range t.told {
+		if names[r.member.Name] {
+			return true
+		}
+	}
+	return false
 }
 
 // Service counts the members of a service that are neither leaving nor dead.
