--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -79,8 +79,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply agent.HaveReply
-	err := c.control.Call(ctx, agent.MethodHave, request, &reply)
-	return reply, err
+	if err := c.control.Call(ctx, agent.MethodHave, request, &reply); err != nil {
+		return agent.HaveReply{}, err // a late answer may still be written to reply
+	}
+	return reply, nil
 }
 
 // Manifest reads the manifest of a version by its digest.
--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -39,7 +39,7 @@
 	maxAhead     = 6 // members asked before a take-over
 	farTries     = 3 // agents of other regions tried for one chunk
 	maxUnpassed  = 4 // chunks brought lately that no neighbour holds
-	passTime     = 10 * time.Second
+	passTime     = 30 * time.Second
 	absentTime   = 10 * time.Second // a member that did not answer is passed over
 )
 
