--- /dev/null
+++ b/internal/chunkstore/chunkstore_test.go
@@ -0,0 +1,71 @@
+package chunkstore_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/chunkstore"
+	"almondreel.example/almondreel/internal/manifest"
+)
+
+func build(t *testing.T, version, text string) manifest.Manifest {
+	t.Helper()
+	m, err := manifest.Build("model", version, bytes.NewReader([]byte(text)), 4)
+	require.NoError(t, err)
+	return m
+}
+
+func fill(t *testing.T, s *chunkstore.Store, m manifest.Manifest, text string) {
+	t.Helper()
+	for _, c := range m.Chunks {
+		require.NoError(t, s.Put(c, []byte(text[c.Offset:c.Offset+c.Bytes])))
+	}
+}
+
+func TestVersionsShareChunksUntilNoneListsThem(t *testing.T) {
+	s := chunkstore.New()
+	const first, second = "aaaabbbb", "aaaacccc"
+	m, n := build(t, "1", first), build(t, "2", second)
+	s.Keep(m.Digest(), m)
+	s.Keep(n.Digest(), n)
+	fill(t, s, m, first)
+	fill(t, s, n, second)
+	chunks, held := s.Held()
+	require.Equal(t, 3, chunks)
+	require.Equal(t, int64(12), held)
+	s.Retain(map[manifest.Digest]bool{n.Digest(): true})
+	chunks, held = s.Held()
+	require.Equal(t, 2, chunks)
+	require.Equal(t, int64(8), held)
+	require.NoError(t, s.Verify(n.Digest()))
+	require.ErrorIs(t, s.Verify(m.Digest()), chunkstore.ErrIncomplete)
+	s.Retain(nil)
+	chunks, _ = s.Held()
+	require.Zero(t, chunks)
+}
+
+func TestOnlyListedAndWholeChunksAreStored(t *testing.T) {
+	s := chunkstore.New()
+	m := build(t, "1", "aaaabbbb")
+	require.ErrorIs(t, s.Put(m.Chunks[0], []byte("aaaa")), chunkstore.ErrUnwanted)
+	s.Keep(m.Digest(), m)
+	for _, text := range []string{"", "aaa", "aaaaa", "aaab"} {
+		require.ErrorIs(t, s.Put(m.Chunks[0], []byte(text)), manifest.ErrMismatch)
+	}
+}
+
+func TestOnlyVerifiedVersionsAreWritten(t *testing.T) {
+	s := chunkstore.New()
+	const text = "aaaabbbb"
+	m := build(t, "1", text)
+	s.Keep(m.Digest(), m)
+	fill(t, s, m, text)
+	var out bytes.Buffer
+	require.ErrorIs(t, s.WriteWhole(&out, m.Digest()), chunkstore.ErrIncomplete)
+	require.Zero(t, out.Len())
+	require.NoError(t, s.Verify(m.Digest()))
+	require.NoError(t, s.WriteWhole(&out, m.Digest()))
+	require.Equal(t, text, out.String())
+}
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -349,3 +349,56 @@
 	}
 	held(t, s, last.Digest(), 40*time.Second)
 }
+
+func TestStoreIsDrawnFromBeforeTheOrigin(t *testing.T) {
+	t.Parallel()
+	for name, f := range map[string]standin.Faults{
+		"well":    {},
+		"down":    {Down: true},
+		"stalled": {StallAfterBytes: 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := options(5)
+			o.StoreBytes = 2 * linkBytes
+			s := start(t, o)
+			m := publish(t, s, "1", 1)
+			_, err := s.Store.Publish("model", "1", standin.Version{
+				Bytes: modelBytes, Seed: 1, ChunkBytes: chunkBytes, SharedBytes: modelBytes / 2, SharedSeed: 99,
+			})
+			require.NoError(t, err)
+			plan := s.PlanOf(m)
+			plan.Weighing = operator.OriginBytes
+			fetch(s, plan)
+			progressed(t, s, 0.2)
+			s.Store.SetFaults(f)
+			held(t, s, m.Digest(), 25*time.Second)
+			if name == "well" {
+				require.Zero(t, s.Origin.Sent().Bytes)
+				return
+			}
+			require.Greater(t, s.Origin.Sent().Bytes, int64(0))
+			require.LessOrEqual(t, copies(s), 1.02)
+		})
+	}
+}
+
+// An agent that is left alone with members who are listed but never answer
+// draws the version by itself.
+func TestLastAgentDrawsAlone(t *testing.T) {
+	t.Parallel()
+	s := start(t, options(4))
+	m := publish(t, s, "1", 1)
+	for _, a := range s.Agents()[1:] {
+		a.SetFaults(swarm.Faults{Stalled: true})
+	}
+	a := s.Agents()[0]
+	transferred := a.Fetch(s.PlanOf(m))
+	select {
+	case <-transferred.Done():
+	case <-time.After(30 * time.Second):
+		have, chunks := transferred.Progress()
+		require.Failf(t, "not held", "%d of %d chunks", have, chunks)
+	}
+	require.NoError(t, transferred.Err())
+}
