Promise each refused request a time of its own

All refused requests of a burst were told nearly the same time and most were refused again. Promises from the average holding time were ruled out: it is inflated at the start of a burst, and the pool then stood idle (3 to 7 times the ideal).

--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -15,8 +15,11 @@
 	defaultMaxWaiting = 1024
 	minRetryAfter     = 100 * time.Millisecond
 	maxRetryAfter     = 30 * time.Second
-	retryJitter       = 0.5  // share of the delay that is added at random
-	holdWeight        = 0.05 // of a new sample in the moving average
+	retryJitter       = 0.5   // share of the delay that is added at random
+	promiseShare      = 0.75  // of the time that the pool needs a request, between promises
+	quickDrift        = 1.002 // growth of the best holding time a permit
+	promiseJitter     = 0.1   // of a delay that was promised
+	holdWeight        = 0.05  // of a new sample in the moving average
 )
 
 // Cause says why an Ask was refused.
@@ -68,7 +71,9 @@
 	running    int
 	waiting    int
 	limit      adaptive
-	hold       float64 // milliseconds that a permit is held on average; 0: not known
+	quick      float64   // milliseconds that a permit was held at best, lately
+	promised   time.Time // when the last refused ask may come back
+	hold       float64   // milliseconds that a permit is held on average; 0: not known
 }
 
 type level struct {
@@ -202,8 +207,19 @@
 	return time.Duration(float64(ahead+1) * each * float64(time.Millisecond))
 }
 
+// refusal promises each refused ask a time of its own, one after the other at
+// the rate at which the pool works, so that they do not all come back at once.
 func (q *Queue) refusal(c Cause, wait time.Duration, now time.Time) *Refusal {
-	return &Refusal{Cause: c, RetryAt: Jittered(now, min(max(wait, minRetryAfter), maxRetryAfter))}
+	at := now.Add(max(wait, minRetryAfter))
+	if q.promised.After(at) {
+		at = q.promised
+	}
+	if latest := now.Add(maxRetryAfter); at.After(latest) {
+		at = latest
+	}
+	each := time.Duration(q.quick / q.limit.ceiling * float64(time.Millisecond))
+	q.promised = at.Add(time.Duration(promiseShare * float64(each)))
+	return &Refusal{Cause: c, RetryAt: at.Add(time.Duration(rand.Float64() * promiseJitter * float64(at.Sub(now))))}
 }
 
 // Jittered returns now plus wait plus up to half of wait at random.
@@ -322,6 +338,10 @@
 	q.running--
 	held := float64(now.Sub(p.since).Microseconds()) / 1000
 	q.hold = average(q.hold, held)
+	if q.quick == 0 || held < q.quick {
+		q.quick = held
+	}
+	q.quick *= quickDrift
 	q.pump(now)
 }
 
