--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -67,6 +67,7 @@
 type Versioned struct {
 	Value    []byte
 	Revision uint64
+	packed   []byte // Value compressed, as it travels; empty until it is needed
 }
 
 // Peer is an agent that takes part in a transfer.
@@ -94,6 +95,7 @@
 	Sequence  uint64   // of the replying gateway's view
 	Members   []Member // changed, and heard directly by the replying gateway
 	Silent    []string // members that it heard directly and no longer hears
+	Leaving   []string // instances that the platform lists as leaving
 	Convicted []Conviction
 }
 
