--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -18,8 +18,9 @@
 
 const (
 	minSubset    = 24
-	loadBound    = 1.25 // times the mean load that an agent may carry
-	reportAge    = 2 * time.Second
+	loadBound    = 1.25                    // times the mean load that an agent may carry
+	reportFresh  = 1200 * time.Millisecond // a heartbeat's distance and a little
+	reportAge    = 3 * time.Second         // after which a report tells nothing
 	defaultSlots = 64
 	forgetAfter  = time.Minute
 )
@@ -183,8 +184,8 @@
 }
 
 func (l *load) othersAt(now time.Time) float64 {
-	fresh := 1 - float64(now.Sub(l.toldAt))/float64(reportAge)
-	return math.Max(0, fresh) * float64(l.others)
+	left := float64(reportAge-now.Sub(l.toldAt)) / float64(reportAge-reportFresh)
+	return math.Min(1, math.Max(0, left)) * float64(l.others)
 }
 
 // forget drops agents that were not used for long.
