--- a/bench/capacity/plan_test.go
+++ b/bench/capacity/plan_test.go
@@ -17,7 +17,8 @@
 )
 
 // BenchmarkPlan is the planner's step, which its holder makes every second and
-// at each change of the members: with nothing to change, and a first plan.
+// at each change of the members: a first plan, one with nothing to change, and
+// one in the middle of a release.
 func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{50, 100, 200, 400, 600} {
 		in := planInput(n, 6)
@@ -34,6 +35,27 @@
 				planner.Plan(in)
 			}
 		})
+		release(&in)
+		b.Run(fmt.Sprintf("release/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				planner.Plan(in)
+			}
+		})
+	}
+}
+
+// release gives all classes another version, of which half of the instances
+// have everything.
+func release(in *planner.Input) {
+	digest := manifest.Digest(fmt.Sprintf("sha256:%064d", 2))
+	in.Digest = func(string, string) manifest.Digest { return digest }
+	for i := range in.Configuration.Classes {
+		in.Configuration.Classes[i].Target.Version = "2"
+	}
+	in.Current = planner.Plan(*in)
+	for i := range in.Members {
+		m := &in.Members[i].Member
+		m.Want, m.Chunks, m.Have = digest, 2, 1+i%2
 	}
 }
 
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"almondreel.example/almondreel/internal/membership"
@@ -12,20 +11,17 @@
 // choose adds candidates to the group until it has its replicas, each time one
 // of the region and data centre with the fewest, of those one that states the
 // version already, and of those the first by rendezvous rank.
-func (p *plan) choose(g *group, candidates []string) {
-	free := slices.DeleteFunc(candidates, func(name string) bool { return p.taken[name] })
+func (p *plan) choose(g *group, names []string) {
+	free := slices.DeleteFunc(names, func(name string) bool { return p.taken[name] })
 	ranked := rank.First(g.key, free, len(free))
-	alike := map[likeness][]int{}
-	for i, name := range ranked {
-		l := p.likeness(g, name)
-		alike[l] = append(alike[l], i)
-	}
+	alike := p.alike(g, ranked)
 	held := p.countHeld(g)
 	for len(g.instances) < g.replicas && len(alike) > 0 {
-		l := held.best(alike)
-		name := ranked[alike[l][0]]
-		if alike[l] = alike[l][1:]; len(alike[l]) == 0 {
-			delete(alike, l)
+		i := held.best(alike)
+		l := alike[i].likeness
+		name := ranked[alike[i].ranks[0]]
+		if alike[i].ranks = alike[i].ranks[1:]; len(alike[i].ranks) == 0 {
+			alike = slices.Delete(alike, i, i+1)
 		}
 		g.instances = append(g.instances, name)
 		p.taken[name] = true
@@ -33,6 +29,29 @@
 	}
 }
 
+// pool is candidates that are alike; ranks are in order.
+type pool struct {
+	likeness
+	ranks []int
+}
+
+// alike puts the ranked names that are alike together.
+func (p *plan) alike(g *group, ranked []string) []pool {
+	index := map[likeness]int{}
+	var out []pool
+	for i, name := range ranked {
+		l := p.likeness(g, name)
+		at, ok := index[l]
+		if !ok {
+			at = len(out)
+			index[l] = at
+			out = append(out, pool{likeness: l})
+		}
+		out[at].ranks = append(out[at].ranks, i)
+	}
+	return out
+}
+
 // likeness is what a choice looks at; between candidates that are alike, rank decides.
 type likeness struct {
 	region, dataCentre string
@@ -60,18 +79,24 @@
 	c.dataCentres[l.dataCentre]++
 }
 
-// best returns the likeness to choose from next. alike holds the ranks of the
-// candidates, the first first; the order of the map makes no difference, as no
-// two candidates have the same rank.
-func (c count) best(alike map[likeness][]int) likeness {
-	return slices.MinFunc(slices.Collect(maps.Keys(alike)), func(a, b likeness) int {
-		return cmp.Or(
-			cmp.Compare(c.regions[a.region], c.regions[b.region]),
-			cmp.Compare(c.dataCentres[a.dataCentre], c.dataCentres[b.dataCentre]),
-			cmp.Compare(a.notReady, b.notReady),
-			cmp.Compare(alike[a][0], alike[b][0]),
-		)
-	})
+// best returns the index of the candidates to choose from next.
+func (c count) best(alike []pool) int {
+	best := 0
+	for i := range alike {
+		if c.compare(alike[i], alike[best]) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+func (c count) compare(a, b pool) int {
+	return cmp.Or(
+		cmp.Compare(c.regions[a.region], c.regions[b.region]),
+		cmp.Compare(c.dataCentres[a.dataCentre], c.dataCentres[b.dataCentre]),
+		cmp.Compare(a.notReady, b.notReady),
+		cmp.Compare(a.ranks[0], b.ranks[0]),
+	)
 }
 
 func notReady(g *group, e membership.Entry) int {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -41,19 +41,20 @@
 type plan struct {
 	Input
 	members map[string]membership.Entry
-	placed  map[string]bool // instances that carry a class now, or answer for one being moved off
-	taken   map[string]bool // instances that a group has
+	held    map[string]holding // of the current placement, by class
+	placed  map[string]bool    // instances that carry a class now, or answer for one being moved off
+	taken   map[string]bool    // instances that a group has
 	groups  []*group
 }
 
 // Plan returns the placement that follows from in. Its revision, holder and
 // change ID are the writer's to set. The same input gives the same plan.
 func Plan(in Input) placement.Placement {
-	p := &plan{Input: in, members: map[string]membership.Entry{}, placed: map[string]bool{}, taken: map[string]bool{}}
+	p := &plan{Input: in, members: map[string]membership.Entry{}, held: map[string]holding{}, placed: map[string]bool{}, taken: map[string]bool{}}
 	for _, e := range in.Members {
 		p.members[e.Member.Name] = e
 	}
-	p.findPlaced()
+	p.findHeld()
 	p.formGroups()
 	for _, g := range p.groups {
 		p.keepSameVersion(g)
@@ -195,9 +196,21 @@
 	p.choose(g, free)
 }
 
-// findPlaced notes the instances that the classes of the configuration have.
-func (p *plan) findPlaced() {
+// holding is what a class has in the current placement.
+type holding struct {
+	digest                       manifest.Digest
+	instances, waiting, retiring map[string]bool
+}
+
+// mayLoad reports whether the class lets the instance load its version.
+func (h holding) mayLoad(instance string) bool {
+	return h.instances[instance] && !h.waiting[instance]
+}
+
+// findHeld notes what the classes have.
+func (p *plan) findHeld() {
 	for _, a := range p.Current.Assignments {
+		p.held[a.Class] = holding{a.Digest, set(a.Instances), set(a.Waiting), set(a.Retiring)}
 		if _, still := p.Configuration.Class(a.Class); !still {
 			continue
 		}
@@ -207,6 +220,14 @@
 	}
 }
 
+func set(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		out[name] = true
+	}
+	return out
+}
+
 func (p *plan) keepable(g *group, held []string) []string {
 	var out []string
 	seen := map[string]bool{}
--- a/internal/planner/roll.go
+++ b/internal/planner/roll.go
@@ -57,6 +57,7 @@
 	}
 	var answering []manifest.Digest
 	var retiring []string
+	placed := set(a.Instances)
 	for _, name := range slices.Concat(held.Instances, held.Retiring) {
 		d := p.stated(name)
 		older := slices.Contains(versions, d)
@@ -66,7 +67,7 @@
 		if p.unaware(name, a.Digest) {
 			answering = append(answering, versions...)
 		}
-		if older && !slices.Contains(a.Instances, name) {
+		if older && !placed[name] {
 			retiring = append(retiring, name)
 		}
 	}
@@ -165,14 +166,14 @@
 		return false
 	}
 	for _, c := range g.classes {
-		held, ok := p.Current.Of(c.Name)
-		if ok && slices.Contains(held.Retiring, name) {
+		held := p.held[c.Name]
+		if held.retiring[name] {
 			return true
 		}
-		if !ok || held.Digest == "" || !slices.Contains(held.Instances, name) {
+		if held.digest == "" || !held.instances[name] {
 			continue
 		}
-		if held.Digest != g.digest || slices.Contains(held.Waiting, name) {
+		if held.digest != g.digest || held.waiting[name] {
 			return true
 		}
 	}
@@ -182,8 +183,8 @@
 // let reports whether the current placement lets the instance load the group's version.
 func (p *plan) let(g *group, name string) bool {
 	for _, c := range g.classes {
-		held, ok := p.Current.Of(c.Name)
-		if ok && held.Digest == g.digest && held.MayLoad(name) {
+		held, ok := p.held[c.Name]
+		if ok && held.digest == g.digest && held.mayLoad(name) {
 			return true
 		}
 	}
@@ -204,9 +205,10 @@
 func (p *Planner) remember(next placement.Placement, now time.Time) {
 	granted := map[turn]time.Time{}
 	for _, a := range next.Assignments {
+		waiting := set(a.Waiting)
 		for _, name := range a.Instances {
 			key := turn{name, a.Digest}
-			if !a.MayLoad(name) {
+			if waiting[name] {
 				continue
 			}
 			granted[key] = now
