Work out once a group which instances wait in a release

Classes of one version share their instances, so each worked out the same list. go test -run '^$' -bench Plan -benchtime 100x ./bench/capacity, a plan of 6 classes on 600 instances in a release: 13.9 ms before, 10.3 ms after. Trial: the same 9,000 random plans come out the same to the byte.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -36,6 +36,7 @@
 	priority  int
 	readyBy   time.Time
 	instances []string
+	waiting   []string
 }
 
 type plan struct {
@@ -69,6 +70,12 @@
 		p.fill(g)
 		p.takeFromLower(g)
 	}
+	for _, g := range p.groups {
+		slices.Sort(g.instances)
+		if g.kind == operator.Model {
+			g.waiting = p.waiting(g)
+		}
+	}
 	next := placement.Placement{PlannedFrom: in.Configuration.Revision}
 	for _, c := range in.Configuration.Classes {
 		if g := p.groupOf(c.Name); g != nil {
--- a/internal/planner/roll.go
+++ b/internal/planner/roll.go
@@ -33,13 +33,13 @@
 		Digest:    g.digest,
 		ReadyBy:   c.Target.ReadyBy,
 		Weighing:  c.Target.Weighing,
-		Instances: slices.Sorted(slices.Values(g.instances)),
+		Instances: g.instances,
 	}
 	if g.kind == operator.Plain {
 		return a
 	}
 	a.Previous, a.Retiring = p.previous(a, held)
-	a.Waiting = p.waiting(g)
+	a.Waiting = g.waiting
 	return a
 }
 
