--- a/internal/planner/turns.go
+++ b/internal/planner/turns.go
@@ -19,9 +19,13 @@
 func (p *Planner) remember(next placement.Placement, now time.Time) {
 	granted := map[turn]time.Time{}
 	for _, a := range next.Assignments {
+		waiting := map[string]bool{}
+		for _, name := range a.Waiting {
+			waiting[name] = true
+		}
 		for _, name := range a.Instances {
 			key := turn{name, a.Digest}
-			if !a.MayLoad(name) {
+			if waiting[name] {
 				continue
 			}
 			granted[key] = now
