--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -10,6 +10,7 @@
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/invariant"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/internal/placement"
@@ -59,9 +60,7 @@
 		older(event.ConfigurationOlder, v.Revision, held, from)
 		return nil
 	}
-	s.snapshot.Configuration = d.WithRevision(v.Revision)
-	s.snapshot.EncodedConfiguration = v
-	s.announce()
+	s.replace(s.snapshot.withConfiguration(d, v))
 	event.Log(event.ConfigurationAdopted, "Revision", v.Revision, "From", from)
 	return nil
 }
@@ -83,9 +82,7 @@
 		older(event.PlacementOlder, v.Revision, held, from)
 		return nil
 	}
-	s.snapshot.Placement = p.WithRevision(v.Revision)
-	s.snapshot.EncodedPlacement = v
-	s.announce()
+	s.replace(s.snapshot.withPlacement(p, v))
 	event.Log(event.PlacementAdopted, "Revision", v.Revision, "From", from)
 	return nil
 }
@@ -96,11 +93,28 @@
 	}
 }
 
-func (s *State) announce() {
+// replace puts next in force. Callers hold mu.
+func (s *State) replace(next Snapshot) {
+	before, after := s.snapshot.Revisions(), next.Revisions()
+	rises := after.Configuration >= before.Configuration && after.Placement >= before.Placement && after != before
+	invariant.Assert(rises, invariant.RevisionRises, "%+v follows %+v", after, before)
+	s.snapshot = next
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+func (s Snapshot) withConfiguration(d operator.Document, v gateway.Versioned) Snapshot {
+	s.Configuration = d.WithRevision(v.Revision)
+	s.EncodedConfiguration = v
+	return s
+}
+
+func (s Snapshot) withPlacement(p placement.Placement, v gateway.Versioned) Snapshot {
+	s.Placement = p.WithRevision(v.Revision)
+	s.EncodedPlacement = v
+	return s
+}
+
 // Revisions returns the revisions in force; 0 means none.
 func (s Snapshot) Revisions() gateway.Revisions {
 	return gateway.Revisions{
