--- a/bench/capacity/process_test.go
+++ b/bench/capacity/process_test.go
@@ -12,14 +12,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"almondreel.example/almondreel/internal/fleet"
+	"almondreel.example/almondreel/internal/process"
 )
 
 const ticksPerSecond = 100 // of the times in /proc/PID/stat
 
 // daemon is a process that is measured and where it answers /metrics.
 type daemon struct {
-	process *fleet.Process
+	process *process.Process
 	address string
 }
 
--- a/internal/control/count.go
+++ b/internal/control/count.go
@@ -11,12 +11,14 @@
 // countedConn counts the bytes of calls and answers, of both ends of a connection.
 type countedConn struct{ net.Conn }
 
+// Read counts what was received.
 func (c countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	counter.Add("ControlReceivedBytes", int64(n))
 	return n, err
 }
 
+// Write counts what was sent.
 func (c countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	counter.Add("ControlSentBytes", int64(n))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"gopkg.in/yaml.v3"
 
+	"almondreel.example/almondreel/internal/process"
 	"almondreel.example/almondreel/internal/settings"
 )
 
@@ -47,7 +48,7 @@
 
 	mu        sync.Mutex
 	away      map[string]bool // gateways that the platform's balancer passes over
-	processes map[string]*Process
+	processes map[string]*process.Process
 	daemons   []string
 	standIns  []string
 }
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Site: site, bin: absolute, dir: dir, away: map[string]bool{}, processes: map[string]*Process{}}
+	f := &Fleet{Site: site, bin: absolute, dir: dir, away: map[string]bool{}, processes: map[string]*process.Process{}}
 	if err := f.layOut(); err != nil {
 		return nil, err
 	}
@@ -73,7 +74,7 @@
 	for _, s := range f.Site.Services {
 		backends += s.Instances
 	}
-	free, err := freeAddresses(4 + 2*gateways + 2*backends + len(f.Site.Services))
+	free, err := process.FreeAddresses(4 + 2*gateways + 2*backends + len(f.Site.Services))
 	if err != nil {
 		return err
 	}
@@ -184,7 +185,7 @@
 
 // Process returns the process called name: "key-value", "instances", "origin",
 // "store", a gateway's or instance's name, or "backend-" and an instance's name.
-func (f *Fleet) Process(name string) *Process {
+func (f *Fleet) Process(name string) *process.Process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.processes[name]
@@ -224,10 +225,10 @@
 func (f *Fleet) stopGroup(names []string) []error {
 	results := make(chan error, len(names))
 	for _, name := range names {
-		go func(p *Process) {
+		go func(p *process.Process) {
 			var err error
 			if !p.Terminate() {
-				err = fmt.Errorf("%s did not end within %v of SIGTERM", p.Name, stopWithin)
+				err = fmt.Errorf("%s did not end within %v of SIGTERM", p.Name, process.StopWithin)
 			}
 			results <- err
 		}(f.Process(name))
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/instances"
+	"almondreel.example/almondreel/internal/process"
 	"almondreel.example/almondreel/internal/settings"
 )
 
@@ -123,7 +124,7 @@
 const CrashMarker = "!crash!"
 
 func (f *Fleet) run(name, program string, args ...string) error {
-	p := newProcess(name, filepath.Join(f.bin, program), f.dir, args...)
+	p := process.New(name, filepath.Join(f.bin, program), f.dir, args...)
 	f.mu.Lock()
 	f.processes[name] = p
 	if program == standIn {
--- a/internal/kv/errors.go
+++ b/internal/kv/errors.go
@@ -38,4 +38,5 @@
 // Lapsed reports a lease that no longer exists.
 type Lapsed struct{}
 
+// Error says that the lease has lapsed.
 func (*Lapsed) Error() string { return "lease has lapsed" }
--- a/internal/loopback/gateway.go
+++ b/internal/loopback/gateway.go
@@ -107,8 +107,13 @@
 	body   bytes.Buffer
 }
 
-func (b *buffer) Header() http.Header            { return b.header }
-func (b *buffer) WriteHeader(status int)         { b.status = status }
+// Header returns the answer's header.
+func (b *buffer) Header() http.Header { return b.header }
+
+// WriteHeader takes the answer's status.
+func (b *buffer) WriteHeader(status int) { b.status = status }
+
+// Write takes the answer's bytes.
 func (b *buffer) Write(data []byte) (int, error) { return b.body.Write(data) }
 
 func (b *buffer) copyTo(w http.ResponseWriter) {
--- a/internal/loopback/traffic.go
+++ b/internal/loopback/traffic.go
@@ -21,6 +21,7 @@
 	bytes *atomic.Int64
 }
 
+// Accept counts the connection's bytes.
 func (c counted) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
 	if err != nil {
@@ -34,12 +35,14 @@
 	bytes *atomic.Int64
 }
 
+// Read counts what was received.
 func (c *countedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	c.bytes.Add(int64(n))
 	return n, err
 }
 
+// Write counts what was sent.
 func (c *countedConn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
 	c.bytes.Add(int64(n))
--- a/internal/fleet/process.go
+++ b/internal/process/process.go
@@ -1,4 +1,6 @@
-package fleet
+// Package process runs programs for the demo and for end-to-end tests. The daemons
+// start no process and never use it.
+package process
 
 import (
 	"fmt"
@@ -12,10 +14,10 @@
 	"time"
 )
 
-// stopWithin is the time a process gets to end after SIGTERM.
-const stopWithin = 15 * time.Second
+// StopWithin is the time a process gets to end after SIGTERM.
+const StopWithin = 15 * time.Second
 
-// Process is one running program of the site.
+// Process is one program, running or ended.
 type Process struct {
 	Name string
 	path string
@@ -27,7 +29,8 @@
 	ended chan struct{} // closed when the current run has ended
 }
 
-func newProcess(name, path, logDir string, args ...string) *Process {
+// New returns a process that is not started; its log goes to logDir.
+func New(name, path, logDir string, args ...string) *Process {
 	return &Process{Name: name, path: path, args: args, log: filepath.Join(logDir, name+".log")}
 }
 
@@ -79,7 +82,7 @@
 	select {
 	case <-p.Ended():
 		return true
-	case <-time.After(stopWithin):
+	case <-time.After(StopWithin):
 		p.Kill()
 		return false
 	}
@@ -118,8 +121,8 @@
 	portTrials = 50
 )
 
-// freeAddresses returns n loopback addresses on which nothing listens.
-func freeAddresses(n int) ([]string, error) {
+// FreeAddresses returns n loopback addresses on which nothing listens.
+func FreeAddresses(n int) ([]string, error) {
 	listeners := make([]net.Listener, 0, n)
 	defer func() {
 		for _, l := range listeners {
