--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -14,7 +14,7 @@
 const (
 	defaultMaxWaiting = 1024
 	minRetryAfter     = 100 * time.Millisecond
-	maxRetryAfter     = 30 * time.Second
+	maxRetryAfter     = 4 * time.Second
 	retryJitter       = 0.5   // share of the delay that is added at random
 	promiseShare      = 0.75  // of the time that the pool needs a request, between promises
 	quickDrift        = 1.002 // growth of the best holding time a permit
