--- a/internal/planner/roll.go
+++ b/internal/plan/roll.go
@@ -1,8 +1,7 @@
-package planner
+package plan
 
 import (
 	"slices"
-	"time"
 
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/manifest"
@@ -17,7 +16,6 @@
 	loadingShare = 4
 	// dataCentreShare is the same for its instances in one data centre.
 	dataCentreShare = 2
-	stuckAfter      = 2 * time.Minute
 )
 
 // assign gives the class its group's instances and says how far the change
@@ -33,13 +31,13 @@
 		Digest:    g.digest,
 		ReadyBy:   c.Target.ReadyBy,
 		Weighing:  c.Target.Weighing,
-		Instances: slices.Sorted(slices.Values(g.instances)),
+		Instances: g.instances,
 	}
 	if g.kind == operator.Plain {
 		return a
 	}
 	a.Previous, a.Retiring = p.previous(a, held)
-	a.Waiting = p.waiting(g)
+	a.Waiting = g.waiting
 	return a
 }
 
@@ -57,6 +55,7 @@
 	}
 	var answering []manifest.Digest
 	var retiring []string
+	placed := set(a.Instances)
 	for _, name := range slices.Concat(held.Instances, held.Retiring) {
 		d := p.stated(name)
 		older := slices.Contains(versions, d)
@@ -66,7 +65,7 @@
 		if p.unaware(name, a.Digest) {
 			answering = append(answering, versions...)
 		}
-		if older && !slices.Contains(a.Instances, name) {
+		if older && !placed[name] {
 			retiring = append(retiring, name)
 		}
 	}
@@ -165,14 +164,14 @@
 		return false
 	}
 	for _, c := range g.classes {
-		held, ok := p.Current.Of(c.Name)
-		if ok && slices.Contains(held.Retiring, name) {
+		held := p.held[c.Name]
+		if held.retiring[name] {
 			return true
 		}
-		if !ok || held.Digest == "" || !slices.Contains(held.Instances, name) {
+		if held.digest == "" || !held.instances[name] {
 			continue
 		}
-		if held.Digest != g.digest || slices.Contains(held.Waiting, name) {
+		if held.digest != g.digest || held.waiting[name] {
 			return true
 		}
 	}
@@ -182,8 +181,8 @@
 // let reports whether the current placement lets the instance load the group's version.
 func (p *plan) let(g *group, name string) bool {
 	for _, c := range g.classes {
-		held, ok := p.Current.Of(c.Name)
-		if ok && held.Digest == g.digest && held.MayLoad(name) {
+		held, ok := p.held[c.Name]
+		if ok && held.digest == g.digest && held.mayLoad(name) {
 			return true
 		}
 	}
@@ -193,34 +192,3 @@
 func (p *plan) stuck(g *group, name string) bool {
 	return p.Stuck(name, placement.Assignment{Digest: g.digest})
 }
-
-// turn is an instance that was let load a version.
-type turn struct {
-	instance string
-	digest   manifest.Digest
-}
-
-// remember notes when each instance was let load its version.
-func (p *Planner) remember(next placement.Placement, now time.Time) {
-	granted := map[turn]time.Time{}
-	for _, a := range next.Assignments {
-		for _, name := range a.Instances {
-			key := turn{name, a.Digest}
-			if !a.MayLoad(name) {
-				continue
-			}
-			granted[key] = now
-			if at, ok := p.granted[key]; ok {
-				granted[key] = at
-			}
-		}
-	}
-	p.granted = granted
-}
-
-// stuck reports whether an instance was let load a version so long ago that it
-// no longer counts as loading.
-func (p *Planner) stuck(t turn, now time.Time) bool {
-	at, ok := p.granted[t]
-	return ok && now.Sub(at) > stuckAfter
-}
