--- a/internal/dispatch/attempt.go
+++ b/internal/attempt/attempt.go
@@ -1,4 +1,4 @@
-package dispatch
+package attempt
 
 import (
 	"context"
@@ -33,74 +33,76 @@
 	betweenTokensPatience = 40 // times the class's between-tokens target
 )
 
-// result is how one attempt ended: declined, whole or broken.
-type result interface{ result() }
+// Result is how one attempt ended: Declined, Whole, Broken or Gone.
+type Result interface{ result() }
 
-// declined says that the attempt was not run.
-type declined struct{ reason outcome.Reason }
+// Declined says that the attempt was not run.
+type Declined struct{ Reason outcome.Reason }
 
-// whole says that the whole answer was passed on.
-type whole struct{}
+// Whole says that the whole answer was passed on.
+type Whole struct{}
 
-// broken says that the attempt may have run and brought no whole answer.
-type broken struct {
-	reason outcome.Reason
-	died   bool // the server that ran it is dead
-	cause  error
+// Broken says that the attempt may have run and brought no whole answer.
+type Broken struct {
+	Reason outcome.Reason
+	Died   bool // the server that ran it is dead
+	Cause  error
 }
 
-// gone says that the caller left while the attempt ran.
-type gone struct{}
+// Gone says that the caller left while the attempt ran.
+type Gone struct{}
+
+func (Declined) result() {}
+func (Whole) result()    {}
+func (Broken) result()   {}
+func (Gone) result()     {}
 
-func (declined) result() {}
-func (whole) result()    {}
-func (broken) result()   {}
-func (gone) result()     {}
+// Attempt is one dispatch of a request to an agent.
+type Attempt struct {
+	Client   *transmit.Client
+	Told     func(agent string, running, slots int) // what the agent says of its load
+	Request  Request
+	Member   gateway.Member
+	Suspect  bool // it may crash the backend server
+	Progress *Progress
+	Sink     Sink
+	Begun    func() // the agent took the request to its backend server
 
-// attempt is one dispatch of a request to an agent.
-type attempt struct {
-	dispatcher *Dispatcher
-	request    Request
-	member     gateway.Member
-	id         string
-	suspect    bool
-	progress   *progress
-	sink       Sink
-	begun      func() // first byte of the answer
+	id string
 }
 
-func (a *attempt) header() http.Header {
-	r := a.request
+func (a *Attempt) header() http.Header {
+	r := a.Request
 	h := http.Header{}
 	h.Set("Content-Type", "application/json")
 	h.Set(agent.HeaderRequestID, r.ID)
 	h.Set(agent.HeaderAttempt, a.id)
 	h.Set(agent.HeaderClass, r.Class.Name)
 	h.Set(agent.HeaderOrganisation, r.Organisation)
-	h.Set(agent.HeaderDigest, string(a.progress.digest))
+	h.Set(agent.HeaderDigest, string(a.Progress.Digest))
 	h.Set(agent.HeaderDeadline, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
 	h.Set(agent.HeaderFingerprint, r.Fingerprint)
 	h.Set(agent.HeaderPriority, strconv.Itoa(r.Class.Priority))
-	h.Set(agent.HeaderResumeFrom, strconv.Itoa(a.progress.tokens))
-	if a.suspect {
+	h.Set(agent.HeaderResumeFrom, strconv.Itoa(a.Progress.Tokens))
+	if a.Suspect {
 		h.Set(agent.HeaderSuspect, "1")
 	}
 	return h
 }
 
-// run sends the dispatch and passes the answer on.
-func (a *attempt) run(ctx context.Context) result {
+// Run sends the dispatch and passes the answer on.
+func (a *Attempt) Run(ctx context.Context) Result {
 	a.id = uuid.NewString()
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	patience := a.patience(cancel)
 	defer patience.stop()
-	response, err := a.dispatcher.client.Send(attemptCtx, transmit.Message{
-		Address: a.member.Address,
+	response, err := a.Client.Send(attemptCtx, transmit.Message{
+		Address: a.Member.Address,
 		Path:    agent.DispatchPath,
 		Header:  a.header(),
-		Body:    a.request.Body,
-		Fresh:   !a.request.Class.Idempotent,
+		Body:    a.Request.Body,
+		Fresh:   !a.Request.Class.Idempotent,
 	})
 	if err != nil {
 		return a.sendFailed(ctx, err)
@@ -110,11 +112,11 @@
 		return refused
 	}
 	if response.StatusCode != http.StatusOK || response.Header.Get(agent.HeaderAttempt) != a.id {
-		cause := errs.New("dispatch", a.member.Address, "status %d for attempt %q", response.StatusCode, response.Header.Get(agent.HeaderAttempt))
-		return broken{reason: outcome.StreamCut, cause: cause}
+		cause := errs.New("dispatch", a.Member.Address, "status %d for attempt %q", response.StatusCode, response.Header.Get(agent.HeaderAttempt))
+		return Broken{Reason: outcome.StreamCut, Cause: cause}
 	}
-	a.begun()
-	if a.request.Class.Kind == operator.Model {
+	a.Begun()
+	if a.Request.Class.Kind == operator.Model {
 		err = a.readTokens(response.Body, patience)
 	} else {
 		err = a.readAnswer(response)
@@ -123,16 +125,16 @@
 }
 
 // refused reports an agent's refusal. One of another attempt proves nothing.
-func (a *attempt) refused(response *http.Response) result {
+func (a *Attempt) refused(response *http.Response) Result {
 	a.told(response.Header)
 	reason := response.Header.Get(agent.HeaderRefused)
 	if reason == "" || response.Header.Get(agent.HeaderAttempt) != a.id {
 		return nil
 	}
-	return declined{reason: outcome.Reason(reason)}
+	return Declined{Reason: outcome.Reason(reason)}
 }
 
-func (a *attempt) told(h http.Header) {
+func (a *Attempt) told(h http.Header) {
 	running, err := strconv.Atoi(h.Get(agent.HeaderRunning))
 	if err != nil {
 		return
@@ -141,57 +143,57 @@
 	if err != nil {
 		return
 	}
-	a.dispatcher.router.Told(a.member.Name, running, slots)
+	a.Told(a.Member.Name, running, slots)
 }
 
-func (a *attempt) sendFailed(ctx context.Context, err error) result {
+func (a *Attempt) sendFailed(ctx context.Context, err error) Result {
 	var unsent *transmit.Unsent
 	if errors.As(err, &unsent) {
 		if ctx.Err() != nil {
-			return declined{reason: outcome.DeadlinePassed}
+			return Declined{Reason: outcome.DeadlinePassed}
 		}
-		return declined{reason: outcome.ReplicaUnreachable}
+		return Declined{Reason: outcome.ReplicaUnreachable}
 	}
 	return a.broke(ctx, outcome.ReplicaUnreachable, err)
 }
 
 // broke says how an attempt ended whose answer stopped at the connection.
-func (a *attempt) broke(ctx context.Context, reason outcome.Reason, err error) result {
+func (a *Attempt) broke(ctx context.Context, reason outcome.Reason, err error) Result {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return broken{reason: outcome.DeadlinePassed, cause: err}
+		return Broken{Reason: outcome.DeadlinePassed, Cause: err}
 	case ctx.Err() != nil:
-		return gone{}
+		return Gone{}
 	}
-	return broken{reason: reason, died: transmit.Refuses(a.member.Address), cause: err}
+	return Broken{Reason: reason, Died: transmit.Refuses(a.Member.Address), Cause: err}
 }
 
 // end judges an answer that was read to its end.
-func (a *attempt) end(ctx context.Context, response *http.Response, err error) result {
+func (a *Attempt) end(ctx context.Context, response *http.Response, err error) Result {
 	if errors.Is(err, errCallerGone) {
-		return gone{}
+		return Gone{}
 	}
 	var wrong *wrongAnswer
 	trailer := outcome.Reason(response.Trailer.Get(agent.TrailerEnd))
 	switch {
 	case trailer == agent.EndWhole && err == nil:
-		return whole{}
-	case a.progress.finished && !errors.As(err, &wrong):
-		return whole{} // only the end marker is missing
+		return Whole{}
+	case a.Progress.Finished && !errors.As(err, &wrong):
+		return Whole{} // only the end marker is missing
 	}
 	if errors.As(err, &wrong) {
-		return broken{reason: wrong.reason, cause: err}
+		return Broken{Reason: wrong.reason, Cause: err}
 	}
 	switch trailer {
 	case "", agent.EndWhole:
 		return a.broke(ctx, outcome.StreamCut, err)
 	case outcome.CallerGone:
 		if ctx.Err() != nil {
-			return gone{}
+			return Gone{}
 		}
-		return broken{reason: outcome.StreamCut, cause: err}
+		return Broken{Reason: outcome.StreamCut, Cause: err}
 	}
-	return broken{reason: trailer, died: trailer == outcome.BackendDied, cause: err}
+	return Broken{Reason: trailer, Died: trailer == outcome.BackendDied, Cause: err}
 }
 
 var (
@@ -209,7 +211,7 @@
 func (e *wrongAnswer) Error() string { return e.detail }
 
 // readTokens passes each token on once and in order.
-func (a *attempt) readTokens(body io.Reader, patience *patience) error {
+func (a *Attempt) readTokens(body io.Reader, patience *patience) error {
 	done := false
 	for e, err := range sse.Read(body, nil) {
 		if err != nil {
@@ -233,7 +235,7 @@
 	return nil
 }
 
-func (a *attempt) passToken(data string) error {
+func (a *Attempt) passToken(data string) error {
 	var t engine.Token
 	if err := json.Unmarshal([]byte(data), &t); err != nil {
 		return &wrongAnswer{outcome.StreamCut, "token is not JSON: " + err.Error()}
@@ -241,27 +243,27 @@
 	if t.RequestID != a.id {
 		return &wrongAnswer{outcome.StreamCut, fmt.Sprintf("token of attempt %q", t.RequestID)}
 	}
-	if t.Digest != a.progress.digest {
-		return &wrongAnswer{outcome.ReplicaOther, fmt.Sprintf("token of version %s, not %s", t.Digest, a.progress.digest)}
+	if t.Digest != a.Progress.Digest {
+		return &wrongAnswer{outcome.ReplicaOther, fmt.Sprintf("token of version %s, not %s", t.Digest, a.Progress.Digest)}
 	}
-	if t.Index < a.progress.tokens {
+	if t.Index < a.Progress.Tokens {
 		counter.Add("RepeatedTokens", 1)
 		return nil
 	}
-	if t.Index > a.progress.tokens {
-		return &wrongAnswer{outcome.StreamCut, fmt.Sprintf("token %d follows token %d", t.Index, a.progress.tokens-1)}
+	if t.Index > a.Progress.Tokens {
+		return &wrongAnswer{outcome.StreamCut, fmt.Sprintf("token %d follows token %d", t.Index, a.Progress.Tokens-1)}
 	}
-	invariant.Assert(t.Digest == a.progress.digest, invariant.ServedDigestPlaced, "request %s got %s", a.request.ID, t.Digest)
-	t.RequestID = a.request.ID
-	if err := a.sink.Token(t); err != nil {
+	invariant.Assert(t.Digest == a.Progress.Digest, invariant.ServedDigestPlaced, "request %s got %s", a.Request.ID, t.Digest)
+	t.RequestID = a.Request.ID
+	if err := a.Sink.Token(t); err != nil {
 		return errCallerGone
 	}
-	a.progress.tokens++
-	a.progress.finished = t.Finish != ""
+	a.Progress.Tokens++
+	a.Progress.Finished = t.Finish != ""
 	return nil
 }
 
-func (a *attempt) readAnswer(response *http.Response) error {
+func (a *Attempt) readAnswer(response *http.Response) error {
 	text, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
 	if err != nil {
 		return err
@@ -273,7 +275,7 @@
 	if err != nil {
 		return &wrongAnswer{outcome.StreamCut, "answer without a status"}
 	}
-	a.progress.answer = Answer{Status: status, ContentType: response.Header.Get("Content-Type"), Body: text}
+	a.Progress.Answer = Answer{Status: status, ContentType: response.Header.Get("Content-Type"), Body: text}
 	return nil
 }
 
@@ -283,9 +285,9 @@
 	next  func() time.Duration
 }
 
-func (a *attempt) patience(cancel context.CancelFunc) *patience {
-	target := a.request.Class.Target
-	if a.request.Class.Kind != operator.Model || !a.request.Class.Idempotent {
+func (a *Attempt) patience(cancel context.CancelFunc) *patience {
+	target := a.Request.Class.Target
+	if a.Request.Class.Kind != operator.Model || !a.Request.Class.Idempotent {
 		return &patience{}
 	}
 	first := max(minPatience, time.Duration(firstTokenPatience*target.FirstTokenMilliseconds)*time.Millisecond)
--- a/internal/dispatch/request.go
+++ b/internal/attempt/request.go
@@ -1,4 +1,8 @@
-package dispatch
+// Package attempt sends one request once to one agent and says how that ended.
+//
+// An attempt is Declined (not run), Whole, Broken (it may have run) or Gone (the
+// caller left). Whether the request is sent again is for its owner to decide.
+package attempt
 
 import (
 	"crypto/sha256"
@@ -34,7 +38,8 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-func (r Request) affinity() string {
+// Affinity is equal for requests that should run on the same agent.
+func (r Request) Affinity() string {
 	prefix := r.Prompt
 	if len(prefix) > affinityBytes {
 		prefix = prefix[:affinityBytes]
@@ -56,10 +61,10 @@
 	Repeat      bool // the outcome is that of an earlier request with the key
 }
 
-// progress is what the attempts of one request have brought so far.
-type progress struct {
-	digest   manifest.Digest // that the request is pinned to
-	tokens   int             // that reached the caller
-	finished bool            // the last token reached the caller
-	answer   Answer
+// Progress is what the attempts of one request have brought so far.
+type Progress struct {
+	Digest   manifest.Digest // that the request is pinned to
+	Tokens   int             // that reached the caller
+	Finished bool            // the last token reached the caller
+	Answer   Answer
 }
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"almondreel.example/almondreel/internal/dispatch"
+	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/outcome"
 )
@@ -116,7 +116,7 @@
 }
 
 // answer sends a plain service's answer and states the outcome in the trailer.
-func (v *visit) answer(a dispatch.Answer, o outcome.Outcome) {
+func (v *visit) answer(a attempt.Answer, o outcome.Outcome) {
 	v.repeat = a.Repeat
 	if _, whole := o.(outcome.Answered); !whole {
 		v.answerUnbegun(o)
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/uuid"
 
-	"almondreel.example/almondreel/internal/dispatch"
+	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
@@ -125,9 +125,9 @@
 }
 
 // request builds the dispatch of body to class, or returns why it is refused.
-func (a *admitted) request(class operator.Class, body []byte) (dispatch.Request, outcome.Reason) {
+func (a *admitted) request(class operator.Class, body []byte) (attempt.Request, outcome.Reason) {
 	if !class.Idempotent && a.key == "" {
-		return dispatch.Request{}, outcome.KeyMissing
+		return attempt.Request{}, outcome.KeyMissing
 	}
 	wait := time.Duration(class.Target.AnswerMilliseconds) * time.Millisecond
 	if wait <= 0 {
@@ -138,9 +138,9 @@
 		deadline = a.deadline
 	}
 	if !time.Now().Before(deadline) {
-		return dispatch.Request{}, outcome.DeadlinePassed
+		return attempt.Request{}, outcome.DeadlinePassed
 	}
-	return dispatch.Request{
+	return attempt.Request{
 		ID:           a.id,
 		Organisation: a.account.Name,
 		Weight:       a.account.Weight,
@@ -148,7 +148,7 @@
 		Key:          a.key,
 		Body:         body,
 		Deadline:     deadline,
-		Fingerprint:  dispatch.Fingerprint(a.account.Name, class.Name, body),
+		Fingerprint:  attempt.Fingerprint(a.account.Name, class.Name, body),
 	}, ""
 }
 
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/dispatch"
 	"almondreel.example/almondreel/internal/event"
@@ -78,7 +79,7 @@
 }
 
 // Claim takes the request's key, or says how its earlier use ended.
-func (k *Keeper) Claim(ctx context.Context, r dispatch.Request) (dispatch.Claim, *dispatch.Recalled) {
+func (k *Keeper) Claim(ctx context.Context, r attempt.Request) (dispatch.Claim, *dispatch.Recalled) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	now := time.Now()
@@ -128,7 +129,7 @@
 		return &dispatch.Recalled{Outcome: outcome.Unknown{Reason: outcome.ClaimHolderLost}}
 	}
 	return &dispatch.Recalled{
-		Answer:  dispatch.Answer{Status: r.Status, ContentType: r.ContentType, Body: r.Body},
+		Answer:  attempt.Answer{Status: r.Status, ContentType: r.ContentType, Body: r.Body},
 		Outcome: outcome.FromRecord(r.Record),
 	}
 }
@@ -137,12 +138,12 @@
 type wonClaim struct {
 	keeper  *Keeper
 	key     string
-	request dispatch.Request
+	request attempt.Request
 }
 
 // Settle records the outcome. When the service is slow the caller is answered
 // before it is recorded.
-func (h *wonClaim) Settle(ctx context.Context, a dispatch.Answer, o outcome.Outcome) {
+func (h *wonClaim) Settle(ctx context.Context, a attempt.Answer, o outcome.Outcome) {
 	r := result{Record: outcome.NewRecord(o)}
 	if len(a.Body) <= maxResultBytes {
 		r.Status, r.ContentType, r.Body = a.Status, a.ContentType, a.Body
--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/dispatch"
 	"almondreel.example/almondreel/internal/engine"
@@ -105,11 +106,11 @@
 // granted grants every claim.
 type granted struct{}
 
-func (granted) Claim(context.Context, dispatch.Request) (dispatch.Claim, *dispatch.Recalled) {
+func (granted) Claim(context.Context, attempt.Request) (dispatch.Claim, *dispatch.Recalled) {
 	return granted{}, nil
 }
-func (granted) Settle(context.Context, dispatch.Answer, outcome.Outcome) {}
-func (granted) Release(context.Context)                                  {}
+func (granted) Settle(context.Context, attempt.Answer, outcome.Outcome) {}
+func (granted) Release(context.Context)                                 {}
 
 // kept is a sink that keeps the indices of the tokens.
 type kept struct{ indices []int }
@@ -119,8 +120,8 @@
 	return nil
 }
 
-func question() dispatch.Request {
-	return dispatch.Request{
+func question() attempt.Request {
+	return attempt.Request{
 		ID: "r", Organisation: "north", Body: []byte("{}"), Prompt: "p", Tokens: 4, Fingerprint: "f",
 		Class:    operator.Class{Name: "questions", Kind: operator.Model, Service: "assistant", Idempotent: true},
 		Deadline: time.Now().Add(5 * time.Second),
@@ -188,7 +189,7 @@
 	}
 }
 
-func posting() dispatch.Request {
+func posting() attempt.Request {
 	r := question()
 	r.Key = "k"
 	r.Class = operator.Class{Name: "lookups", Kind: operator.Plain, Service: "ledger"}
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/outcome"
 )
 
@@ -10,13 +11,13 @@
 type Claims interface {
 	// Claim takes the key for r. Recalled is not nil when r must not be
 	// dispatched, and says how it ends.
-	Claim(ctx context.Context, r Request) (Claim, *Recalled)
+	Claim(ctx context.Context, r attempt.Request) (Claim, *Recalled)
 }
 
 // Claim is a key taken for one dispatch.
 type Claim interface {
 	// Settle records the outcome, in the background if the service is slow.
-	Settle(ctx context.Context, a Answer, o outcome.Outcome)
+	Settle(ctx context.Context, a attempt.Answer, o outcome.Outcome)
 	// Release gives the key back: the request was not run.
 	Release(ctx context.Context)
 }
@@ -24,7 +25,7 @@
 // Recalled is the end of a request that is not dispatched. Its outcome is that
 // of the first request with the key, unless it is Refused.
 type Recalled struct {
-	Answer  Answer
+	Answer  attempt.Answer
 	Outcome outcome.Outcome
 }
 
@@ -45,15 +46,15 @@
 		claim.Release(ctx)
 		return o
 	}
-	claim.Settle(ctx, f.progress.answer, o)
+	claim.Settle(ctx, f.progress.Answer, o)
 	return o
 }
 
 func (f *flight) recall(r *Recalled) outcome.Outcome {
 	if _, refused := r.Outcome.(outcome.Refused); !refused {
 		f.life.fire("Recall")
-		f.progress.answer = r.Answer
-		f.progress.answer.Repeat = true
+		f.progress.Answer = r.Answer
+		f.progress.Answer.Repeat = true
 	}
 	return r.Outcome
 }
@@ -64,18 +65,18 @@
 		if ctx.Err() != nil {
 			return f.giveUp(ctx, outcome.DeadlinePassed)
 		}
-		r, ok := f.attempt(ctx)
+		r, ok := f.try(ctx)
 		if !ok {
 			return f.giveUp(ctx, f.last)
 		}
 		switch r := r.(type) {
-		case whole:
-			return outcome.Answered{Digest: string(f.progress.digest), Tokens: f.progress.tokens}
-		case gone:
+		case attempt.Whole:
+			return outcome.Answered{Digest: string(f.progress.Digest), Tokens: f.progress.Tokens}
+		case attempt.Gone:
 			return outcome.Unknown{Reason: outcome.CallerGone}
-		case broken:
+		case attempt.Broken:
 			f.convicted(ctx, r)
-			return outcome.Unknown{Reason: r.reason}
+			return outcome.Unknown{Reason: r.Reason}
 		}
 		if reason := f.next(ctx, r); reason != "" {
 			return f.giveUp(ctx, reason)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/event"
@@ -49,8 +50,8 @@
 	options Options
 	client  *transmit.Client
 	router  *route.Router
-	gone    *unreachable
-	subsets *subsets
+	gone    *route.Unreachable
+	subsets *route.Subsets
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue  // by service
@@ -69,8 +70,8 @@
 		options: o,
 		client:  transmit.NewClient(),
 		router:  route.NewRouter(),
-		gone:    newUnreachable(),
-		subsets: newSubsets(o),
+		gone:    route.NewUnreachable(),
+		subsets: route.NewSubsets(o.Members, o.Gateways, o.Gateway),
 		queues:  map[string]*limit.Queue{},
 		budgets: map[string]*limit.Budget{},
 	}
@@ -78,22 +79,22 @@
 
 // Stream runs a completion and passes its tokens to sink. Of the answer only
 // Repeat is set.
-func (d *Dispatcher) Stream(ctx context.Context, r Request, sink Sink) (Answer, outcome.Outcome) {
+func (d *Dispatcher) Stream(ctx context.Context, r attempt.Request, sink attempt.Sink) (attempt.Answer, outcome.Outcome) {
 	return d.run(ctx, r, sink)
 }
 
 // Call runs a plain call.
-func (d *Dispatcher) Call(ctx context.Context, r Request) (Answer, outcome.Outcome) {
+func (d *Dispatcher) Call(ctx context.Context, r attempt.Request) (attempt.Answer, outcome.Outcome) {
 	return d.run(ctx, r, nil)
 }
 
-func (d *Dispatcher) run(ctx context.Context, r Request, sink Sink) (Answer, outcome.Outcome) {
+func (d *Dispatcher) run(ctx context.Context, r attempt.Request, sink attempt.Sink) (attempt.Answer, outcome.Outcome) {
 	l := newLife()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	f := &flight{dispatcher: d, request: r, sink: sink, life: l, tried: map[string]bool{}, last: outcome.NoReplica, budget: d.budget(r.Class.Name)}
 	o := f.admitted(ctx)
-	return f.progress.answer, l.finish(r.ID, o)
+	return f.progress.Answer, l.finish(r.ID, o)
 }
 
 // admitted waits for a permit and runs the request with it.
@@ -198,13 +199,13 @@
 // flight is one request on its way.
 type flight struct {
 	dispatcher *Dispatcher
-	request    Request
-	sink       Sink
+	request    attempt.Request
+	sink       attempt.Sink
 	life       *life
 	queue      *limit.Queue
 	permit     *limit.Permit
 	budget     *limit.Budget
-	progress   progress
+	progress   attempt.Progress
 	tried      map[string]bool
 	accepted   bool // an attempt may have run
 	began      bool // an agent took an attempt to its backend server
@@ -226,28 +227,28 @@
 	if f.request.Class.Kind != operator.Model {
 		return true
 	}
-	f.progress.digest = chooseVersion(a, f.subset(time.Now()))
-	return f.progress.digest != ""
+	f.progress.Digest = chooseVersion(a, f.subset(time.Now()))
+	return f.progress.Digest != ""
 }
 
 // subset returns the class's agents that this gateway uses.
 func (f *flight) subset(now time.Time) []gateway.Member {
-	return f.dispatcher.subsets.of(f.request.Class.Service, now)
+	return f.dispatcher.subsets.Of(f.request.Class.Service, now)
 }
 
 // members returns the agents that may run the request now.
 func (f *flight) members(now time.Time) []gateway.Member {
 	subset := f.subset(now)
 	if f.request.Class.Kind != operator.Model {
-		return f.dispatcher.gone.without(subset, now)
+		return f.dispatcher.gone.Without(subset, now)
 	}
 	var out []gateway.Member
 	for _, m := range subset {
-		if m.Digest == f.progress.digest && m.Digest != "" {
+		if m.Digest == f.progress.Digest && m.Digest != "" {
 			out = append(out, m)
 		}
 	}
-	return f.dispatcher.gone.without(out, now)
+	return f.dispatcher.gone.Without(out, now)
 }
 
 // repeat sends an idempotent request until an attempt brings the whole answer.
@@ -256,19 +257,19 @@
 		if ctx.Err() != nil {
 			return f.giveUp(ctx, outcome.DeadlinePassed)
 		}
-		r, ok := f.attempt(ctx)
+		r, ok := f.try(ctx)
 		if !ok {
 			return f.giveUp(ctx, f.last)
 		}
 		switch r := r.(type) {
-		case whole:
+		case attempt.Whole:
 			f.dispatcher.options.Quarantine.Completed(f.request.Fingerprint)
-			return outcome.Answered{Digest: string(f.progress.digest), Tokens: f.progress.tokens}
-		case gone:
-			return outcome.Cancelled{Tokens: f.progress.tokens}
-		case broken:
+			return outcome.Answered{Digest: string(f.progress.Digest), Tokens: f.progress.Tokens}
+		case attempt.Gone:
+			return outcome.Cancelled{Tokens: f.progress.Tokens}
+		case attempt.Broken:
 			if f.convicted(ctx, r) {
-				return outcome.Failed{Reason: outcome.Quarantined, Tokens: f.progress.tokens}
+				return outcome.Failed{Reason: outcome.Quarantined, Tokens: f.progress.Tokens}
 			}
 		}
 		if reason := f.next(ctx, r); reason != "" {
@@ -278,23 +279,23 @@
 }
 
 // next reports why the request may not be sent again after r, or "".
-func (f *flight) next(ctx context.Context, r result) outcome.Reason {
+func (f *flight) next(ctx context.Context, r attempt.Result) outcome.Reason {
 	switch r := r.(type) {
-	case declined:
-		f.last = r.reason
+	case attempt.Declined:
+		f.last = r.Reason
 		f.declines++
-		if r.reason == outcome.ReplicaOther || r.reason == outcome.NoReplica {
+		if r.Reason == outcome.ReplicaOther || r.Reason == outcome.NoReplica {
 			f.pinAnew()
 		}
-		if f.suspect && r.reason == outcome.ReplicaBusy {
+		if f.suspect && r.Reason == outcome.ReplicaBusy {
 			delete(f.tried, f.lastTried) // another gateway's suspect runs there
 			f.declines--
 			f.wait(ctx, suspectPause)
 			return ""
 		}
-		f.awaitNews(ctx, r.reason)
-	case broken:
-		f.last = r.reason
+		f.awaitNews(ctx, r.Reason)
+	case attempt.Broken:
+		f.last = r.Reason
 		f.breaks++
 	}
 	if f.breaks >= maxBreaks || f.declines >= maxDeclines {
@@ -319,10 +320,10 @@
 // giveUp ends a request that has no more attempts.
 func (f *flight) giveUp(ctx context.Context, reason outcome.Reason) outcome.Outcome {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return outcome.Cancelled{Tokens: f.progress.tokens}
+		return outcome.Cancelled{Tokens: f.progress.Tokens}
 	}
 	if f.began {
-		return outcome.Failed{Reason: reason, Tokens: f.progress.tokens}
+		return outcome.Failed{Reason: reason, Tokens: f.progress.Tokens}
 	}
 	if f.accepted {
 		return outcome.Unknown{Reason: reason}
@@ -337,9 +338,9 @@
 	return f.queue.RetryAt(time.Now())
 }
 
-// attempt sends the request once to an agent that was not tried; it reports
+// try sends the request once to an agent that was not tried; it reports
 // false when there is none.
-func (f *flight) attempt(ctx context.Context) (result, bool) {
+func (f *flight) try(ctx context.Context) (attempt.Result, bool) {
 	m, suspect, ok := f.choose(ctx)
 	if !ok {
 		return nil, false
@@ -353,16 +354,17 @@
 	f.startedAt = time.Now()
 	invariant.Assert(f.request.Class.Idempotent || !f.accepted, invariant.OneDispatchOfClaim, "request %s is dispatched again", f.request.ID)
 	f.life.fire("Dispatch")
-	a := &attempt{
-		dispatcher: f.dispatcher,
-		request:    f.request,
-		member:     m,
-		suspect:    suspect,
-		progress:   &f.progress,
-		sink:       f.sink,
-		begun:      f.begun,
+	a := &attempt.Attempt{
+		Client:   f.dispatcher.client,
+		Told:     f.dispatcher.router.Told,
+		Request:  f.request,
+		Member:   m,
+		Suspect:  suspect,
+		Progress: &f.progress,
+		Sink:     f.sink,
+		Begun:    f.begun,
 	}
-	r := a.run(ctx)
+	r := a.Run(ctx)
 	f.note(r, m, suspect)
 	return r, true
 }
@@ -376,19 +378,19 @@
 }
 
 // note walks the chart and tells counters, events and limits of an attempt's end.
-func (f *flight) note(r result, m gateway.Member, suspect bool) {
+func (f *flight) note(r attempt.Result, m gateway.Member, suspect bool) {
 	switch r := r.(type) {
-	case declined:
+	case attempt.Declined:
 		f.life.fire("Decline")
-		counter.Add("Declined."+string(r.reason), 1)
-		event.Log(event.DispatchRefused, "Request", f.request.ID, "Reason", string(r.reason), "Peer", m.Name)
-		if r.reason == outcome.ReplicaBusy {
+		counter.Add("Declined."+string(r.Reason), 1)
+		event.Log(event.DispatchRefused, "Request", f.request.ID, "Reason", string(r.Reason), "Peer", m.Name)
+		if r.Reason == outcome.ReplicaBusy {
 			f.permit.Overloaded()
 		}
-	case broken:
+	case attempt.Broken:
 		f.accepted = true
 		f.life.fire("Interrupt")
-		counter.Add("Broken."+string(r.reason), 1)
+		counter.Add("Broken."+string(r.Reason), 1)
 		f.diedOn(r, m, suspect)
 	}
 }
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
@@ -50,7 +51,7 @@
 
 // want keeps a request that was never seen to complete on few agents.
 func (f *flight) want() route.Want {
-	w := route.Want{Affinity: f.request.affinity(), Exclude: f.tried}
+	w := route.Want{Affinity: f.request.Affinity(), Exclude: f.tried}
 	if !f.dispatcher.options.Quarantine.Vouched(f.request.Fingerprint, time.Now()) {
 		w.Novelty = f.request.Fingerprint
 		if len(f.tried) > 0 {
@@ -64,7 +65,7 @@
 // the fingerprint's rank. All gateways rank alike, so a suspect's repeats meet.
 func (f *flight) enter(members []gateway.Member) (gateway.Member, bool) {
 	ranked := append([]gateway.Member(nil), members...)
-	route.Rank(ranked, f.request.affinity())
+	route.Rank(ranked, f.request.Affinity())
 	if len(ranked) > 1 {
 		route.Rank(ranked[1:], f.request.Fingerprint)
 	}
@@ -108,7 +109,7 @@
 		if novel {
 			f.wait(ctx, newsPause)
 		}
-		f.dispatcher.gone.add(f.lastTried, time.Now())
+		f.dispatcher.gone.Add(f.lastTried, time.Now())
 	case outcome.ReplicaBusy:
 		if novel {
 			f.wait(ctx, busyPause)
@@ -127,15 +128,15 @@
 }
 
 // diedOn records that an agent's backend server died while it ran the request.
-func (f *flight) diedOn(b broken, m gateway.Member, suspect bool) {
-	if !b.died {
+func (f *flight) diedOn(b attempt.Broken, m gateway.Member, suspect bool) {
+	if !b.Died {
 		return
 	}
 	now := time.Now()
 	table := f.dispatcher.options.Quarantine
 	verdict := table.Died(f.request.Fingerprint, m.Name, suspect, now.Add(suspicionLasts))
 	counter.Add("BackendDeaths", 1)
-	event.Fail(event.BackendDied, b.cause, "Request", f.request.ID, "Peer", m.Name)
+	event.Fail(event.BackendDied, b.Cause, "Request", f.request.ID, "Peer", m.Name)
 	if verdict == quarantine.Convicted {
 		table.Adopt([]quarantine.Entry{{Fingerprint: f.request.Fingerprint, Server: m.Name, Convicted: true, ExpiresAt: now.Add(convictionLasts)}})
 		event.Log(event.RequestConvicted, "Request", f.request.ID, "Organisation", f.request.Organisation, "Class", f.request.Class.Name)
@@ -146,10 +147,10 @@
 // convicted tells the other gateways of a death before anything else happens
 // to the request, leaves them time to tell of theirs, and reports whether it
 // must not run again.
-func (f *flight) convicted(ctx context.Context, b broken) bool {
+func (f *flight) convicted(ctx context.Context, b attempt.Broken) bool {
 	table := f.dispatcher.options.Quarantine
 	e, ok := table.Find(f.request.Fingerprint, time.Now())
-	if b.died && ok && f.dispatcher.options.Suspected != nil {
+	if b.Died && ok && f.dispatcher.options.Suspected != nil {
 		tell, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout)
 		defer cancel()
 		f.dispatcher.options.Suspected(tell, e)
--- a/internal/dispatch/versions.go
+++ b/internal/dispatch/versions.go
@@ -44,13 +44,13 @@
 		switch {
 		case f.tried[m.Name] || m.Digest == "" || !a.Answers(m.Name, m.Digest):
 		case m.Digest == a.Digest:
-			f.progress.digest = a.Digest
+			f.progress.Digest = a.Digest
 			return
 		default:
 			former = m.Digest
 		}
 	}
 	if former != "" {
-		f.progress.digest = former
+		f.progress.Digest = former
 	}
 }
--- a/internal/dispatch/unreachable.go
+++ b/internal/route/unreachable.go
@@ -1,4 +1,4 @@
-package dispatch
+package route
 
 import (
 	"sync"
@@ -9,18 +9,20 @@
 
 const unreachableFor = time.Second
 
-// unreachable remembers agents that could not be reached just now, before
+// Unreachable remembers agents that could not be reached just now, before
 // their heartbeats are missed. It is safe for concurrent use.
-type unreachable struct {
+type Unreachable struct {
 	mu    sync.Mutex
 	until map[string]time.Time
 }
 
-func newUnreachable() *unreachable {
-	return &unreachable{until: map[string]time.Time{}}
+// NewUnreachable returns one that remembers nothing.
+func NewUnreachable() *Unreachable {
+	return &Unreachable{until: map[string]time.Time{}}
 }
 
-func (u *unreachable) add(name string, now time.Time) {
+// Add remembers an agent for a while.
+func (u *Unreachable) Add(name string, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for other, until := range u.until {
@@ -31,8 +33,8 @@
 	u.until[name] = now.Add(unreachableFor)
 }
 
-// without returns the members that are not remembered, or all if none is left.
-func (u *unreachable) without(members []gateway.Member, now time.Time) []gateway.Member {
+// Without returns the members that are not remembered, or all if none is left.
+func (u *Unreachable) Without(members []gateway.Member, now time.Time) []gateway.Member {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if len(u.until) == 0 {
