--- a/bench/capacity/plan_test.go
+++ b/bench/capacity/plan_test.go
@@ -12,7 +12,7 @@
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/placement"
-	"almondreel.example/almondreel/internal/planner"
+	"almondreel.example/almondreel/internal/plan"
 	"almondreel.example/almondreel/internal/settings"
 )
 
@@ -22,23 +22,23 @@
 func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{50, 100, 200, 400, 600} {
 		in := planInput(n, 6)
-		first := planner.Plan(in)
+		first := plan.Make(in)
 		require.Len(b, first.Assignments[0].Instances, n)
 		b.Run(fmt.Sprintf("first/%d", n), func(b *testing.B) {
 			for b.Loop() {
-				planner.Plan(in)
+				plan.Make(in)
 			}
 		})
 		in.Current = first
 		b.Run(fmt.Sprintf("steady/%d", n), func(b *testing.B) {
 			for b.Loop() {
-				planner.Plan(in)
+				plan.Make(in)
 			}
 		})
 		release(&in)
 		b.Run(fmt.Sprintf("release/%d", n), func(b *testing.B) {
 			for b.Loop() {
-				planner.Plan(in)
+				plan.Make(in)
 			}
 		})
 	}
@@ -46,22 +46,22 @@
 
 // release gives all classes another version, of which half of the instances
 // have everything.
-func release(in *planner.Input) {
+func release(in *plan.Input) {
 	digest := manifest.Digest(fmt.Sprintf("sha256:%064d", 2))
 	in.Digest = func(string, string) manifest.Digest { return digest }
 	for i := range in.Configuration.Classes {
 		in.Configuration.Classes[i].Target.Version = "2"
 	}
-	in.Current = planner.Plan(*in)
+	in.Current = plan.Make(*in)
 	for i := range in.Members {
 		m := &in.Members[i].Member
 		m.Want, m.Chunks, m.Have = digest, 2, 1+i%2
 	}
 }
 
-func planInput(instances, classes int) planner.Input {
+func planInput(instances, classes int) plan.Input {
 	digest := manifest.Digest(fmt.Sprintf("sha256:%064d", 1))
-	in := planner.Input{
+	in := plan.Input{
 		Gone:   func(string) bool { return false },
 		Digest: func(string, string) manifest.Digest { return digest },
 		Stuck:  func(string, placement.Assignment) bool { return false },
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -27,6 +27,7 @@
 	readBufferBytes    = 32 << 10
 	manifestTimeout    = 5 * time.Second
 	maxIdleConnections = 256
+	maxRefusalBytes    = 4 << 10
 )
 
 // Errors of a peer's answer.
@@ -79,8 +80,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply agent.HaveReply
-	err := c.control.Call(ctx, agent.MethodHave, request, &reply)
-	return reply, err
+	if err := c.control.Call(ctx, agent.MethodHave, request, &reply); err != nil {
+		return agent.HaveReply{}, err // a late answer may still be written to reply
+	}
+	return reply, nil
 }
 
 // Manifest reads the manifest of a version by its digest.
@@ -135,6 +138,8 @@
 	if response.StatusCode == http.StatusOK {
 		return response, nil
 	}
+	// Reading the short body to its end keeps the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 	_ = response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusServiceUnavailable:
