Refuse claims at once while the key-value service is known to be down

Cause: each call that may not be repeated waited its whole claim time (1.5 s) in an outage and held a permit meanwhile; TestClaimIsRefusedAtOnceWhileTheStoreIsDown hung for its callers' whole patience before the change.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -104,8 +104,17 @@
 
 // Claim takes key for e. It reports whether e won; otherwise it returns the
 // entry that holds the key. After an error the key is not claimed, or is given
-// back as soon as the store answers.
+// back as soon as the store answers. While the store is known to be down a claim
+// is refused at once, but for one in probeInterval that tries it.
 func (t *Table) Claim(ctx context.Context, key string, e Entry) (Entry, bool, error) {
+	switch t.worker(key).outage.judge(time.Now()) {
+	case refuse:
+		return Entry{}, false, ErrUnavailable
+	case probe:
+		limited, cancel := context.WithTimeout(ctx, probeWait)
+		defer cancel()
+		ctx = limited
+	}
 	o := newOperation(claimKind, key, e)
 	if !t.queue(o) {
 		return Entry{}, false, ErrFull
@@ -159,16 +168,20 @@
 }
 
 func (t *Table) queue(o *operation) bool {
-	number := xxhash.Sum64String(o.key) % shards
 	o.shard = t.shard(o.key)
 	select {
-	case t.workers[number%workers].operations <- o:
+	case t.worker(o.key).operations <- o:
 		return true
 	default:
 		return false
 	}
 }
 
+// worker returns the worker of the key's shard.
+func (t *Table) worker(key string) *worker {
+	return t.workers[xxhash.Sum64String(key)%shards%workers]
+}
+
 func (t *Table) shard(key string) string {
 	return fmt.Sprintf("%s%02x", t.options.Prefix, xxhash.Sum64String(key)%shards)
 }
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -205,3 +205,38 @@
 	group.Wait()
 	require.LessOrEqual(t, m.writes, 200, "300 claims wait for at most 256 shards")
 }
+
+// While the store is down, a claim is refused at once but for one that probes.
+func TestClaimIsRefusedAtOnceWhileTheStoreIsDown(t *testing.T) {
+	m := newMemory()
+	m.set(0, 0, true)
+	table := claim.New(claim.Options{Open: m.open})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- table.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	take := func(token string, wait time.Duration) (bool, error) {
+		ctx, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		_, won, err := table.Claim(ctx, "key", claim.Entry{Token: token, EndsBy: time.Now().Add(time.Minute).UnixMilli()})
+		return won, err
+	}
+	_, err := take("first", 1500*time.Millisecond)
+	require.ErrorIs(t, err, claim.ErrUnavailable)
+	const patient = time.Minute
+	began := time.Now()
+	for i := range 20 {
+		_, err := take(fmt.Sprint("next ", i), patient)
+		require.ErrorIs(t, err, claim.ErrUnavailable)
+	}
+	require.Less(t, time.Since(began), patient)
+
+	m.set(0, 0, false)
+	require.Eventually(t, func() bool {
+		won, _ := take("last", 2*time.Second)
+		return won
+	}, 10*time.Second, 50*time.Millisecond)
+}
--- a/pkg/claim/worker.go
+++ b/pkg/claim/worker.go
@@ -25,6 +25,7 @@
 	pending    map[string][]*operation // by shard
 	held       int
 	failures   int // in a row
+	outage     outage
 }
 
 func newWorker(t *Table) *worker {
@@ -76,6 +77,7 @@
 
 // rest pauses after a failure, longer each time.
 func (w *worker) rest(ctx context.Context, failed bool) {
+	w.outage.tell(failed, time.Now())
 	if !failed {
 		w.failures = 0
 		return
