--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -59,6 +59,7 @@
 type task struct {
 	chunk int
 	ask   []gateway.Peer
+	ahead int // of ask, those before the agent; the others may only hold the chunk
 	way   way
 }
 
@@ -195,7 +196,8 @@
 		asked += maxAhead
 	}
 	ask := t.honest(t.members.ahead(t.manifest.Chunks[i], names, asked), now)
-	return task{chunk: i, ask: ask[:min(len(ask), maxAhead)], way: fromSource{}}, true
+	ahead := len(t.honest(t.members.ahead(t.manifest.Chunks[i], names, position), now))
+	return task{chunk: i, ask: ask[:min(len(ask), maxAhead)], ahead: ahead, way: fromSource{}}, true
 }
 
 // note records whether a member answered a call. Callers hold mu.
@@ -268,7 +270,7 @@
 		t.drawing++
 	}
 	ctx, end, f := t.takeOff(ctx, job.chunk)
-	f.drawing = len(job.ask) == 0
+	f.drawing = true // also while it asks, or the next member would go ahead beside it
 	go func() {
 		o := t.bring(ctx, job)
 		t.landed <- landing{chunk: job.chunk, far: far, bring: true, end: end, outcome: o}
@@ -288,7 +290,6 @@
 		}
 		event.Log(event.ChunkTakenOver, "Chunk", job.chunk, "Digest", t.plan.Digest)
 		counter.Add("ChunksTakenOver", 1)
-		t.claim(job.chunk)
 	}
 	switch w := job.way.(type) {
 	case fromRegion:
@@ -309,14 +310,6 @@
 	return err
 }
 
-func (t *Transfer) claim(i int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if f := t.flights[i]; f != nil {
-		f.drawing = true
-	}
-}
-
 // answers sums up what the members ahead said.
 type answers struct {
 	holder *gateway.Peer // holds the chunk
@@ -326,8 +319,12 @@
 // ask asks the members ahead at once whether they hold or draw the chunk.
 func (t *Transfer) ask(ctx context.Context, job task) answers {
 	said := make(chan answers, len(job.ask))
-	for _, p := range job.ask {
-		go func() { said <- t.askOne(ctx, p, job.chunk) }()
+	for k, p := range job.ask {
+		go func() {
+			a := t.askOne(ctx, p, job.chunk)
+			a.drawn = a.drawn && k < job.ahead
+			said <- a
+		}()
 	}
 	var sum answers
 	for range job.ask {
