Hold no control call past its deadline, and touch no reply after it

Cause: net/rpc sends a request before it returns, so a peer that read nothing held the call for good (TestPeerThatReadsNothingDoesNotHoldTheCall did not return in 15 s), and a late answer was decoded into the caller's reply, a data race that the exchange of chunks had met. The request is now sent beside the wait, and the answer is taken into a value of its own.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -49,21 +50,38 @@
 func (c *Client) Address() string { return c.address }
 
 // Call runs method ("Gateway.Heartbeat") and waits for reply until ctx ends.
+// After an error reply is as it was.
+//
+// net/rpc writes the request before it returns and the reply whenever it comes.
+// A peer that reads nothing would hold the call, and a late answer would change
+// a reply that its owner uses again. So the request is sent beside the wait, and
+// the answer is taken into a value of its own.
 func (c *Client) Call(ctx context.Context, method string, request, reply any) error {
 	client, err := c.connect(ctx)
 	if err != nil {
 		return errs.Wrap(err, "connect", c.address)
 	}
 	counter.Add("ControlCalls."+method, 1)
-	call := client.Go(method, request, reply, make(chan *rpc.Call, 1))
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	done := make(chan *rpc.Call, 1)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		client.Go(method, request, own.Interface(), done)
+	}()
 	select {
-	case done := <-call.Done:
-		if _, answered := done.Error.(rpc.ServerError); done.Error != nil && !answered {
+	case call := <-done:
+		<-sent
+		if _, answered := call.Error.(rpc.ServerError); call.Error != nil && !answered {
 			c.drop(client)
 		}
-		return errs.Wrap(done.Error, method, c.address)
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
+		return errs.Wrap(call.Error, method, c.address)
 	case <-ctx.Done():
 		c.drop(client)
+		<-sent
 		return errs.Wrap(ctx.Err(), method, c.address)
 	}
 }
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,102 @@
+package control_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/control"
+)
+
+// Message is a request and a reply.
+type Message struct{ Data []byte }
+
+// Echo answers after a time.
+type Echo struct{ wait time.Duration }
+
+// Say answers with what it was sent.
+func (e *Echo) Say(request Message, reply *Message) error {
+	time.Sleep(e.wait)
+	*reply = request
+	return nil
+}
+
+func serve(t *testing.T, e *Echo) *control.Client {
+	t.Helper()
+	handler, err := control.Handle(map[string]any{"Echo": e})
+	require.NoError(t, err)
+	mux := http.NewServeMux()
+	mux.Handle(control.Path, handler)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	c := control.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	t.Cleanup(c.Close)
+	return c
+}
+
+func call(c *control.Client, limit time.Duration, request Message) (Message, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var reply Message
+	err := c.Call(ctx, "Echo.Say", request, &reply)
+	return reply, err
+}
+
+func TestCallReturnsTheReply(t *testing.T) {
+	c := serve(t, &Echo{})
+	reply, err := call(c, 10*time.Second, Message{Data: []byte("x")})
+	require.NoError(t, err)
+	require.Equal(t, []byte("x"), reply.Data)
+}
+
+// An answer after the deadline must reach nobody, the caller's reply included.
+func TestLateAnswerDoesNotTouchTheReply(t *testing.T) {
+	c := serve(t, &Echo{wait: 100 * time.Millisecond})
+	for range 20 {
+		reply, err := call(c, 100*time.Millisecond, Message{Data: []byte("x")})
+		if err != nil {
+			require.Empty(t, reply.Data)
+		}
+	}
+}
+
+// A peer that takes the connection and reads nothing more must not hold a call
+// past its deadline, however large the request.
+func TestPeerThatReadsNothingDoesNotHoldTheCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		defer close(accepted)
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = conn.Write([]byte("HTTP/1.0 200 Connected to Go RPC\n\n"))
+		accepted <- conn
+	}()
+	c := control.NewClient(l.Addr().String())
+	returned := make(chan error, 1)
+	go func() {
+		_, err := call(c, 500*time.Millisecond, Message{Data: make([]byte, 64<<20)})
+		returned <- err
+	}()
+	select {
+	case err := <-returned:
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+	case <-time.After(15 * time.Second):
+		t.Error("the call did not return")
+	}
+	require.NoError(t, l.Close())
+	for conn := range accepted {
+		require.NoError(t, conn.Close())
+	}
+}
