--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,8 +43,9 @@
 	Gateways []Gateway
 	Backends []Backend
 
-	bin string
-	dir string
+	bin   string
+	dir   string
+	ports *process.Ports
 
 	mu        sync.Mutex
 	away      map[string]bool // gateways that the platform's balancer passes over
@@ -74,15 +75,12 @@
 	for _, s := range f.Site.Services {
 		backends += s.Instances
 	}
-	free, err := process.FreeAddresses(4 + 2*gateways + 2*backends + len(f.Site.Services))
+	ports, err := process.Reserve(4 + 2*gateways + 2*backends + len(f.Site.Services))
 	if err != nil {
 		return err
 	}
-	take := func() string {
-		address := free[0]
-		free = free[1:]
-		return address
-	}
+	f.ports = ports
+	take := ports.Take
 	f.Platform = Platform{KeyValue: take(), Instances: take(), Origin: take(), Store: take()}
 	for _, r := range f.Site.Regions {
 		for i := range r.Gateways {
@@ -219,6 +217,7 @@
 	f.mu.Unlock()
 	stuck := f.stopGroup(daemons)
 	stuck = append(stuck, f.stopGroup(standIns)...)
+	f.ports.Release()
 	return errors.Join(stuck...)
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,8 +4,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -112,42 +110,3 @@
 
 // Log returns the path of the process's log file.
 func (p *Process) Log() string { return p.log }
-
-// Ports below those that the kernel gives to outgoing connections, which would
-// take a port between its choice and the daemon's start.
-const (
-	firstPort  = 12000
-	ports      = 20000
-	portTrials = 50
-)
-
-// FreeAddresses returns n loopback addresses on which nothing listens.
-func FreeAddresses(n int) ([]string, error) {
-	listeners := make([]net.Listener, 0, n)
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
-	out := make([]string, 0, n)
-	for range n {
-		l, err := listenFree()
-		if err != nil {
-			return nil, err
-		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
-func listenFree() (net.Listener, error) {
-	var err error
-	for range portTrials {
-		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
-			return l, nil
-		}
-	}
-	return nil, err
-}
