Ask an agent again that stalled for a while

Cause: an agent whose chunk stalled was no longer counted as a holder until a chunk arrived from it, but one that is no holder is never asked. Where it was the only other agent of the region, chunks fetched from other regions counted as taken by nobody and held up the draws as well: the transfer stood still. The doubt now ends with the time for which the agent is avoided.

--- a/internal/transfer/launch.go
+++ b/internal/transfer/launch.go
@@ -58,7 +58,7 @@
 	if t.fetching >= maxFetches && !due {
 		return
 	}
-	copies := t.copies()
+	copies := t.copies(now)
 	for t.fetching < maxFetches {
 		i, n := t.rarest(now, copies)
 		if n == nil {
@@ -121,11 +121,12 @@
 	return best
 }
 
-// copies counts, by chunk, the near neighbours that hold it. Callers hold mu.
-func (t *Transfer) copies() []int {
+// copies counts, by chunk, the near neighbours that hold it and may be asked
+// for it, now or when they are less busy. Callers hold mu.
+func (t *Transfer) copies(now time.Time) []int {
 	counts := make([]int, len(t.chunks))
 	for _, n := range t.neighbours {
-		if t.near(n.peer) && !n.suspect && t.rejected[n.peer.Name] < maxRejected {
+		if t.near(n.peer) && !n.doubted(now) && t.rejected[n.peer.Name] < maxRejected {
 			n.remote.Each(func(i int) { counts[i]++ })
 		}
 	}
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -46,6 +46,12 @@
 	cancel       context.CancelFunc // ends the calls; nil when the neighbour calls
 }
 
+// doubted reports whether the last chunk from n failed and n is still avoided
+// for it. After that n counts as a holder again: it may only have paused.
+func (n *neighbour) doubted(now time.Time) bool {
+	return n.suspect && now.Before(n.notBefore)
+}
+
 // tend keeps enough neighbours and calls each in a goroutine of its own.
 func (t *Transfer) tend(ctx context.Context) {
 	ended := make(chan struct{}, maxNeighbours)
