--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -144,7 +144,7 @@
 		if s.openedAt.IsZero() {
 			s.openedAt = now
 		}
-		if now.Sub(s.openedAt) < freshTime+3*t.drawTime {
+		if now.Sub(s.openedAt) < freshTime+3*t.drawTime() {
 			left--
 		}
 	}
@@ -238,7 +238,11 @@
 	return out
 }
 
-func (t *Transfer) step() time.Duration { return takeOverStep + 2*t.drawTime }
+func (t *Transfer) step() time.Duration { return takeOverStep + 2*t.drawTime() }
+
+func (t *Transfer) drawTime() time.Duration {
+	return time.Duration(t.drawMicroseconds) * time.Microsecond
+}
 
 // holders returns agents of other regions that hold chunk c: the one that
 // first brought it, then neighbours. Callers hold mu.
--- a/internal/transfer/sources.go
+++ b/internal/transfer/sources.go
@@ -18,6 +18,7 @@
 const (
 	sourceRetryFirst = 200 * time.Millisecond
 	sourceRetryMost  = 5 * time.Second
+	sourceDoublings  = 8                // of sourceRetryFirst
 	sourceAbsent     = 30 * time.Second // a source without the version is left alone
 )
 
@@ -30,7 +31,7 @@
 
 	mu        sync.Mutex
 	notBefore time.Time
-	retry     time.Duration
+	failures  int // in a row
 	active    int
 	rate      float64 // bytes per second of recent draws
 }
@@ -62,15 +63,16 @@
 	defer s.mu.Unlock()
 	s.active--
 	if err == nil {
-		s.retry = 0
+		s.failures = 0
 		s.rate = 0.7*s.rate + 0.3*float64(size)/max(took.Seconds(), 0.001)
 		return
 	}
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	s.retry = min(max(2*s.retry, sourceRetryFirst), sourceRetryMost)
-	s.notBefore = time.Now().Add(max(jittered(s.retry), asked(err)))
+	retry := min(sourceRetryFirst<<s.failures, sourceRetryMost)
+	s.failures = min(s.failures+1, sourceDoublings)
+	s.notBefore = time.Now().Add(max(jittered(retry), asked(err)))
 }
 
 // asked returns the time that the source itself wants to be left alone.
@@ -122,7 +124,7 @@
 		return err
 	}
 	t.mu.Lock()
-	t.drawTime = (3*t.drawTime + time.Since(started)) / 4
+	t.drawMicroseconds = (3*t.drawMicroseconds + time.Since(started).Microseconds()) / 4
 	t.mu.Unlock()
 	counter.Add("ChunksDrawn."+string(s.client.Kind()), 1)
 	counter.Add("ChunkDrawnBytes."+string(s.client.Kind()), c.Bytes)
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -65,8 +65,9 @@
 	startedAt  time.Time
 	bringAt    time.Time // next look at chunks to bring into the region
 	exchanged  bool      // a neighbour answered, or there is none
-	drawTime   time.Duration
 	regionRate regionRate
+	// drawMicroseconds is the recent time of a draw from a source.
+	drawMicroseconds int64
 }
 
 // chunkState is the moment of each step on a chunk's way into the region.
