Join the waits between rounds and the running of a duty's parts

Heartbeats, the exchange between gateways, the planner and transfers each had a copy of the same interruptible wait, three of them of the same jitter, and two the same loop that runs a duty's parts together. internal/pause and duty.Together serve all. No behaviour changes. Looked at and left: the stand-ins' accessors for their fault switches, which do different things when the switches change; the two adopting functions of internal/desired, alike in shape, for two types of document.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -55,6 +55,22 @@
 	return err
 }
 
+// Together runs parts of one duty, each in a goroutine, and returns when all
+// have ended.
+func Together(ctx context.Context, parts ...func(context.Context)) error {
+	ended := make(chan struct{}, len(parts))
+	for _, p := range parts {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			p(ctx)
+		}()
+	}
+	for range parts {
+		<-ended
+	}
+	return ctx.Err()
+}
+
 // Main runs the tree until SIGINT or SIGTERM, then calls drain and stops all.
 // drain may be nil.
 func Main(program string, tree *Tree, drain func(context.Context)) error {
--- a/internal/heartbeat/beater.go
+++ b/internal/heartbeat/beater.go
@@ -12,6 +12,7 @@
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/instances"
 	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/serving"
 )
 
@@ -63,8 +64,8 @@
 // pause waits until the next heartbeat is due: a jittered second, or less when
 // the gateway needs to hear of a change. It returns false when ctx ends.
 func (b *beater) pause(ctx context.Context) bool {
-	due := time.Now().Add(interval*9/10 + jitter(interval/10))
-	for sleep(ctx, lookInterval) {
+	due := time.Now().Add(interval*9/10 + pause.Jitter(interval/10))
+	for pause.For(ctx, lookInterval) {
 		if !time.Now().Before(due) || b.hurries() {
 			return true
 		}
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,6 +14,7 @@
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/instances"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/serving"
 	"almondreel.example/almondreel/internal/settings"
 )
@@ -105,16 +105,16 @@
 	for {
 		l, err := h.directory.List(ctx)
 		gateways := l.Of(instances.RoleGateway)
-		wait := jitter(listInterval)
+		wait := pause.Jitter(listInterval)
 		if err != nil || len(gateways) == 0 {
-			wait = jitter(retry)
+			wait = pause.Jitter(retry)
 			retry = min(2*retry, maxListRetry)
 		} else {
 			retry = listRetry
 			h.setListed(gateways)
 		}
-		least := min(wait, jitter(leastListInterval))
-		if !sleep(ctx, least) || !h.awaitList(ctx, wait-least) {
+		least := min(wait, pause.Jitter(leastListInterval))
+		if !pause.For(ctx, least) || !h.awaitList(ctx, wait-least) {
 			return
 		}
 	}
@@ -191,19 +191,3 @@
 	delete(h.peers, name)
 	h.mu.Unlock()
 }
-
-// jitter returns a time between half and one and a half of d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,6 +12,7 @@
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/membership"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/rank"
 )
 
@@ -55,24 +55,24 @@
 }
 
 func (l *lease) run(ctx context.Context) {
-	pause := seekInterval
+	gap := seekInterval
 	for ctx.Err() == nil {
 		held, _ := l.held(time.Now())
 		switch {
 		case held && l.cutOff(time.Now()):
 			counter.Add("DutyYielded", 1)
 			l.release()
-			sleep(ctx, jitter(yieldPause))
+			pause.For(ctx, pause.Jitter(yieldPause))
 		case held:
 			l.renew(ctx)
-			sleep(ctx, renewInterval)
+			pause.For(ctx, renewInterval)
 		case !l.candidate(time.Now()):
 			l.lose()
-			sleep(ctx, jitter(seekInterval))
+			pause.For(ctx, pause.Jitter(seekInterval))
 		default:
 			l.lose()
-			pause = l.seek(ctx, pause)
-			sleep(ctx, jitter(pause))
+			gap = l.seek(ctx, gap)
+			pause.For(ctx, pause.Jitter(gap))
 		}
 	}
 	l.release()
@@ -95,12 +95,12 @@
 	return rank.Among(dutyKey, l.self, names, candidates)
 }
 
-// seek takes the duty if nobody holds it. It returns the pause until the next
+// seek takes the duty if nobody holds it. It returns the gap until the next
 // try, which grows while the service does not answer.
-func (l *lease) seek(ctx context.Context, pause time.Duration) time.Duration {
+func (l *lease) seek(ctx context.Context, gap time.Duration) time.Duration {
 	e, err := l.kv.Get(ctx, dutyKey)
 	if err != nil {
-		return min(2*pause, maxSeekInterval)
+		return min(2*gap, maxSeekInterval)
 	}
 	if e.Revision > 0 {
 		return seekInterval
@@ -108,7 +108,7 @@
 	asked := time.Now()
 	granted, err := l.kv.Grant(ctx, int(leaseTime.Milliseconds()))
 	if err != nil {
-		return min(2*pause, maxSeekInterval)
+		return min(2*gap, maxSeekInterval)
 	}
 	e, err = l.kv.Swap(ctx, kv.Swap{Key: dutyKey, Value: []byte(l.token), Lease: granted.Lease})
 	if err != nil {
@@ -170,8 +170,3 @@
 	_, _ = l.kv.Swap(ctx, kv.Swap{Key: dutyKey, Revision: l.revision})
 	l.lose()
 }
-
-// jitter returns a time between half and one and a half of d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -15,12 +15,14 @@
 
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
+	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/packed"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/placement"
 	"almondreel.example/almondreel/internal/plan"
 	"almondreel.example/almondreel/internal/settings"
@@ -60,18 +62,7 @@
 
 // Run seeks the duty and plans while it is held, until ctx ends.
 func (p *Planner) Run(ctx context.Context) error {
-	duties := []func(context.Context){p.lease.run, p.resolver.run, p.plan}
-	done := make(chan struct{}, len(duties))
-	for _, d := range duties {
-		go func() {
-			defer func() { done <- struct{}{} }()
-			d(ctx)
-		}()
-	}
-	for range duties {
-		<-done
-	}
-	return ctx.Err()
+	return duty.Together(ctx, p.lease.run, p.resolver.run, p.plan)
 }
 
 func (p *Planner) plan(ctx context.Context) {
@@ -92,7 +83,7 @@
 }
 
 func (p *Planner) pause(ctx context.Context, changed, news <-chan struct{}) {
-	sleep(ctx, planSpacing)
+	pause.For(ctx, planSpacing)
 	timer := time.NewTimer(planInterval - planSpacing)
 	defer timer.Stop()
 	select {
@@ -218,14 +209,3 @@
 	}
 	return settle.Absent
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -9,6 +9,7 @@
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
+	"almondreel.example/almondreel/internal/pause"
 )
 
 const (
@@ -29,7 +30,7 @@
 		n := min(fanout, len(turn))
 		s.exchangeWith(ctx, turn[:n])
 		turn = turn[n:]
-		wait, cancel := context.WithTimeout(ctx, exchangeInterval*3/4+jitter(exchangeInterval/4))
+		wait, cancel := context.WithTimeout(ctx, exchangeInterval*3/4+pause.Jitter(exchangeInterval/4))
 		select {
 		case <-wait.Done():
 		case p := <-s.pull:
--- a/internal/spread/follow.go
+++ b/internal/spread/follow.go
@@ -9,6 +9,7 @@
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/rank"
 )
 
@@ -36,7 +37,7 @@
 		e, newer, err := s.kv.Watch(ctx, request)
 		if err != nil {
 			s.logDown(ctx, &down, err)
-			sleep(ctx, jitter(retry)) // full jitter: an outage's end must not be a stampede
+			pause.For(ctx, pause.Jitter(retry)) // full jitter: an outage's end must not be a stampede
 			retry = min(2*retry, maxRetry)
 			continue
 		}
@@ -50,9 +51,9 @@
 func (s *Spread) pause(ctx context.Context, key string, watching bool) {
 	switch {
 	case s.held(key) == 0:
-		sleep(ctx, jitter(time.Second))
+		pause.For(ctx, pause.Jitter(time.Second))
 	case !watching:
-		sleep(ctx, jitter(pollInterval))
+		pause.For(ctx, pause.Jitter(pollInterval))
 	}
 }
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -9,17 +9,18 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/desired"
+	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/instances"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/placement"
 	"almondreel.example/almondreel/internal/settings"
 )
@@ -68,29 +69,19 @@
 
 // Run spreads until ctx ends.
 func (s *Spread) Run(ctx context.Context) error {
-	duties := []func(context.Context){
+	err := duty.Together(ctx,
 		s.exchangeEverySecond,
 		s.sweepEverySecond,
 		s.readList,
 		func(ctx context.Context) { s.follow(ctx, operator.ConfigurationKey) },
 		func(ctx context.Context) { s.follow(ctx, placement.Key) },
-	}
-	done := make(chan struct{}, len(duties))
-	for _, d := range duties {
-		go func() {
-			defer func() { done <- struct{}{} }()
-			d(ctx)
-		}()
-	}
-	for range duties {
-		<-done
-	}
+	)
 	s.closeClients()
-	return ctx.Err()
+	return err
 }
 
 func (s *Spread) sweepEverySecond(ctx context.Context) {
-	for sleep(ctx, time.Second) {
+	for pause.For(ctx, time.Second) {
 		s.table.Sweep(time.Now())
 	}
 }
@@ -102,15 +93,15 @@
 	retry := listRetry
 	for {
 		l, err := s.directory.List(ctx)
-		wait := jitter(listInterval(l.Bytes))
+		wait := pause.Jitter(listInterval(l.Bytes))
 		if err != nil || len(l.Instances) == 0 {
-			wait = jitter(retry)
+			wait = pause.Jitter(retry)
 			retry = min(2*retry, maxListInterval)
 		} else {
 			retry = listRetry
 			s.table.List(l, time.Now())
 		}
-		if !sleep(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 	}
@@ -127,19 +118,3 @@
 	d := time.Duration(bytes) * time.Second / listBytesPerSecond
 	return min(max(d, minListInterval), maxListInterval)
 }
-
-// jitter returns a time between half and one and a half of d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -10,6 +10,7 @@
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/haveset"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/peer"
 )
 
@@ -191,7 +192,7 @@
 			counter.Add("NeighboursLost", 1)
 			return
 		}
-		if !pause(ctx, gap) || !t.waitChange(ctx, n, changed) {
+		if !pause.For(ctx, gap) || !t.waitChange(ctx, n, changed) {
 			return
 		}
 	}
@@ -364,14 +365,3 @@
 		Address:    request.Address,
 	})
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/transfer/sources.go
+++ b/internal/transfer/sources.go
@@ -12,6 +12,7 @@
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/source"
 )
 
@@ -150,7 +151,7 @@
 			counter.Add("ManifestRetries."+errs.Step(err), 1)
 			turn = time.Now().Add(jittered(sourceRetryMost / 4))
 		}
-		if !pause(ctx, jittered(manifestRetry)) {
+		if !pause.For(ctx, jittered(manifestRetry)) {
 			return manifest.Manifest{}, ctx.Err()
 		}
 	}
