--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,12 @@
 PROGRAMS := almondreel almondreel-agent almondreel-demo almondreel-gateway almondreel-standin
 PROGRAM_DIRS := $(addprefix ./cmd/,$(PROGRAMS))
 
+# The daemons for the hosting platform (deploy/system.toml), linked against the
+# C library.
+.PHONY: deploy
+deploy:
+	go build -ldflags=-linkmode=external -o target/ ./cmd/almondreel-gateway ./cmd/almondreel-agent
+
 .PHONY: all build demo test race known-red bench bench-capacity soak fuzz format lint vet clean
 
 all: build
--- a/cmd/almondreel-agent/main.go
+++ b/cmd/almondreel-agent/main.go
@@ -10,10 +10,15 @@
 
 	"almondreel.example/almondreel/internal/daemon"
 	"almondreel.example/almondreel/internal/duty"
+	"almondreel.example/almondreel/internal/hosted"
 	"almondreel.example/almondreel/internal/settings"
 )
 
-const program = "almondreel-agent"
+const (
+	program     = "almondreel-agent"
+	exitFailure = 1
+	exitUsage   = 2
+)
 
 type options struct {
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"YAML settings file"`
@@ -28,13 +33,37 @@
 		return
 	}
 	if err != nil {
-		duty.Exit(program, err, 2)
+		duty.Exit(program, err, exitUsage)
+	}
+	if err := run(o.Settings); err != nil {
+		code := exitFailure
+		if errors.As(err, new(usage)) {
+			code = exitUsage
+		}
+		duty.Exit(program, err, code)
 	}
-	s, err := settings.LoadAgent(o.Settings)
+}
+
+// usage is an error in what the program was given.
+type usage struct{ error }
+
+// run starts the program in the form that its settings are for: on the
+// operators' own instances, or on a hosting platform.
+func run(file string) error {
+	hosting, err := settings.IsHosted(file)
 	if err != nil {
-		duty.Exit(program, err, 2)
+		return usage{err}
+	}
+	if hosting {
+		s, err := settings.LoadHostedAgent(file)
+		if err != nil {
+			return usage{err}
+		}
+		return hosted.RunAgent(s, file)
 	}
-	if err := daemon.RunAgent(s); err != nil {
-		duty.Exit(program, err, 1)
+	s, err := settings.LoadAgent(file)
+	if err != nil {
+		return usage{err}
 	}
+	return daemon.RunAgent(s)
 }
--- a/cmd/almondreel-gateway/main.go
+++ b/cmd/almondreel-gateway/main.go
@@ -9,6 +9,7 @@
 
 	"almondreel.example/almondreel/internal/daemon"
 	"almondreel.example/almondreel/internal/duty"
+	"almondreel.example/almondreel/internal/hosted"
 	"almondreel.example/almondreel/internal/settings"
 )
 
@@ -25,18 +26,42 @@
 func main() {
 	var o options
 	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			fmt.Println(usage.Message)
+		var wrong *flags.Error
+		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
+			fmt.Println(wrong.Message)
 			return
 		}
 		duty.Exit(program, err, exitUsage)
 	}
-	s, err := settings.LoadGateway(o.Settings)
+	if err := run(o.Settings); err != nil {
+		code := exitFailure
+		if errors.As(err, new(usage)) {
+			code = exitUsage
+		}
+		duty.Exit(program, err, code)
+	}
+}
+
+// usage is an error in what the program was given.
+type usage struct{ error }
+
+// run starts the program in the form that its settings are for: on the
+// operators' own instances, or on a hosting platform.
+func run(file string) error {
+	hosting, err := settings.IsHosted(file)
 	if err != nil {
-		duty.Exit(program, err, exitUsage)
+		return usage{err}
+	}
+	if hosting {
+		s, err := settings.LoadHostedGateway(file)
+		if err != nil {
+			return usage{err}
+		}
+		return hosted.RunGateway(s, file)
 	}
-	if err := daemon.RunGateway(s); err != nil {
-		duty.Exit(program, err, exitFailure)
+	s, err := settings.LoadGateway(file)
+	if err != nil {
+		return usage{err}
 	}
+	return daemon.RunGateway(s)
 }
--- /dev/null
+++ b/internal/direct/attempt.go
@@ -0,0 +1,217 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/schedule"
+	"almondreel.example/almondreel/internal/site"
+	"almondreel.example/almondreel/internal/transmit"
+)
+
+// result is what became of a request at one server: complete, rejected,
+// unusable or stopped.
+type result interface{ end() schedule.End }
+
+// complete means that the caller was sent the server's whole answer.
+type complete struct{}
+
+// rejected means that the server certainly did not run the request.
+type rejected struct {
+	reason outcome.Reason
+	at     schedule.End
+	detail string
+}
+
+// unusable means that the server may have run the request and gave no answer
+// that can be passed on, or a failure that another server may not give.
+type unusable struct {
+	reason      outcome.Reason
+	at          schedule.End
+	answered    bool
+	mayHaveDied bool
+	failure     *whole // the server's own failure, if it gave one
+	detail      string
+}
+
+// stopped means that the caller left or the time was up.
+type stopped struct{ answered bool }
+
+func (complete) end() schedule.End   { return schedule.Finished }
+func (r rejected) end() schedule.End { return r.at }
+func (r unusable) end() schedule.End { return r.at }
+func (stopped) end() schedule.End    { return schedule.Left }
+
+// answered reports whether the server had begun to answer.
+func answered(r result) bool {
+	switch r := r.(type) {
+	case complete:
+		return true
+	case unusable:
+		return r.answered
+	case stopped:
+		return r.answered
+	}
+	return false
+}
+
+// whole is an answer that has been read to its end.
+type whole struct {
+	status int
+	header http.Header
+	signed bool
+	body   []byte
+}
+
+const (
+	// connectWithin bounds the opening of a connection to a server that is up:
+	// some round trips between regions.
+	connectWithin = 150 * time.Millisecond
+	// maxAnswerBytes bounds an answer that is not a stream.
+	maxAnswerBytes = 8 << 20
+	// silenceFactor times its target is how long a server that others could
+	// stand in for may be silent.
+	silenceFactor = 2.5
+	// leastSilence spares servers that are only busy.
+	leastSilence = 350 * time.Millisecond
+)
+
+var errSilent = errors.New("server is silent")
+
+// send sends the request to one server and passes its answer on.
+func (e *exchange) send(ctx context.Context, s schedule.Server) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	now := time.Now()
+	silence := e.watchSilence(cancel)
+	defer silence.Stop()
+	response, err := e.front.client.Send(ctx, transmit.Message{
+		Method: e.r.Method, Address: s.Address, Host: e.r.Host, Path: e.r.RequestURI,
+		Header: e.front.Dialect.Forward(e.r.Header, e.forward(ctx, s), now),
+		Body:   e.body, Fresh: true, ConnectBy: now.Add(connectWithin),
+	})
+	if err != nil {
+		return e.failedSend(ctx, err)
+	}
+	defer response.Body.Close()
+	reply := e.front.Dialect.Reply(response.StatusCode, response.Header)
+	switch {
+	case reply.NotRun:
+		return rejected{reason: outcome.BackendRefused, at: rejection(response.StatusCode), detail: response.Status}
+	case reply.AttemptID != e.call.AttemptID || response.Header.Get("Content-Encoding") != "" || !reply.Signed:
+		return unusable{reason: outcome.BackendFailed, at: schedule.Broken, detail: "answer is not the server's own: " + response.Status}
+	case e.route.Kind == site.Stream && response.StatusCode == http.StatusOK:
+		return e.stream(ctx, s, response, silence)
+	}
+	return e.plain(ctx, s, response)
+}
+
+// rejection tells a server that is another one, or serves other weights, from
+// one that is full.
+func rejection(status int) schedule.End {
+	if status == http.StatusMisdirectedRequest {
+		return schedule.Unreachable
+	}
+	return schedule.Rejected
+}
+
+func (e *exchange) forward(ctx context.Context, s schedule.Server) Forward {
+	f := Forward{Server: s.ID, Organisation: e.organisation, AfterEvent: e.lastEvent, Urgency: -1}
+	f.Deadline, _ = ctx.Deadline()
+	if e.route.Generates && e.front.View.MinVersion(e.call.Model, time.Now()) > 0 {
+		f.Version = s.Version
+	}
+	return f
+}
+
+// watchSilence cancels an attempt whose server does not begin to answer while
+// another one may be tried.
+func (e *exchange) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
+	patience := time.Duration(silenceFactor*float64(e.route.TargetMilliseconds)) * time.Millisecond
+	timer := time.AfterFunc(max(patience, leastSilence), func() { cancel(errSilent) })
+	if !e.movable() {
+		timer.Stop()
+	}
+	return timer
+}
+
+// movable reports whether another server may be tried after this one.
+func (e *exchange) movable() bool {
+	return e.route.Repeatable() && e.runs+1 < e.route.MaxAttempts
+}
+
+func (e *exchange) failedSend(ctx context.Context, err error) result {
+	var unsent *transmit.Unsent
+	notSent := errors.As(err, &unsent)
+	switch {
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) && !notSent:
+		return stopped{}
+	case notSent:
+		return rejected{reason: outcome.BackendUnreachable, at: schedule.Unreachable, detail: err.Error()}
+	case errors.Is(context.Cause(ctx), errSilent):
+		return unusable{reason: outcome.BackendFailed, at: schedule.Silent, detail: errSilent.Error()}
+	}
+	return unusable{reason: outcome.BackendDied, at: schedule.Broken, mayHaveDied: true, detail: err.Error()}
+}
+
+// plain reads an answer to its end before a byte of it is passed on.
+func (e *exchange) plain(ctx context.Context, s schedule.Server, response *http.Response) result {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return e.cut(ctx, err, false)
+	}
+	e.answeredBy(s)
+	answer := &whole{status: response.StatusCode, header: response.Header, signed: true, body: body}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return unusable{reason: outcome.BackendFailed, at: schedule.Finished, answered: true, failure: answer, detail: response.Status}
+	}
+	e.relayWhole(answer)
+	return complete{}
+}
+
+// cut is the result of an answer that broke off.
+func (e *exchange) cut(ctx context.Context, err error, begun bool) result {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errSilent):
+		return unusable{reason: outcome.BackendFailed, at: schedule.Silent, answered: begun, detail: errSilent.Error()}
+	case ctx.Err() != nil:
+		return stopped{answered: begun}
+	}
+	return unusable{reason: outcome.StreamCut, at: schedule.Broken, answered: begun, mayHaveDied: true, detail: err.Error()}
+}
+
+// answeredBy notes the moment of the first byte of an answer.
+func (e *exchange) answeredBy(s schedule.Server) {
+	e.front.Pools.answered(e.service.Name, s.ID, e.promptMS())
+	if e.firstMS == 0 {
+		e.firstMS = time.Since(e.arrivedAt).Milliseconds()
+		counter.Observe("FirstAnswerMilliseconds."+e.route.Name, e.firstMS)
+	}
+}
+
+// relayWhole passes a server's answer on as it is. A failure of a request that
+// may run once is not passed on with a status that says it has not run.
+func (e *exchange) relayWhole(a *whole) outcome.Outcome {
+	if !e.route.Repeatable() && promisesNotRun(a.status) {
+		return outcome.Unknown{Reason: outcome.BackendFailed}
+	}
+	e.begun = true
+	e.front.Dialect.Relay(e.w.Header(), a.header, a.signed)
+	e.w.WriteHeader(a.status)
+	_, _ = e.w.Write(a.body)
+	return outcome.Answered{}
+}
+
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/direct/crash.go
@@ -0,0 +1,92 @@
+package direct
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/schedule"
+	"almondreel.example/almondreel/internal/transmit"
+	"almondreel.example/almondreel/pkg/quarantine"
+)
+
+const (
+	// convictionTime is how long a request that crashes servers is refused.
+	convictionTime = time.Minute
+	// convictedDelay is told to its caller.
+	convictedDelay = 30 * time.Second
+	// outageTime and outageDeaths tell an outage, which is no request's doing.
+	outageTime   = 1500 * time.Millisecond
+	outageDeaths = 3
+)
+
+// Crashes finds requests that crash the servers which run them.
+type Crashes struct {
+	Table  *quarantine.Table
+	mu     sync.Mutex
+	deaths map[string]time.Time // by server
+}
+
+// NewCrashes returns an empty record.
+func NewCrashes() *Crashes {
+	return &Crashes{Table: quarantine.NewTable(), deaths: map[string]time.Time{}}
+}
+
+// Judge returns the verdict on a fingerprint.
+func (c *Crashes) Judge(fingerprint string) quarantine.Verdict {
+	return c.Table.Judge(fingerprint, time.Now())
+}
+
+// Completed clears a fingerprint.
+func (c *Crashes) Completed(fingerprint string) {
+	if c.Table.Judge(fingerprint, time.Now()) != quarantine.Clear {
+		c.Table.Completed(fingerprint)
+	}
+}
+
+// Broken takes an answer that broke off and returns the new verdict on its
+// request. Only a server that refuses connections afterwards has died.
+func (c *Crashes) Broken(fingerprint string, s schedule.Server, before quarantine.Verdict) quarantine.Verdict {
+	if !transmit.Down(s.Address) {
+		return before
+	}
+	counter.Add("BackendsDied", 1)
+	event.Log(event.BackendDied, "Server", s.ID, "Fingerprint", fingerprint)
+	if c.outage(s.ID) {
+		return before
+	}
+	verdict := c.Table.Died(fingerprint, s.ID, before == quarantine.Suspect, time.Now().Add(convictionTime))
+	if verdict == quarantine.Convicted {
+		event.Log(event.RequestConvicted, "Fingerprint", fingerprint, "Server", s.ID)
+	}
+	return verdict
+}
+
+// outage notes a death and reports whether several servers died at once.
+func (c *Crashes) outage(server string) bool {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deaths[server] = now
+	for s, at := range c.deaths {
+		if now.Sub(at) > outageTime {
+			delete(c.deaths, s)
+		}
+	}
+	return len(c.deaths) >= outageDeaths
+}
+
+// fingerprint names a request whichever gateway and attempt it comes by.
+func (e *exchange) fingerprint() string {
+	h := xxhash.New()
+	for _, part := range []string{e.organisation, e.r.Method, e.r.Host, e.r.RequestURI} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(e.body)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
--- /dev/null
+++ b/internal/draw/draw.go
@@ -0,0 +1,239 @@
+// Package draw decides which piece of a version an agent fetches next and from
+// whom, and when its engine may change over to a new version.
+//
+// Agents decide alike without a coordinator. Each piece is drawn from the origin
+// by one agent, the first by rendezvous rank among those that lack the version;
+// into every other region it is brought by one agent of that region, ranked
+// likewise; all others take it from their own region. An agent of a later rank
+// steps in when its turn has come and the piece is still not there.
+//
+// Nothing here waits, reads a clock or touches a network.
+package draw
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"almondreel.example/almondreel/pkg/stripe"
+)
+
+const (
+	// originStep is the turn of each rank at the origin: a copy takes 1.7 s out
+	// of the origin, so a rank that has done nothing by then has failed.
+	originStep = 900 * time.Millisecond
+	// regionStep is the turn of each rank between regions.
+	regionStep = 250 * time.Millisecond
+	// perHolder bounds pieces in flight from one holder: a link carries a piece
+	// in 34 ms, so two hide the way.
+	perHolder = 2
+	// perOrigin bounds pieces in flight from the origin.
+	perOrigin = 2
+	// restAfterFailure keeps a holder that failed from being asked at once.
+	restAfterFailure = 120 * time.Millisecond
+)
+
+// Member is an agent that takes part.
+type Member struct {
+	Name   string
+	Region string
+	Have   []uint64 // pieces of the version, as a bit set
+	Needs  bool     // it lacks pieces
+}
+
+// Source is where to fetch from; an empty Holder means the origin.
+type Source struct{ Holder string }
+
+// Fetch says what to fetch next.
+type Fetch struct {
+	Piece  int
+	Source Source
+}
+
+// Plan is one agent's progress with one version. It is not safe for concurrent use.
+type Plan struct {
+	name, region string
+	pieces       int
+	openedAt     time.Time
+	have         []uint64
+	flying       map[int]Source
+	fromHolder   map[string]int
+	fromOrigin   int
+	farSince     map[int]time.Time // when a piece was first seen in another region only
+	resting      map[string]time.Time
+	random       *rand.Rand
+}
+
+// NewPlan returns the plan of an agent that holds nothing of a version.
+func NewPlan(name, region string, pieces int, openedAt time.Time, random *rand.Rand) *Plan {
+	return &Plan{
+		name: name, region: region, pieces: pieces, openedAt: openedAt,
+		have: make([]uint64, (pieces+63)/64), flying: map[int]Source{}, fromHolder: map[string]int{},
+		farSince: map[int]time.Time{}, resting: map[string]time.Time{}, random: random,
+	}
+}
+
+// Got notes a piece that is here and was checked.
+func (p *Plan) Got(piece int) { p.have[piece/64] |= 1 << (piece % 64) }
+
+// Lost notes a piece that is no longer whole.
+func (p *Plan) Lost(piece int) { p.have[piece/64] &^= 1 << (piece % 64) }
+
+// Have returns the pieces that are here, as a bit set.
+func (p *Plan) Have() []uint64 { return append([]uint64(nil), p.have...) }
+
+// Complete reports whether every piece is here.
+func (p *Plan) Complete() bool {
+	for i := range p.pieces {
+		if !Has(p.have, i) {
+			return false
+		}
+	}
+	return true
+}
+
+// Ended notes the end of a fetch; a source that failed rests.
+func (p *Plan) Ended(now time.Time, f Fetch, ok bool) {
+	delete(p.flying, f.Piece)
+	if f.Source.Holder == "" {
+		p.fromOrigin--
+	} else {
+		p.fromHolder[f.Source.Holder]--
+	}
+	if !ok {
+		p.resting[f.Source.Holder] = now.Add(restAfterFailure)
+	}
+}
+
+// Next returns the next fetch, if one may begin now.
+func (p *Plan) Next(now time.Time, members []Member) (Fetch, bool) {
+	view := p.look(members)
+	var best Fetch
+	bestScore := -1.0
+	for piece := range p.pieces {
+		if _, flies := p.flying[piece]; flies || Has(p.have, piece) {
+			continue
+		}
+		source, unlocks, ok := p.source(now, piece, view)
+		if !ok {
+			continue
+		}
+		score := 1/float64(1+view.copies(piece)) + p.random.Float64()*tieShare
+		if unlocks {
+			score += unlockScore
+		}
+		if score > bestScore {
+			best, bestScore = Fetch{piece, source}, score
+		}
+	}
+	if bestScore < 0 {
+		return Fetch{}, false
+	}
+	p.flying[best.Piece] = best.Source
+	if best.Source.Holder == "" {
+		p.fromOrigin++
+	} else {
+		p.fromHolder[best.Source.Holder]++
+	}
+	return best, true
+}
+
+const (
+	// tieShare draws among pieces that are about equally rare.
+	tieShare = 0.05
+	// unlockScore puts pieces first that others wait for.
+	unlockScore = 2
+)
+
+// view is the members as one call of Next sees them.
+type view struct {
+	near, far []Member // others, in this region and elsewhere
+	needers   []string // all agents that lack pieces, this one included
+	nearby    []string // those of this region
+}
+
+func (p *Plan) look(members []Member) view {
+	v := view{needers: []string{p.name}, nearby: []string{p.name}}
+	for _, m := range members {
+		if m.Name == p.name {
+			continue
+		}
+		if m.Needs {
+			v.needers = append(v.needers, m.Name)
+		}
+		if m.Region != p.region {
+			v.far = append(v.far, m)
+			continue
+		}
+		v.near = append(v.near, m)
+		if m.Needs {
+			v.nearby = append(v.nearby, m.Name)
+		}
+	}
+	return v
+}
+
+func (v view) copies(piece int) int {
+	n := 0
+	for _, m := range v.near {
+		if Has(m.Have, piece) {
+			n++
+		}
+	}
+	return n
+}
+
+// source returns where a piece may be fetched from now. unlocks says that
+// others wait for this agent to bring it.
+func (p *Plan) source(now time.Time, piece int, v view) (s Source, unlocks, ok bool) {
+	if holder, found := p.holder(now, piece, v.near); found {
+		return Source{holder}, false, true
+	}
+	if v.copies(piece) > 0 {
+		return Source{}, false, false // its holders are busy
+	}
+	item := strconv.Itoa(piece)
+	held := false
+	for _, m := range v.far {
+		held = held || Has(m.Have, piece)
+	}
+	if !held {
+		turn := stripe.Turn(p.openedAt, stripe.Position(item, v.needers, p.name), originStep)
+		free := p.fromOrigin < perOrigin && !now.Before(p.resting[""])
+		return Source{}, true, free && !now.Before(turn)
+	}
+	since, seen := p.farSince[piece]
+	if !seen {
+		since = now
+		p.farSince[piece] = now
+	}
+	if now.Before(stripe.Turn(since, stripe.Position(item, v.nearby, p.name), regionStep)) {
+		return Source{}, false, false
+	}
+	holder, found := p.holder(now, piece, v.far)
+	return Source{holder}, true, found
+}
+
+// holder returns the member that has the piece and is asked least.
+func (p *Plan) holder(now time.Time, piece int, among []Member) (string, bool) {
+	best, least, ties := "", perHolder, 0
+	for _, m := range among {
+		if !Has(m.Have, piece) || now.Before(p.resting[m.Name]) {
+			continue
+		}
+		asked := p.fromHolder[m.Name]
+		switch {
+		case asked < least:
+			best, least, ties = m.Name, asked, 1
+		case asked == least && best != "":
+			ties++
+			if p.random.IntN(ties) == 0 {
+				best = m.Name
+			}
+		}
+	}
+	return best, best != ""
+}
+
+// Has reports whether a bit set holds n.
+func Has(set []uint64, n int) bool { return n/64 < len(set) && set[n/64]&(1<<(n%64)) != 0 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -31,6 +31,15 @@
 	TargetShort
 	VersionUnresolved
 	PlacementTooLarge
+	SettingsReloaded
+	StoreDown
+	StoreUp
+	HistoryForgotten
+	EntryUnreadable
+	NeighbourUp
+	NeighbourDown
+	ServersChanged
+	VersionNamed
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -44,6 +53,12 @@
 	LoadConfirmed
 	LoadUnsettled
 	OrderRefused
+	EngineUp
+	EngineDown
+	PieceFailed
+	ManifestMissing
+	StagedUnread
+	StagedSpoilt
 )
 
 // Events of requests: 4000 to 4099.
@@ -61,6 +76,7 @@
 	ClaimUnsettled
 	LedgerKeyTaken
 	LedgerNotHandedOver
+	RequestEnded
 )
 
 var catalogue = map[Number]string{
@@ -90,6 +106,15 @@
 	TargetShort:          "too few instances for a class's target",
 	VersionUnresolved:    "origin does not resolve a version",
 	PlacementTooLarge:    "placement is larger than the key-value service holds",
+	SettingsReloaded:     "settings file read again",
+	StoreDown:            "metadata store does not answer",
+	StoreUp:              "metadata store answers again",
+	HistoryForgotten:     "metadata store forgot its history: everything is read again",
+	EntryUnreadable:      "entry of the metadata store cannot be used",
+	NeighbourUp:          "neighbour answers",
+	NeighbourDown:        "neighbour does not answer",
+	ServersChanged:       "backend servers changed",
+	VersionNamed:         "model version named",
 
 	TransferStarted:   "transfer of a model started",
 	TransferVerified:  "transfer complete and verified",
@@ -100,6 +125,12 @@
 	LoadConfirmed:     "engine states the ordered digest",
 	LoadUnsettled:     "load order without an answer: reading engine state",
 	OrderRefused:      "order refused: older fencing number",
+	EngineUp:          "engine answers",
+	EngineDown:        "engine does not answer",
+	PieceFailed:       "piece could not be brought",
+	ManifestMissing:   "manifest could not be read",
+	StagedUnread:      "staged pieces could not be listed",
+	StagedSpoilt:      "staged piece spoilt: staged again",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
@@ -114,4 +145,5 @@
 	ClaimUnsettled:      "claim could not be settled: repeats are told that its outcome is unknown",
 	LedgerKeyTaken:      "ledger key holds another batch: the batch is not in the ledger",
 	LedgerNotHandedOver: "outcome records could not be handed to another gateway",
+	RequestEnded:        "request ended",
 }
--- /dev/null
+++ b/internal/hosted/agent.go
@@ -0,0 +1,215 @@
+package hosted
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"almondreel.example/almondreel/internal/belief"
+	"almondreel.example/almondreel/internal/control"
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/duty"
+	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/neighbour"
+	"almondreel.example/almondreel/internal/pause"
+	"almondreel.example/almondreel/internal/reel"
+	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/platform"
+)
+
+const (
+	// urgentTime and calmTime separate an agent's words to a gateway while it
+	// brings a version and otherwise; gateways take its word for agentTime.
+	urgentTime = 70 * time.Millisecond
+	calmTime   = 250 * time.Millisecond
+	// syncAnswer bounds a gateway's answer.
+	syncAnswer = 400 * time.Millisecond
+	// fallbackTime is how long no gateway answers before the store is asked.
+	fallbackTime = 2 * time.Second
+	pieceIdle    = 20 * time.Second
+	peerDial     = 400 * time.Millisecond
+)
+
+// agent is an agent's part in what the processes tell each other.
+type agent struct {
+	settings settings.HostedAgent
+	reel     *reel.Agent
+	store    *platform.Store
+	gateways []neighbour.Gateway
+	clients  map[string]*control.Client
+	current  string    // address of the gateway that answers
+	heardAt  time.Time // a gateway answered, or the store was asked
+}
+
+// RunAgent runs an agent until SIGINT or SIGTERM.
+func RunAgent(s settings.HostedAgent, file string) error {
+	limitMemory(s.Hosting.MemoryMB)
+	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}}
+	a.reel = reel.NewAgent(reel.Options{
+		Name: s.Name, Address: s.PieceListen, Region: s.Region, Service: s.Backend.Service,
+		EngineAddress: s.Backend.Address, VersionMS: s.Hosting.VersionMS,
+		Engine: platform.NewEngine(s.Backend.Address), Origin: platform.NewOrigin(),
+		Peers: reel.NewPeers(newPeerClient()), Wanted: a.wanted,
+	})
+	listener, err := net.Listen("tcp", s.PieceListen)
+	if err != nil {
+		return errs.Wrap(err, "listen for agents", s.PieceListen)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", a.reel.Handler())
+	mux.Handle("GET /metrics", counter.Handler())
+	server := newServer(mux)
+	server.IdleTimeout = pieceIdle
+	tree := duty.NewTree(s.Name)
+	tree.Add("pieces", listen(listener, server))
+	tree.Add("weights", a.reel.Run)
+	tree.Add("gateways", a.sync)
+	tree.Add("settings", reload(file))
+	return duty.Main(string(settings.ProgramAgent), tree, nil)
+}
+
+func newPeerClient() *http.Client {
+	dialer := net.Dialer{Timeout: peerDial}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: pieceIdle / 2,
+	}}
+}
+
+// wanted decodes what the store says of the agent's service.
+func (a *agent) wanted(items []belief.Item) reel.Wanted {
+	w := reel.Wanted{}
+	for _, i := range items {
+		if !platform.IsConfiguration(i.Key) {
+			continue
+		}
+		c, err := platform.Configuration(i.Value)
+		if err != nil {
+			event.Fail(event.EntryUnreadable, err, "Key", i.Key)
+			continue
+		}
+		w.Engine = c.Services[a.settings.Backend.Service].Engine
+		w.Origin = c.Origin().Address
+	}
+	if w.Engine.Model == "" {
+		return w
+	}
+	w.Version = 1
+	for _, i := range items {
+		if !platform.IsVersion(i.Key) {
+			continue
+		}
+		v, err := platform.Version(i.Key, i.Value)
+		if err != nil {
+			event.Fail(event.EntryUnreadable, err, "Key", i.Key)
+			continue
+		}
+		if v.Model == w.Engine.Model {
+			w.Version = max(w.Version, v.Number)
+		}
+	}
+	return w
+}
+
+// sync tells a gateway the agent's state and hears what it lacks, until ctx ends.
+func (a *agent) sync(ctx context.Context) error {
+	for _, g := range a.settings.Hosting.Gateways {
+		a.gateways = append(a.gateways, neighbour.Gateway{Address: g})
+	}
+	a.heardAt = time.Now()
+	for ctx.Err() == nil {
+		if !a.tell(ctx) && time.Since(a.heardAt) > fallbackTime {
+			a.readStore(ctx)
+		}
+		every := calmTime
+		if a.reel.Urgent() {
+			every = urgentTime
+		}
+		pause.For(ctx, every)
+	}
+	return ctx.Err()
+}
+
+// tell speaks to the first gateway that answers, those of its region first.
+func (a *agent) tell(ctx context.Context) bool {
+	for _, g := range a.ranked() {
+		if a.tellOne(ctx, g.Address) {
+			a.current, a.heardAt = g.Address, time.Now()
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return false
+}
+
+func (a *agent) ranked() []neighbour.Gateway {
+	out := slices.Clone(a.gateways)
+	slices.SortStableFunc(out, func(x, y neighbour.Gateway) int { return a.rank(x) - a.rank(y) })
+	return out
+}
+
+func (a *agent) rank(g neighbour.Gateway) int {
+	switch {
+	case g.Region == a.settings.Region && g.Address == a.current:
+		return 0
+	case g.Region == a.settings.Region:
+		return 1
+	case g.Address == a.current:
+		return 2
+	}
+	return 3
+}
+
+func (a *agent) tellOne(ctx context.Context, address string) bool {
+	client, ok := a.clients[address]
+	if !ok {
+		client = control.NewClient(address)
+		a.clients[address] = client
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncAnswer)
+	defer cancel()
+	request := neighbour.SyncRequest{Agent: a.reel.Say(), Revision: a.reel.Beliefs.Revision()}
+	var reply neighbour.SyncReply
+	if err := client.Call(ctx, neighbour.MethodSync, request, &reply); err != nil {
+		if a.current == address {
+			event.Fail(event.NeighbourDown, err, "Address", address)
+			a.current = ""
+		}
+		return false
+	}
+	if a.current != address {
+		event.Log(event.NeighbourUp, "Address", address)
+	}
+	if reply.Beliefs.Revision > 0 || a.reel.Beliefs.Revision() > 0 {
+		a.reel.Adopt(reply.Beliefs, reply.Agents, reply.Named)
+	}
+	a.learn(reply.Gateways)
+	return true
+}
+
+// learn takes the gateways that are alive; those of the settings stay known.
+func (a *agent) learn(list []neighbour.Gateway) {
+	next := slices.Clone(list)
+	for _, s := range a.settings.Hosting.Gateways {
+		if !slices.ContainsFunc(next, func(g neighbour.Gateway) bool { return g.Address == s }) {
+			next = append(next, neighbour.Gateway{Address: s})
+		}
+	}
+	a.gateways = next
+}
+
+// readStore asks the store itself, since no gateway answers.
+func (a *agent) readStore(ctx context.Context) {
+	a.heardAt = time.Now()
+	snapshot, err := a.store.List(ctx, watchPrefix)
+	if err != nil {
+		event.Fail(event.StoreDown, err)
+		return
+	}
+	a.reel.Adopt(belief.Update{Items: snapshot.Items, Revision: snapshot.Revision, Whole: true}, nil, nil)
+}
--- /dev/null
+++ b/internal/hosted/neighbours.go
@@ -0,0 +1,274 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"almondreel.example/almondreel/internal/control"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/neighbour"
+	"almondreel.example/almondreel/internal/pause"
+	"almondreel.example/almondreel/internal/site"
+	"almondreel.example/almondreel/pkg/quarantine"
+)
+
+const (
+	// exchangeTime is how often a gateway tells the others its load: a third of
+	// the time that a request may wait at the least.
+	exchangeTime = 150 * time.Millisecond
+	// exchangeAnswer bounds a call between gateways.
+	exchangeAnswer = 400 * time.Millisecond
+	// neighbourTime is how long a gateway that says nothing counts as alive.
+	neighbourTime = 1500 * time.Millisecond
+	// forgetTime is how long a gateway is still called that does not answer.
+	forgetTime = 20 * time.Second
+)
+
+// neighbours is a gateway's part in what gateways and agents tell each other.
+type neighbours struct {
+	roster     *roster
+	own        neighbour.Gateway
+	seeds      []string
+	quarantine *quarantine.Table
+
+	mu       sync.Mutex
+	gateways map[string]*other // by address
+	started  chan string       // addresses that nobody calls yet
+}
+
+// other is another gateway.
+type other struct {
+	neighbour.Gateway
+	client  *control.Client
+	running map[string]int
+	heardAt time.Time // it called
+	reached time.Time // it answered
+	called  bool      // a goroutine calls it
+	up      bool
+}
+
+func newNeighbours(r *roster, own neighbour.Gateway, seeds []string, q *quarantine.Table) *neighbours {
+	n := &neighbours{roster: r, own: own, seeds: seeds, quarantine: q, gateways: map[string]*other{}, started: make(chan string, 64)}
+	for _, s := range seeds {
+		n.meet(neighbour.Gateway{Address: s})
+	}
+	return n
+}
+
+// meet notes a gateway that someone named.
+func (n *neighbours) meet(g neighbour.Gateway) *other {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if g.Address == n.own.Address || g.Address == "" {
+		return nil
+	}
+	o, ok := n.gateways[g.Address]
+	if !ok {
+		o = &other{client: control.NewClient(g.Address), reached: time.Now()}
+		n.gateways[g.Address] = o
+		select {
+		case n.started <- g.Address:
+			o.called = true
+		default: // it is named again soon
+		}
+	}
+	if g.Name != "" {
+		o.Gateway = g
+	}
+	o.Address = g.Address
+	return o
+}
+
+// run calls each known gateway in turn until ctx ends.
+func (n *neighbours) run(ctx context.Context) error {
+	ended := make(chan struct{})
+	callers := 0
+	for {
+		select {
+		case address := <-n.started:
+			callers++
+			go func() {
+				defer func() { ended <- struct{}{} }()
+				n.call(ctx, address)
+			}()
+		case <-ended:
+			callers--
+		case <-ctx.Done():
+			for ; callers > 0; callers-- {
+				<-ended
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+// call exchanges with one gateway until it has been gone for long.
+func (n *neighbours) call(ctx context.Context, address string) {
+	for pause.For(ctx, exchangeTime) {
+		n.mu.Lock()
+		o := n.gateways[address]
+		gone := time.Since(o.reached) > forgetTime && !n.isSeed(address)
+		if gone {
+			delete(n.gateways, address)
+		}
+		n.mu.Unlock()
+		if gone {
+			return
+		}
+		n.exchange(ctx, o)
+		n.spread(time.Now())
+	}
+}
+
+func (n *neighbours) isSeed(address string) bool {
+	for _, s := range n.seeds {
+		if s == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *neighbours) exchange(ctx context.Context, o *other) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeAnswer)
+	defer cancel()
+	request := n.word(time.Now())
+	var reply neighbour.ExchangeReply
+	err := o.client.Call(ctx, neighbour.MethodExchange, request, &reply)
+	n.note(o, err)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	k := n.roster.knowledge
+	k.take(k.beliefs.Adopt(reply.Beliefs), o.Address)
+	if reply.AgeMilliseconds >= 0 && k.beliefs.Revision() >= reply.Beliefs.Revision {
+		k.confirm(now.Add(-time.Duration(reply.AgeMilliseconds) * time.Millisecond))
+	}
+	for _, g := range reply.Gateways {
+		n.meet(g)
+	}
+}
+
+func (n *neighbours) note(o *other, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err == nil {
+		o.reached = time.Now()
+	}
+	if up := err == nil; up != o.up {
+		o.up = up
+		if up {
+			event.Log(event.NeighbourUp, "Address", o.Address, "Name", o.Name)
+		} else {
+			event.Fail(event.NeighbourDown, err, "Address", o.Address, "Name", o.Name)
+		}
+	}
+}
+
+// word is what this gateway tells the others.
+func (n *neighbours) word(now time.Time) neighbour.ExchangeRequest {
+	k := n.roster.knowledge
+	w := neighbour.ExchangeRequest{
+		Gateway: n.own, Revision: k.beliefs.Revision(), Running: n.roster.pools.Running(),
+		Agents: n.roster.words(now), Gateways: n.known(now), Named: n.named(now),
+	}
+	for _, e := range n.quarantine.Convictions(now) {
+		w.Convictions = append(w.Convictions, neighbour.Conviction{
+			Fingerprint: e.Fingerprint, Server: e.Server, Convicted: e.Convicted, LeftMilliseconds: e.ExpiresAt.Sub(now).Milliseconds(),
+		})
+	}
+	return w
+}
+
+func (n *neighbours) named(now time.Time) []neighbour.Named {
+	var out []neighbour.Named
+	for v, at := range n.roster.ages() {
+		out = append(out, neighbour.Named{Model: v.Model, Version: v.Number, AgeMilliseconds: now.Sub(at).Milliseconds()})
+	}
+	return out
+}
+
+// known returns the gateways that are alive, this one included.
+func (n *neighbours) known(now time.Time) []neighbour.Gateway {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := []neighbour.Gateway{n.own}
+	for _, o := range n.gateways {
+		if o.Name != "" && now.Sub(o.heardAt) < neighbourTime {
+			out = append(out, o.Gateway)
+		}
+	}
+	return out
+}
+
+// spread tells the pools what the other gateways have running.
+func (n *neighbours) spread(now time.Time) {
+	running := map[string]int{}
+	n.mu.Lock()
+	for _, o := range n.gateways {
+		if now.Sub(o.heardAt) < neighbourTime {
+			for server, count := range o.running {
+				running[server] += count
+			}
+		}
+	}
+	n.mu.Unlock()
+	n.roster.pools.SetOthers(now, running)
+}
+
+// receiver answers the calls of gateways and agents.
+type receiver struct{ neighbours *neighbours }
+
+// Exchange takes another gateway's word and returns what it lacks.
+func (r receiver) Exchange(request neighbour.ExchangeRequest, reply *neighbour.ExchangeReply) error {
+	n, now := r.neighbours, time.Now()
+	if o := n.meet(request.Gateway); o != nil {
+		n.mu.Lock()
+		o.heardAt, o.running = now, request.Running
+		n.mu.Unlock()
+	}
+	for _, g := range request.Gateways {
+		n.meet(g)
+	}
+	for _, a := range request.Agents {
+		n.roster.hear(a, now.Add(-time.Duration(a.AgeMilliseconds)*time.Millisecond))
+	}
+	for _, v := range request.Named {
+		n.roster.age(site.Version{Model: v.Model, Number: v.Version}, now.Add(-time.Duration(v.AgeMilliseconds)*time.Millisecond))
+	}
+	n.adopt(request.Convictions, now)
+	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
+	reply.Gateways = n.known(now)
+	reply.AgeMilliseconds = now.Sub(n.roster.confirmed()).Milliseconds()
+	n.spread(now)
+	return nil
+}
+
+func (n *neighbours) adopt(convictions []neighbour.Conviction, now time.Time) {
+	var entries []quarantine.Entry
+	for _, c := range convictions {
+		entries = append(entries, quarantine.Entry{
+			Fingerprint: c.Fingerprint, Server: c.Server, Convicted: c.Convicted,
+			ExpiresAt: now.Add(time.Duration(c.LeftMilliseconds) * time.Millisecond),
+		})
+	}
+	n.quarantine.Adopt(entries)
+}
+
+// Sync takes an agent's word and returns what it lacks.
+func (r receiver) Sync(request neighbour.SyncRequest, reply *neighbour.SyncReply) error {
+	n, now := r.neighbours, time.Now()
+	n.roster.hear(request.Agent, now)
+	n.roster.announce()
+	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
+	for _, a := range n.roster.words(now) {
+		if a.Name != request.Agent.Name && a.Service == request.Agent.Service {
+			reply.Agents = append(reply.Agents, a)
+		}
+	}
+	reply.Gateways = n.known(now)
+	reply.Named = n.named(now)
+	return nil
+}
--- /dev/null
+++ b/internal/hosted/process.go
@@ -0,0 +1,50 @@
+package hosted
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"almondreel.example/almondreel/internal/duty"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/settings"
+)
+
+const (
+	// memoryShare of the process's limit is where the collector works hardest.
+	memoryShare = 0.6
+	// collectAt grows the heap by this per cent between collections: heaps are
+	// small, and memory at its peak is dearer than processor time.
+	collectAt = 40
+)
+
+// limitMemory keeps the process below its limit of megabytes.
+func limitMemory(megabytes int) {
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+}
+
+// reload returns the duty that reads the settings file again at SIGHUP and
+// says whether it could be used. Addresses and identity stay as they were at
+// the start: the platform starts a process anew to change them.
+func reload(file string) duty.Func {
+	return func(ctx context.Context) error {
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		defer signal.Stop(hangups)
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-hangups:
+			}
+			if _, err := settings.Check(file); err != nil {
+				event.Fail(event.SettingsReloaded, err)
+				continue
+			}
+			event.Log(event.SettingsReloaded)
+		}
+	}
+}
--- /dev/null
+++ b/internal/schedule/schedule.go
@@ -0,0 +1,460 @@
+// Package schedule decides which request starts when and on which backend
+// server, which one waits, and which one is refused and until when.
+//
+// A Pool is a gateway's part of one service. Its methods are steps: each takes
+// the time and an event, changes the pool and returns what became of requests.
+// Nothing here waits, reads a clock or touches a network, so tests play loads
+// against it at any speed.
+package schedule
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"almondreel.example/almondreel/internal/outcome"
+)
+
+// Server is a backend server that the pool may send to.
+type Server struct {
+	ID      string
+	Address string // IP:port
+	Region  string
+	Slots   int   // requests that it runs at once
+	Version int64 // of the weights that it serves; 0 for a plain service
+	Ready   bool  // it takes new requests
+}
+
+// Ask is a request for a place on a backend server.
+type Ask struct {
+	ID           int64
+	Priority     int  // 0 goes first
+	Returning    bool // the caller was refused before
+	Resumed      bool // its answer has begun
+	PromptMS     float64
+	HoldMS       float64 // expected time in a slot
+	Value        float64
+	ArrivedAt    time.Time
+	StartBy      time.Time // from here on the answer would miss its target
+	GiveUpAt     time.Time // no use to the caller after this
+	MinVersion   int64
+	Avoid        []string // servers that have failed it
+	Organisation string
+}
+
+// Verdict is what becomes of an Ask: Start, Wait or Refuse.
+type Verdict interface{ verdict() }
+
+// Start sends the request to Server.
+type Start struct{ Server Server }
+
+// Wait keeps the request until a later verdict.
+type Wait struct{}
+
+// Refuse ends the request, which has not run.
+type Refuse struct {
+	Reason  outcome.Reason
+	RetryAt time.Time
+}
+
+func (Start) verdict()  {}
+func (Wait) verdict()   {}
+func (Refuse) verdict() {}
+
+// Settled is the verdict on an Ask that waited.
+type Settled struct {
+	ID      int64
+	Verdict Verdict
+}
+
+// Options of a pool.
+type Options struct {
+	Region string // of the gateway
+	Extra  int    // requests beyond its slots that a server is sent, to hide the way there
+	Local  float64
+}
+
+// Pool is not safe for concurrent use.
+type Pool struct {
+	options  Options
+	servers  map[string]*server
+	order    []*server
+	waiting  []Ask
+	finished window
+	promised time.Time
+}
+
+type server struct {
+	Server
+	own         int     // requests that this gateway has there
+	others      int     // requests that other gateways said they have there
+	reading     float64 // milliseconds of prompts that have not answered yet
+	failures    int     // in a row
+	suspendedAt time.Time
+	resumesAt   time.Time
+}
+
+// NewPool returns a pool without servers.
+func NewPool(o Options) *Pool {
+	return &Pool{options: o, servers: map[string]*server{}}
+}
+
+// SetServers replaces the list of servers. What runs on a server that leaves
+// the list is still counted until it ends.
+func (p *Pool) SetServers(now time.Time, list []Server) []Settled {
+	listed := make(map[string]bool, len(list))
+	for _, s := range list {
+		listed[s.ID] = true
+		held, ok := p.servers[s.ID]
+		if !ok {
+			held = &server{}
+			p.servers[s.ID] = held
+		}
+		if held.Version != s.Version {
+			held.failures, held.resumesAt = 0, time.Time{}
+		}
+		held.Server = s
+	}
+	for id, s := range p.servers {
+		if !listed[id] {
+			s.Ready = false
+			if s.own == 0 {
+				delete(p.servers, id)
+			}
+		}
+	}
+	p.sort()
+	return p.pump(now)
+}
+
+func (p *Pool) sort() {
+	p.order = p.order[:0]
+	for _, s := range p.servers {
+		p.order = append(p.order, s)
+	}
+	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// SetOthers takes what other gateways have running, by server.
+func (p *Pool) SetOthers(now time.Time, running map[string]int) []Settled {
+	for id, s := range p.servers {
+		s.others = running[id]
+	}
+	return p.pump(now)
+}
+
+// Running returns what this gateway has running, by server.
+func (p *Pool) Running(into map[string]int) {
+	for id, s := range p.servers {
+		if s.own > 0 {
+			into[id] += s.own
+		}
+	}
+}
+
+// Waiting returns the number of requests that wait.
+func (p *Pool) Waiting() int { return len(p.waiting) }
+
+// Arrive takes a new request, or one whose server did not run or finish it.
+func (p *Pool) Arrive(now time.Time, a Ask) Verdict {
+	if len(p.waiting) == 0 || a.Resumed {
+		if s := p.choose(now, a); s != nil {
+			return p.start(s, a)
+		}
+	}
+	if !p.usable(a) {
+		return p.refuse(now, outcome.NoReplica, noServerDelay)
+	}
+	if v, hopeless := p.hopeless(now, a); hopeless {
+		return v
+	}
+	p.waiting = append(p.waiting, a)
+	for _, s := range p.pump(now) {
+		if s.ID == a.ID {
+			return s.Verdict
+		}
+	}
+	return Wait{}
+}
+
+// Withdraw removes a request that waits, since its caller left.
+func (p *Pool) Withdraw(id int64) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(a Ask) bool { return a.ID == id })
+}
+
+// Answered says that a server began to answer a request.
+func (p *Pool) Answered(id string, promptMS float64) {
+	if s, ok := p.servers[id]; ok {
+		s.reading = max(0, s.reading-promptMS)
+		s.failures, s.resumesAt = 0, time.Time{}
+	}
+}
+
+// End is how a request left its server.
+type End int
+
+// Ends of a request at a server.
+const (
+	Finished    End = iota
+	Left            // the caller went away, or the time was up
+	Unreachable     // no connection
+	Rejected        // the server said that it did not run it
+	Broken          // no whole answer
+	Silent          // no answer in time
+)
+
+// Ended says that a request left a server. promptMS is 0 if it had answered.
+func (p *Pool) Ended(now time.Time, id string, end End, promptMS float64) []Settled {
+	s, ok := p.servers[id]
+	if !ok {
+		return nil
+	}
+	s.own--
+	s.reading = max(0, s.reading-promptMS)
+	switch end {
+	case Finished, Left:
+		p.finished.add(now)
+	case Unreachable, Rejected, Broken, Silent:
+		s.suspend(now, end)
+	}
+	if s.own == 0 && !s.Ready {
+		p.forget(id)
+	}
+	return p.pump(now)
+}
+
+// forget drops a server that left the list, unless it only pauses.
+func (p *Pool) forget(id string) {
+	if p.servers[id].Slots > 0 {
+		return
+	}
+	delete(p.servers, id)
+	p.sort()
+}
+
+const (
+	// firstSuspension is one round trip between regions and a retry's pause.
+	firstSuspension = 100 * time.Millisecond
+	// longestSuspension keeps a server that is back from idling long.
+	longestSuspension = 1500 * time.Millisecond
+	rejectSuspension  = 40 * time.Millisecond
+	suspendFrom       = 2 // failures in a row of a server that answers some
+)
+
+func (s *server) suspend(now time.Time, end End) {
+	s.failures++
+	pause := firstSuspension
+	switch end {
+	case Rejected:
+		pause = rejectSuspension
+	case Broken:
+		if s.failures < suspendFrom {
+			return
+		}
+	}
+	for range min(s.failures-1, 5) {
+		pause *= 2
+	}
+	s.suspendedAt, s.resumesAt = now, now.Add(min(pause, longestSuspension))
+}
+
+// Tick settles what has waited long enough.
+func (p *Pool) Tick(now time.Time) []Settled {
+	var out []Settled
+	p.waiting = slices.DeleteFunc(p.waiting, func(a Ask) bool {
+		if now.Before(p.patience(a)) {
+			return false
+		}
+		out = append(out, Settled{a.ID, p.refuse(now, outcome.WaitTooLong, 0)})
+		return true
+	})
+	return append(out, p.pump(now)...)
+}
+
+const (
+	// minPatience is the least time that a request may wait for a place: two
+	// rounds of what the gateways tell each other.
+	minPatience = 60 * time.Millisecond
+	// returningPatience is how long a caller that came back may wait.
+	returningPatience = 1200 * time.Millisecond
+)
+
+// patience is the moment until which a request may wait.
+func (p *Pool) patience(a Ask) time.Time {
+	until := a.StartBy
+	if least := a.ArrivedAt.Add(minPatience); until.Before(least) {
+		until = least
+	}
+	if a.Returning || a.Resumed {
+		if longer := a.ArrivedAt.Add(returningPatience); until.Before(longer) {
+			until = longer
+		}
+	}
+	if a.GiveUpAt.Before(until) {
+		until = a.GiveUpAt
+	}
+	return until
+}
+
+// hopeless refuses a request whose wait would outlast its patience.
+func (p *Pool) hopeless(now time.Time, a Ask) (Verdict, bool) {
+	ahead := 0
+	for _, o := range p.waiting {
+		if before(o, a) {
+			ahead++
+		}
+	}
+	rate := p.finished.perSecond(now)
+	if rate <= 0 || ahead < minQueue {
+		return nil, false
+	}
+	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
+	if now.Add(wait).After(p.patience(a)) {
+		return p.refuse(now, outcome.QueueFull, 0), true
+	}
+	return nil, false
+}
+
+// minQueue is the number of requests that may wait whatever the estimate says.
+const minQueue = 2
+
+const (
+	noServerDelay = 300 * time.Millisecond
+	shortestRetry = 250 * time.Millisecond
+	longestRetry  = 1900 * time.Millisecond // callers wait a third of their 6 s at most
+)
+
+// refuse names a time to come back at: one after the other at the rate at which
+// places come free, so that callers do not return together.
+func (p *Pool) refuse(now time.Time, reason outcome.Reason, least time.Duration) Refuse {
+	rate := max(p.finished.perSecond(now), 1)
+	at := now.Add(max(least, shortestRetry))
+	if p.promised.After(at) {
+		at = p.promised
+	}
+	if latest := now.Add(longestRetry); at.After(latest) {
+		at = latest
+	}
+	p.promised = at.Add(time.Duration(float64(time.Second) / rate))
+	return Refuse{Reason: reason, RetryAt: at}
+}
+
+// usable reports whether any server could run the request, now or soon.
+func (p *Pool) usable(a Ask) bool {
+	return slices.ContainsFunc(p.order, func(s *server) bool { return s.Ready && s.Version >= a.MinVersion })
+}
+
+// pump starts what waits while there is room.
+func (p *Pool) pump(now time.Time) []Settled {
+	var out []Settled
+	for len(p.waiting) > 0 {
+		best := -1
+		for i, a := range p.waiting {
+			if best < 0 || before(a, p.waiting[best]) {
+				best = i
+			}
+		}
+		s := p.choose(now, p.waiting[best])
+		if s == nil {
+			return out
+		}
+		a := p.waiting[best]
+		p.waiting = slices.Delete(p.waiting, best, best+1)
+		out = append(out, Settled{a.ID, p.start(s, a)})
+	}
+	return out
+}
+
+// before orders what waits: begun answers, callers that came back, then by
+// priority and by the time until which a start still meets the target.
+func before(a, b Ask) bool {
+	rank := func(x Ask) int {
+		switch {
+		case x.Resumed:
+			return 0
+		case x.Returning:
+			return 1
+		}
+		return 2
+	}
+	if c := cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Priority, b.Priority), a.StartBy.Compare(b.StartBy)); c != 0 {
+		return c < 0
+	}
+	return a.ID < b.ID
+}
+
+func (p *Pool) start(s *server, a Ask) Start {
+	s.own++
+	s.reading += a.PromptMS
+	return Start{Server: s.Server}
+}
+
+// readingWeight turns milliseconds of prompts ahead into a share of a server's load.
+const readingWeight = 1.0 / 400
+
+// choose returns the server that would answer first, or nil while all are full.
+func (p *Pool) choose(now time.Time, a Ask) *server {
+	var best *server
+	least := math.Inf(1)
+	for _, s := range p.order {
+		if !s.takes(now, a) || s.own+s.others >= s.Slots+p.options.Extra {
+			continue
+		}
+		load := float64(s.own+s.others)/float64(max(1, s.Slots)) + s.reading*readingWeight
+		if s.Region != p.options.Region {
+			load += p.options.Local
+		}
+		if slices.Contains(a.Avoid, s.ID) {
+			load += avoidLoad
+		}
+		if load < least {
+			best, least = s, load
+		}
+	}
+	return best
+}
+
+// avoidLoad makes a server that has failed the request the last choice.
+const avoidLoad = 10
+
+// takes reports whether the server may get the request now. One that failed is
+// tried with a single request after its suspension.
+func (s *server) takes(now time.Time, a Ask) bool {
+	if !s.Ready || s.Version < a.MinVersion || now.Before(s.resumesAt) {
+		return false
+	}
+	return s.resumesAt.IsZero() || s.own == 0
+}
+
+// window counts events of the last second or two.
+type window struct {
+	openedAt time.Time
+	last     float64 // of the second before
+	count    float64
+}
+
+func (w *window) roll(now time.Time) {
+	switch elapsed := now.Sub(w.openedAt); {
+	case elapsed >= 2*time.Second:
+		w.openedAt, w.last, w.count = now, 0, 0
+	case elapsed >= time.Second:
+		w.openedAt, w.last, w.count = w.openedAt.Add(time.Second), w.count, 0
+	}
+}
+
+func (w *window) add(now time.Time) {
+	w.roll(now)
+	w.count++
+}
+
+// perSecond weighs the second before by what of it lies within one second.
+func (w *window) perSecond(now time.Time) float64 {
+	w.roll(now)
+	return w.count + w.last*(1-now.Sub(w.openedAt).Seconds())
+}
+
+// Turn refuses a request that no server took, with a time to come back at.
+func (p *Pool) Turn(now time.Time, reason outcome.Reason) Refuse {
+	return p.refuse(now, reason, 0)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -141,6 +141,9 @@
 	return port, err == nil && port >= 0 && port <= maxPort
 }
 
+// indexed is the key of a list's entry.
+func indexed(key string, i int) string { return key + "[" + strconv.Itoa(i) + "]" }
+
 func (c *checker) baseURL(key, value string) {
 	u, err := url.Parse(value)
 	ok := err == nil && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https")
--- a/internal/settings/program.go
+++ b/internal/settings/program.go
@@ -37,6 +37,9 @@
 
 func checkRoot(file string, root *yaml.Node) (Program, error) {
 	program := programOf(root)
+	if hasKey(root, "Hosting") {
+		return checkHosted(file, root)
+	}
 	switch program {
 	case ProgramGateway:
 		return program, fillChecked(file, root, &Gateway{})
@@ -48,6 +51,26 @@
 	return "", fmt.Errorf("%s: expected a key CallerListen (gateway), Backend (agent) or Operator (operator)", file)
 }
 
+// checkHosted checks a file for a program on a hosting platform.
+func checkHosted(file string, root *yaml.Node) (Program, error) {
+	if hasKey(root, "CallerListen") || hasKey(root, "NeighbourListen") {
+		return ProgramGateway, fillChecked(file, root, &HostedGateway{})
+	}
+	return ProgramAgent, fillChecked(file, root, &HostedAgent{})
+}
+
+func hasKey(root *yaml.Node, key string) bool {
+	if root.Kind != yaml.MappingNode {
+		return false
+	}
+	for i := 0; i+1 < len(root.Content); i += 2 {
+		if root.Content[i].Value == key {
+			return true
+		}
+	}
+	return false
+}
+
 // programOf tells a settings file by the keys that only one program has.
 func programOf(root *yaml.Node) Program {
 	if root.Kind != yaml.MappingNode {
--- a/internal/transmit/transmit.go
+++ b/internal/transmit/transmit.go
@@ -3,8 +3,9 @@
 //
 // net/http repeats a request by itself on a reused connection when its method
 // is idempotent or an Idempotency-Key header is present, and its body can be
-// read again. A Client's requests are POSTs without that header whose body can
-// be read once, so the transport has nothing to repeat.
+// read again. A Client's requests on reused connections are POSTs without that
+// header whose body can be read once, so the transport has nothing to repeat;
+// other methods and that header go over fresh connections only.
 package transmit
 
 import (
@@ -30,6 +31,8 @@
 	probeTimeout       = 300 * time.Millisecond
 	probes             = 3
 	probePause         = 20 * time.Millisecond
+	// bufferBytes of a connection each way: an event or a call's answer fits.
+	bufferBytes = 2 << 10
 )
 
 // errSealed is what a write on a sealed connection returns.
@@ -63,6 +66,8 @@
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaders,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
 	}
 	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: transport, CheckRedirect: refuse}
@@ -70,17 +75,33 @@
 
 // Message is one request.
 type Message struct {
-	Address string // IP:port
-	Path    string
-	Header  http.Header
-	Body    []byte
-	Fresh   bool // use a new connection
+	Method    string // empty: POST
+	Address   string // IP:port
+	Host      string // empty: Address
+	Path      string // with the query, as it stands in the request line
+	Header    http.Header
+	Body      []byte
+	Fresh     bool      // use a new connection
+	ConnectBy time.Time // zero: no bound beside the dialler's own
 }
 
-// Send posts m. An error is an *Unsent if no byte was written; otherwise the
-// peer may have acted on the request.
+// errConnectLate ends a request that had no connection by ConnectBy.
+var errConnectLate = errors.New("no connection in time")
+
+// Send sends m. An error is an *Unsent if no byte was written; otherwise the
+// peer may have acted on the request. The answer's body can be read until ctx
+// ends.
 func (c *Client) Send(ctx context.Context, m Message) (*http.Response, error) {
+	if method := m.Method; method != "" && method != http.MethodPost {
+		m.Fresh = true
+	}
 	sent := &witness{}
+	if !m.ConnectBy.IsZero() {
+		bounded, cancel := context.WithCancelCause(ctx)
+		timer := time.AfterFunc(time.Until(m.ConnectBy), func() { sent.giveUp(cancel) })
+		defer timer.Stop()
+		ctx = bounded
+	}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, sent.trace()), m)
 	if err != nil {
 		return nil, &Unsent{Cause: errs.Wrap(err, "build request", m.Address)}
@@ -93,7 +114,10 @@
 	if err == nil {
 		return response, nil
 	}
-	err = errs.Wrap(err, m.Path, m.Address)
+	if cause := context.Cause(ctx); errors.Is(cause, errConnectLate) {
+		err = cause
+	}
+	err = errs.Wrap(err, "send", m.Address)
 	if sent.nothing() {
 		return nil, &Unsent{Cause: err}
 	}
@@ -107,17 +131,27 @@
 }
 
 func newRequest(ctx context.Context, m Message) (*http.Request, error) {
-	body := io.NopCloser(bytes.NewReader(m.Body))
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Address+m.Path, body)
+	method := m.Method
+	if method == "" {
+		method = http.MethodPost
+	}
+	var body io.ReadCloser = http.NoBody
+	if len(m.Body) > 0 {
+		body = io.NopCloser(bytes.NewReader(m.Body))
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+m.Address+m.Path, body)
 	if err != nil {
 		return nil, err
 	}
+	request.Host = m.Host
 	request.ContentLength = int64(len(m.Body))
 	if m.Header != nil {
 		request.Header = m.Header
 	}
-	request.Header.Del("Idempotency-Key")
-	request.Header.Del("X-Idempotency-Key")
+	if !m.Fresh {
+		request.Header.Del("Idempotency-Key")
+		request.Header.Del("X-Idempotency-Key")
+	}
 	return request, nil
 }
 
@@ -127,6 +161,15 @@
 	seen []mark
 }
 
+// giveUp cancels the request unless it has a connection.
+func (w *witness) giveUp(cancel context.CancelCauseFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.seen) == 0 {
+		cancel(errConnectLate)
+	}
+}
+
 type mark struct {
 	conn  *countedConn
 	start int64
@@ -201,6 +244,16 @@
 	return c.written
 }
 
+// Down reports whether the peer's address refuses a connection right now.
+func Down(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // Refuses reports whether the peer's address refuses connections: its process
 // has ended. A peer that does not answer is not taken for dead.
 func Refuses(address string) bool {
