--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -3,10 +3,7 @@
 // are to serve.
 package site
 
-import (
-	"slices"
-	"strings"
-)
+import "strings"
 
 // Kind says what may be repeated of a route's requests.
 type Kind int
@@ -187,7 +184,7 @@
 	Born    int64 // Unix milliseconds of its start
 	Model   string
 	Version int64
-	Loaded  []Range
+	Loaded  Range
 	Loading bool // an order is in progress
 	Orders  int64
 	Queued  int
@@ -203,17 +200,6 @@
 
 // Holding returns what serves when the model has that many layers.
 func (s State) Holding(layers int) Holding {
-	h := Holding{Model: s.Model}
-	covered := make([]bool, layers)
-	for _, r := range s.Loaded {
-		if h.Version != 0 && r.Version != h.Version {
-			return Holding{Model: s.Model, Version: min(h.Version, r.Version)}
-		}
-		h.Version = r.Version
-		for l := max(0, r.From); l < min(layers, r.To); l++ {
-			covered[l] = true
-		}
-	}
-	h.Whole = layers > 0 && !slices.Contains(covered, false)
-	return h
+	r := s.Loaded
+	return Holding{Model: s.Model, Version: r.Version, Whole: layers > 0 && r.From <= 0 && r.To >= layers}
 }
