Change engines over in slots of time by rank and move the answers they were giving

Cause: an engine that ends what it runs before it changes its weights is out for two seconds; what agents hear of each other is 300 ms old, so most changed over at once. A version that is complete is loaded while the next is brought.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
@@ -74,9 +75,9 @@
 	connectWithin = 150 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is not a stream.
 	maxAnswerBytes = 8 << 20
-	// silenceFactor times its target is how long a server that others could
-	// stand in for may be silent.
-	silenceFactor = 2.5
+	// silenceFactor times its target is how long a request waits before it is
+	// looked at whether it hangs.
+	silenceFactor = 1.5
 	// leastSilence spares servers that are only busy.
 	leastSilence = 350 * time.Millisecond
 )
@@ -88,8 +89,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	now := time.Now()
-	silence := e.watchSilence(cancel)
-	defer silence.Stop()
+	e.sentAt = now
+	silence := e.watchSilence(s, cancel)
+	defer silence.stop()
 	response, err := e.front.client.Send(ctx, transmit.Message{
 		Method: e.r.Method, Address: s.Address, Host: e.r.Host, Path: e.r.RequestURI,
 		Header: e.front.Dialect.Forward(e.r.Header, e.forward(ctx, s), now),
@@ -106,7 +108,8 @@
 	case reply.AttemptID != e.call.AttemptID || response.Header.Get("Content-Encoding") != "" || !reply.Signed:
 		return unusable{reason: outcome.BackendFailed, at: schedule.Broken, detail: "answer is not the server's own: " + response.Status}
 	case e.route.Kind == site.Stream && response.StatusCode == http.StatusOK:
-		return e.stream(ctx, s, response, silence)
+		silence.stop()
+		return e.stream(ctx, s, response, cancel)
 	}
 	return e.plain(ctx, s, response)
 }
@@ -129,15 +132,49 @@
 	return f
 }
 
-// watchSilence cancels an attempt whose server does not begin to answer while
-// another one may be tried.
-func (e *exchange) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
-	patience := time.Duration(silenceFactor*float64(e.route.TargetMilliseconds)) * time.Millisecond
-	timer := time.AfterFunc(max(patience, leastSilence), func() { cancel(errSilent) })
+// silence watches an attempt that another server could take over.
+type silence struct {
+	timer   *time.Timer
+	stopped bool
+	mu      sync.Mutex
+}
+
+// watchSilence cancels an attempt whose server leaves it without an answer.
+func (e *exchange) watchSilence(s schedule.Server, cancel context.CancelCauseFunc) *silence {
+	w := &silence{}
 	if !e.movable() {
-		timer.Stop()
+		w.stopped = true
+		return w
+	}
+	sent := e.sentAt
+	patience := time.Duration(silenceFactor*float64(e.route.TargetMilliseconds)) * time.Millisecond
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(max(patience, leastSilence), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		switch {
+		case w.stopped:
+		case e.front.hearing.hangs(s.ID, sent, time.Now()):
+			cancel(errSilent)
+		default:
+			w.timer.Reset(silenceStep)
+		}
+	})
+	return w
+}
+
+// silenceStep separates looks at a request that waits.
+const silenceStep = 100 * time.Millisecond
+
+// stop ends the watch.
+func (w *silence) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
 	}
-	return timer
 }
 
 // movable reports whether another server may be tried after this one.
@@ -189,6 +226,7 @@
 // answeredBy notes the moment of the first byte of an answer.
 func (e *exchange) answeredBy(s schedule.Server) {
 	e.front.Pools.answered(e.service.Name, s.ID, e.promptMS())
+	e.front.hearing.begun(s.ID, e.sentAt, time.Now())
 	if e.firstMS == 0 {
 		e.firstMS = time.Since(e.arrivedAt).Milliseconds()
 		counter.Observe("FirstAnswerMilliseconds."+e.route.Name, e.firstMS)
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -32,10 +32,11 @@
 	version      int64 // of the configuration
 	body         []byte
 
-	server    string // that has or had the request last
-	sent      int    // servers that were sent the request
-	runs      int    // servers that may have run it
-	rejected  int    // servers that said they did not
+	sentAt    time.Time // to the last server
+	server    string    // that has or had the request last
+	sent      int       // servers that were sent the request
+	runs      int       // servers that may have run it
+	rejected  int       // servers that said they did not
 	avoid     []string
 	begun     bool   // a byte of the answer is on its way to the caller
 	lastEvent string // last event that the caller was sent
@@ -44,7 +45,7 @@
 
 // run sends the request until one server answers or no other may be tried.
 func (e *exchange) run(ctx context.Context) outcome.Outcome {
-	e.front.budget.Request()
+	e.front.budget(e.service.Name).Request(e.arrivedAt)
 	fingerprint := e.fingerprint()
 	for {
 		verdict := e.front.Crashes.Judge(fingerprint)
@@ -115,7 +116,7 @@
 	e.rejected++
 	e.avoid = append(e.avoid, s.ID)
 	counter.Add("Retried."+string(r.reason), 1)
-	if e.rejected >= maxRejections || !e.front.budget.Retry() {
+	if e.rejected >= maxRejections || !e.front.budget(e.service.Name).Retry(time.Now(), retryExtra) {
 		return e.notRun(e.front.Pools.refusal(e.service.Name, r.reason)), false
 	}
 	event.Log(event.RequestRetried, "Request", e.call.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail)
@@ -133,7 +134,7 @@
 		return outcome.Cancelled{}, false
 	}
 	repeat := e.route.Repeatable() && (!e.begun || e.lastEvent != "")
-	if !repeat || e.runs >= e.route.MaxAttempts || !e.front.budget.Retry() {
+	if !repeat || e.runs >= e.route.MaxAttempts || !e.front.budget(e.service.Name).Retry(time.Now(), retryExtra) {
 		if r.failure != nil {
 			return e.relayWhole(r.failure), false
 		}
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,9 +24,12 @@
 	defaultBodyBytes = 4 << 20
 	// unknownDelay is what a caller waits that came before a configuration did.
 	unknownDelay = 300 * time.Millisecond
-	// retryShare of requests may be sent once more. All gateways together may
-	// spend a fifth; the rest is left for what callers themselves repeat.
-	retryShare = 0.12
+	// retryShare of the requests of retrySpan may be sent once more, and
+	// retryExtra besides. All gateways together may spend a fifth and a hundred
+	// or more; the rest is a margin for requests that callers count otherwise.
+	retryShare = 0.17
+	retrySpan  = 9 * time.Second
+	retryExtra = 8
 )
 
 // Options of a front.
@@ -40,14 +44,24 @@
 type Front struct {
 	Options
 	client  *transmit.Client
-	budget  *limit.Budget
+	budgets sync.Map // service to *limit.Window
+	hearing hearing
 	running atomic.Int64
 	leaving atomic.Bool
 }
 
 // NewFront returns a front without requests.
 func NewFront(o Options) *Front {
-	return &Front{Options: o, client: transmit.NewClient(), budget: limit.NewBudget(retryShare)}
+	return &Front{Options: o, client: transmit.NewClient(), hearing: hearing{servers: map[string]heard{}}}
+}
+
+// budget returns the retries of a service.
+func (f *Front) budget(service string) *limit.Window {
+	held, ok := f.budgets.Load(service)
+	if !ok {
+		held, _ = f.budgets.LoadOrStore(service, limit.NewWindow(retryShare, retrySpan))
+	}
+	return held.(*limit.Window)
 }
 
 // Running returns the number of requests in progress.
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -36,17 +36,19 @@
 )
 
 // stream passes a server's events on.
-func (e *exchange) stream(ctx context.Context, s schedule.Server, response *http.Response, silence *time.Timer) result {
+func (e *exchange) stream(ctx context.Context, s schedule.Server, response *http.Response, cancel context.CancelCauseFunc) result {
+	rest := time.AfterFunc(time.Hour, func() { cancel(errSilent) })
+	defer rest.Stop()
+	rest.Stop()
 	reader := bufio.NewReaderSize(response.Body, streamBuffer)
 	begun := false
 	for {
 		block, id, err := readEvent(reader)
 		if len(block) > 0 && err == nil {
 			if e.movable() {
-				silence.Reset(longestPause)
-			} else {
-				silence.Stop()
+				rest.Reset(longestPause)
 			}
+			e.front.hearing.goesOn(s.ID, time.Now())
 			if !begun {
 				begun = true
 				if !e.follows(id) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -130,7 +130,7 @@
 	PieceFailed:       "piece could not be brought",
 	ManifestMissing:   "manifest could not be read",
 	StagedUnread:      "staged pieces could not be listed",
-	StagedSpoilt:      "staged piece spoilt: staged again",
+	StagedSpoilt:      "staged pieces missing or spoilt: staged again",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"almondreel.example/almondreel/internal/belief"
@@ -27,6 +28,8 @@
 	calmTime   = 250 * time.Millisecond
 	// syncAnswer bounds a gateway's answer.
 	syncAnswer = 400 * time.Millisecond
+	// followTime is how long a gateway holds a question for news.
+	followTime = 2 * time.Second
 	// fallbackTime is how long no gateway answers before the store is asked.
 	fallbackTime = 2 * time.Second
 	pieceIdle    = 20 * time.Second
@@ -40,8 +43,9 @@
 	store    *platform.Store
 	gateways []neighbour.Gateway
 	clients  map[string]*control.Client
-	current  string    // address of the gateway that answers
-	heardAt  time.Time // a gateway answered, or the store was asked
+	answers  atomic.Pointer[control.Client] // of the gateway that answers; nil: none does
+	current  string                         // its address
+	heardAt  time.Time                      // a gateway answered, or the store was asked
 }
 
 // RunAgent runs an agent until SIGINT or SIGTERM.
@@ -50,7 +54,7 @@
 	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}}
 	a.reel = reel.NewAgent(reel.Options{
 		Name: s.Name, Address: s.PieceListen, Region: s.Region, Service: s.Backend.Service,
-		EngineAddress: s.Backend.Address, VersionMS: s.Hosting.VersionMS,
+		EngineAddress: s.Backend.Address, VersionMS: s.Hosting.VersionMS, LinkMegabits: s.LinkMegabits,
 		Engine: platform.NewEngine(s.Backend.Address), Origin: platform.NewOrigin(),
 		Peers: reel.NewPeers(newPeerClient()), Wanted: a.wanted,
 	})
@@ -66,7 +70,9 @@
 	tree := duty.NewTree(s.Name)
 	tree.Add("pieces", listen(listener, server))
 	tree.Add("weights", a.reel.Run)
-	tree.Add("gateways", a.sync)
+	tree.Add("gateways", func(ctx context.Context) error {
+		return duty.Together(ctx, func(ctx context.Context) { _ = a.sync(ctx) }, a.follow)
+	})
 	tree.Add("settings", reload(file))
 	return duty.Main(string(settings.ProgramAgent), tree, nil)
 }
@@ -93,6 +99,7 @@
 		}
 		w.Engine = c.Services[a.settings.Backend.Service].Engine
 		w.Origin = c.Origin().Address
+		w.Movable = c.Movable(a.settings.Backend.Service)
 	}
 	if w.Engine.Model == "" {
 		return w
@@ -179,9 +186,11 @@
 		if a.current == address {
 			event.Fail(event.NeighbourDown, err, "Address", address)
 			a.current = ""
+			a.answers.Store(nil)
 		}
 		return false
 	}
+	a.answers.Store(client)
 	if a.current != address {
 		event.Log(event.NeighbourUp, "Address", address)
 	}
@@ -192,6 +201,33 @@
 	return true
 }
 
+// follow waits at the gateway that answers for news of the store, so that a
+// version is brought as soon as it is named.
+func (a *agent) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		client := a.answers.Load()
+		if client == nil {
+			pause.For(ctx, calmTime)
+			continue
+		}
+		if err := a.followOne(ctx, client); err != nil {
+			pause.For(ctx, calmTime) // sync notices and says so
+		}
+	}
+}
+
+func (a *agent) followOne(ctx context.Context, client *control.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, followTime+syncAnswer)
+	defer cancel()
+	request := neighbour.FollowRequest{Revision: a.reel.Beliefs.Revision(), WaitMilliseconds: followTime.Milliseconds()}
+	var reply neighbour.SyncReply
+	if err := client.Call(ctx, neighbour.MethodFollow, request, &reply); err != nil {
+		return err
+	}
+	a.reel.Adopt(reply.Beliefs, nil, reply.Named)
+	return nil
+}
+
 // learn takes the gateways that are alive; those of the settings stay known.
 func (a *agent) learn(list []neighbour.Gateway) {
 	next := slices.Clone(list)
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"time"
 
@@ -46,6 +47,13 @@
 	reached time.Time // it answered
 	called  bool      // a goroutine calls it
 	up      bool
+	told    map[string]telling // by agent
+}
+
+// telling is what another gateway was last told of an agent.
+type telling struct {
+	agent neighbour.Agent
+	at    time.Time
 }
 
 func newNeighbours(r *roster, own neighbour.Gateway, seeds []string, q *quarantine.Table) *neighbours {
@@ -134,6 +142,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeAnswer)
 	defer cancel()
 	request := n.word(time.Now())
+	request.Agents = o.news(request.Agents, time.Now())
 	var reply neighbour.ExchangeReply
 	err := o.client.Call(ctx, neighbour.MethodExchange, request, &reply)
 	n.note(o, err)
@@ -151,6 +160,30 @@
 	}
 }
 
+// tellAgain is how often another gateway is told of an agent that has not
+// changed: it takes the word for agentTime.
+const tellAgain = agentTime / 2
+
+// news leaves out agents that the gateway was told of lately and that have not
+// changed. Only the goroutine that calls the gateway uses it.
+func (o *other) news(agents []neighbour.Agent, now time.Time) []neighbour.Agent {
+	if o.told == nil || !o.up {
+		o.told = map[string]telling{}
+	}
+	var out []neighbour.Agent
+	for _, a := range agents {
+		same := a
+		same.AgeMilliseconds = 0
+		held, ok := o.told[a.Name]
+		if ok && now.Sub(held.at) < tellAgain && reflect.DeepEqual(held.agent, same) {
+			continue
+		}
+		o.told[a.Name] = telling{same, now}
+		out = append(out, a)
+	}
+	return out
+}
+
 func (n *neighbours) note(o *other, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -272,3 +305,25 @@
 	reply.Named = n.named(now)
 	return nil
 }
+
+// Follow waits until this gateway knows more than the agent.
+func (r receiver) Follow(request neighbour.FollowRequest, reply *neighbour.SyncReply) error {
+	n := r.neighbours
+	timer := time.NewTimer(min(time.Duration(request.WaitMilliseconds)*time.Millisecond, followTime))
+	defer timer.Stop()
+	for {
+		changed := n.roster.beliefs.Changed()
+		if n.roster.beliefs.Revision() > request.Revision {
+			break
+		}
+		select {
+		case <-changed:
+			continue
+		case <-timer.C:
+		}
+		break
+	}
+	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
+	reply.Named = n.named(time.Now())
+	return nil
+}
--- a/internal/neighbour/messages.go
+++ b/internal/neighbour/messages.go
@@ -13,6 +13,7 @@
 	Receiver       = "Neighbour"
 	MethodExchange = Receiver + ".Exchange"
 	MethodSync     = Receiver + ".Sync"
+	MethodFollow   = Receiver + ".Follow"
 )
 
 // Pieces says which pieces of a version an agent holds and vouches for.
@@ -31,9 +32,8 @@
 	EngineAddress   string // IP:port
 	Born            int64  // Unix milliseconds of the engine's start; 0: it does not answer
 	Holding         site.Holding
-	Switching       bool // the engine takes no new requests while it changes its weights
-	Running         int
-	Queued          int
+	Ready           int64 // newest version that the agent could have the engine load; 0: none
+	Switching       bool  // the engine takes no new requests while it changes its weights
 	Pieces          Pieces
 	AgeMilliseconds int64 // since the agent said so
 }
@@ -44,6 +44,12 @@
 	Revision int64 // of the agent's beliefs
 }
 
+// FollowRequest waits until the gateway knows more than Revision.
+type FollowRequest struct {
+	Revision         int64
+	WaitMilliseconds int64 // at most
+}
+
 // SyncReply is what the agent lacks.
 type SyncReply struct {
 	Beliefs  belief.Update
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -27,8 +27,13 @@
 	memberTime = 2 * time.Second
 	// loadTime is how long a load order may take beyond what the engine runs.
 	loadTime = 5 * time.Second
-	// upload bounds the pieces that are sent at once.
-	uploads = 4
+	// uploadPatience is how long a neighbour may wait for its piece to be sent:
+	// pieces go out one at a time, so that answers on the same link keep pace.
+	uploadPatience = 500 * time.Millisecond
+	// uploadShare of the link is for pieces; the rest is for answers.
+	uploadShare = 0.9
+	// restTime is the pause of a fetcher while the version is whole.
+	restTime = 150 * time.Millisecond
 )
 
 // Options of an agent.
@@ -38,7 +43,8 @@
 	Region        string
 	Service       string
 	EngineAddress string
-	VersionMS     int // milliseconds from the naming of a version until it must serve everywhere
+	LinkMegabits  float64 // a second, of the machine's link
+	VersionMS     int     // milliseconds from the naming of a version until it must serve everywhere
 	Engine        Engine
 	Origin        Origin
 	Peers         *Peers
@@ -52,6 +58,7 @@
 	Engine  site.Engine
 	Origin  string // address
 	Version int64  // 1 while none is named
+	Movable bool   // answers that are cut off go on at another engine
 }
 
 // Agent keeps one engine's weights. It is safe for concurrent use.
@@ -65,8 +72,11 @@
 	heard    bool // the engine answered the last report
 	members  map[string]member
 	named    map[int64]time.Time // when a version was named
-	current  *version
-	switches bool // a load order is on its way or in progress
+	bringing *version            // the version that is wanted, from the first piece on
+	ready    *version            // the newest version of which every piece is here
+	switches bool                // a load order is on its way or in progress
+
+	manifestTries int // in a row; owned by keep
 }
 
 type member struct {
@@ -131,7 +141,7 @@
 	defer a.mu.Unlock()
 	a.wanted = wanted
 	for _, m := range agents {
-		a.members[m.Name] = member{m, now.Add(-time.Duration(m.AgeMilliseconds) * time.Millisecond)}
+		a.meet(member{m, now.Add(-time.Duration(m.AgeMilliseconds) * time.Millisecond)})
 	}
 	for name, m := range a.members {
 		if now.Sub(m.at) > memberTime {
@@ -149,6 +159,27 @@
 	}
 }
 
+// meet takes what another agent said. Pieces that it holds are not forgotten
+// for an older word.
+func (a *Agent) meet(m member) {
+	held, ok := a.members[m.Name]
+	if ok && held.Pieces.Model == m.Pieces.Model && held.Pieces.Version == m.Pieces.Version && held.Born == m.Born {
+		m.Pieces.Have = union(held.Pieces.Have, m.Pieces.Have)
+	}
+	a.members[m.Name] = m
+}
+
+func union(x, y []uint64) []uint64 {
+	if len(x) != len(y) {
+		return y
+	}
+	out := make([]uint64, len(x))
+	for i := range x {
+		out[i] = x[i] | y[i]
+	}
+	return out
+}
+
 // Say returns what the agent tells gateways.
 func (a *Agent) Say() neighbour.Agent {
 	a.mu.Lock()
@@ -158,10 +189,13 @@
 		EngineAddress: a.EngineAddress, Switching: a.switches || a.state.Loading,
 	}
 	if a.heard {
-		out.Born, out.Running, out.Queued = a.state.Born, a.state.Running, a.state.Queued
+		out.Born = a.state.Born
 		out.Holding = a.state.Holding(a.wanted.Engine.Layers)
 	}
-	if v := a.current; v != nil {
+	if a.ready != nil {
+		out.Ready = a.ready.manifest.Version
+	}
+	if v := a.bringing; v != nil {
 		out.Pieces = neighbour.Pieces{Model: v.manifest.Model, Version: v.manifest.Version, Have: v.plan.Have()}
 	}
 	return out
@@ -172,66 +206,75 @@
 func (a *Agent) Urgent() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.wanted.Version == 0 || a.current == nil || !a.current.plan.Complete() || a.behind()
+	return a.wanted.Version == 0 || a.bringing == nil || !a.bringing.plan.Complete() || a.behind(a.bringing)
 }
 
-// behind reports whether the engine lacks the wanted version.
-func (a *Agent) behind() bool {
+// behind reports whether the engine lacks a version.
+func (a *Agent) behind(v *version) bool {
 	held := a.state.Holding(a.wanted.Engine.Layers)
-	return a.heard && (held.Version != a.wanted.Version || !held.Whole)
+	return a.heard && (held.Version < v.manifest.Version || !held.Whole)
+}
+
+// find returns a version that the agent holds pieces of, or nil.
+func (a *Agent) find(model string, number int64) *version {
+	for _, v := range []*version{a.bringing, a.ready} {
+		if v != nil && v.manifest.Model == model && v.manifest.Version == number {
+			return v
+		}
+	}
+	return nil
 }
 
-// piece returns a piece for a neighbour.
-func (a *Agent) piece(model string, number int64, n int) ([]byte, bool) {
+// piece returns a piece for a neighbour, and which pieces it could ask for.
+func (a *Agent) piece(model string, number int64, n int) (data []byte, have []uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	v := a.current
-	if v == nil || v.manifest.Model != model || v.manifest.Version != number || n < 0 || n >= len(v.data) || v.data[n] == nil {
-		return nil, false
+	v := a.find(model, number)
+	if v == nil || n < 0 || n >= len(v.data) {
+		return nil, nil
 	}
-	return v.data[n], true
+	return v.data[n], v.plan.Have()
 }
 
-// manifest returns the manifest for a neighbour.
+// manifestOf returns the manifest for a neighbour.
 func (a *Agent) manifestOf(model string, number int64) (Manifest, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.current == nil || a.current.manifest.Model != model || a.current.manifest.Version != number {
+	v := a.find(model, number)
+	if v == nil {
 		return Manifest{}, false
 	}
-	return a.current.manifest, true
+	return v.manifest, true
 }
 
 // fetch brings pieces, one after the other.
 func (a *Agent) fetch(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !a.fetchOne(ctx) && !pause.For(ctx, idleTime) {
-			return
+		if a.fetchOne(ctx) {
+			continue
+		}
+		rest := idleTime
+		if a.whole() {
+			rest = restTime
 		}
+		pause.For(ctx, rest)
 	}
 }
 
+// whole reports whether there is nothing to bring.
+func (a *Agent) whole() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bringing != nil && a.bringing.plan.Complete()
+}
+
 // fetchOne brings one piece and reports whether there was one to bring.
 func (a *Agent) fetchOne(ctx context.Context) bool {
-	a.mu.Lock()
-	v, origin := a.current, a.wanted.Origin
-	if v == nil || !a.heard {
-		a.mu.Unlock()
-		return false
-	}
-	f, ok := v.plan.Next(time.Now(), a.drawMembers(v.manifest))
-	var address string
-	if m, found := a.members[f.Source.Holder]; found {
-		address = m.Address
-	}
-	a.mu.Unlock()
+	v, f, address, ok := a.next()
 	if !ok {
 		return false
 	}
-	data, err := a.bring(ctx, v.manifest, f, origin, address)
-	if err == nil {
-		err = a.Engine.Stage(ctx, v.manifest.Model, f.Piece, data)
-	}
+	data, err := a.bring(ctx, v.manifest, f, address)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v.plan.Ended(time.Now(), f, err == nil)
@@ -242,20 +285,46 @@
 	}
 	v.data[f.Piece] = data
 	v.plan.Got(f.Piece)
-	if v.plan.Complete() {
-		event.Log(event.TransferVerified, "Model", v.manifest.Model, "Version", v.manifest.Version)
-	}
+	a.noteComplete(v)
 	return true
 }
 
-func (a *Agent) bring(ctx context.Context, m Manifest, f draw.Fetch, origin, address string) ([]byte, error) {
+// next chooses a piece, and the address to fetch it from.
+func (a *Agent) next() (v *version, f draw.Fetch, address string, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v = a.bringing
+	if v == nil || !a.heard {
+		return nil, draw.Fetch{}, "", false
+	}
+	f, ok = v.plan.Next(time.Now(), a.drawMembers(v.manifest))
+	address = a.wanted.Origin
+	if f.Source.Holder != "" {
+		address = a.members[f.Source.Holder].Address
+	}
+	return v, f, address, ok
+}
+
+// noteComplete makes a version ready to load once all its pieces are here.
+func (a *Agent) noteComplete(v *version) {
+	if !v.plan.Complete() || a.ready != nil && a.ready.manifest.Version >= v.manifest.Version {
+		return
+	}
+	a.ready = v
+	event.Log(event.TransferVerified, "Model", v.manifest.Model, "Version", v.manifest.Version)
+}
+
+// bring fetches a piece and checks it.
+func (a *Agent) bring(ctx context.Context, m Manifest, f draw.Fetch, address string) ([]byte, error) {
 	var data []byte
 	var err error
 	if f.Source.Holder == "" {
-		data, err = a.Origin.Piece(ctx, origin, m.Model, m.Version, f.Piece)
+		data, err = a.Origin.Piece(ctx, address, m.Model, m.Version, f.Piece)
 		counter.Add("PiecesDrawn.Origin", 1)
 	} else {
-		data, err = a.Peers.Piece(ctx, address, m.Model, m.Version, f.Piece)
+		var have []uint64
+		data, have, err = a.Peers.Piece(ctx, address, m.Model, m.Version, f.Piece)
+		a.noteHave(f.Source.Holder, m, have)
 		counter.Add("PiecesDrawn.Agent", 1)
 	}
 	if err != nil {
@@ -264,6 +333,18 @@
 	return data, m.Verify(f.Piece, data)
 }
 
+// noteHave takes what a holder said beside a piece: it is newer than what the
+// gateways pass on.
+func (a *Agent) noteHave(holder string, m Manifest, have []uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	held, ok := a.members[holder]
+	if ok && have != nil {
+		held.Pieces = neighbour.Pieces{Model: m.Model, Version: m.Version, Have: have}
+		a.members[holder] = held
+	}
+}
+
 // drawMembers returns the other agents as the plan sees them.
 func (a *Agent) drawMembers(m Manifest) []draw.Member {
 	var out []draw.Member
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -28,33 +28,46 @@
 
 func (a *Agent) step(ctx context.Context) {
 	a.mu.Lock()
-	wanted, v, heard := a.wanted, a.current, a.heard
-	due := heard && a.behind() && !a.state.Loading
+	wanted, v, ready, heard := a.wanted, a.bringing, a.ready, a.heard
+	due := ready != nil && a.behind(ready) && !a.state.Loading
 	a.mu.Unlock()
-	switch {
-	case wanted.Version == 0 || wanted.Engine.Model == "" || !heard:
-	case v == nil || v.manifest.Version != wanted.Version || v.manifest.Model != wanted.Engine.Model:
+	if wanted.Version == 0 || wanted.Engine.Model == "" || !heard {
+		return
+	}
+	if v == nil || v.manifest.Version != wanted.Version || v.manifest.Model != wanted.Engine.Model {
 		a.open(ctx, wanted)
-	case due && v.plan.Complete() && a.turn(wanted.Version):
-		a.load(ctx, v)
+	}
+	if due && a.turn(ready.manifest.Version) {
+		a.load(ctx, ready)
 	}
 }
 
+// manifestPause is the longest pause between tries for a manifest.
+const manifestPause = 200 * time.Millisecond
+
 // open begins to bring a version, with what is staged of it already.
 func (a *Agent) open(ctx context.Context, w Wanted) {
 	m, err := a.manifest(ctx, w)
 	if err != nil {
-		event.Fail(event.ManifestMissing, err, "Model", w.Engine.Model, "Version", w.Version)
-		pause.For(ctx, keepTime)
+		a.manifestTries++
+		if a.manifestTries&(a.manifestTries-1) == 0 { // the first, second, fourth and so on
+			event.Fail(event.ManifestMissing, err, "Model", w.Engine.Model, "Version", w.Version, "Tries", a.manifestTries)
+		}
+		pause.For(ctx, min(time.Duration(a.manifestTries)*keepTime, manifestPause))
 		return
 	}
+	a.manifestTries = 0
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	v := &version{manifest: m, data: make([][]byte, len(m.Digests))}
 	v.plan = draw.NewPlan(a.Name, a.Region, len(m.Digests), time.Now(), random)
-	staged := a.readStaged(ctx, v)
+	staged := 0
+	if a.bringing == nil { // after a start, the engine may hold what was staged before
+		staged = a.readStaged(ctx, v)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.current = v
+	a.bringing = v
+	a.noteComplete(v)
 	event.Log(event.TransferStarted, "Model", m.Model, "Version", m.Version, "Pieces", len(m.Digests), "Staged", staged)
 }
 
@@ -106,7 +119,7 @@
 	return a.Origin.Manifest(ctx, w.Origin, w.Engine.Model, w.Version)
 }
 
-// turn reports whether the engine may change over now. One that serves nothing
+// turn reports whether the engine may change over to a version now. One that serves nothing
 // need not wait.
 func (a *Agent) turn(wanted int64) bool {
 	a.mu.Lock()
@@ -115,18 +128,15 @@
 	if !held.Whole || held.Version == wanted {
 		return true
 	}
-	engines := []draw.Engine{{Name: a.Name, Version: held.Version, Ready: true}}
+	engines := []string{a.Name}
 	for _, m := range a.members {
 		if m.Service == a.Service && m.Holding.Whole {
-			e := draw.Engine{Name: m.Name, Version: m.Holding.Version}
-			if m.Switching && e.Version < wanted {
-				e.Version = wanted - 1
-			}
-			engines = append(engines, e)
+			engines = append(engines, m.Name)
 		}
 	}
 	named := a.named[wanted]
-	return draw.Turn(time.Now(), a.Name, wanted, engines, named, named.Add(time.Duration(a.VersionMS)*time.Millisecond))
+	turn := draw.Turn(a.Name, wanted, engines, named, named.Add(time.Duration(a.VersionMS)*time.Millisecond))
+	return !time.Now().Before(turn)
 }
 
 // switchNotice lets the gateways hear that the engine is about to change over.
@@ -134,22 +144,22 @@
 
 // load checks what is staged and orders the engine to load it.
 func (a *Agent) load(ctx context.Context, v *version) {
-	a.setSwitching(true)
-	defer a.setSwitching(false)
 	a.mu.Lock()
 	serving := a.state.Holding(a.wanted.Engine.Layers).Whole
 	a.mu.Unlock()
-	if serving && !pause.For(ctx, switchNotice) {
-		return
-	}
 	checked := time.Now()
 	if !a.check(ctx, v) {
 		return
 	}
+	a.setSwitching(true)
+	defer a.setSwitching(false)
+	if serving && (!pause.For(ctx, switchNotice) || !a.check(ctx, v)) {
+		return
+	}
 	invariant.Assert(v.plan.Complete(), invariant.VerifiedBeforeLoad, "version %d is incomplete", v.manifest.Version)
 	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "CheckedMS", time.Since(checked).Milliseconds())
 	counter.Add("LoadOrders", 1)
-	if _, err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version}); err != nil {
+	if _, err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: a.others()}); err != nil {
 		event.Fail(event.LoadUnsettled, err, "Version", v.manifest.Version)
 	}
 	a.await(ctx, v)
@@ -161,7 +171,7 @@
 	grace := time.Now().Add(3 * reportTime)
 	for time.Now().Before(until) && pause.For(ctx, reportTime/2) {
 		a.mu.Lock()
-		done := !a.behind() || a.wanted.Version != v.manifest.Version
+		done := !a.behind(v)
 		idle := !a.heard || !a.state.Loading && time.Now().After(grace)
 		a.mu.Unlock()
 		if done {
@@ -174,29 +184,61 @@
 	}
 }
 
+// others reports whether answers that the engine is giving can go on at other
+// engines. Then it need not end them first, which takes many times as long as
+// the load.
+func (a *Agent) others() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	serving := 0
+	for _, m := range a.members {
+		if m.Service == a.Service && m.Holding.Whole && !m.Switching {
+			serving++
+		}
+	}
+	return a.wanted.Movable && serving > 0
+}
+
 func (a *Agent) setSwitching(on bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.switches = on
 }
 
-// check reads every staged piece back and stages those again that differ.
+// checkRounds bounds how often what is staged is read back and mended.
+const checkRounds = 4
+
+// check stages a version and returns true once every piece has been read back
+// as it should be.
 func (a *Agent) check(ctx context.Context, v *version) bool {
-	whole := true
+	for range checkRounds {
+		differs, err := a.mend(ctx, v)
+		if err != nil {
+			event.Fail(event.StagedSpoilt, err, "Version", v.manifest.Version)
+			return false
+		}
+		if differs == 0 {
+			return true
+		}
+		event.Log(event.StagedSpoilt, "Pieces", differs, "Version", v.manifest.Version)
+	}
+	return false
+}
+
+// mend reads every staged piece back and stages those again that differ. It
+// returns their number.
+func (a *Agent) mend(ctx context.Context, v *version) (int, error) {
+	differs := 0
 	for n := range v.manifest.Digests {
 		data, err := a.Engine.Staged(ctx, v.manifest.Model, n)
-		if err == nil {
-			err = v.manifest.Verify(n, data)
+		if err == nil && v.manifest.Verify(n, data) == nil {
+			continue // one that is missing or cannot be read is staged again
 		}
-		if err == nil {
-			continue
-		}
-		whole = false
-		counter.Add("StagedPiecesSpoilt", 1)
-		event.Fail(event.StagedSpoilt, err, "Piece", n, "Version", v.manifest.Version)
+		differs++
+		counter.Add("PiecesStaged", 1)
 		if err := a.Engine.Stage(ctx, v.manifest.Model, n, v.data[n]); err != nil {
-			return false
+			return differs, err
 		}
 	}
-	return whole || a.check(ctx, v)
+	return differs, nil
 }
--- a/internal/reel/reel.go
+++ b/internal/reel/reel.go
@@ -59,6 +59,7 @@
 	Model    string
 	Version  int64
 	From, To int
+	Abort    bool // cut off what the engine is answering; else it ends that first
 }
 
 // Engine is the engine beside the agent.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -397,6 +397,7 @@
 func (p *Pool) choose(now time.Time, a Ask) *server {
 	var best *server
 	least := math.Inf(1)
+	newest := p.newest()
 	for _, s := range p.order {
 		if !s.takes(now, a) || s.own+s.others >= s.Slots+p.options.Extra {
 			continue
@@ -405,6 +406,9 @@
 		if s.Region != p.options.Region {
 			load += p.options.Local
 		}
+		if a.Resumed && s.Version < newest {
+			load += olderLoad
+		}
 		if slices.Contains(a.Avoid, s.ID) {
 			load += avoidLoad
 		}
@@ -415,6 +419,19 @@
 	return best
 }
 
+// olderLoad keeps an answer that was cut off once from a server that is about
+// to change its weights too.
+const olderLoad = 1
+
+// newest is the newest version that any server has.
+func (p *Pool) newest() int64 {
+	version := int64(0)
+	for _, s := range p.order {
+		version = max(version, s.Version)
+	}
+	return version
+}
+
 // avoidLoad makes a server that has failed the request the last choice.
 const avoidLoad = 10
 
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -30,10 +30,11 @@
 
 // HostedAgent is the settings file of almondreel-agent on a hosting platform.
 type HostedAgent struct {
-	Identity    `yaml:",inline"`
-	Hosting     Hosting `yaml:"Hosting"`
-	PieceListen string  `yaml:"PieceListen"` // pieces for other agents, metrics
-	Backend     Backend `yaml:"Backend"`
+	Identity     `yaml:",inline"`
+	Hosting      Hosting `yaml:"Hosting"`
+	PieceListen  string  `yaml:"PieceListen"` // pieces for other agents, metrics
+	Backend      Backend `yaml:"Backend"`
+	LinkMegabits float64 `yaml:"LinkMegabits"` // a second, of the instance's link
 }
 
 // Region returns the region of a data centre, or "".
@@ -91,6 +92,7 @@
 	c.hosting(a.Hosting, ProgramAgent)
 	c.listen("PieceListen", a.PieceListen)
 	c.backend(a.Backend)
+	c.refuse(a.LinkMegabits > 0, "LinkMegabits", "megabits a second, above 0")
 	return c.err()
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -135,6 +135,21 @@
 	return c.Organisations[i], true
 }
 
+// Movable reports whether every answer of a service may go on at another server.
+func (c *Configuration) Movable(service string) bool {
+	for _, r := range c.Routes {
+		if r.Repeatable() {
+			continue
+		}
+		for _, t := range r.Targets {
+			if t.Service == service {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Origin returns the service that weights come from.
 func (c *Configuration) Origin() Origin {
 	for _, s := range c.Services {
