--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -123,8 +123,14 @@
 	return schedule.Rejected
 }
 
+// unsaid leaves a request's urgency to the server.
+const unsaid = -1
+
 func (e *exchange) forward(ctx context.Context, s schedule.Server) Forward {
-	f := Forward{Server: s.ID, Organisation: e.organisation, AfterEvent: e.lastEvent, Urgency: -1}
+	f := Forward{Server: s.ID, Organisation: e.organisation, AfterEvent: e.lastEvent, Urgency: unsaid}
+	if e.begun {
+		f.Urgency = 0 // its caller waits in the middle of an answer
+	}
 	f.Deadline, _ = ctx.Deadline()
 	if e.route.Generates && e.front.View.MinVersion(e.call.Model, time.Now()) > 0 {
 		f.Version = s.Version
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -41,6 +41,8 @@
 	begun     bool   // a byte of the answer is on its way to the caller
 	lastEvent string // last event that the caller was sent
 	firstMS   int64
+	eventAt   time.Time // of the last event that was passed on
+	pauseMS   int64     // longest pause between events
 }
 
 // run sends the request until one server answers or no other may be tried.
@@ -116,7 +118,7 @@
 	e.rejected++
 	e.avoid = append(e.avoid, s.ID)
 	counter.Add("Retried."+string(r.reason), 1)
-	if e.rejected >= maxRejections || !e.front.budget(e.service.Name).Retry(time.Now(), retryExtra) {
+	if e.rejected >= maxRejections || !e.front.mayRetry(e.service.Name) {
 		return e.notRun(e.front.Pools.refusal(e.service.Name, r.reason)), false
 	}
 	event.Log(event.RequestRetried, "Request", e.call.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail)
@@ -134,7 +136,7 @@
 		return outcome.Cancelled{}, false
 	}
 	repeat := e.route.Repeatable() && (!e.begun || e.lastEvent != "")
-	if !repeat || e.runs >= e.route.MaxAttempts || !e.front.budget(e.service.Name).Retry(time.Now(), retryExtra) {
+	if !repeat || e.runs >= e.route.MaxAttempts || !e.front.mayRetry(e.service.Name) {
 		if r.failure != nil {
 			return e.relayWhole(r.failure), false
 		}
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -24,12 +24,9 @@
 	defaultBodyBytes = 4 << 20
 	// unknownDelay is what a caller waits that came before a configuration did.
 	unknownDelay = 300 * time.Millisecond
-	// retryShare of the requests of retrySpan may be sent once more, and
-	// retryExtra besides. All gateways together may spend a fifth and a hundred
-	// or more; the rest is a margin for requests that callers count otherwise.
-	retryShare = 0.17
-	retrySpan  = 9 * time.Second
-	retryExtra = 8
+	// retryMargin of what the site allows is spent; the rest is for requests
+	// that are counted otherwise elsewhere.
+	retryMargin = 0.92
 )
 
 // Options of a front.
@@ -38,6 +35,17 @@
 	Dialect Dialect
 	Pools   *Pools
 	Crashes *Crashes
+	Retries Retries
+}
+
+// Retries bounds the requests that all gateways together send once more: a
+// share of the requests of a span, and a number besides.
+type Retries struct {
+	Share   float64
+	Besides int
+	SpanMS  int // milliseconds
+	// Gateways is the number of gateways that share what is allowed besides.
+	Gateways func() int
 }
 
 // Front serves callers.
@@ -59,11 +67,17 @@
 func (f *Front) budget(service string) *limit.Window {
 	held, ok := f.budgets.Load(service)
 	if !ok {
-		held, _ = f.budgets.LoadOrStore(service, limit.NewWindow(retryShare, retrySpan))
+		held, _ = f.budgets.LoadOrStore(service, limit.NewWindow(retryMargin*f.Retries.Share, time.Duration(f.Retries.SpanMS)*time.Millisecond))
 	}
 	return held.(*limit.Window)
 }
 
+// mayRetry takes one retry from what is left of a service's.
+func (f *Front) mayRetry(service string) bool {
+	besides := retryMargin * float64(f.Retries.Besides) / float64(max(1, f.Retries.Gateways()))
+	return f.budget(service).Retry(time.Now(), int(besides))
+}
+
 // Running returns the number of requests in progress.
 func (f *Front) Running() int64 { return f.running.Load() }
 
@@ -188,7 +202,7 @@
 	event.Log(event.RequestEnded,
 		"Request", e.call.AttemptID, "Route", e.route.Name, "Organisation", e.organisation,
 		"Outcome", r.Outcome, "Reason", string(r.Reason), "Server", e.server, "Version", e.version,
-		"Sent", e.sent, "Runs", e.runs, "FirstMS", e.firstMS, "MS", took, "Prompt", e.call.PromptTokens)
+		"Sent", e.sent, "Runs", e.runs, "FirstMS", e.firstMS, "PauseMS", e.pauseMS, "MS", took, "Prompt", e.call.PromptTokens)
 }
 
 // pick draws a target by weight.
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -100,6 +100,11 @@
 	if id != "" {
 		e.lastEvent = id
 	}
+	now := time.Now()
+	if pause := now.Sub(e.eventAt).Milliseconds(); !e.eventAt.IsZero() && pause > e.pauseMS {
+		e.pauseMS = pause
+	}
+	e.eventAt = now
 }
 
 // readEvent reads the bytes up to and including an event's empty line and
--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -11,6 +11,7 @@
 package draw
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -82,6 +83,15 @@
 // Have returns the pieces that are here, as a bit set.
 func (p *Plan) Have() []uint64 { return append([]uint64(nil), p.have...) }
 
+// Count returns the number of pieces that are here.
+func (p *Plan) Count() int {
+	n := 0
+	for _, word := range p.have {
+		n += bits.OnesCount64(word)
+	}
+	return n
+}
+
 // Complete reports whether every piece is here.
 func (p *Plan) Complete() bool {
 	for i := range p.pieces {
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -34,6 +34,7 @@
 	quarantine *quarantine.Table
 
 	mu       sync.Mutex
+	peak     int               // gateways that were alive at once
 	gateways map[string]*other // by address
 	started  chan string       // addresses that nobody calls yet
 }
@@ -233,9 +234,19 @@
 			out = append(out, o.Gateway)
 		}
 	}
+	n.peak = max(n.peak, len(out))
 	return out
 }
 
+// most returns the number of gateways that were alive at once, this one
+// included and at least the ones of the settings: what they spent still counts
+// when some of them are gone.
+func (n *neighbours) most() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(n.peak, len(n.seeds))
+}
+
 // spread tells the pools what the other gateways have running.
 func (n *neighbours) spread(now time.Time) {
 	running := map[string]int{}
--- a/internal/hosted/roster.go
+++ b/internal/hosted/roster.go
@@ -96,15 +96,32 @@
 	}
 	holding := s.State.Holding(service.Engine.Layers)
 	if a, ok := r.word(s.Address); ok && now.Sub(a.at) < agentTime && a.Born >= s.State.Born {
-		holding = a.Holding
-		if a.Switching {
-			holding.Whole = false
-		}
+		holding = a.serves(now)
 	}
 	out.Version, out.Ready = holding.Version, holding.Whole
 	return out
 }
 
+// serves returns what the agent's engine serves at a moment, by its word and
+// the change that it announced.
+func (a agentWord) serves(now time.Time) site.Holding {
+	holding := a.Holding
+	c := a.Change
+	if c.Version == 0 || holding.Version >= c.Version {
+		holding.Whole = holding.Whole && !(a.Switching && c.Version == 0)
+		return holding
+	}
+	since := now.Sub(a.at).Milliseconds()
+	switch {
+	case since < c.StartMilliseconds:
+	case since < c.EndMilliseconds:
+		holding.Whole = false
+	default:
+		holding.Version, holding.Whole = c.Version, true
+	}
+	return holding
+}
+
 func (r *roster) word(address string) (agentWord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/neighbour/messages.go
+++ b/internal/neighbour/messages.go
@@ -33,11 +33,21 @@
 	Born            int64  // Unix milliseconds of the engine's start; 0: it does not answer
 	Holding         site.Holding
 	Ready           int64 // newest version that the agent could have the engine load; 0: none
-	Switching       bool  // the engine takes no new requests while it changes its weights
+	Change          Change
+	Switching       bool // the engine takes no new requests while it changes its weights
 	Pieces          Pieces
 	AgeMilliseconds int64 // since the agent said so
 }
 
+// Change is when an engine is to change over to another version. It takes no
+// new requests from the first moment to the second; both are told as what is
+// left, below 0 if past. Version is 0 if there is none.
+type Change struct {
+	Version           int64
+	StartMilliseconds int64
+	EndMilliseconds   int64
+}
+
 // SyncRequest is an agent's word to a gateway.
 type SyncRequest struct {
 	Agent    Agent
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -20,7 +20,7 @@
 	// the engine's own machine and as old as 200 ms.
 	reportTime = 100 * time.Millisecond
 	// fetchers is the number of pieces in flight to an agent.
-	fetchers = 4
+	fetchers = 3
 	// idleTime is the pause of a fetcher that has nothing to do.
 	idleTime = 25 * time.Millisecond
 	// memberTime is how long an agent that says nothing counts as alive.
@@ -31,7 +31,7 @@
 	// pieces go out one at a time, so that answers on the same link keep pace.
 	uploadPatience = 500 * time.Millisecond
 	// uploadShare of the link is for pieces; the rest is for answers.
-	uploadShare = 0.9
+	uploadShare = 0.78
 	// restTime is the pause of a fetcher while the version is whole.
 	restTime = 150 * time.Millisecond
 )
@@ -75,10 +75,25 @@
 	bringing *version            // the version that is wanted, from the first piece on
 	ready    *version            // the newest version of which every piece is here
 	switches bool                // a load order is on its way or in progress
+	change   change              // that the gateways are told of
 
 	manifestTries int // in a row; owned by keep
 }
 
+// change is a change-over that the gateways know of beforehand, so that they
+// leave out the engine for just as long as it takes no requests.
+type change struct {
+	version  int64 // 0: none
+	from, to time.Time
+}
+
+func (c change) word(now time.Time) neighbour.Change {
+	if c.version == 0 {
+		return neighbour.Change{}
+	}
+	return neighbour.Change{Version: c.version, StartMilliseconds: c.from.Sub(now).Milliseconds(), EndMilliseconds: c.to.Sub(now).Milliseconds()}
+}
+
 type member struct {
 	neighbour.Agent
 	at time.Time // when it said so
@@ -187,6 +202,7 @@
 	out := neighbour.Agent{
 		Name: a.Name, Address: a.Address, Region: a.Region, Service: a.Service,
 		EngineAddress: a.EngineAddress, Switching: a.switches || a.state.Loading,
+		Change: a.change.word(time.Now()),
 	}
 	if a.heard {
 		out.Born = a.state.Born
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -34,7 +34,7 @@
 	if wanted.Version == 0 || wanted.Engine.Model == "" || !heard {
 		return
 	}
-	if v == nil || v.manifest.Version != wanted.Version || v.manifest.Model != wanted.Engine.Model {
+	if v == nil || v.manifest.Model != wanted.Engine.Model || v.manifest.Version != wanted.Version && !a.finishing() {
 		a.open(ctx, wanted)
 	}
 	if due && a.turn(ready.manifest.Version) {
@@ -42,6 +42,25 @@
 	}
 }
 
+const (
+	// finishShare of its pieces held, a version is brought to its end although a
+	// newer one is named: engines must serve it before they can serve that one.
+	finishShare = 0.4
+	// finishTime is what is left of a version's time at the least to finish it.
+	finishTime = 1500 * time.Millisecond
+)
+
+// finishing reports whether the version that is being brought should be
+// finished before a newer one is begun.
+func (a *Agent) finishing() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v := a.bringing
+	by := a.named[v.manifest.Version].Add(time.Duration(a.VersionMS) * time.Millisecond)
+	held := float64(v.plan.Count()) / float64(len(v.manifest.Digests))
+	return !v.plan.Complete() && held >= finishShare && time.Until(by) > finishTime
+}
+
 // manifestPause is the longest pause between tries for a manifest.
 const manifestPause = 200 * time.Millisecond
 
@@ -136,35 +155,63 @@
 	}
 	named := a.named[wanted]
 	turn := draw.Turn(a.Name, wanted, engines, named, named.Add(time.Duration(a.VersionMS)*time.Millisecond))
-	return !time.Now().Before(turn)
+	return !time.Now().Before(turn.Add(-switchNotice))
 }
 
-// switchNotice lets the gateways hear that the engine is about to change over.
-const switchNotice = 120 * time.Millisecond
+const (
+	// drainTime is how long before the order the engine gets no new requests, so
+	// that short answers end.
+	drainTime = 500 * time.Millisecond
+	// switchNotice lets all gateways hear when an engine is about to change
+	// over: two rounds of what they tell each other.
+	switchNotice = 800 * time.Millisecond
+	// loadMargin is added to the time that a load takes: the order's way and a
+	// pass of the engine.
+	loadMargin = 40 * time.Millisecond
+)
 
 // load checks what is staged and orders the engine to load it.
 func (a *Agent) load(ctx context.Context, v *version) {
-	a.mu.Lock()
-	serving := a.state.Holding(a.wanted.Engine.Layers).Whole
-	a.mu.Unlock()
-	checked := time.Now()
-	if !a.check(ctx, v) {
+	at, serving := a.announce(v)
+	defer a.setSwitching(false)
+	if serving && !pause.For(ctx, time.Until(at)-checkTime) {
 		return
 	}
-	a.setSwitching(true)
-	defer a.setSwitching(false)
-	if serving && (!pause.For(ctx, switchNotice) || !a.check(ctx, v)) {
+	checked := time.Now()
+	if !a.check(ctx, v) || serving && !pause.For(ctx, time.Until(at)) {
 		return
 	}
+	a.setSwitching(true)
 	invariant.Assert(v.plan.Complete(), invariant.VerifiedBeforeLoad, "version %d is incomplete", v.manifest.Version)
-	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "CheckedMS", time.Since(checked).Milliseconds())
+	abort := a.others()
+	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", time.Since(checked).Milliseconds())
 	counter.Add("LoadOrders", 1)
-	if _, err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: a.others()}); err != nil {
+	if _, err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); err != nil {
 		event.Fail(event.LoadUnsettled, err, "Version", v.manifest.Version)
 	}
 	a.await(ctx, v)
 }
 
+// checkTime is what reading back and comparing all pieces takes at the most.
+const checkTime = 100 * time.Millisecond
+
+// announce sets the moment at which the engine is ordered to load and tells the
+// gateways. serving says that the engine has something to lose meanwhile.
+func (a *Agent) announce(v *version) (at time.Time, serving bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at = time.Now()
+	serving = a.state.Holding(a.wanted.Engine.Layers).Whole
+	if serving {
+		at = at.Add(switchNotice)
+		a.change = change{
+			version: v.manifest.Version, from: at.Add(-drainTime),
+			to: at.Add(loadMargin + time.Duration(a.wanted.Engine.WarmUpMilliseconds*float64(time.Millisecond))),
+		}
+	}
+	return at, serving
+}
+
 // await returns when the engine serves the version, or does not load it.
 func (a *Agent) await(ctx context.Context, v *version) {
 	until := time.Now().Add(loadTime)
@@ -203,6 +250,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.switches = on
+	if !on {
+		a.change = change{}
+	}
 }
 
 // checkRounds bounds how often what is staged is read back and mended.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -421,7 +421,7 @@
 
 // olderLoad keeps an answer that was cut off once from a server that is about
 // to change its weights too.
-const olderLoad = 1
+const olderLoad = 0.35
 
 // newest is the newest version that any server has.
 func (p *Pool) newest() int64 {
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -25,7 +25,15 @@
 	ReadyListen     string  `yaml:"ReadyListen"`     // the platform's readiness questions
 	NeighbourListen string  `yaml:"NeighbourListen"` // net/rpc of gateways and agents, metrics
 	DrainMS         int     `yaml:"DrainMS"`         // milliseconds within which leaving servers get nothing more
-	GraceSeconds    float64 `yaml:"GraceSeconds"`    // from SIGTERM until the platform kills the process
+	Retries         Retries `yaml:"Retries"`
+	GraceSeconds    float64 `yaml:"GraceSeconds"` // from SIGTERM until the platform kills the process
+}
+
+// Retries bounds what all gateways together send once more.
+type Retries struct {
+	Share       float64 `yaml:"Share"`   // of the requests of the span
+	Besides     int     `yaml:"Besides"` // in the span, whatever the requests
+	SpanSeconds float64 `yaml:"SpanSeconds"`
 }
 
 // HostedAgent is the settings file of almondreel-agent on a hosting platform.
@@ -83,6 +91,9 @@
 	c.listen("ReadyListen", g.ReadyListen)
 	c.listen("NeighbourListen", g.NeighbourListen)
 	c.bound("DrainMS", g.DrainMS)
+	c.refuse(g.Retries.Share >= 0 && g.Retries.Share <= 1, "Retries.Share", "a share from 0 to 1")
+	c.refuse(g.Retries.Besides >= 0, "Retries.Besides", "a number, 0 or more")
+	c.refuse(g.Retries.SpanSeconds > 0 && g.Retries.SpanSeconds <= maxBoundMS/1000, "Retries.SpanSeconds", "seconds, above 0, at most ten minutes")
 	c.refuse(g.GraceSeconds > 0 && g.GraceSeconds <= maxBoundMS/1000, "GraceSeconds", "seconds, above 0, at most ten minutes")
 	return c.err()
 }
