Keep a version's time: finish it while its pieces are there, hurry when time runs out

Ruled out: a gateway's own late hearing (it knew version 3 within 30 ms). Conclusion: what has been seen named goes before what was found at a start.

--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -24,16 +25,20 @@
 	outageDeaths = 3
 )
 
+// maxBreaks bounds the broken answers that wait to be looked into.
+const maxBreaks = 256
+
 // Crashes finds requests that crash the servers which run them.
 type Crashes struct {
 	Table  *quarantine.Table
+	breaks chan broken
 	mu     sync.Mutex
 	deaths map[string]time.Time // by server
 }
 
 // NewCrashes returns an empty record.
 func NewCrashes() *Crashes {
-	return &Crashes{Table: quarantine.NewTable(), deaths: map[string]time.Time{}}
+	return &Crashes{Table: quarantine.NewTable(), breaks: make(chan broken, maxBreaks), deaths: map[string]time.Time{}}
 }
 
 // Judge returns the verdict on a fingerprint.
@@ -48,20 +53,54 @@
 	}
 }
 
+// broken is an answer that broke off.
+type broken struct {
+	fingerprint string
+	server      schedule.Server
+	before      quarantine.Verdict
+}
+
 // Broken takes an answer that broke off and returns the new verdict on its
-// request. Only a server that refuses connections afterwards has died.
+// request. A request that is clear so far is looked into beside its way, since
+// its caller waits for it to go on.
 func (c *Crashes) Broken(fingerprint string, s schedule.Server, before quarantine.Verdict) quarantine.Verdict {
-	if !transmit.Down(s.Address) {
+	b := broken{fingerprint, s, before}
+	if before == quarantine.Clear {
+		select {
+		case c.breaks <- b:
+		default:
+			counter.Add("BreaksOverlooked", 1)
+		}
 		return before
 	}
+	return c.look(b)
+}
+
+// Run looks into broken answers until ctx ends.
+func (c *Crashes) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case b := <-c.breaks:
+			c.look(b)
+		}
+	}
+}
+
+// look finds out whether a server died. Only one that refuses connections has.
+func (c *Crashes) look(b broken) quarantine.Verdict {
+	if !transmit.Down(b.server.Address) {
+		return b.before
+	}
 	counter.Add("BackendsDied", 1)
-	event.Log(event.BackendDied, "Server", s.ID, "Fingerprint", fingerprint)
-	if c.outage(s.ID) {
-		return before
+	event.Log(event.BackendDied, "Server", b.server.ID, "Fingerprint", b.fingerprint)
+	if c.outage(b.server.ID) {
+		return b.before
 	}
-	verdict := c.Table.Died(fingerprint, s.ID, before == quarantine.Suspect, time.Now().Add(convictionTime))
+	verdict := c.Table.Died(b.fingerprint, b.server.ID, b.before == quarantine.Suspect, time.Now().Add(convictionTime))
 	if verdict == quarantine.Convicted {
-		event.Log(event.RequestConvicted, "Fingerprint", fingerprint, "Server", s.ID)
+		event.Log(event.RequestConvicted, "Fingerprint", b.fingerprint, "Server", b.server.ID)
 	}
 	return verdict
 }
--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -11,7 +11,6 @@
 package draw
 
 import (
-	"math/bits"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -30,8 +29,10 @@
 	perHolder = 2
 	// perOrigin bounds pieces in flight from the origin.
 	perOrigin = 2
-	// restAfterFailure keeps a holder that failed from being asked at once.
-	restAfterFailure = 120 * time.Millisecond
+	// firstRest and longestRest keep a source that failed from being asked at
+	// once; the rest doubles with each failure in a row.
+	firstRest   = 80 * time.Millisecond
+	longestRest = 500 * time.Millisecond
 )
 
 // Member is an agent that takes part.
@@ -62,6 +63,7 @@
 	fromOrigin   int
 	farSince     map[int]time.Time // when a piece was first seen in another region only
 	resting      map[string]time.Time
+	failures     map[string]int // in a row, by source
 	random       *rand.Rand
 }
 
@@ -70,7 +72,7 @@
 	return &Plan{
 		name: name, region: region, pieces: pieces, openedAt: openedAt,
 		have: make([]uint64, (pieces+63)/64), flying: map[int]Source{}, fromHolder: map[string]int{},
-		farSince: map[int]time.Time{}, resting: map[string]time.Time{}, random: random,
+		farSince: map[int]time.Time{}, resting: map[string]time.Time{}, failures: map[string]int{}, random: random,
 	}
 }
 
@@ -83,15 +85,6 @@
 // Have returns the pieces that are here, as a bit set.
 func (p *Plan) Have() []uint64 { return append([]uint64(nil), p.have...) }
 
-// Count returns the number of pieces that are here.
-func (p *Plan) Count() int {
-	n := 0
-	for _, word := range p.have {
-		n += bits.OnesCount64(word)
-	}
-	return n
-}
-
 // Complete reports whether every piece is here.
 func (p *Plan) Complete() bool {
 	for i := range p.pieces {
@@ -110,11 +103,18 @@
 	} else {
 		p.fromHolder[f.Source.Holder]--
 	}
-	if !ok {
-		p.resting[f.Source.Holder] = now.Add(restAfterFailure)
+	if ok {
+		p.failures[f.Source.Holder] = 0
+		return
 	}
+	p.failures[f.Source.Holder]++
+	rest := firstRest << min(p.failures[f.Source.Holder]-1, 4)
+	p.resting[f.Source.Holder] = now.Add(min(rest, longestRest))
 }
 
+// Failures returns how often in a row a source has failed.
+func (p *Plan) Failures(s Source) int { return p.failures[s.Holder] }
+
 // Next returns the next fetch, if one may begin now.
 func (p *Plan) Next(now time.Time, members []Member) (Fetch, bool) {
 	view := p.look(members)
--- a/internal/draw/turn.go
+++ b/internal/draw/turn.go
@@ -11,10 +11,10 @@
 const (
 	// firstShare of the time that a version has passes before the engines
 	// change over: until then most of them lack pieces.
-	firstShare = 0.40
+	firstShare = 0.55
 	// lastShare of it has passed when the last engine changes over; the rest is
 	// left for its load and for one that is late.
-	lastShare = 0.85
+	lastShare = 0.90
 )
 
 // Turn returns the moment from which the engine named name may change over to a
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -62,6 +62,7 @@
 	tree.Add("roster", g.roster.run)
 	tree.Add("neighbours", g.neighbours.run)
 	tree.Add("pools", g.roster.pools.Run)
+	tree.Add("crashes", g.front.Crashes.Run)
 	tree.Add("settings", reload(file))
 	return duty.Main(string(settings.ProgramGateway), tree, g.drain)
 }
--- a/internal/hosted/knowledge.go
+++ b/internal/hosted/knowledge.go
@@ -41,7 +41,7 @@
 	mu            sync.Mutex
 	configuration *site.Configuration
 	versions      map[string]site.Version // by model
-	named         map[site.Version]time.Time
+	named         map[site.Version]naming
 	servers       map[string]site.Server // by ID
 	lapsed        map[string]site.Server // whose entries went while the store was away
 	bootedAt      time.Time
@@ -51,10 +51,16 @@
 	changed       chan struct{}
 }
 
+// naming is when a version was named.
+type naming struct {
+	at    time.Time
+	found bool // it was there when the process started, and at is only the latest
+}
+
 func newKnowledge(store *platform.Store) *knowledge {
 	return &knowledge{
 		store: store, beliefs: belief.New(), bootedAt: time.Now(),
-		versions: map[string]site.Version{}, named: map[site.Version]time.Time{},
+		versions: map[string]site.Version{}, named: map[site.Version]naming{},
 		servers: map[string]site.Server{}, lapsed: map[string]site.Server{},
 		changed: make(chan struct{}, 1),
 	}
@@ -194,7 +200,7 @@
 		return
 	}
 	k.versions[v.Model] = v
-	k.named[v] = time.Now()
+	k.named[v] = naming{time.Now(), k.returnedAt.IsZero() && time.Since(k.bootedAt) < bootTime}
 	event.Log(event.VersionNamed, "Model", v.Model, "Version", v.Number, "Revision", i.Revision, "From", from)
 }
 
@@ -255,17 +261,19 @@
 	return max(1, k.versions[model].Number)
 }
 
-// age takes what another process knows of the naming of a version.
-func (k *knowledge) age(v site.Version, at time.Time) {
+// age takes what another process knows of the naming of a version. One that saw
+// it named knows better than one that found it.
+func (k *knowledge) age(v site.Version, n naming) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if held, ok := k.named[v]; ok && at.Before(held) {
-		k.named[v] = at
+	held, ok := k.named[v]
+	if ok && (held.found && !n.found || held.found == n.found && n.at.Before(held.at)) {
+		k.named[v] = n
 	}
 }
 
-// ages returns when each version was first seen named.
-func (k *knowledge) ages() map[site.Version]time.Time {
+// ages returns when each version was named.
+func (k *knowledge) ages() map[site.Version]naming {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return maps.Clone(k.named)
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -218,8 +218,10 @@
 
 func (n *neighbours) named(now time.Time) []neighbour.Named {
 	var out []neighbour.Named
-	for v, at := range n.roster.ages() {
-		out = append(out, neighbour.Named{Model: v.Model, Version: v.Number, AgeMilliseconds: now.Sub(at).Milliseconds()})
+	for v, seen := range n.roster.ages() {
+		out = append(out, neighbour.Named{
+			Model: v.Model, Version: v.Number, AgeMilliseconds: now.Sub(seen.at).Milliseconds(), Found: seen.found,
+		})
 	}
 	return out
 }
@@ -280,7 +282,8 @@
 		n.roster.hear(a, now.Add(-time.Duration(a.AgeMilliseconds)*time.Millisecond))
 	}
 	for _, v := range request.Named {
-		n.roster.age(site.Version{Model: v.Model, Number: v.Version}, now.Add(-time.Duration(v.AgeMilliseconds)*time.Millisecond))
+		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
+		n.roster.age(site.Version{Model: v.Model, Number: v.Version}, naming{at, v.Found})
 	}
 	n.adopt(request.Convictions, now)
 	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
--- a/internal/hosted/roster.go
+++ b/internal/hosted/roster.go
@@ -22,8 +22,9 @@
 	// versionMargin is kept of the time that a version has: the way to an
 	// engine, and its queue.
 	versionMargin = 700 * time.Millisecond
-	// bootTime is how long a process runs before rules bind it.
-	bootTime = 3 * time.Second
+	// bootTime is how long after its start a process may still use weights that were
+	// out of date before.
+	bootTime = 2 * time.Second
 )
 
 // roster joins what the store lists with what agents say into the servers that
@@ -160,9 +161,9 @@
 func (r *roster) MinVersion(model string, now time.Time) int64 {
 	within := time.Duration(r.hosting.VersionMS)*time.Millisecond - versionMargin
 	oldest := int64(0)
-	for v, at := range r.ages() {
-		due := at.Add(within)
-		if at.Sub(r.bootedAt) < bootTime { // it was named before this process ran
+	for v, n := range r.ages() {
+		due := n.at.Add(within)
+		if n.found {
 			due = r.bootedAt.Add(bootTime)
 		}
 		if v.Model == model && v.Number > oldest && now.After(due) {
--- a/internal/neighbour/messages.go
+++ b/internal/neighbour/messages.go
@@ -75,11 +75,13 @@
 	Region  string
 }
 
-// Named is how long ago a version was first seen.
+// Named is how long ago a version was named. It was named before that, at an
+// unknown moment, if the gateway found it when it started.
 type Named struct {
 	Model           string
 	Version         int64
 	AgeMilliseconds int64
+	Found           bool
 }
 
 // Conviction is a request that crashes servers.
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -19,8 +19,10 @@
 	// reportTime is how often the engine's state is read: reports are free on
 	// the engine's own machine and as old as 200 ms.
 	reportTime = 100 * time.Millisecond
-	// fetchers is the number of pieces in flight to an agent.
-	fetchers = 3
+	// fetchers is the number of pieces in flight to an agent; only servingFetchers
+	// of them while its engine answers callers over the same link.
+	fetchers        = 6
+	servingFetchers = 2
 	// idleTime is the pause of a fetcher that has nothing to do.
 	idleTime = 25 * time.Millisecond
 	// memberTime is how long an agent that says nothing counts as alive.
@@ -31,7 +33,9 @@
 	// pieces go out one at a time, so that answers on the same link keep pace.
 	uploadPatience = 500 * time.Millisecond
 	// uploadShare of the link is for pieces; the rest is for answers.
+	// While the engine answers nobody, idleShare is.
 	uploadShare = 0.78
+	idleShare   = 0.95
 	// restTime is the pause of a fetcher while the version is whole.
 	restTime = 150 * time.Millisecond
 )
@@ -73,6 +77,7 @@
 	members  map[string]member
 	named    map[int64]time.Time // when a version was named
 	bringing *version            // the version that is wanted, from the first piece on
+	former   *version            // was being brought before it, kept for those who finish it
 	ready    *version            // the newest version of which every piece is here
 	switches bool                // a load order is on its way or in progress
 	change   change              // that the gateways are told of
@@ -114,8 +119,8 @@
 // Run keeps the engine's weights until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	parts := []func(context.Context){a.watchEngine, a.keep}
-	for range fetchers {
-		parts = append(parts, a.fetch)
+	for n := range fetchers {
+		parts = append(parts, func(ctx context.Context) { a.fetch(ctx, n >= servingFetchers) })
 	}
 	return duty.Together(ctx, parts...)
 }
@@ -165,7 +170,10 @@
 	}
 	for _, n := range named {
 		at := now.Add(-time.Duration(n.AgeMilliseconds) * time.Millisecond)
-		if held, ok := a.named[n.Version]; n.Model == wanted.Engine.Model && (!ok || at.Before(held)) {
+		if n.Found { // its time may be over
+			at = now.Add(-time.Duration(a.VersionMS) * time.Millisecond)
+		}
+		if n.Model == wanted.Engine.Model {
 			a.named[n.Version] = at
 		}
 	}
@@ -184,6 +192,7 @@
 	a.members[m.Name] = m
 }
 
+// union returns y if the sets differ in size.
 func union(x, y []uint64) []uint64 {
 	if len(x) != len(y) {
 		return y
@@ -233,7 +242,7 @@
 
 // find returns a version that the agent holds pieces of, or nil.
 func (a *Agent) find(model string, number int64) *version {
-	for _, v := range []*version{a.bringing, a.ready} {
+	for _, v := range []*version{a.bringing, a.ready, a.former} {
 		if v != nil && v.manifest.Model == model && v.manifest.Version == number {
 			return v
 		}
@@ -264,9 +273,10 @@
 }
 
 // fetch brings pieces, one after the other.
-func (a *Agent) fetch(ctx context.Context) {
+// Spare fetchers rest while the engine serves.
+func (a *Agent) fetch(ctx context.Context, spare bool) {
 	for ctx.Err() == nil {
-		if a.fetchOne(ctx) {
+		if !(spare && a.serving()) && a.fetchOne(ctx) {
 			continue
 		}
 		rest := idleTime
@@ -277,6 +287,24 @@
 	}
 }
 
+// serving reports whether the engine answers callers, so that pieces must leave
+// it room on the link: not once its weights are out of date, and less and less
+// as their time runs out.
+func (a *Agent) serving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	held := a.state.Holding(a.wanted.Engine.Layers)
+	if !held.Whole || held.Version >= a.wanted.Version {
+		return held.Whole
+	}
+	hurry := a.named[a.wanted.Version].Add(time.Duration(hurryShare * float64(a.VersionMS) * float64(time.Millisecond)))
+	return time.Now().Before(hurry)
+}
+
+// hurryShare of a version's time has passed when bringing it goes before
+// answers: without it there are none soon.
+const hurryShare = 0.65
+
 // whole reports whether there is nothing to bring.
 func (a *Agent) whole() bool {
 	a.mu.Lock()
@@ -296,7 +324,9 @@
 	v.plan.Ended(time.Now(), f, err == nil)
 	if err != nil {
 		counter.Add("PieceFailures", 1)
-		event.Fail(event.PieceFailed, err, "Piece", f.Piece, "Version", v.manifest.Version, "From", f.Source.Holder)
+		if v.plan.Failures(f.Source) == 1 {
+			event.Fail(event.PieceFailed, err, "Piece", f.Piece, "Version", v.manifest.Version, "From", f.Source.Holder)
+		}
 		return true
 	}
 	v.data[f.Piece] = data
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"math/rand/v2"
 	"time"
 
@@ -43,11 +44,12 @@
 }
 
 const (
-	// finishShare of its pieces held, a version is brought to its end although a
-	// newer one is named: engines must serve it before they can serve that one.
-	finishShare = 0.4
+	// finishShare of its pieces held by some agent, a version is brought to its
+	// end although a newer one is named: engines must serve it before they can
+	// serve that one.
+	finishShare = 0.6
 	// finishTime is what is left of a version's time at the least to finish it.
-	finishTime = 1500 * time.Millisecond
+	finishTime = 1200 * time.Millisecond
 )
 
 // finishing reports whether the version that is being brought should be
@@ -57,8 +59,20 @@
 	defer a.mu.Unlock()
 	v := a.bringing
 	by := a.named[v.manifest.Version].Add(time.Duration(a.VersionMS) * time.Millisecond)
-	held := float64(v.plan.Count()) / float64(len(v.manifest.Digests))
-	return !v.plan.Complete() && held >= finishShare && time.Until(by) > finishTime
+	if v.plan.Complete() || time.Until(by) < finishTime {
+		return false
+	}
+	held := v.plan.Have()
+	for _, m := range a.members {
+		if m.Pieces.Model == v.manifest.Model && m.Pieces.Version == v.manifest.Version {
+			held = union(held, m.Pieces.Have)
+		}
+	}
+	there := 0
+	for _, word := range held {
+		there += bits.OnesCount64(word)
+	}
+	return float64(there) >= finishShare*float64(len(v.manifest.Digests))
 }
 
 // manifestPause is the longest pause between tries for a manifest.
@@ -85,7 +99,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.bringing = v
+	a.former, a.bringing = a.bringing, v
 	a.noteComplete(v)
 	event.Log(event.TransferStarted, "Model", m.Model, "Version", m.Version, "Pieces", len(m.Digests), "Staged", staged)
 }
--- a/internal/reel/peers.go
+++ b/internal/reel/peers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -129,22 +130,36 @@
 
 const bytesPerMegabit = 1e6 / 8
 
-// newPace bounds what is sent to a share of the link, a piece at a time.
+// newPace bounds what is sent to a share of the link.
 func newPace(megabits float64) *rate.Limiter {
-	return rate.NewLimiter(rate.Limit(uploadShare*megabits*bytesPerMegabit), paceBurst)
+	return rate.NewLimiter(rate.Limit(uploadShare*megabits*bytesPerMegabit), partBytes)
 }
 
-// paceBurst in bytes may be sent at once: about a piece.
-const paceBurst = 32 << 10
+// share is the part of the link that pieces may take now.
+func (a *Agent) share() float64 {
+	if a.serving() {
+		return uploadShare
+	}
+	return idleShare
+}
 
-// waitPace waits until n bytes may be sent.
-func waitPace(ctx context.Context, pace *rate.Limiter, n int) error {
-	for n > 0 {
-		part := min(n, paceBurst)
-		if err := pace.WaitN(ctx, part); err != nil {
+// partBytes are sent at once: answers on the same link wait that long at most,
+// 9 ms at 7.6 Mbit/s.
+const partBytes = 8 << 10
+
+// send writes data at the pace. An error ends the answer early, which its
+// length shows.
+func send(ctx context.Context, w http.ResponseWriter, pace *rate.Limiter, data []byte) error {
+	for part := range slices.Chunk(data, partBytes) {
+		if err := pace.WaitN(ctx, len(part)); err != nil {
+			return err
+		}
+		if _, err := w.Write(part); err != nil {
 			return err
 		}
-		n -= part
+		if flusher, ok := w.(http.Flusher); ok {
+			flusher.Flush()
+		}
 	}
 	return nil
 }
@@ -160,13 +175,12 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if err := waitPace(ctx, pace, len(data)); err != nil {
-		counter.Add("Refused.UploadsFull", 1)
-		w.WriteHeader(http.StatusServiceUnavailable)
+	pace.SetLimit(rate.Limit(a.share() * a.LinkMegabits * bytesPerMegabit))
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if err := send(ctx, w, pace, data); err != nil {
+		counter.Add("UploadsBroken", 1)
 		return
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	_, _ = w.Write(data)
 	counter.Add("SentPieceBytes", int64(len(data)))
 }
 
