Take a gateway's own requests at a server for its usual share of what runs there

Cause: first answers after 0.6 to 1.1 s while engines change over: an engine that is back looks idle to all gateways for a round of the exchange, and each sends it a batch at once.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -43,6 +43,9 @@
 	firstMS   int64
 	eventAt   time.Time // of the last event that was passed on
 	pauseMS   int64     // longest pause between events
+	queueMS   int64     // waited for places at servers
+	brokenAt  time.Time // an answer broke off that is to go on
+	resumeMS  int64     // from there until the next event
 }
 
 // run sends the request until one server answers or no other may be tried.
@@ -54,7 +57,9 @@
 		if verdict == quarantine.Convicted {
 			return e.notRun(outcome.Refused{Reason: outcome.Quarantined, RetryAt: time.Now().Add(convictedDelay)})
 		}
+		asked := time.Now()
 		place := e.front.Pools.acquire(ctx, e.service.Name, e.ask())
+		e.queueMS += time.Since(asked).Milliseconds()
 		switch p := place.(type) {
 		case schedule.Start:
 			o, again := e.attempt(ctx, p.Server, fingerprint, verdict)
@@ -142,6 +147,7 @@
 		}
 		return failed, false
 	}
+	e.brokenAt = time.Now()
 	counter.Add("Retried."+string(r.reason), 1)
 	event.Log(event.RequestRetried, "Request", e.call.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail, "AfterEvent", e.lastEvent)
 	return nil, true
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -202,7 +202,7 @@
 	event.Log(event.RequestEnded,
 		"Request", e.call.AttemptID, "Route", e.route.Name, "Organisation", e.organisation,
 		"Outcome", r.Outcome, "Reason", string(r.Reason), "Server", e.server, "Version", e.version,
-		"Sent", e.sent, "Runs", e.runs, "FirstMS", e.firstMS, "PauseMS", e.pauseMS, "MS", took, "Prompt", e.call.PromptTokens)
+		"Sent", e.sent, "Runs", e.runs, "FirstMS", e.firstMS, "PauseMS", e.pauseMS, "QueueMS", e.queueMS, "ResumeMS", e.resumeMS, "MS", took, "Prompt", e.call.PromptTokens)
 }
 
 // pick draws a target by weight.
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -105,6 +105,9 @@
 		e.pauseMS = pause
 	}
 	e.eventAt = now
+	if !e.brokenAt.IsZero() {
+		e.resumeMS, e.brokenAt = now.Sub(e.brokenAt).Milliseconds(), time.Time{}
+	}
 }
 
 // readEvent reads the bytes up to and including an event's empty line and
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -215,7 +215,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	at = time.Now()
-	serving = a.state.Holding(a.wanted.Engine.Layers).Whole
+	held := a.state.Holding(a.wanted.Engine.Layers)
+	over := a.named[v.manifest.Version].Add(time.Duration(a.VersionMS) * time.Millisecond)
+	serving = held.Whole && at.Before(over) // later, the gateways no longer use it
 	if serving {
 		at = at.Add(switchNotice)
 		a.change = change{
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -83,6 +83,7 @@
 	waiting  []Ask
 	finished window
 	promised time.Time
+	shares   map[string]float64 // of what runs in a region: this gateway's
 }
 
 type server struct {
@@ -97,7 +98,7 @@
 
 // NewPool returns a pool without servers.
 func NewPool(o Options) *Pool {
-	return &Pool{options: o, servers: map[string]*server{}}
+	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}}
 }
 
 // SetServers replaces the list of servers. What runs on a server that leaves
@@ -138,12 +139,47 @@
 
 // SetOthers takes what other gateways have running, by server.
 func (p *Pool) SetOthers(now time.Time, running map[string]int) []Settled {
+	own, all := map[string]float64{}, map[string]float64{}
 	for id, s := range p.servers {
 		s.others = running[id]
+		own[s.Region] += float64(s.own)
+		all[s.Region] += float64(s.own + s.others)
+	}
+	for region, total := range all {
+		if total >= fewRunning {
+			p.shares[region] += shareWeight * (own[region]/total - p.share(region))
+		}
 	}
 	return p.pump(now)
 }
 
+const (
+	// shareWeight is how fast a gateway's share of a region follows what runs:
+	// over about ten rounds of what the gateways tell each other.
+	shareWeight = 0.1
+	// fewRunning requests in a region say little of who sends how many.
+	fewRunning = 8
+	// leastShare lets a gateway that had nothing to send begin.
+	leastShare = 0.1
+)
+
+// share is this gateway's share of what runs in a region; 1 until it is known.
+func (p *Pool) share(region string) float64 {
+	held, ok := p.shares[region]
+	if !ok {
+		p.shares[region] = 1
+		return 1
+	}
+	return max(leastShare, held)
+}
+
+// running estimates how many requests a server has. What others say is as old
+// as a round of the exchange, in which all gateways may have found the same
+// server idle; so this gateway's own part is taken to be its usual share.
+func (p *Pool) running(s *server) float64 {
+	return max(float64(s.own+s.others), float64(s.own)/p.share(s.Region))
+}
+
 // Running returns what this gateway has running, by server.
 func (p *Pool) Running(into map[string]int) {
 	for id, s := range p.servers {
@@ -399,10 +435,10 @@
 	least := math.Inf(1)
 	newest := p.newest()
 	for _, s := range p.order {
-		if !s.takes(now, a) || s.own+s.others >= s.Slots+p.options.Extra {
+		if !s.takes(now, a) || p.full(s) {
 			continue
 		}
-		load := float64(s.own+s.others)/float64(max(1, s.Slots)) + s.reading*readingWeight
+		load := p.running(s)/float64(max(1, s.Slots)) + s.reading/p.share(s.Region)*readingWeight
 		if s.Region != p.options.Region {
 			load += p.options.Local
 		}
@@ -419,6 +455,16 @@
 	return best
 }
 
+// full reports whether a server gets no more for now. A gateway may always have
+// one request there, and one more than its share.
+func (p *Pool) full(s *server) bool {
+	most := float64(s.Slots + p.options.Extra)
+	if float64(s.own+s.others) >= most {
+		return true
+	}
+	return s.own > 0 && float64(s.own) >= most*p.share(s.Region)+1
+}
+
 // olderLoad keeps an answer that was cut off once from a server that is about
 // to change its weights too.
 const olderLoad = 0.35
