--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,11 +25,15 @@
 	originStep = 900 * time.Millisecond
 	// regionStep is the turn of each rank between regions.
 	regionStep = 250 * time.Millisecond
-	// perHolder bounds pieces in flight from one holder: a link carries a piece
-	// in 34 ms, so two hide the way.
-	perHolder = 2
-	// perOrigin bounds pieces in flight from the origin.
+	// perHolder bounds pieces in flight from one holder.
+	perHolder = 1
+	// perOrigin bounds pieces in flight from the origin to one agent.
 	perOrigin = 2
+	// drawers is the number of agents that draw from the origin: together they
+	// fill its link, and few enough that pieces come one after the other.
+	drawers = 8
+	// busyRest keeps a holder from being asked again that has enough to send.
+	busyRest = 30 * time.Millisecond
 	// firstRest and longestRest keep a source that failed from being asked at
 	// once; the rest doubles with each failure in a row.
 	firstRest   = 80 * time.Millisecond
@@ -95,17 +100,31 @@
 	return true
 }
 
-// Ended notes the end of a fetch; a source that failed rests.
-func (p *Plan) Ended(now time.Time, f Fetch, ok bool) {
+// End is how a fetch ended.
+type End int
+
+// Ends of a fetch.
+const (
+	Brought End = iota
+	Busy        // the source has others to serve first
+	Failed
+)
+
+// Ended notes the end of a fetch; a source that gave nothing rests.
+func (p *Plan) Ended(now time.Time, f Fetch, end End) {
 	delete(p.flying, f.Piece)
 	if f.Source.Holder == "" {
 		p.fromOrigin--
 	} else {
 		p.fromHolder[f.Source.Holder]--
 	}
-	if ok {
+	switch end {
+	case Brought:
 		p.failures[f.Source.Holder] = 0
 		return
+	case Busy:
+		p.resting[f.Source.Holder] = now.Add(busyRest)
+		return
 	}
 	p.failures[f.Source.Holder]++
 	rest := firstRest << min(p.failures[f.Source.Holder]-1, 4)
@@ -115,51 +134,77 @@
 // Failures returns how often in a row a source has failed.
 func (p *Plan) Failures(s Source) int { return p.failures[s.Holder] }
 
-// Next returns the next fetch, if one may begin now.
+// Next returns the next fetch, if one may begin now. What others wait for goes
+// first; then a neighbour is drawn by lot, so that all of them are asked alike,
+// and the rarest piece that it can give.
 func (p *Plan) Next(now time.Time, members []Member) (Fetch, bool) {
 	view := p.look(members)
-	var best Fetch
-	bestScore := -1.0
-	for piece := range p.pieces {
-		if _, flies := p.flying[piece]; flies || Has(p.have, piece) {
-			continue
-		}
-		source, unlocks, ok := p.source(now, piece, view)
-		if !ok {
-			continue
-		}
-		score := 1/float64(1+view.copies(piece)) + p.random.Float64()*tieShare
-		if unlocks {
-			score += unlockScore
-		}
-		if score > bestScore {
-			best, bestScore = Fetch{piece, source}, score
-		}
+	f, ok := p.unlocking(now, view)
+	if !ok {
+		f, ok = p.nearby(now, view)
 	}
-	if bestScore < 0 {
+	if !ok {
 		return Fetch{}, false
 	}
-	p.flying[best.Piece] = best.Source
-	if best.Source.Holder == "" {
+	p.flying[f.Piece] = f.Source
+	if f.Source.Holder == "" {
 		p.fromOrigin++
 	} else {
-		p.fromHolder[best.Source.Holder]++
+		p.fromHolder[f.Source.Holder]++
 	}
-	return best, true
+	return f, true
 }
 
-const (
-	// tieShare draws among pieces that are about equally rare.
-	tieShare = 0.05
-	// unlockScore puts pieces first that others wait for.
-	unlockScore = 2
-)
+// open reports whether a piece is neither here nor on its way.
+func (p *Plan) open(piece int) bool {
+	_, flies := p.flying[piece]
+	return !flies && !Has(p.have, piece)
+}
+
+// unlocking returns a piece that no neighbour has and that this agent may bring.
+func (p *Plan) unlocking(now time.Time, v view) (Fetch, bool) {
+	first := p.random.IntN(p.pieces)
+	for n := range p.pieces {
+		piece := (first + n) % p.pieces
+		if !p.open(piece) || v.copies(piece) > 0 {
+			continue
+		}
+		if s, ok := p.source(now, piece, v); ok {
+			return Fetch{piece, s}, true
+		}
+	}
+	return Fetch{}, false
+}
+
+// nearby returns a piece that a neighbour has.
+func (p *Plan) nearby(now time.Time, v view) (Fetch, bool) {
+	for _, n := range p.random.Perm(len(v.near)) {
+		m := v.near[n]
+		if p.fromHolder[m.Name] >= perHolder || now.Before(p.resting[m.Name]) {
+			continue
+		}
+		rarest, copies := -1, 0
+		first := p.random.IntN(p.pieces)
+		for n := range p.pieces {
+			piece := (first + n) % p.pieces
+			if c := v.copies(piece); Has(m.Have, piece) && p.open(piece) && (rarest < 0 || c < copies) {
+				rarest, copies = piece, c
+			}
+		}
+		if rarest >= 0 {
+			return Fetch{rarest, Source{m.Name}}, true
+		}
+	}
+	return Fetch{}, false
+}
 
 // view is the members as one call of Next sees them.
 type view struct {
 	near, far []Member // others, in this region and elsewhere
 	needers   []string // all agents that lack pieces, this one included
 	nearby    []string // those of this region
+	drawers   []string // those that draw from the origin
+	counts    []int    // copies of each piece in this region
 }
 
 func (p *Plan) look(members []Member) view {
@@ -180,37 +225,31 @@
 			v.nearby = append(v.nearby, m.Name)
 		}
 	}
-	return v
-}
-
-func (v view) copies(piece int) int {
-	n := 0
+	ranked := stripe.Rank("origin", v.needers)
+	v.drawers = ranked[:min(drawers, len(ranked))]
+	v.counts = make([]int, p.pieces)
 	for _, m := range v.near {
-		if Has(m.Have, piece) {
-			n++
+		for piece := range p.pieces {
+			if Has(m.Have, piece) {
+				v.counts[piece]++
+			}
 		}
 	}
-	return n
+	return v
 }
 
-// source returns where a piece may be fetched from now. unlocks says that
-// others wait for this agent to bring it.
-func (p *Plan) source(now time.Time, piece int, v view) (s Source, unlocks, ok bool) {
-	if holder, found := p.holder(now, piece, v.near); found {
-		return Source{holder}, false, true
-	}
-	if v.copies(piece) > 0 {
-		return Source{}, false, false // its holders are busy
-	}
+func (v view) copies(piece int) int { return v.counts[piece] }
+
+// source returns where a piece that no neighbour has may be fetched from now.
+func (p *Plan) source(now time.Time, piece int, v view) (Source, bool) {
 	item := strconv.Itoa(piece)
 	held := false
 	for _, m := range v.far {
 		held = held || Has(m.Have, piece)
 	}
 	if !held {
-		turn := stripe.Turn(p.openedAt, stripe.Position(item, v.needers, p.name), originStep)
 		free := p.fromOrigin < perOrigin && !now.Before(p.resting[""])
-		return Source{}, true, free && !now.Before(turn)
+		return Source{}, free && !now.Before(stripe.Turn(p.openedAt, p.position(item, v), originStep))
 	}
 	since, seen := p.farSince[piece]
 	if !seen {
@@ -218,10 +257,24 @@
 		p.farSince[piece] = now
 	}
 	if now.Before(stripe.Turn(since, stripe.Position(item, v.nearby, p.name), regionStep)) {
-		return Source{}, false, false
+		return Source{}, false
 	}
 	holder, found := p.holder(now, piece, v.far)
-	return Source{holder}, true, found
+	return Source{holder}, found
+}
+
+// position is the number of agents that draw a piece from the origin before
+// this one does.
+func (p *Plan) position(item string, v view) int {
+	if slices.Contains(v.drawers, p.name) {
+		return stripe.Position(item, v.drawers, p.name)
+	}
+	return len(v.drawers) + stripe.Position(item, v.needers, p.name)
+}
+
+// Draws reports whether the agent is one of those that draw from the origin.
+func (p *Plan) Draws(members []Member) bool {
+	return slices.Contains(p.look(members).drawers, p.name)
 }
 
 // holder returns the member that has the piece and is asked least.
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"almondreel.example/almondreel/internal/belief"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/duty"
@@ -56,7 +55,7 @@
 		Name: s.Name, Address: s.PieceListen, Region: s.Region, Service: s.Backend.Service,
 		EngineAddress: s.Backend.Address, VersionMS: s.Hosting.VersionMS, LinkMegabits: s.LinkMegabits,
 		Engine: platform.NewEngine(s.Backend.Address), Origin: platform.NewOrigin(),
-		Peers: reel.NewPeers(newPeerClient()), Wanted: a.wanted,
+		Peers: reel.NewPeers(newPeerClient()),
 	})
 	listener, err := net.Listen("tcp", s.PieceListen)
 	if err != nil {
@@ -85,42 +84,6 @@
 	}}
 }
 
-// wanted decodes what the store says of the agent's service.
-func (a *agent) wanted(items []belief.Item) reel.Wanted {
-	w := reel.Wanted{}
-	for _, i := range items {
-		if !platform.IsConfiguration(i.Key) {
-			continue
-		}
-		c, err := platform.Configuration(i.Value)
-		if err != nil {
-			event.Fail(event.EntryUnreadable, err, "Key", i.Key)
-			continue
-		}
-		w.Engine = c.Services[a.settings.Backend.Service].Engine
-		w.Origin = c.Origin().Address
-		w.Movable = c.Movable(a.settings.Backend.Service)
-	}
-	if w.Engine.Model == "" {
-		return w
-	}
-	w.Version = 1
-	for _, i := range items {
-		if !platform.IsVersion(i.Key) {
-			continue
-		}
-		v, err := platform.Version(i.Key, i.Value)
-		if err != nil {
-			event.Fail(event.EntryUnreadable, err, "Key", i.Key)
-			continue
-		}
-		if v.Model == w.Engine.Model {
-			w.Version = max(w.Version, v.Number)
-		}
-	}
-	return w
-}
-
 // sync tells a gateway the agent's state and hears what it lacks, until ctx ends.
 func (a *agent) sync(ctx context.Context) error {
 	for _, g := range a.settings.Hosting.Gateways {
@@ -180,7 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncAnswer)
 	defer cancel()
-	request := neighbour.SyncRequest{Agent: a.reel.Say(), Revision: a.reel.Beliefs.Revision()}
+	request := neighbour.SyncRequest{Agent: a.reel.Say()}
 	var reply neighbour.SyncReply
 	if err := client.Call(ctx, neighbour.MethodSync, request, &reply); err != nil {
 		if a.current == address {
@@ -194,9 +157,7 @@
 	if a.current != address {
 		event.Log(event.NeighbourUp, "Address", address)
 	}
-	if reply.Beliefs.Revision > 0 || a.reel.Beliefs.Revision() > 0 {
-		a.reel.Adopt(reply.Beliefs, reply.Agents, reply.Named)
-	}
+	a.reel.Adopt(reply.Wanted, reply.Agents, reply.Named)
 	a.learn(reply.Gateways)
 	return true
 }
@@ -219,12 +180,12 @@
 func (a *agent) followOne(ctx context.Context, client *control.Client) error {
 	ctx, cancel := context.WithTimeout(ctx, followTime+syncAnswer)
 	defer cancel()
-	request := neighbour.FollowRequest{Revision: a.reel.Beliefs.Revision(), WaitMilliseconds: followTime.Milliseconds()}
-	var reply neighbour.SyncReply
+	request := neighbour.FollowRequest{Service: a.settings.Backend.Service, Known: a.reel.Wanted(), WaitMilliseconds: followTime.Milliseconds()}
+	var reply neighbour.FollowReply
 	if err := client.Call(ctx, neighbour.MethodFollow, request, &reply); err != nil {
 		return err
 	}
-	a.reel.Adopt(reply.Beliefs, nil, reply.Named)
+	a.reel.Adopt(reply.Wanted, nil, reply.Named)
 	return nil
 }
 
@@ -242,10 +203,10 @@
 // readStore asks the store itself, since no gateway answers.
 func (a *agent) readStore(ctx context.Context) {
 	a.heardAt = time.Now()
-	snapshot, err := a.store.List(ctx, watchPrefix)
-	if err != nil {
+	known := newKnowledge(a.store)
+	if err := known.reload(ctx); err != nil {
 		event.Fail(event.StoreDown, err)
 		return
 	}
-	a.reel.Adopt(belief.Update{Items: snapshot.Items, Revision: snapshot.Revision, Whole: true}, nil, nil)
+	a.reel.Adopt(known.wanted(a.settings.Backend.Service), nil, nil)
 }
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -74,6 +74,7 @@
 	g.roster = newRoster(g.knowledge, s.Hosting, pools)
 	own := neighbour.Gateway{Name: s.Name, Address: s.NeighbourListen, Region: s.Region}
 	g.neighbours = newNeighbours(g.roster, own, s.Hosting.Gateways, crashes.Table)
+	g.knowledge.leads = g.neighbours.leads
 	retries := direct.Retries{Share: s.Retries.Share, Besides: s.Retries.Besides, SpanMS: int(s.Retries.SpanSeconds * 1000), Gateways: g.neighbours.most}
 	g.front = direct.NewFront(direct.Options{View: g.roster, Dialect: platform.Dialect{}, Pools: pools, Crashes: crashes, Retries: retries})
 	return g
--- a/internal/hosted/knowledge.go
+++ b/internal/hosted/knowledge.go
@@ -10,6 +10,7 @@
 
 	"almondreel.example/almondreel/internal/belief"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/platform"
@@ -19,6 +20,12 @@
 	// watchTime is how long a watch waits: a silent connection is found after
 	// that and one answer's time.
 	watchTime = 2 * time.Second
+	// trustTime is how long a process that does not follow the store itself goes
+	// by what others say that do.
+	trustTime = 800 * time.Millisecond
+	// batchTime separates watches, so that changes which come together take one
+	// call: each is priced.
+	batchTime = 60 * time.Millisecond
 	// retryPause separates calls to a store that does not answer; every call
 	// is priced, refused ones too.
 	retryPause = 250 * time.Millisecond
@@ -49,6 +56,7 @@
 	returnedAt    time.Time // the store's last return
 	confirmedAt   time.Time // when the beliefs were last known to be current
 	changed       chan struct{}
+	leads         func() bool // this process is one of those that follow the store for all
 }
 
 // naming is when a version was named.
@@ -62,17 +70,22 @@
 		store: store, beliefs: belief.New(), bootedAt: time.Now(),
 		versions: map[string]site.Version{}, named: map[site.Version]naming{},
 		servers: map[string]site.Server{}, lapsed: map[string]site.Server{},
-		changed: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), leads: func() bool { return true },
 	}
 }
 
 // watch follows the store until ctx ends.
 func (k *knowledge) watch(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !k.leads() && time.Since(k.confirmed()) < trustTime {
+			pause.For(ctx, trustTime/4)
+			continue
+		}
 		if err := k.follow(ctx); err != nil && ctx.Err() == nil {
 			k.setDown(err)
 			pause.For(ctx, pause.Jitter(retryPause))
 		}
+		pause.For(ctx, batchTime)
 	}
 	return ctx.Err()
 }
@@ -254,11 +267,21 @@
 	return out
 }
 
-// version returns the version of a model that is to serve; 1 while none is named.
-func (k *knowledge) version(model string) int64 {
+// wanted returns what is wanted of a service's engines. Revision is 0 while no
+// configuration is known.
+func (k *knowledge) wanted(service string) neighbour.Wanted {
+	revision := k.beliefs.Revision()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return max(1, k.versions[model].Number)
+	c := k.configuration
+	if c == nil {
+		return neighbour.Wanted{}
+	}
+	w := neighbour.Wanted{Revision: revision, Engine: c.Services[service].Engine, Origin: c.Origin().Address, Movable: c.Movable(service)}
+	if w.Engine.Model != "" {
+		w.Version = max(1, k.versions[w.Engine.Model].Number)
+	}
+	return w
 }
 
 // age takes what another process knows of the naming of a version. One that saw
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
+	"almondreel.example/almondreel/internal/rank"
 	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
@@ -53,8 +55,10 @@
 
 // telling is what another gateway was last told of an agent.
 type telling struct {
-	agent neighbour.Agent
-	at    time.Time
+	agent   neighbour.Agent // without what changes all the time
+	have    []uint64
+	version int64 // of the pieces
+	at      time.Time
 }
 
 func newNeighbours(r *roster, own neighbour.Gateway, seeds []string, q *quarantine.Table) *neighbours {
@@ -143,7 +147,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeAnswer)
 	defer cancel()
 	request := n.word(time.Now())
-	request.Agents = o.news(request.Agents, time.Now())
+	request.Agents = o.news(request.Agents, time.Now(), o.Region != n.own.Region)
 	var reply neighbour.ExchangeReply
 	err := o.client.Call(ctx, neighbour.MethodExchange, request, &reply)
 	n.note(o, err)
@@ -161,25 +165,37 @@
 	}
 }
 
-// tellAgain is how often another gateway is told of an agent that has not
-// changed: it takes the word for agentTime.
-const tellAgain = agentTime / 2
+const (
+	// tellAgain is how often another gateway is told of an agent that has not
+	// changed: it takes the word for agentTime.
+	tellAgain = agentTime / 2
+	// tellPieces and tellPiecesFar are how often it is told of pieces that an
+	// agent got: far ones are only fetched when no near agent has them.
+	tellPieces    = 140 * time.Millisecond
+	tellPiecesFar = 500 * time.Millisecond
+)
 
 // news leaves out agents that the gateway was told of lately and that have not
 // changed. Only the goroutine that calls the gateway uses it.
-func (o *other) news(agents []neighbour.Agent, now time.Time) []neighbour.Agent {
+func (o *other) news(agents []neighbour.Agent, now time.Time, far bool) []neighbour.Agent {
 	if o.told == nil || !o.up {
 		o.told = map[string]telling{}
 	}
+	pieces := tellPieces
+	if far {
+		pieces = tellPiecesFar
+	}
 	var out []neighbour.Agent
 	for _, a := range agents {
 		same := a
-		same.AgeMilliseconds = 0
+		same.AgeMilliseconds, same.Pieces, same.Change = 0, neighbour.Pieces{}, neighbour.Change{Version: a.Change.Version}
 		held, ok := o.told[a.Name]
-		if ok && now.Sub(held.at) < tellAgain && reflect.DeepEqual(held.agent, same) {
+		since := now.Sub(held.at)
+		got := !slices.Equal(held.have, a.Pieces.Have) || held.version != a.Pieces.Version
+		if ok && since < tellAgain && reflect.DeepEqual(held.agent, same) && !(got && since >= pieces) {
 			continue
 		}
-		o.told[a.Name] = telling{same, now}
+		o.told[a.Name] = telling{same, a.Pieces.Have, a.Pieces.Version, now}
 		out = append(out, a)
 	}
 	return out
@@ -206,7 +222,7 @@
 	k := n.roster.knowledge
 	w := neighbour.ExchangeRequest{
 		Gateway: n.own, Revision: k.beliefs.Revision(), Running: n.roster.pools.Running(),
-		Agents: n.roster.words(now), Gateways: n.known(now), Named: n.named(now),
+		Agents: n.roster.words(now, true), Gateways: n.known(now), Named: n.named(now),
 	}
 	for _, e := range n.quarantine.Convictions(now) {
 		w.Convictions = append(w.Convictions, neighbour.Conviction{
@@ -279,7 +295,7 @@
 		n.meet(g)
 	}
 	for _, a := range request.Agents {
-		n.roster.hear(a, now.Add(-time.Duration(a.AgeMilliseconds)*time.Millisecond))
+		n.roster.hear(a, now.Add(-time.Duration(a.AgeMilliseconds)*time.Millisecond), false)
 	}
 	for _, v := range request.Named {
 		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
@@ -307,10 +323,10 @@
 // Sync takes an agent's word and returns what it lacks.
 func (r receiver) Sync(request neighbour.SyncRequest, reply *neighbour.SyncReply) error {
 	n, now := r.neighbours, time.Now()
-	n.roster.hear(request.Agent, now)
+	n.roster.hear(request.Agent, now, true)
 	n.roster.announce()
-	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
-	for _, a := range n.roster.words(now) {
+	reply.Wanted = n.roster.wanted(request.Agent.Service)
+	for _, a := range n.roster.words(now, false) {
 		if a.Name != request.Agent.Name && a.Service == request.Agent.Service {
 			reply.Agents = append(reply.Agents, a)
 		}
@@ -320,24 +336,37 @@
 	return nil
 }
 
-// Follow waits until this gateway knows more than the agent.
-func (r receiver) Follow(request neighbour.FollowRequest, reply *neighbour.SyncReply) error {
+// Follow waits until this gateway knows of something else than the agent.
+func (r receiver) Follow(request neighbour.FollowRequest, reply *neighbour.FollowReply) error {
 	n := r.neighbours
 	timer := time.NewTimer(min(time.Duration(request.WaitMilliseconds)*time.Millisecond, followTime))
 	defer timer.Stop()
-	for {
+	for waiting := true; waiting; {
 		changed := n.roster.beliefs.Changed()
-		if n.roster.beliefs.Revision() > request.Revision {
+		reply.Wanted = n.roster.wanted(request.Service)
+		if reply.Wanted.Revision > 0 && !reply.Wanted.Same(request.Known) {
 			break
 		}
 		select {
 		case <-changed:
-			continue
+			pause.For(context.Background(), settleTime) // the view follows the items
 		case <-timer.C:
+			waiting = false
 		}
-		break
 	}
-	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
 	reply.Named = n.named(time.Now())
 	return nil
 }
+
+// storeFollowers is the number of gateways that follow the store for all: one
+// may be lost, and every call is priced.
+const storeFollowers = 2
+
+// leads reports whether this gateway is one of those that follow the store.
+func (n *neighbours) leads() bool {
+	names := []string{}
+	for _, g := range n.known(time.Now()) {
+		names = append(names, g.Name)
+	}
+	return rank.Among("store", n.own.Name, names, storeFollowers)
+}
--- a/internal/hosted/roster.go
+++ b/internal/hosted/roster.go
@@ -41,7 +41,8 @@
 
 type agentWord struct {
 	neighbour.Agent
-	at time.Time // when the agent said so
+	at     time.Time // when the agent said so
+	direct bool      // to this gateway
 }
 
 func newRoster(k *knowledge, h settings.Hosting, pools *direct.Pools) *roster {
@@ -131,16 +132,17 @@
 }
 
 // hear takes an agent's word; at is when the agent gave it.
-func (r *roster) hear(a neighbour.Agent, at time.Time) {
+func (r *roster) hear(a neighbour.Agent, at time.Time, direct bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if held, ok := r.agents[a.EngineAddress]; !ok || at.After(held.at) {
-		r.agents[a.EngineAddress] = agentWord{a, at}
+		r.agents[a.EngineAddress] = agentWord{a, at, direct}
 	}
 }
 
-// words returns the agents that spoke lately, with the age of their words.
-func (r *roster) words(now time.Time) []neighbour.Agent {
+// words returns the agents that spoke lately, with the age of their words; only
+// those that speak to this gateway if direct.
+func (r *roster) words(now time.Time, direct bool) []neighbour.Agent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []neighbour.Agent
@@ -150,6 +152,9 @@
 			delete(r.agents, address)
 			continue
 		}
+		if direct && !a.direct {
+			continue
+		}
 		a.AgeMilliseconds = age.Milliseconds()
 		out = append(out, a.Agent)
 	}
--- a/internal/neighbour/messages.go
+++ b/internal/neighbour/messages.go
@@ -48,22 +48,44 @@
 	EndMilliseconds   int64
 }
 
+// Wanted is what the platform's store says of an agent's engine. It is told
+// instead of the store's items, which grow with the site.
+type Wanted struct {
+	Revision int64 // of the store that it was read at; it only rises
+	Engine   site.Engine
+	Origin   string // address of the origin of weights
+	Version  int64  // of the weights that are to serve; 1 while none is named
+	Movable  bool   // answers that are cut off go on at another engine
+}
+
+// Same reports whether both say the same, whenever they were read.
+func (w Wanted) Same(o Wanted) bool {
+	w.Revision = o.Revision
+	return w == o
+}
+
 // SyncRequest is an agent's word to a gateway.
 type SyncRequest struct {
-	Agent    Agent
-	Revision int64 // of the agent's beliefs
+	Agent Agent
 }
 
-// FollowRequest waits until the gateway knows more than Revision.
+// FollowRequest waits until the gateway knows of something else than Known.
 type FollowRequest struct {
-	Revision         int64
+	Service          string
+	Known            Wanted
 	WaitMilliseconds int64 // at most
 }
 
-// SyncReply is what the agent lacks.
+// FollowReply is what is wanted of a service's engines.
+type FollowReply struct {
+	Wanted Wanted
+	Named  []Named
+}
+
+// SyncReply is what the agent may lack.
 type SyncReply struct {
-	Beliefs  belief.Update
-	Agents   []Agent // the others
+	Wanted   Wanted
+	Agents   []Agent // the others of its service
 	Gateways []Gateway
 	Named    []Named
 }
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
-	"almondreel.example/almondreel/internal/belief"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/draw"
 	"almondreel.example/almondreel/internal/duty"
@@ -29,9 +29,9 @@
 	memberTime = 2 * time.Second
 	// loadTime is how long a load order may take beyond what the engine runs.
 	loadTime = 5 * time.Second
-	// uploadPatience is how long a neighbour may wait for its piece to be sent:
-	// pieces go out one at a time, so that answers on the same link keep pace.
-	uploadPatience = 500 * time.Millisecond
+	// uploadsWaiting neighbours may wait for their pieces, which go out one at a
+	// time; others are sent away at once.
+	uploadsWaiting = 2
 	// uploadShare of the link is for pieces; the rest is for answers.
 	// While the engine answers nobody, idleShare is.
 	uploadShare = 0.78
@@ -52,26 +52,14 @@
 	Engine        Engine
 	Origin        Origin
 	Peers         *Peers
-	// Wanted decodes what the platform's store says: the service's engine, the
-	// origin's address and the version that is named.
-	Wanted func([]belief.Item) Wanted
-}
-
-// Wanted is what the platform's store says of the agent's model.
-type Wanted struct {
-	Engine  site.Engine
-	Origin  string // address
-	Version int64  // 1 while none is named
-	Movable bool   // answers that are cut off go on at another engine
 }
 
 // Agent keeps one engine's weights. It is safe for concurrent use.
 type Agent struct {
 	Options
-	Beliefs *belief.Beliefs
 
 	mu       sync.Mutex
-	wanted   Wanted
+	wanted   neighbour.Wanted
 	state    site.State
 	heard    bool // the engine answered the last report
 	members  map[string]member
@@ -113,7 +101,7 @@
 
 // NewAgent returns an agent that knows nothing yet.
 func NewAgent(o Options) *Agent {
-	return &Agent{Options: o, Beliefs: belief.New(), members: map[string]member{}, named: map[int64]time.Time{}}
+	return &Agent{Options: o, members: map[string]member{}, named: map[int64]time.Time{}}
 }
 
 // Run keeps the engine's weights until ctx ends.
@@ -152,13 +140,22 @@
 	}
 }
 
-// Adopt takes what a gateway or the store said.
-func (a *Agent) Adopt(u belief.Update, agents []neighbour.Agent, named []neighbour.Named) {
-	a.Beliefs.Adopt(u)
-	wanted := a.Wanted(a.Beliefs.Items())
+// Wanted returns what the agent believes is wanted.
+func (a *Agent) Wanted() neighbour.Wanted {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.wanted
+}
+
+// Adopt takes what a gateway or the store said. What was read at an older
+// revision of the store changes nothing.
+func (a *Agent) Adopt(wanted neighbour.Wanted, agents []neighbour.Agent, named []neighbour.Named) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if wanted.Revision < a.wanted.Revision {
+		wanted = a.wanted
+	}
 	a.wanted = wanted
 	for _, m := range agents {
 		a.meet(member{m, now.Add(-time.Duration(m.AgeMilliseconds) * time.Millisecond)})
@@ -321,10 +318,10 @@
 	data, err := a.bring(ctx, v.manifest, f, address)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	v.plan.Ended(time.Now(), f, err == nil)
+	v.plan.Ended(time.Now(), f, endOf(err))
 	if err != nil {
 		counter.Add("PieceFailures", 1)
-		if v.plan.Failures(f.Source) == 1 {
+		if !errors.Is(err, errBusy) && v.plan.Failures(f.Source) == 1 {
 			event.Fail(event.PieceFailed, err, "Piece", f.Piece, "Version", v.manifest.Version, "From", f.Source.Holder)
 		}
 		return true
@@ -335,6 +332,19 @@
 	return true
 }
 
+// errBusy says that a holder has enough to send.
+var errBusy = errors.New("holder is busy")
+
+func endOf(err error) draw.End {
+	switch {
+	case err == nil:
+		return draw.Brought
+	case errors.Is(err, errBusy):
+		return draw.Busy
+	}
+	return draw.Failed
+}
+
 // next chooses a piece, and the address to fetch it from.
 func (a *Agent) next() (v *version, f draw.Fetch, address string, ok bool) {
 	a.mu.Lock()
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/draw"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/invariant"
+	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
+	"almondreel.example/almondreel/internal/rank"
 )
 
 // keepTime is how often the wanted version is compared with what there is.
@@ -79,8 +83,11 @@
 const manifestPause = 200 * time.Millisecond
 
 // open begins to bring a version, with what is staged of it already.
-func (a *Agent) open(ctx context.Context, w Wanted) {
+func (a *Agent) open(ctx context.Context, w neighbour.Wanted) {
 	m, err := a.manifest(ctx, w)
+	if errors.Is(err, errNotYet) {
+		return
+	}
 	if err != nil {
 		a.manifestTries++
 		if a.manifestTries&(a.manifestTries-1) == 0 { // the first, second, fourth and so on
@@ -133,7 +140,7 @@
 const maxMisses = 12
 
 // manifest asks the neighbours that hold pieces of the version, then the origin.
-func (a *Agent) manifest(ctx context.Context, w Wanted) (Manifest, error) {
+func (a *Agent) manifest(ctx context.Context, w neighbour.Wanted) (Manifest, error) {
 	a.mu.Lock()
 	var holders []string
 	for _, m := range a.members {
@@ -141,7 +148,12 @@
 			holders = append(holders, m.Address)
 		}
 	}
+	first := slices.Contains(a.manifestDrawers(), a.Name)
+	waits := !first && len(holders) == 0 && time.Since(a.named[w.Version]) < manifestWait
 	a.mu.Unlock()
+	if waits {
+		return Manifest{}, errNotYet
+	}
 	for _, address := range holders {
 		m, err := a.Peers.Manifest(ctx, address, w.Engine.Model, w.Version)
 		if err == nil {
@@ -152,6 +164,26 @@
 	return a.Origin.Manifest(ctx, w.Origin, w.Engine.Model, w.Version)
 }
 
+const (
+	// manifestReaders agents read a manifest from the origin at once; the others
+	// have it from them, unless that takes longer than manifestWait.
+	manifestReaders = 8
+	manifestWait    = 450 * time.Millisecond
+)
+
+// errNotYet says that a neighbour should have the manifest soon.
+var errNotYet = errors.New("neighbours do not have it yet")
+
+func (a *Agent) manifestDrawers() []string {
+	names := []string{a.Name}
+	for _, m := range a.members {
+		if m.Service == a.Service {
+			names = append(names, m.Name)
+		}
+	}
+	return rank.First("manifest", names, manifestReaders)
+}
+
 // turn reports whether the engine may change over to a version now. One that serves nothing
 // need not wait.
 func (a *Agent) turn(wanted int64) bool {
--- a/internal/reel/peers.go
+++ b/internal/reel/peers.go
@@ -75,6 +75,10 @@
 		return nil, nil, errs.Wrap(err, "fetch", address)
 	}
 	have := parseHave(response.Header.Get(headerHave))
+	if response.StatusCode == http.StatusServiceUnavailable {
+		_ = response.Body.Close()
+		return nil, have, errs.Wrap(errBusy, "fetch", address)
+	}
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close()
 		return nil, have, errs.New("fetch", address, "status %d", response.StatusCode)
@@ -109,19 +113,23 @@
 
 // Handler serves pieces and manifests to other agents.
 func (a *Agent) Handler() http.Handler {
-	place := make(chan struct{}, 1)
+	places := make(chan struct{}, 1+uploadsWaiting)
+	sending := make(chan struct{}, 1)
 	pace := newPace(a.LinkMegabits)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+piecePath+"{model}/{version}/{piece}", func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), uploadPatience)
-		defer cancel()
 		select {
-		case place <- struct{}{}:
-			defer func() { <-place }()
-			a.servePiece(ctx, w, r, pace)
-		case <-ctx.Done():
-			counter.Add("Refused.UploadsFull", 1)
-			w.WriteHeader(http.StatusServiceUnavailable)
+		case places <- struct{}{}:
+			defer func() { <-places }()
+		default:
+			a.sendAway(w, r)
+			return
+		}
+		select {
+		case sending <- struct{}{}:
+			defer func() { <-sending }()
+			a.servePiece(w, r, pace)
+		case <-r.Context().Done():
 		}
 	})
 	mux.HandleFunc("GET "+manifestPath+"{model}/{version}", a.serveManifest)
@@ -164,7 +172,17 @@
 	return nil
 }
 
-func (a *Agent) servePiece(ctx context.Context, w http.ResponseWriter, r *http.Request, pace *rate.Limiter) {
+// sendAway tells a neighbour to ask others, and what there is here.
+func (a *Agent) sendAway(w http.ResponseWriter, r *http.Request) {
+	counter.Add("Refused.UploadsFull", 1)
+	version, _ := strconv.ParseInt(r.PathValue("version"), 10, 64)
+	if _, have := a.piece(r.PathValue("model"), version, 0); have != nil {
+		w.Header().Set(headerHave, formatHave(have))
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (a *Agent) servePiece(w http.ResponseWriter, r *http.Request, pace *rate.Limiter) {
 	version, _ := strconv.ParseInt(r.PathValue("version"), 10, 64)
 	n, err := strconv.Atoi(r.PathValue("piece"))
 	data, have := a.piece(r.PathValue("model"), version, n)
@@ -177,7 +195,7 @@
 	}
 	pace.SetLimit(rate.Limit(a.share() * a.LinkMegabits * bytesPerMegabit))
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	if err := send(ctx, w, pace, data); err != nil {
+	if err := send(r.Context(), w, pace, data); err != nil {
 		counter.Add("UploadsBroken", 1)
 		return
 	}
