--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
@@ -27,6 +29,9 @@
 	// retryMargin of what the site allows is spent; the rest is for requests
 	// that are counted otherwise elsewhere.
 	retryMargin = 0.92
+	// linesPerSecond of ended requests are logged, some times what a gateway
+	// serves at its peak. Calls that run at most once are always logged.
+	linesPerSecond = 250
 )
 
 // Options of a front.
@@ -54,13 +59,14 @@
 	client  *transmit.Client
 	budgets sync.Map // service to *limit.Window
 	hearing hearing
+	lines   *rate.Limiter // of ended requests in the log
 	running atomic.Int64
 	leaving atomic.Bool
 }
 
 // NewFront returns a front without requests.
 func NewFront(o Options) *Front {
-	return &Front{Options: o, client: transmit.NewClient(), hearing: hearing{servers: map[string]heard{}}}
+	return &Front{Options: o, client: transmit.NewClient(), lines: rate.NewLimiter(linesPerSecond, linesPerSecond), hearing: hearing{servers: map[string]heard{}}}
 }
 
 // budget returns the retries of a service.
@@ -199,6 +205,10 @@
 	took := time.Since(e.arrivedAt).Milliseconds()
 	counter.Add("Ended."+r.Outcome+string(r.Reason), 1)
 	counter.Observe("RequestMilliseconds."+r.Outcome, took)
+	if e.route.Kind != site.Once && !e.front.lines.Allow() {
+		counter.Add("LogLinesLeftOut", 1)
+		return
+	}
 	event.Log(event.RequestEnded,
 		"Request", e.call.AttemptID, "Route", e.route.Name, "Organisation", e.organisation,
 		"Outcome", r.Outcome, "Reason", string(r.Reason), "Server", e.server, "Version", e.version,
--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -22,7 +22,7 @@
 const (
 	// originStep is the turn of each rank at the origin: a copy takes 1.7 s out
 	// of the origin, so a rank that has done nothing by then has failed.
-	originStep = 900 * time.Millisecond
+	originStep = 1800 * time.Millisecond
 	// regionStep is the turn of each rank between regions.
 	regionStep = 250 * time.Millisecond
 	// perHolder bounds pieces in flight from one holder.
--- /dev/null
+++ b/internal/draw/draw_test.go
@@ -0,0 +1,279 @@
+package draw_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/draw"
+)
+
+const (
+	pieces = 64
+	// pieceTime is what a link of 7.6 Mbit/s takes for a piece, originTime what
+	// the origin's 9.9 Mbit/s take.
+	pieceTime  = 35 * time.Millisecond
+	originTime = 27 * time.Millisecond
+	tick       = 7 * time.Millisecond
+	newsAge    = 200 * time.Millisecond // of what agents know of each other
+)
+
+// flight is a fetch on its way.
+type flight struct {
+	fetch draw.Fetch
+	to    *taker
+	until time.Time
+}
+
+// taker is an agent of the play.
+type taker struct {
+	name, region string
+	plan         *draw.Plan
+	dead         bool
+	doneAt       time.Time
+	sendsUntil   time.Time
+	told         [][]uint64 // what the others hear, oldest first
+}
+
+// play passes a version to agents that hold nothing: every link sends one piece
+// at a time, and what agents hear of each other is newsAge old.
+type play struct {
+	t       *testing.T
+	now     time.Time
+	agents  []*taker
+	flights []flight
+	origin  time.Time // it sends until then
+	copies  int       // pieces out of the origin
+	downAt  time.Time // the origin is down from here
+	upAt    time.Time
+	across  map[string]int // pieces into each region
+	slots   int
+}
+
+func newPlay(t *testing.T, perRegion int) *play {
+	p := &play{t: t, now: time.Unix(1000, 0), across: map[string]int{}, slots: 4}
+	for _, region := range []string{"north", "south", "west"} {
+		for n := range perRegion {
+			name := fmt.Sprintf("%s-%d", region, n)
+			plan := draw.NewPlan(name, region, pieces, p.now, rand.New(rand.NewPCG(uint64(len(p.agents)), 7)))
+			p.agents = append(p.agents, &taker{name: name, region: region, plan: plan})
+		}
+	}
+	return p
+}
+
+func (p *play) find(name string) *taker {
+	for _, a := range p.agents {
+		if a.name == name {
+			return a
+		}
+	}
+	return nil
+}
+
+func (p *play) members(of *taker) []draw.Member {
+	var out []draw.Member
+	for _, a := range p.agents {
+		if a != of && !a.dead {
+			have := a.told[0]
+			out = append(out, draw.Member{Name: a.name, Region: a.region, Have: have, Needs: !full(have)})
+		}
+	}
+	return out
+}
+
+func full(have []uint64) bool { return len(have) > 0 && have[0] == ^uint64(0) }
+
+func (p *play) originDown() bool { return !p.now.Before(p.downAt) && p.now.Before(p.upAt) }
+
+// step lands what has arrived and begins what may begin.
+func (p *play) step() {
+	p.now = p.now.Add(tick)
+	rest := p.flights[:0]
+	for _, f := range p.flights {
+		if f.until.After(p.now) {
+			rest = append(rest, f)
+			continue
+		}
+		p.land(f)
+	}
+	p.flights = rest
+	for _, a := range p.agents {
+		a.told = append(a.told, a.plan.Have())
+		if keep := int(newsAge / tick); len(a.told) > keep {
+			a.told = a.told[len(a.told)-keep:]
+		}
+	}
+	for _, a := range p.agents {
+		for !a.dead && p.inFlight(a) < p.slots {
+			f, ok := a.plan.Next(p.now, p.members(a))
+			if !ok {
+				break
+			}
+			p.begin(a, f)
+		}
+	}
+}
+
+func (p *play) inFlight(a *taker) int {
+	n := 0
+	for _, f := range p.flights {
+		if f.to == a {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *play) begin(a *taker, f draw.Fetch) {
+	sends, each := &p.origin, originTime
+	if f.Source.Holder != "" {
+		holder := p.find(f.Source.Holder)
+		sends, each = &holder.sendsUntil, pieceTime
+		if holder.dead {
+			a.plan.Ended(p.now, f, draw.Failed)
+			return
+		}
+		if sends.Sub(p.now) > 2*pieceTime {
+			a.plan.Ended(p.now, f, draw.Busy)
+			return
+		}
+	} else if p.originDown() {
+		a.plan.Ended(p.now, f, draw.Failed)
+		return
+	}
+	start := p.now
+	if sends.After(start) {
+		start = *sends
+	}
+	*sends = start.Add(each)
+	p.flights = append(p.flights, flight{f, a, *sends})
+}
+
+func (p *play) land(f flight) {
+	holder := p.find(f.fetch.Source.Holder)
+	if f.to.dead || holder != nil && holder.dead || holder == nil && p.originDown() {
+		f.to.plan.Ended(p.now, f.fetch, draw.Failed)
+		return
+	}
+	f.to.plan.Ended(p.now, f.fetch, draw.Brought)
+	f.to.plan.Got(f.fetch.Piece)
+	if holder == nil {
+		p.copies++
+	}
+	if holder == nil || holder.region != f.to.region {
+		p.across[f.to.region]++
+	}
+	if f.to.plan.Complete() && f.to.doneAt.IsZero() {
+		f.to.doneAt = p.now
+	}
+}
+
+// run plays until all live agents hold the version and returns how long it took.
+func (p *play) run(limit time.Duration) time.Duration {
+	began := p.now
+	for p.now.Sub(began) < limit {
+		p.step()
+		left := 0
+		for _, a := range p.agents {
+			if !a.dead && a.doneAt.IsZero() {
+				left++
+			}
+		}
+		if left == 0 {
+			return p.now.Sub(began)
+		}
+	}
+	p.t.Fatalf("not everywhere after %v", limit)
+	return 0
+}
+
+// bound is the least time in which a version can reach all: through an agent's
+// own link.
+const bound = pieces * pieceTime
+
+// Pattern: all engines are empty after a loss of power everywhere.
+func TestAllEngines(t *testing.T) {
+	for _, perRegion := range []int{2, 6, 10} {
+		p := newPlay(t, perRegion)
+		took := p.run(10 * time.Second)
+		t.Logf("%d agents: %v, %.2f of the bound, %d pieces out of the origin, across %v", 3*perRegion, took, float64(took)/float64(bound), p.copies, p.across)
+		require.LessOrEqual(t, took, 2*bound)
+		require.LessOrEqual(t, p.copies, pieces*5/4, "one copy out of the origin, or little more")
+	}
+}
+
+// Pattern: engines are added while others hold the version.
+func TestAddedEnginesTakeItFromTheirRegion(t *testing.T) {
+	p := newPlay(t, 6)
+	for n, a := range p.agents {
+		if n%2 == 0 {
+			for piece := range pieces {
+				a.plan.Got(piece)
+			}
+			a.doneAt = p.now
+		}
+	}
+	took := p.run(10 * time.Second)
+	require.LessOrEqual(t, took, 2*bound)
+	require.Zero(t, p.copies, "nothing comes from the origin")
+	require.Empty(t, p.across, "nothing crosses between regions")
+}
+
+// Pattern: agents die while the version is on its way.
+func TestAgentsThatDieAreSteppedInFor(t *testing.T) {
+	p := newPlay(t, 6)
+	for range 100 {
+		p.step()
+	}
+	for _, n := range []int{0, 7, 14} {
+		p.agents[n].dead = true
+	}
+	p.run(12 * time.Second)
+}
+
+// Pattern: the origin dies 2.5 s after a version was named.
+func TestACopyIsOutBeforeTheOriginDies(t *testing.T) {
+	p := newPlay(t, 7)
+	p.downAt = p.now.Add(2500 * time.Millisecond)
+	p.upAt = p.downAt.Add(6 * time.Second)
+	require.LessOrEqual(t, p.run(12*time.Second), 5*time.Second)
+}
+
+// Pattern: the origin is down when a version is named.
+func TestTheOriginIsAskedAgainWhenItReturns(t *testing.T) {
+	p := newPlay(t, 4)
+	p.downAt, p.upAt = p.now, p.now.Add(3*time.Second)
+	require.LessOrEqual(t, p.run(12*time.Second), 3*time.Second+2*bound)
+}
+
+func TestASpoiltPieceIsFetchedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := draw.NewPlan("a", "north", 1, now, rand.New(rand.NewPCG(1, 1)))
+	p.Got(0)
+	require.True(t, p.Complete())
+	p.Lost(0)
+	f, ok := p.Next(now, nil)
+	require.True(t, ok)
+	require.Equal(t, draw.Source{}, f.Source)
+}
+
+func TestEnginesChangeOverOneAfterTheOther(t *testing.T) {
+	named := time.Unix(1000, 0)
+	by := named.Add(8 * time.Second)
+	var names []string
+	for n := range 20 {
+		names = append(names, fmt.Sprint("engine-", n))
+	}
+	turns := map[time.Time]bool{}
+	for _, name := range names {
+		at := draw.Turn(name, 2, names, named, by)
+		require.False(t, at.Before(named))
+		require.True(t, at.Before(by.Add(-500*time.Millisecond)), "time for the load is left")
+		require.False(t, turns[at], "no two at once")
+		turns[at] = true
+	}
+}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/logsink"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/reel"
@@ -49,6 +51,7 @@
 
 // RunAgent runs an agent until SIGINT or SIGTERM.
 func RunAgent(s settings.HostedAgent, file string) error {
+	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
 	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}}
 	a.reel = reel.NewAgent(reel.Options{
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/logsink"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/schedule"
@@ -52,6 +54,7 @@
 
 // RunGateway runs a gateway until SIGINT or SIGTERM, and drains it then.
 func RunGateway(s settings.HostedGateway, file string) error {
+	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
 	g := newGateway(s)
 	tree := duty.NewTree(s.Name)
