--- a/internal/hosted/roster.go
+++ b/internal/hosted/roster.go
@@ -71,9 +71,11 @@
 	}
 	services := map[string][]schedule.Server{}
 	count := 0
-	for _, s := range r.knowledge.listed(now) {
+	listed := r.knowledge.listed(now)
+	newest := newestAt(listed)
+	for _, s := range listed {
 		service, ok := c.Services[s.Service]
-		if !ok || s.Draining {
+		if !ok || s.Draining || s.State.Born < newest[s.Address] {
 			continue
 		}
 		count++
@@ -86,6 +88,16 @@
 	}
 }
 
+// newestAt returns the latest start of a server at each address. The entry of a
+// server that ended stays for some seconds, when another may have its address.
+func newestAt(listed map[string]site.Server) map[string]int64 {
+	newest := map[string]int64{}
+	for _, s := range listed {
+		newest[s.Address] = max(newest[s.Address], s.State.Born)
+	}
+	return newest
+}
+
 // server is a listed server as the schedule sees it. An agent that stands
 // beside it knows better what it has loaded than its entry, which lags.
 func (r *roster) server(now time.Time, s site.Server, service site.Service) schedule.Server {
@@ -99,6 +111,9 @@
 	holding := s.State.Holding(service.Engine.Layers)
 	if a, ok := r.word(s.Address); ok && now.Sub(a.at) < agentTime && a.Born >= s.State.Born {
 		holding = a.serves(now)
+		if a.Born > s.State.Born { // the entry is of the start before, perhaps under another ID
+			holding.Whole = false
+		}
 	}
 	out.Version, out.Ready = holding.Version, holding.Whole
 	return out
