--- /dev/null
+++ b/internal/settings/hosted_test.go
@@ -0,0 +1,61 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/settings"
+)
+
+const hostedGateway = `Name: gateway-1
+Region: north
+DataCentre: north-a
+CallerListen: "10.0.0.1:8005"
+ReadyListen: "10.0.0.1:8002"
+NeighbourListen: "10.0.0.1:8000"
+DrainMS: 2000
+GraceSeconds: 7.5
+Retries: {Share: 0.2, Besides: 102, SpanSeconds: 10}
+Hosting:
+  Program: almondreel-gateway
+  Store: "10.200.1.7:8007"
+  MemoryMB: 284
+  VersionMS: 8000
+  Gateways:
+  Places:
+    - {DataCentre: north-a, Region: north}
+`
+
+func TestHostedSettings(t *testing.T) {
+	file := write(t, hostedGateway)
+	hosted, err := settings.IsHosted(file)
+	require.NoError(t, err)
+	require.True(t, hosted)
+	g, err := settings.LoadHostedGateway(file)
+	require.NoError(t, err)
+	require.Equal(t, "north", g.Hosting.Region("north-a"))
+	require.Empty(t, g.Hosting.Region("south-a"))
+	require.InDelta(t, 7.5, g.GraceSeconds, 1e-9)
+	program, err := settings.Check(file)
+	require.NoError(t, err)
+	require.Equal(t, settings.ProgramGateway, program)
+}
+
+func TestHostedRefusalsNameLineAndKey(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`Store: "10.200.1.7:8007"`, `Store: "store:8007"`, `:12: key Hosting.Store: found "store:8007"`},
+		{"MemoryMB: 284", "MemoryMB: 0", ":13: key Hosting.MemoryMB"},
+		{"Program: almondreel-gateway", "Program: almondreel-agent", ":11: key Hosting.Program"},
+		{"Share: 0.2", "Share: 2", "key Retries.Share"},
+		{"GraceSeconds: 7.5", "GraceSeconds: 0", ":8: key GraceSeconds"},
+		{"Region: north}", `Region: ""}`, "key Hosting.Places[0].Region"},
+		{"DrainMS: 2000", "DrainMS: 2000\nDrainS: 2", "key DrainS"},
+	} {
+		require.Contains(t, hostedGateway, c.from)
+		file := write(t, strings.Replace(hostedGateway, c.from, c.to, 1))
+		_, err := settings.Check(file)
+		require.ErrorContains(t, err, c.want)
+	}
+}
