--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -17,8 +17,6 @@
 	Credential   string
 	Model        string
 	PromptTokens int
-	AnswerTokens int // at most
-	LengthHint   int // expected tokens of the answer; 0: none given
 	AfterEvent   string
 }
 
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -69,7 +69,7 @@
 		case schedule.Refuse:
 			return e.notRun(outcome.Refused{Reason: p.Reason, RetryAt: p.RetryAt})
 		default:
-			return e.late(ctx)
+			return e.late()
 		}
 	}
 }
@@ -82,12 +82,12 @@
 	return outcome.Unknown{Reason: r.Reason}
 }
 
-// late is the outcome of a request whose context ended before an answer.
-func (e *exchange) late(ctx context.Context) outcome.Outcome {
+// late is the outcome of a request whose caller left or whose time was up
+// before an answer.
+func (e *exchange) late() outcome.Outcome {
 	if e.r.Context().Err() != nil {
 		return outcome.Cancelled{}
 	}
-	_ = ctx
 	return e.notRun(outcome.Refused{Reason: outcome.DeadlinePassed, RetryAt: time.Now().Add(unknownDelay)})
 }
 
@@ -108,7 +108,7 @@
 		return e.afterBreak(s, r, fingerprint, verdict)
 	}
 	e.runs++
-	return e.late(ctx), false
+	return e.late(), false
 }
 
 // promptLeft is the reading that the server was still charged with.
@@ -169,7 +169,6 @@
 		Resumed:      e.begun,
 		Returning:    e.sent > 0,
 		PromptMS:     prompt,
-		HoldMS:       e.holdMS(),
 		ArrivedAt:    e.arrivedAt,
 		StartBy:      target.Add(-plainHoldMS * time.Millisecond),
 		GiveUpAt:     e.deadline,
@@ -189,15 +188,3 @@
 	}
 	return float64(e.call.PromptTokens) / e.service.Engine.ReadPerMillisecond
 }
-
-func (e *exchange) holdMS() float64 {
-	g := e.service.Engine
-	if g.Slots == 0 {
-		return plainHoldMS
-	}
-	answer := float64(e.call.LengthHint)
-	if answer <= 0 {
-		answer = g.UsualAnswer
-	}
-	return e.promptMS() + answer*(g.StepMilliseconds+g.StepPerRequest*float64(g.Slots))
-}
--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -272,11 +272,6 @@
 	return len(v.drawers) + stripe.Position(item, v.needers, p.name)
 }
 
-// Draws reports whether the agent is one of those that draw from the origin.
-func (p *Plan) Draws(members []Member) bool {
-	return slices.Contains(p.look(members).drawers, p.name)
-}
-
 // holder returns the member that has the piece and is asked least.
 func (p *Plan) holder(now time.Time, piece int, among []Member) (string, bool) {
 	best, least, ties := "", perHolder, 0
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -33,8 +33,6 @@
 	Returning    bool // the caller was refused before
 	Resumed      bool // its answer has begun
 	PromptMS     float64
-	HoldMS       float64 // expected time in a slot
-	Value        float64
 	ArrivedAt    time.Time
 	StartBy      time.Time // from here on the answer would miss its target
 	GiveUpAt     time.Time // no use to the caller after this
@@ -70,9 +68,9 @@
 
 // Options of a pool.
 type Options struct {
-	Region string // of the gateway
-	Extra  int    // requests beyond its slots that a server is sent, to hide the way there
-	Local  float64
+	Region string  // of the gateway
+	Extra  int     // requests beyond its slots that a server is sent, to hide the way there
+	Local  float64 // load, as a share of a server's slots, for which a request leaves its region
 }
 
 // Pool is not safe for concurrent use.
@@ -88,12 +86,11 @@
 
 type server struct {
 	Server
-	own         int     // requests that this gateway has there
-	others      int     // requests that other gateways said they have there
-	reading     float64 // milliseconds of prompts that have not answered yet
-	failures    int     // in a row
-	suspendedAt time.Time
-	resumesAt   time.Time
+	own       int     // requests that this gateway has there
+	others    int     // requests that other gateways said they have there
+	reading   float64 // milliseconds of prompts that have not answered yet
+	failures  int     // in a row
+	resumesAt time.Time
 }
 
 // NewPool returns a pool without servers.
@@ -292,7 +289,7 @@
 	for range min(s.failures-1, 5) {
 		pause *= 2
 	}
-	s.suspendedAt, s.resumesAt = now, now.Add(min(pause, longestSuspension))
+	s.resumesAt = now.Add(min(pause, longestSuspension))
 }
 
 // Tick settles what has waited long enough.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -45,6 +45,7 @@
 type request struct {
 	gateway   int
 	ask       schedule.Ask
+	holdMS    float64
 	firstAt   time.Time
 	refusedAt time.Time
 	returned  bool
@@ -165,7 +166,7 @@
 		r.firstAt = l.now
 		l.pools[gateway].Answered(s.ID, r.ask.PromptMS)
 	})
-	l.at(first+time.Duration((r.ask.HoldMS-r.ask.PromptMS)*float64(time.Millisecond)), func() {
+	l.at(first+time.Duration((r.holdMS-r.ask.PromptMS)*float64(time.Millisecond)), func() {
 		e.running--
 		l.ended = append(l.ended, r)
 		l.settle(gateway, l.pools[gateway].Ended(l.now, s.ID, schedule.Finished, 0))
@@ -189,8 +190,8 @@
 		}
 		size := l.random.ExpFloat64()
 		g := []int{0, 1, 1, 2, 2, 3, 3, 3, 0, 1}[l.random.IntN(10)]
-		l.arrive(&request{gateway: g, ask: schedule.Ask{
-			PromptMS: readMS * size, HoldMS: readMS*size + holdMS*l.random.ExpFloat64(), ArrivedAt: l.now,
+		l.arrive(&request{gateway: g, holdMS: readMS*size + holdMS*l.random.ExpFloat64(), ask: schedule.Ask{
+			PromptMS: readMS * size, ArrivedAt: l.now,
 			StartBy:  l.now.Add(target - 110*time.Millisecond - time.Duration(readMS*size*float64(time.Millisecond))),
 			GiveUpAt: l.now.Add(6 * time.Second),
 		}})
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -24,7 +24,6 @@
 	CallerListen    string  `yaml:"CallerListen"`    // requests of callers
 	ReadyListen     string  `yaml:"ReadyListen"`     // the platform's readiness questions
 	NeighbourListen string  `yaml:"NeighbourListen"` // net/rpc of gateways and agents, metrics
-	DrainMS         int     `yaml:"DrainMS"`         // milliseconds within which leaving servers get nothing more
 	Retries         Retries `yaml:"Retries"`
 	GraceSeconds    float64 `yaml:"GraceSeconds"` // from SIGTERM until the platform kills the process
 }
@@ -90,7 +89,6 @@
 	c.listen("CallerListen", g.CallerListen)
 	c.listen("ReadyListen", g.ReadyListen)
 	c.listen("NeighbourListen", g.NeighbourListen)
-	c.bound("DrainMS", g.DrainMS)
 	c.refuse(g.Retries.Share >= 0 && g.Retries.Share <= 1, "Retries.Share", "a share from 0 to 1")
 	c.refuse(g.Retries.Besides >= 0, "Retries.Besides", "a number, 0 or more")
 	c.refuse(g.Retries.SpanSeconds > 0 && g.Retries.SpanSeconds <= maxBoundMS/1000, "Retries.SpanSeconds", "seconds, above 0, at most ten minutes")
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -15,7 +15,6 @@
 CallerListen: "10.0.0.1:8005"
 ReadyListen: "10.0.0.1:8002"
 NeighbourListen: "10.0.0.1:8000"
-DrainMS: 2000
 GraceSeconds: 7.5
 Retries: {Share: 0.2, Besides: 102, SpanSeconds: 10}
 Hosting:
@@ -45,13 +44,13 @@
 
 func TestHostedRefusalsNameLineAndKey(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
-		{`Store: "10.200.1.7:8007"`, `Store: "store:8007"`, `:12: key Hosting.Store: found "store:8007"`},
-		{"MemoryMB: 284", "MemoryMB: 0", ":13: key Hosting.MemoryMB"},
-		{"Program: almondreel-gateway", "Program: almondreel-agent", ":11: key Hosting.Program"},
+		{`Store: "10.200.1.7:8007"`, `Store: "store:8007"`, `:11: key Hosting.Store: found "store:8007"`},
+		{"MemoryMB: 284", "MemoryMB: 0", ":12: key Hosting.MemoryMB"},
+		{"Program: almondreel-gateway", "Program: almondreel-agent", ":10: key Hosting.Program"},
 		{"Share: 0.2", "Share: 2", "key Retries.Share"},
-		{"GraceSeconds: 7.5", "GraceSeconds: 0", ":8: key GraceSeconds"},
+		{"GraceSeconds: 7.5", "GraceSeconds: 0", ":7: key GraceSeconds"},
 		{"Region: north}", `Region: ""}`, "key Hosting.Places[0].Region"},
-		{"DrainMS: 2000", "DrainMS: 2000\nDrainS: 2", "key DrainS"},
+		{"GraceSeconds: 7.5", "GraceSeconds: 7.5\nDrainS: 2", "key DrainS"},
 	} {
 		require.Contains(t, hostedGateway, c.from)
 		file := write(t, strings.Replace(hostedGateway, c.from, c.to, 1))
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -44,10 +44,9 @@
 
 // Service is a group of backend servers.
 type Service struct {
-	Name           string
-	MaxConnections int
-	Engine         Engine
-	Origin         Origin
+	Name   string
+	Engine Engine
+	Origin Origin
 }
 
 // Engine describes a service's model engines; Slots is 0 for a plain service.
@@ -59,18 +58,11 @@
 	PieceBytes         int     // bytes of a piece
 	WarmUpMilliseconds float64 // loading of all layers
 	ReadPerMillisecond float64 // prompt tokens
-	StepMilliseconds   float64 // one token of every request in the batch
-	StepPerRequest     float64 // milliseconds added to a step by each request
-	StepsPerPass       int
-	UsualPrompt        float64 // tokens, mean
-	UsualAnswer        float64 // tokens, mean
-	CapacityTokens     int     // memory for requests
 }
 
 // Origin is where weights come from; Address is empty for other services.
 type Origin struct {
-	Address        string
-	BytesPerSecond int64
+	Address string
 }
 
 // Organisation is a customer and its credentials.
@@ -83,8 +75,7 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
+	BodyBytes int64
 }
 
 // Configuration is one version of the operators' configuration. Read-only.
