--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -122,10 +122,10 @@
 func (e *exchange) afterRejection(s schedule.Server, r rejected) (outcome.Outcome, bool) {
 	e.rejected++
 	e.avoid = append(e.avoid, s.ID)
-	counter.Add("Retried."+string(r.reason), 1)
 	if e.rejected >= maxRejections || !e.front.mayRetry(e.service.Name) {
 		return e.notRun(e.front.Pools.refusal(e.service.Name, r.reason)), false
 	}
+	counter.Add("Retried."+string(r.reason), 1)
 	event.Log(event.RequestRetried, "Request", e.call.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail)
 	return nil, true
 }
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -48,7 +48,7 @@
 	running map[string]int
 	heardAt time.Time // it called
 	reached time.Time // it answered
-	called  bool      // a goroutine calls it
+	called  bool      // a goroutine calls it, or will soon
 	up      bool
 	told    map[string]telling // by agent
 }
@@ -80,6 +80,8 @@
 	if !ok {
 		o = &other{client: control.NewClient(g.Address), reached: time.Now()}
 		n.gateways[g.Address] = o
+	}
+	if !o.called {
 		select {
 		case n.started <- g.Address:
 			o.called = true
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -17,7 +17,7 @@
 
 const (
 	// reportTime is how often the engine's state is read: reports are free on
-	// the engine's own machine and as old as 200 ms.
+	// the engine's own instance and as old as 200 ms.
 	reportTime = 100 * time.Millisecond
 	// fetchers is the number of pieces in flight to an agent; only servingFetchers
 	// of them while its engine answers callers over the same link.
@@ -47,7 +47,7 @@
 	Region        string
 	Service       string
 	EngineAddress string
-	LinkMegabits  float64 // a second, of the machine's link
+	LinkMegabits  float64 // a second, of the instance's link
 	VersionMS     int     // milliseconds from the naming of a version until it must serve everywhere
 	Engine        Engine
 	Origin        Origin
