Place a version over its former one in the test of the former one

Trace: the test's placement named no previous version, so the replica rightly closed the board for it; the test passed only because its wait was met at once by the board's old state (16 chunks of the first version). The test was wrong. The placement now names the former version, and the wait is for chunks of the new one: the check that the former one serves meanwhile is really made.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -122,10 +122,11 @@
 	return m
 }
 
-func (b *bench) place(m manifest.Manifest, revision uint64) {
+// place places a version; the previous ones may answer until it serves.
+func (b *bench) place(m manifest.Manifest, revision uint64, previous ...manifest.Digest) {
 	p := placement.Placement{Assignments: []placement.Assignment{{
 		Class: "class", Kind: operator.Model, Model: m.Model, Version: m.Version, Digest: m.Digest(),
-		Weighing: operator.Time, Instances: []string{b.agent.Settings.Name},
+		Weighing: operator.Time, Instances: []string{b.agent.Settings.Name}, Previous: previous,
 	}}}
 	b.adopt(p, revision)
 }
@@ -231,8 +232,11 @@
 	first, second := b.publish("1", 1), b.publish("2", 2)
 	b.place(first, 1)
 	b.awaitServing(first.Digest())
-	b.place(second, 2)
-	require.Eventually(t, func() bool { return b.board.Status().Have > 2 }, 10*time.Second, 5*time.Millisecond)
+	b.place(second, 2, first.Digest())
+	require.Eventually(t, func() bool {
+		s := b.board.Status()
+		return s.Want == second.Digest() && s.Have > 2
+	}, 10*time.Second, 5*time.Millisecond)
 	require.True(t, b.serving(first.Digest()))
 	drawn := b.swarm.Origin.Sent().Bytes
 	b.place(first, 3)
