Take a neighbour's word that the store is back; bound how long a lapsed entry is used

Ruled out: items lost between gateways (revisions agree, edge-delta-a-2 lists 26 servers where the others list 22). Conclusion: what says that beliefs are current also says that the store answered.

--- a/internal/hosted/knowledge.go
+++ b/internal/hosted/knowledge.go
@@ -32,6 +32,10 @@
 	// returnTime is how long after the store's return the entries of servers
 	// may be missing that lapsed meanwhile.
 	returnTime = 2 * time.Second
+	// lapseTime is how long such a server is used after its entry was seen to
+	// go: less than the two seconds in which servers that leave must be left,
+	// by the time that the news takes.
+	lapseTime = 1700 * time.Millisecond
 	// freshTime is the age from which a view may lack what the store holds: a
 	// watch, one answer's time and a margin.
 	freshTime = watchTime + time.Second + 500*time.Millisecond
@@ -50,15 +54,22 @@
 	versions      map[string]site.Version // by model
 	named         map[site.Version]naming
 	servers       map[string]site.Server // by ID
-	lapsed        map[string]site.Server // whose entries went while the store was away
+	lapsed        map[string]lapse       // whose entries went while the store was away
 	bootedAt      time.Time
 	down          bool
+	downAt        time.Time // the last call that the store did not answer
 	returnedAt    time.Time // the store's last return
 	confirmedAt   time.Time // when the beliefs were last known to be current
 	changed       chan struct{}
 	leads         func() bool // this process is one of those that follow the store for all
 }
 
+// lapse is a server whose entry may come back until a moment.
+type lapse struct {
+	server site.Server
+	until  time.Time
+}
+
 // naming is when a version was named.
 type naming struct {
 	at    time.Time
@@ -69,7 +80,7 @@
 	return &knowledge{
 		store: store, beliefs: belief.New(), bootedAt: time.Now(),
 		versions: map[string]site.Version{}, named: map[site.Version]naming{},
-		servers: map[string]site.Server{}, lapsed: map[string]site.Server{},
+		servers: map[string]site.Server{}, lapsed: map[string]lapse{},
 		changed: make(chan struct{}, 1), leads: func() bool { return true },
 	}
 }
@@ -121,6 +132,7 @@
 func (k *knowledge) setDown(err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.downAt = time.Now()
 	if !k.down {
 		k.down = true
 		event.Fail(event.StoreDown, err)
@@ -140,13 +152,19 @@
 }
 
 // confirm notes that another process, whose beliefs were current at a moment,
-// believes the same.
+// believes the same. Then the store answered after it last failed to answer this
+// process, which may not call it again for long.
 func (k *knowledge) confirm(at time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if at.After(k.confirmedAt) {
 		k.confirmedAt = at
 	}
+	if k.down && at.After(k.downAt) {
+		k.down = false
+		k.returnedAt = time.Now()
+		event.Log(event.StoreUp, "Revision", k.beliefs.Revision(), "From", "neighbour")
+	}
 }
 
 // confirmed returns when the beliefs were last known to be current.
@@ -233,7 +251,7 @@
 	held, ok := k.servers[i.Key]
 	delete(k.servers, i.Key)
 	if ok && i.Deleted && !held.Draining && k.away(time.Now()) {
-		k.lapsed[i.Key] = held
+		k.lapsed[i.Key] = lapse{held, time.Now().Add(lapseTime)}
 	}
 }
 
@@ -259,11 +277,14 @@
 func (k *knowledge) listed(now time.Time) map[string]site.Server {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.away(now) {
-		clear(k.lapsed)
-	}
 	out := maps.Clone(k.servers)
-	maps.Copy(out, k.lapsed)
+	for key, l := range k.lapsed {
+		if !k.away(now) || now.After(l.until) {
+			delete(k.lapsed, key)
+			continue
+		}
+		out[key] = l.server
+	}
 	return out
 }
 
