Let an agent without a gateway ask all of them at once

Cause: after a loss of power agents asked gateways one after the other, each one that is still dark for 400 ms. Ruled out: reading what is staged (25 ms), the store (gateways know within 30 ms).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -33,6 +34,9 @@
 	followTime = 2 * time.Second
 	// fallbackTime is how long no gateway answers before the store is asked.
 	fallbackTime = 2 * time.Second
+	// passOverTime is how long a gateway that did not answer is not the first
+	// to be asked: a few of its answers' bounds.
+	passOverTime = time.Second
 	pieceIdle    = 20 * time.Second
 	peerDial     = 400 * time.Millisecond
 )
@@ -47,13 +51,15 @@
 	answers  atomic.Pointer[control.Client] // of the gateway that answers; nil: none does
 	current  string                         // its address
 	heardAt  time.Time                      // a gateway answered, or the store was asked
+	// passedOver holds until when gateways that did not answer come last.
+	passedOver map[string]time.Time
 }
 
 // RunAgent runs an agent until SIGINT or SIGTERM.
 func RunAgent(s settings.HostedAgent, file string) error {
 	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
-	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}}
+	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}, passedOver: map[string]time.Time{}}
 	a.reel = reel.NewAgent(reel.Options{
 		Name: s.Name, Address: s.PieceListen, Region: s.Region, Service: s.Backend.Service,
 		EngineAddress: s.Backend.Address, VersionMS: s.Hosting.VersionMS, LinkMegabits: s.LinkMegabits,
@@ -106,20 +112,52 @@
 	return ctx.Err()
 }
 
-// tell speaks to the first gateway that answers, those of its region first.
+// tell speaks to one gateway: the one that answered last, or one of its own
+// region instead. If there is none or it fails, all are asked.
 func (a *agent) tell(ctx context.Context) bool {
-	for _, g := range a.ranked() {
-		if a.tellOne(ctx, g.Address) {
-			a.current, a.heardAt = g.Address, time.Now()
-			return true
+	if a.current != "" && a.adopt(ctx, a.ask(ctx, a.ranked()[0].Address)) {
+		return true
+	}
+	return ctx.Err() == nil && a.adopt(ctx, a.askAll(ctx))
+}
+
+// answer is what a gateway said, or the error why it did not.
+type answer struct {
+	address string
+	reply   neighbour.SyncReply
+	err     error
+}
+
+// knows reports whether the gateway has heard from the store since its start.
+func (r answer) knows() bool { return r.err == nil && r.reply.Wanted.Revision > 0 }
+
+// askAll asks all gateways at once, since one that lost its power would hold up
+// those behind it for the whole of syncAnswer. It returns the first answer of a
+// gateway that knows what is wanted, or any answer.
+func (a *agent) askAll(ctx context.Context) answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	list := a.ranked()
+	answers := make(chan answer, len(list))
+	for _, g := range list {
+		client := a.client(g.Address)
+		go func() { answers <- a.askOne(ctx, client, g.Address) }()
+	}
+	best := answer{err: errNoGateway}
+	for range list {
+		r := <-answers
+		if r.knows() {
+			return r
 		}
-		if ctx.Err() != nil {
-			return false
+		if best.err != nil {
+			best = r
 		}
 	}
-	return false
+	return best
 }
 
+var errNoGateway = errors.New("no gateway is known")
+
 func (a *agent) ranked() []neighbour.Gateway {
 	out := slices.Clone(a.gateways)
 	slices.SortStableFunc(out, func(x, y neighbour.Gateway) int { return a.rank(x) - a.rank(y) })
@@ -128,6 +166,8 @@
 
 func (a *agent) rank(g neighbour.Gateway) int {
 	switch {
+	case time.Now().Before(a.passedOver[g.Address]):
+		return 4
 	case g.Region == a.settings.Region && g.Address == a.current:
 		return 0
 	case g.Region == a.settings.Region:
@@ -138,30 +178,46 @@
 	return 3
 }
 
-func (a *agent) tellOne(ctx context.Context, address string) bool {
+func (a *agent) client(address string) *control.Client {
 	client, ok := a.clients[address]
 	if !ok {
 		client = control.NewClient(address)
 		a.clients[address] = client
 	}
+	return client
+}
+
+func (a *agent) ask(ctx context.Context, address string) answer {
+	return a.askOne(ctx, a.client(address), address)
+}
+
+func (a *agent) askOne(ctx context.Context, client *control.Client, address string) answer {
 	ctx, cancel := context.WithTimeout(ctx, syncAnswer)
 	defer cancel()
+	r := answer{address: address}
 	request := neighbour.SyncRequest{Agent: a.reel.Say()}
-	var reply neighbour.SyncReply
-	if err := client.Call(ctx, neighbour.MethodSync, request, &reply); err != nil {
-		if a.current == address {
-			event.Fail(event.NeighbourDown, err, "Address", address)
+	r.err = client.Call(ctx, neighbour.MethodSync, request, &r.reply)
+	return r
+}
+
+// adopt takes a gateway's answer; false if it did not answer.
+func (a *agent) adopt(ctx context.Context, r answer) bool {
+	if r.err != nil {
+		a.passedOver[r.address] = time.Now().Add(passOverTime)
+		if a.current != "" && a.current == r.address && ctx.Err() == nil {
+			event.Fail(event.NeighbourDown, r.err, "Address", r.address)
 			a.current = ""
 			a.answers.Store(nil)
 		}
 		return false
 	}
-	a.answers.Store(client)
-	if a.current != address {
-		event.Log(event.NeighbourUp, "Address", address)
+	a.answers.Store(a.client(r.address))
+	if a.current != r.address {
+		event.Log(event.NeighbourUp, "Address", r.address)
 	}
-	a.reel.Adopt(reply.Wanted, reply.Agents, reply.Named)
-	a.learn(reply.Gateways)
+	a.current, a.heardAt = r.address, time.Now()
+	a.reel.Adopt(r.reply.Wanted, r.reply.Agents, r.reply.Named)
+	a.learn(r.reply.Gateways)
 	return true
 }
 
