Take SIGHUP from the first moment; one main for both daemons; explain a request

Found by the soak: a gateway that was sent SIGHUP within milliseconds of its start ended, as the signal was asked for late among its duties. The daemons now ask for it first of all, in one place (internal/program), which also ends the copies of run, usage and serve. The tests now reserve ports below those that the kernel gives out.

--- a/cmd/almondreel-agent/main.go
+++ b/cmd/almondreel-agent/main.go
@@ -3,67 +3,30 @@
 package main
 
 import (
-	"errors"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
 	"almondreel.example/almondreel/internal/daemon"
-	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/hosted"
+	"almondreel.example/almondreel/internal/program"
 	"almondreel.example/almondreel/internal/settings"
 )
 
-const (
-	program     = "almondreel-agent"
-	exitFailure = 1
-	exitUsage   = 2
-)
-
-type options struct {
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"YAML settings file"`
+func main() {
+	program.Main(program.Program{Name: "almondreel-agent", Own: own, Hosted: hosting})
 }
 
-func main() {
-	var o options
-	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse()
-	var wrong *flags.Error
-	if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-		_, _ = os.Stdout.WriteString(wrong.Message + "\n")
-		return
-	}
+func own(file string) error {
+	s, err := settings.LoadAgent(file)
 	if err != nil {
-		duty.Exit(program, err, exitUsage)
-	}
-	if err := run(o.Settings); err != nil {
-		code := exitFailure
-		if errors.As(err, new(usage)) {
-			code = exitUsage
-		}
-		duty.Exit(program, err, code)
+		return program.NewUsage(err)
 	}
+	return daemon.RunAgent(s)
 }
 
-// usage is an error in what the program was given.
-type usage struct{ error }
-
-// run starts the program in the form that its settings are for: on the
-// operators' own instances, or on a hosting platform.
-func run(file string) error {
-	hosting, err := settings.IsHosted(file)
+func hosting(file string, hangups <-chan os.Signal) error {
+	s, err := settings.LoadHostedAgent(file)
 	if err != nil {
-		return usage{err}
+		return program.NewUsage(err)
 	}
-	if hosting {
-		s, err := settings.LoadHostedAgent(file)
-		if err != nil {
-			return usage{err}
-		}
-		return hosted.RunAgent(s, file)
-	}
-	s, err := settings.LoadAgent(file)
-	if err != nil {
-		return usage{err}
-	}
-	return daemon.RunAgent(s)
+	return hosted.RunAgent(s, file, hangups)
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -101,6 +101,7 @@
 	change := add(p.Command, "change", "ask about changes", &struct{}{})
 	add(change, "status", "tell whether a change was accepted", &changeStatus{line: l})
 	add(p.Command, "invoice", "sum the outcomes of requests by organisation and class", &showInvoice{line: l})
+	add(p.Command, "explain", "show what logs say of one request", &explainRequest{line: l})
 	add(p.Command, "check", "check a settings file as start-up would", &check{line: l})
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -70,8 +70,8 @@
 		return err
 	}
 	tree := duty.NewTree(s.Name)
-	tree.Add("callers", serve(callers, newServer(parts.front)))
-	tree.Add("control", serve(controls, newServer(handler)))
+	tree.Add("callers", duty.Serve(callers, newServer(parts.front), shutDown))
+	tree.Add("control", duty.Serve(controls, newServer(handler), shutDown))
 	tree.Add("spread", parts.spread.Run)
 	tree.Add("planner", parts.planner.Run)
 	tree.Add("suspicion", parts.suspicion.Run)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 
 	"almondreel.example/almondreel/internal/desired"
-	"almondreel.example/almondreel/internal/duty"
 )
 
 func newServer(h http.Handler) *http.Server {
@@ -19,26 +17,12 @@
 	}
 }
 
-// serve returns the duty that serves a listener until its context ends.
-func serve(l net.Listener, s *http.Server) duty.Func {
-	return func(ctx context.Context) error {
-		served := make(chan error, 1)
-		go func() {
-			defer close(served)
-			served <- s.Serve(l)
-		}()
-		select {
-		case err := <-served:
-			return err
-		case <-ctx.Done():
-		}
-		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-		defer cancel()
-		if s.Shutdown(stop) != nil {
-			_ = s.Close()
-		}
-		<-served
-		return ctx.Err()
+// shutDown lets requests end for a while.
+func shutDown(ctx context.Context, s *http.Server) {
+	stop, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if s.Shutdown(stop) != nil {
+		_ = s.Close()
 	}
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,47 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/explain"
+)
+
+const gateway = `I1204 10:00:00.000000 7 knowledge.go:1] "configuration revision adopted" Event=2000 Version=1
+I1204 10:00:05.100000 7 roster.go:2] "backend servers changed" Event=2027 Listed=3
+   27.1 gateway-1 I1204 10:00:06.000000 7 exchange.go:3] "request retried" Event=4003 Request="a1" Server="s1"
+I1204 10:00:06.100000 7 front.go:4] "request ended" Event=4013 Request="b2"
+not a line of a log
+I1204 10:00:06.300000 7 front.go:4] "request ended" Event=4013 Request="a1" Outcome="Answered"
+I1204 10:00:06.400000 7 knowledge.go:1] "metadata store does not answer" Event=2021
+`
+
+const other = `I1204 10:00:06.200000 8 front.go:4] "request ended" Event=4013 Request="a1" Outcome="Cancelled"
+`
+
+func TestRequestJoinsLogsInOrder(t *testing.T) {
+	lines, err := explain.Request("a1", []explain.Log{
+		{Name: "one", Reader: strings.NewReader(gateway)}, {Name: "two", Reader: strings.NewReader(other)},
+	})
+	require.NoError(t, err)
+	var got []string
+	for _, l := range lines {
+		_, text, _ := strings.Cut(l.Text, `"`)
+		message, _, _ := strings.Cut(text, `"`)
+		mark := "belief"
+		if l.Own {
+			mark = "own"
+		}
+		got = append(got, l.Log+" "+mark+" "+message)
+	}
+	require.Equal(t, []string{
+		"one belief backend servers changed", "one own request retried", "two own request ended", "one own request ended",
+	}, got)
+}
+
+func TestARequestThatNoLogNames(t *testing.T) {
+	_, err := explain.Request("c3", []explain.Log{{Name: "one", Reader: strings.NewReader(gateway)}})
+	require.ErrorIs(t, err, explain.ErrNoLine)
+}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -56,7 +56,7 @@
 }
 
 // RunAgent runs an agent until SIGINT or SIGTERM.
-func RunAgent(s settings.HostedAgent, file string) error {
+func RunAgent(s settings.HostedAgent, file string, hangups <-chan os.Signal) error {
 	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
 	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}, passedOver: map[string]time.Time{}}
@@ -76,12 +76,12 @@
 	server := newServer(mux)
 	server.IdleTimeout = pieceIdle
 	tree := duty.NewTree(s.Name)
-	tree.Add("pieces", listen(listener, server))
+	tree.Add("pieces", duty.Serve(listener, server, cut))
 	tree.Add("weights", a.reel.Run)
 	tree.Add("gateways", func(ctx context.Context) error {
 		return duty.Together(ctx, func(ctx context.Context) { _ = a.sync(ctx) }, a.follow)
 	})
-	tree.Add("settings", reload(file))
+	tree.Add("settings", reload(file, hangups))
 	return duty.Main(string(settings.ProgramAgent), tree, nil)
 }
 
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -53,7 +53,7 @@
 }
 
 // RunGateway runs a gateway until SIGINT or SIGTERM, and drains it then.
-func RunGateway(s settings.HostedGateway, file string) error {
+func RunGateway(s settings.HostedGateway, file string, hangups <-chan os.Signal) error {
 	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
 	g := newGateway(s)
@@ -66,7 +66,7 @@
 	tree.Add("neighbours", g.neighbours.run)
 	tree.Add("pools", g.roster.pools.Run)
 	tree.Add("crashes", g.front.Crashes.Run)
-	tree.Add("settings", reload(file))
+	tree.Add("settings", reload(file, hangups))
 	return duty.Main(string(settings.ProgramGateway), tree, g.drain)
 }
 
@@ -105,7 +105,7 @@
 		if err != nil {
 			return errs.Wrap(err, "listen for "+l.name, l.address)
 		}
-		tree.Add(l.name, listen(listener, l.server))
+		tree.Add(l.name, duty.Serve(listener, l.server, cut))
 	}
 	return nil
 }
@@ -114,24 +114,8 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes}
 }
 
-// listen returns the duty that serves a listener until its context ends.
-func listen(l net.Listener, s *http.Server) duty.Func {
-	return func(ctx context.Context) error {
-		served := make(chan error, 1)
-		go func() {
-			defer close(served)
-			served <- s.Serve(l)
-		}()
-		select {
-		case err := <-served:
-			return err
-		case <-ctx.Done():
-		}
-		_ = s.Close()
-		<-served
-		return ctx.Err()
-	}
-}
+// cut ends a server at once: what is left of its requests has been drained.
+func cut(_ context.Context, s *http.Server) { _ = s.Close() }
 
 // ready answers the platform's readiness question.
 func (g *gateway) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/event"
@@ -29,11 +27,8 @@
 // reload returns the duty that reads the settings file again at SIGHUP and
 // says whether it could be used. Addresses and identity stay as they were at
 // the start: the platform starts a process anew to change them.
-func reload(file string) duty.Func {
+func reload(file string, hangups <-chan os.Signal) duty.Func {
 	return func(ctx context.Context) error {
-		hangups := make(chan os.Signal, 1)
-		signal.Notify(hangups, syscall.SIGHUP)
-		defer signal.Stop(hangups)
 		for {
 			select {
 			case <-ctx.Done():
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/internal/process"
 	"almondreel.example/almondreel/internal/standin/faultproxy"
 	"almondreel.example/almondreel/platform/standin"
 )
@@ -50,8 +50,8 @@
 	return l.text.String()
 }
 
-// process is a program that may be started again with the same settings.
-type process struct {
+// program is a daemon that may be started again with the same settings.
+type program struct {
 	name, program, file string
 	log                 *log
 	command             *exec.Cmd
@@ -62,7 +62,7 @@
 	store                   *faultproxy.Route // on the way to the door
 }
 
-func (p *process) start(t *testing.T) {
+func (p *program) start(t *testing.T) {
 	t.Helper()
 	p.command = exec.Command(filepath.Join(programs, p.program), "--settings", p.file)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
@@ -70,7 +70,7 @@
 }
 
 // kill ends the process, which may have ended.
-func (p *process) kill() {
+func (p *program) kill() {
 	_ = p.command.Process.Kill()
 	_ = p.command.Wait()
 }
@@ -79,7 +79,7 @@
 type engine struct {
 	*standin.Engine
 	route *faultproxy.Route
-	agent *process
+	agent *program
 }
 
 // options of a site.
@@ -91,26 +91,32 @@
 // site is the programs and what they stand among.
 type site struct {
 	t        *testing.T
+	ports    *process.Ports
 	store    *standin.Store
 	origin   *standin.Origin
 	originAt string
 	ledger   *standin.Service
-	gateways []*process
+	gateways []*program
 	engines  []*engine
 	version  int64 // of the configuration
 }
 
-// freeAddress returns an address that nobody listens on now.
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newSite returns a site without anything, with ports for its programs.
+func newSite(t *testing.T) *site {
+	t.Helper()
+	ports, err := process.Reserve(portsOfSite)
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(ports.Release)
+	return &site{t: t, ports: ports}
 }
 
+// portsOfSite is enough for the programs of one site.
+const portsOfSite = 24
+
 func startSite(t *testing.T, o options) *site {
 	t.Helper()
-	s := &site{t: t, store: standin.NewStore(), origin: standin.NewOrigin()}
+	s := newSite(t)
+	s.store, s.origin = standin.NewStore(), standin.NewOrigin()
 	origin := httptest.NewServer(s.origin)
 	t.Cleanup(origin.Close)
 	s.originAt = origin.Listener.Addr().String()
@@ -118,8 +124,8 @@
 	s.startLedger()
 	var controls []string
 	for n := range o.gateways {
-		g := &process{name: fmt.Sprint("gateway-", n), program: "almondreel-gateway", log: &log{}}
-		g.callers, g.ready, g.control = freeAddress(t), freeAddress(t), freeAddress(t)
+		g := &program{name: fmt.Sprint("gateway-", n), program: "almondreel-gateway", log: &log{}}
+		g.callers, g.ready, g.control = s.ports.Take(), s.ports.Take(), s.ports.Take()
 		s.gateways = append(s.gateways, g)
 		controls = append(controls, g.control)
 	}
@@ -169,13 +175,13 @@
 	server.Config.Handler = e.Engine
 	s.listen(server)
 	e.List(s.store, false)
-	e.agent = &process{name: fmt.Sprint("agent-", n), program: "almondreel-agent", log: &log{}}
+	e.agent = &program{name: fmt.Sprint("agent-", n), program: "almondreel-agent", log: &log{}}
 	s.engines = append(s.engines, e)
-	s.settings(e.agent, s.listen(httptest.NewUnstartedServer(s.store.NewDoor())), controls, agentSettings(freeAddress(s.t), e.route.Address()))
+	s.settings(e.agent, s.listen(httptest.NewUnstartedServer(s.store.NewDoor())), controls, agentSettings(s.ports.Take(), e.route.Address()))
 }
 
 // settings writes a program's settings and starts it. It runs until the test ends.
-func (s *site) settings(p *process, store string, controls []string, own string) {
+func (s *site) settings(p *program, store string, controls []string, own string) {
 	s.t.Helper()
 	text := fmt.Sprintf("Name: %s\nRegion: north\nDataCentre: north-a\nHosting:\n  Program: %s\n  Store: %q\n  MemoryMB: 64\n  VersionMS: %d\n  Gateways: [\"%s\"]\n  Places:\n    - {DataCentre: north-a, Region: north}\n",
 		p.name, p.program, store, versionMS, strings.Join(controls, "\", \""))
--- a/test/hosting/soak_test.go
+++ b/test/hosting/soak_test.go
@@ -140,7 +140,7 @@
 }
 
 // signal stops, ends, kills or reloads a process; series and overlaps happen.
-func (s *storm) signal(p *process) {
+func (s *storm) signal(p *program) {
 	send := func(sig syscall.Signal) { _ = p.command.Process.Signal(sig) } // it may have ended
 	switch s.random.IntN(4) {
 	case 0:
@@ -159,7 +159,7 @@
 
 // restart ends what is left of a process and starts it again. Its proxies and
 // settings stay.
-func (s *storm) restart(p *process) {
+func (s *storm) restart(p *program) {
 	p.kill()
 	p.start(s.t)
 }
@@ -180,7 +180,7 @@
 	s.until(3*time.Second, func() { e.List(s.store, false) })
 }
 
-func (s *storm) trouble(g *process) {
+func (s *storm) trouble(g *program) {
 	all := []standin.StoreFaults{{Busy: true}, {Reset: true}, {Silent: true}, {DelayMilliseconds: 400}}
 	g.door.SetFaults(all[s.random.IntN(len(all))])
 	s.until(4*time.Second, func() { g.door.SetFaults(standin.StoreFaults{}) })
@@ -265,7 +265,7 @@
 
 // call asks one gateway, streams or calls that run at most once, and keeps its
 // connections until they break.
-func (s *storm) call(ctx context.Context, g *process, name string, kind int) {
+func (s *storm) call(ctx context.Context, g *program, name string, kind int) {
 	c := standin.NewCaller(g.callers)
 	defer c.Close()
 	for n := 0; ctx.Err() == nil; n++ {
--- a/test/hosting/standin_test.go
+++ b/test/hosting/standin_test.go
@@ -33,8 +33,8 @@
 // The stand-in program plays the platform for programs that are started by hand,
 // and its store's switches are set over HTTP.
 func TestTheStandInProgramPlaysThePlatform(t *testing.T) {
-	s := &site{t: t}
-	store, origin, engine := freeAddress(t), freeAddress(t), freeAddress(t)
+	s := newSite(t)
+	store, origin, engine := s.ports.Take(), s.ports.Take(), s.ports.Take()
 	standIn(t, "hosting-origin", "--listen", origin)
 	standIn(t, "hosting-store", "--listen", store, "--origin", origin, "--key", key)
 	s.soon(5*time.Second, "the store answers", func() bool {
@@ -45,11 +45,11 @@
 		return response.Body.Close() == nil && response.StatusCode == http.StatusOK
 	})
 	standIn(t, "hosting-engine", "--listen", engine, "--id", "i-1", "--store", store, "--data-centre", "north-a", "--event-ms", "5")
-	g := &process{name: "gateway-0", program: "almondreel-gateway", log: &log{}, callers: freeAddress(t), ready: freeAddress(t), control: freeAddress(t)}
-	s.gateways = []*process{g}
+	g := &program{name: "gateway-0", program: "almondreel-gateway", log: &log{}, callers: s.ports.Take(), ready: s.ports.Take(), control: s.ports.Take()}
+	s.gateways = []*program{g}
 	s.settings(g, store, []string{g.control}, gatewaySettings(g))
-	a := &process{name: "agent-0", program: "almondreel-agent", log: &log{}}
-	s.settings(a, store, []string{g.control}, agentSettings(freeAddress(t), engine))
+	a := &program{name: "agent-0", program: "almondreel-agent", log: &log{}}
+	s.settings(a, store, []string{g.control}, agentSettings(s.ports.Take(), engine))
 	s.serves(0, 1, 10*time.Second)
 
 	request, err := http.NewRequest(http.MethodPut, "http://"+store+"/faults", bytes.NewReader([]byte(`{"Busy": true}`)))
@@ -64,7 +64,7 @@
 	require.NotEqual(t, http.StatusOK, s.ask(0, key).Status, "it knows no configuration")
 }
 
-func gatewaySettings(g *process) string {
+func gatewaySettings(g *program) string {
 	return fmt.Sprintf(
 		"CallerListen: %q\nReadyListen: %q\nNeighbourListen: %q\nGraceSeconds: 8\nRetries: {Share: 0.2, Besides: 100, SpanSeconds: 10}\n",
 		g.callers, g.ready, g.control)
