Let those who draw from the origin be the first to read the digests

Version 2 was named at 18.0 s and the origin left at 20.5 s; 8 of 76 agents read the digests at once, but other 8, by another ranking, were to draw the pieces and had the digests up to 450 ms later, so that no copy was out in time. Ruled out: the origin's link (1.7 s for a copy), agents that knew nothing of each other (39 had begun within 0.5 s). Change: one ranking for both; the others ask one of those who draw, and the origin only each eighth time.

--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -225,8 +225,7 @@
 			v.nearby = append(v.nearby, m.Name)
 		}
 	}
-	ranked := stripe.Rank("origin", v.needers)
-	v.drawers = ranked[:min(drawers, len(ranked))]
+	v.drawers = Drawers(v.needers)
 	v.counts = make([]int, p.pieces)
 	for _, m := range v.near {
 		for piece := range p.pieces {
@@ -238,6 +237,13 @@
 	return v
 }
 
+// Drawers returns those of the agents that lack a version who draw it from the
+// origin, and so are the first to need its digests.
+func Drawers(needers []string) []string {
+	ranked := stripe.Rank("origin", needers)
+	return ranked[:min(drawers, len(ranked))]
+}
+
 func (v view) copies(piece int) int { return v.counts[piece] }
 
 // source returns where a piece that no neighbour has may be fetched from now.
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -14,7 +14,6 @@
 	"almondreel.example/almondreel/internal/invariant"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
-	"almondreel.example/almondreel/internal/rank"
 )
 
 // keepTime is how often the wanted version is compared with what there is.
@@ -85,12 +84,9 @@
 // open begins to bring a version, with what is staged of it already.
 func (a *Agent) open(ctx context.Context, w neighbour.Wanted) {
 	m, err := a.manifest(ctx, w)
-	if errors.Is(err, errNotYet) {
-		return
-	}
 	if err != nil {
 		a.manifestTries++
-		if a.manifestTries&(a.manifestTries-1) == 0 { // the first, second, fourth and so on
+		if !errors.Is(err, errNotYet) && a.manifestTries&(a.manifestTries-1) == 0 { // the first, second, fourth and so on
 			event.Fail(event.ManifestMissing, err, "Model", w.Engine.Model, "Version", w.Version, "Tries", a.manifestTries)
 		}
 		pause.For(ctx, min(time.Duration(a.manifestTries)*keepTime, manifestPause))
@@ -139,49 +135,70 @@
 // taken to be of another version: some spoil.
 const maxMisses = 12
 
-// manifest asks the neighbours that hold pieces of the version, then the origin.
+// manifest asks for a version's digests: those who draw pieces from the origin
+// ask it; the others ask one of these, and the origin only now and then, so that
+// its link carries pieces.
 func (a *Agent) manifest(ctx context.Context, w neighbour.Wanted) (Manifest, error) {
-	a.mu.Lock()
-	var holders []string
-	for _, m := range a.members {
-		if m.Pieces.Model == w.Engine.Model && m.Pieces.Version == w.Version && m.Region == a.Region {
-			holders = append(holders, m.Address)
-		}
-	}
-	first := slices.Contains(a.manifestDrawers(), a.Name)
-	waits := !first && len(holders) == 0 && time.Since(a.named[w.Version]) < manifestWait
-	a.mu.Unlock()
-	if waits {
-		return Manifest{}, errNotYet
-	}
-	for _, address := range holders {
+	addresses, draws := a.manifestHolders(w)
+	for _, address := range addresses {
 		m, err := a.Peers.Manifest(ctx, address, w.Engine.Model, w.Version)
 		if err == nil {
 			return m, nil
 		}
 		counter.Add("ManifestFailures.Agent", 1)
 	}
+	if !draws && (a.manifestTries+1)%originTries != 0 {
+		return Manifest{}, errNotYet
+	}
 	return a.Origin.Manifest(ctx, w.Origin, w.Engine.Model, w.Version)
 }
 
-const (
-	// manifestReaders agents read a manifest from the origin at once; the others
-	// have it from them, unless that takes longer than manifestWait.
-	manifestReaders = 8
-	manifestWait    = 450 * time.Millisecond
-)
+// originTries is how often an agent that does not draw from the origin tries to
+// have the digests from one that does before it asks the origin itself.
+const originTries = 8
 
 // errNotYet says that a neighbour should have the manifest soon.
 var errNotYet = errors.New("neighbours do not have it yet")
 
-func (a *Agent) manifestDrawers() []string {
-	names := []string{a.Name}
+// manifestHolders returns the addresses of agents that have the digests or
+// should have them soon, those of the own region first, and whether this agent
+// draws from the origin. A drawer asks only those that have them.
+func (a *Agent) manifestHolders(w neighbour.Wanted) (addresses []string, draws bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	needers := []string{a.Name}
 	for _, m := range a.members {
-		if m.Service == a.Service {
-			names = append(names, m.Name)
+		if m.Service != a.Service {
+			continue
+		}
+		needers = append(needers, m.Name)
+		if m.Pieces.Model == w.Engine.Model && m.Pieces.Version == w.Version && m.Region == a.Region {
+			addresses = append(addresses, m.Address)
 		}
 	}
-	return rank.First("manifest", names, manifestReaders)
+	drawers := draw.Drawers(needers)
+	draws = slices.Contains(drawers, a.Name)
+	if !draws && len(addresses) == 0 {
+		addresses = a.someDrawer(drawers)
+	}
+	return addresses, draws
+}
+
+// someDrawer returns the address of one of the drawers, by lot, if there is one
+// in the own region of that region. Callers hold mu.
+func (a *Agent) someDrawer(drawers []string) []string {
+	var near, far []string
+	for _, name := range drawers {
+		if a.members[name].Region == a.Region {
+			near = append(near, a.members[name].Address)
+		} else {
+			far = append(far, a.members[name].Address)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	return []string{near[rand.IntN(len(near))]}
 }
 
 // turn reports whether the engine may change over to a version now. One that serves nothing
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -55,6 +55,7 @@
 	name, program, file string
 	log                 *log
 	command             *exec.Cmd
+	startedAt           time.Time
 
 	// Of a gateway:
 	callers, ready, control string
@@ -64,6 +65,7 @@
 
 func (p *program) start(t *testing.T) {
 	t.Helper()
+	p.startedAt = time.Now()
 	p.command = exec.Command(filepath.Join(programs, p.program), "--settings", p.file)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	require.NoError(t, p.command.Start(), "build the programs first: make build")
