--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -37,16 +37,15 @@
 
 // stream passes a server's events on.
 func (e *exchange) stream(ctx context.Context, s schedule.Server, response *http.Response, cancel context.CancelCauseFunc) result {
-	rest := time.AfterFunc(time.Hour, func() { cancel(errSilent) })
-	defer rest.Stop()
-	rest.Stop()
+	pause := &rest{cancel: cancel}
+	defer pause.stop()
 	reader := bufio.NewReaderSize(response.Body, streamBuffer)
 	begun := false
 	for {
 		block, id, err := readEvent(reader)
 		if len(block) > 0 && err == nil {
 			if e.movable() {
-				rest.Reset(longestPause)
+				pause.begin()
 			}
 			e.front.hearing.goesOn(s.ID, time.Now())
 			if !begun {
@@ -72,6 +71,27 @@
 	}
 }
 
+// rest watches the pauses of a stream that another server could take over.
+type rest struct {
+	timer  *time.Timer // nil before the first pause
+	cancel context.CancelCauseFunc
+}
+
+// begin cancels the attempt unless the next event comes within longestPause.
+func (r *rest) begin() {
+	if r.timer == nil {
+		r.timer = time.AfterFunc(longestPause, func() { r.cancel(errSilent) })
+		return
+	}
+	r.timer.Reset(longestPause)
+}
+
+func (r *rest) stop() {
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+}
+
 // follows reports whether a stream that was taken up again begins with the
 // event after the last one.
 func (e *exchange) follows(id string) bool {
