--- a/test/hosting/programs_test.go
+++ b/test/hosting/programs_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -172,3 +174,39 @@
 	}
 	require.Len(t, seen, 20)
 }
+
+// A request that crashes the engines that run it reaches none after its third
+// crash, whichever gateway its caller asks. Others are served meanwhile.
+func TestARequestThatCrashesEnginesIsKeptFromThem(t *testing.T) {
+	s := startSite(t, options{gateways: 2, engines: 6, firstVersion: 1})
+	s.serves(0, 1, 10*time.Second)
+	s.serves(1, 1, 10*time.Second)
+	for n := range 14 {
+		c := standin.NewCaller(s.gateways[n%2].callers).WithBody(standin.CrashBody)
+		o := c.Ask(t.Context(), standin.StreamPath+"x", fmt.Sprint("crash-", n), key, time.Now().Add(askTime))
+		c.Close()
+		require.NotEqual(t, http.StatusOK, o.Status)
+		time.Sleep(300 * time.Millisecond)
+	}
+	var runs []standin.Run
+	for _, e := range s.engines {
+		for _, r := range e.Runs() {
+			if strings.HasPrefix(r.Attempt, "crash-") {
+				runs = append(runs, r)
+			}
+		}
+	}
+	slices.SortFunc(runs, func(a, b standin.Run) int { return a.At.Compare(b.At) })
+	require.GreaterOrEqual(t, len(runs), 2, "engines crashed")
+	for _, r := range runs[min(crashesMost, len(runs)):] {
+		require.WithinDuration(t, runs[crashesMost-1].At, r.At, stableTime, "%s ran after the third crash", r.Attempt)
+	}
+	s.serves(0, 1, 5*time.Second)
+}
+
+const (
+	// crashesMost is the number of crashes after which a request is kept away.
+	crashesMost = 3
+	// stableTime is how long gateways may take to hear of a crash.
+	stableTime = time.Second
+)
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -26,6 +26,8 @@
 	key      = "key"
 	// versionMS is what the programs are told a version may take.
 	versionMS = 2000
+	// crashTime is how long an engine is away that crashed.
+	crashTime = 400 * time.Millisecond
 	// exchangeTime is some rounds of what gateways tell each other.
 	exchangeTime = 600 * time.Millisecond
 	// askTime is how long callers wait.
@@ -173,6 +175,7 @@
 	e := &engine{route: s.proxy(server.Listener.Addr().String())}
 	e.Engine = standin.NewEngine(standin.EngineOptions{
 		ID: fmt.Sprint("i-", n), Address: e.route.Address(), DataCentre: "north-a", EventMS: 5, FirstVersion: version,
+		Crashed: func() { s.crashed(e) },
 	})
 	server.Config.Handler = e.Engine
 	s.listen(server)
@@ -182,6 +185,17 @@
 	s.settings(e.agent, s.listen(httptest.NewUnstartedServer(s.store.NewDoor())), controls, agentSettings(s.ports.Take(), e.route.Address()))
 }
 
+// crashed plays an engine that ends at once, refuses connections and is back
+// after a while.
+func (s *site) crashed(e *engine) {
+	_ = e.route.Set(faultproxy.Faults{Refuse: true}) // its address was listened on a moment ago
+	e.Crash(false)
+	time.Sleep(crashTime)
+	e.Restart()
+	_ = e.route.Set(faultproxy.Faults{})
+	e.List(s.store, false)
+}
+
 // settings writes a program's settings and starts it. It runs until the test ends.
 func (s *site) settings(p *program, store string, controls []string, own string) {
 	s.t.Helper()
