--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -23,8 +23,8 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	arrivedAt    time.Time
-	waited       time.Duration // by its caller, before this call
-	deadline     time.Time     // zero: none
+	firstCallAt  time.Time // of its caller; arrivedAt if that is not known
+	deadline     time.Time // zero: none
 	call         Call
 	route        site.Route
 	service      site.Service
@@ -170,7 +170,7 @@
 		PromptMS:     e.promptMS(),
 		LeastMS:      plainHoldMS,
 		ArrivedAt:    e.arrivedAt,
-		AnswerBy:     e.arrivedAt.Add(-e.waited).Add(time.Duration(e.route.TargetMilliseconds) * time.Millisecond),
+		AnswerBy:     e.firstCallAt.Add(time.Duration(e.route.TargetMilliseconds) * time.Millisecond),
 		GiveUpAt:     e.deadline,
 		Avoid:        e.avoid,
 		Organisation: e.organisation,
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -97,6 +97,7 @@
 	f.running.Add(1)
 	defer f.running.Add(-1)
 	e := &exchange{front: f, w: w, r: r, arrivedAt: time.Now()}
+	e.firstCallAt = e.arrivedAt
 	e.call = f.Dialect.Call(r.Header, e.arrivedAt)
 	refused, ok := e.accept()
 	if !ok {
@@ -130,7 +131,7 @@
 	}
 	e.organisation = holder.Name
 	if !e.call.Deadline.IsZero() {
-		e.waited = e.front.waits.Before(route.Name, e.call.Deadline.Sub(e.arrivedAt), e.arrivedAt)
+		e.firstCallAt = e.front.waits.FirstCall(route.Name, e.arrivedAt, e.call.Deadline)
 	}
 	e.priority = route.Priority
 	if holder.Ranked {
@@ -217,7 +218,7 @@
 	event.Log(event.RequestEnded,
 		"Request", e.call.AttemptID, "Route", e.route.Name, "Organisation", e.organisation,
 		"Outcome", r.Outcome, "Reason", string(r.Reason), "Server", e.server, "Version", e.version,
-		"Sent", e.sent, "Runs", e.runs, "FirstMS", e.firstMS, "PauseMS", e.pauseMS, "QueueMS", e.queueMS, "ResumeMS", e.resumeMS, "MS", took, "Prompt", e.call.PromptTokens, "WaitedMS", e.waited.Milliseconds())
+		"Sent", e.sent, "Runs", e.runs, "FirstMS", e.firstMS, "PauseMS", e.pauseMS, "QueueMS", e.queueMS, "ResumeMS", e.resumeMS, "MS", took, "Prompt", e.call.PromptTokens, "WaitedMS", e.arrivedAt.Sub(e.firstCallAt).Milliseconds())
 }
 
 // pick draws a target by weight.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -391,12 +391,15 @@
 func TestWaitsTellWhoWasHereBefore(t *testing.T) {
 	now := time.Unix(1000, 0)
 	w := schedule.NewWaits()
-	require.Zero(t, w.Before("a", 5900*time.Millisecond, now))
-	require.Zero(t, w.Before("a", 5200*time.Millisecond, now), "callers set out with about the same time")
-	require.Equal(t, 1200*time.Millisecond, w.Before("a", 4700*time.Millisecond, now))
-	require.Zero(t, w.Before("b", 2*time.Second, now), "each route has its own callers")
-	require.NotZero(t, w.Before("a", 4700*time.Millisecond, now.Add(15*time.Second)))
-	require.Zero(t, w.Before("a", 4700*time.Millisecond, now.Add(40*time.Second)), "callers of long ago count no more")
+	waited := func(route string, left time.Duration, at time.Time) time.Duration {
+		return at.Sub(w.FirstCall(route, at, at.Add(left)))
+	}
+	require.Zero(t, waited("a", 5900*time.Millisecond, now))
+	require.Zero(t, waited("a", 5200*time.Millisecond, now), "callers set out with about the same time")
+	require.Equal(t, 1200*time.Millisecond, waited("a", 4700*time.Millisecond, now))
+	require.Zero(t, waited("b", 2*time.Second, now), "each route has its own callers")
+	require.NotZero(t, waited("a", 4700*time.Millisecond, now.Add(15*time.Second)))
+	require.Zero(t, waited("a", 4700*time.Millisecond, now.Add(40*time.Second)), "callers of long ago count no more")
 }
 
 func TestAFailingServerIsTriedWithOneRequest(t *testing.T) {
--- a/internal/schedule/waits.go
+++ b/internal/schedule/waits.go
@@ -17,8 +17,8 @@
 // longest is the longest time left that callers of a route had, lately.
 type longest struct {
 	openedAt time.Time
-	last     time.Duration // of the span before
-	current  time.Duration
+	lastMS   int64 // of the span before
+	ms       int64
 }
 
 // NewWaits returns waits that know no caller.
@@ -32,22 +32,23 @@
 	longestSpan = 10 * time.Second
 )
 
-// Before returns how long a caller with left to wait has waited already; zero
-// for one that calls first.
-func (w *Waits) Before(route string, left time.Duration, now time.Time) time.Duration {
+// FirstCall returns when the caller of a call that arrived now called first: now,
+// or at an earlier call of a caller that has much less time left than others.
+func (w *Waits) FirstCall(route string, now, deadline time.Time) time.Time {
+	left := deadline.Sub(now).Milliseconds()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l := w.routes[route]
 	if elapsed := now.Sub(l.openedAt); elapsed >= 2*longestSpan {
 		l = longest{openedAt: now}
 	} else if elapsed >= longestSpan {
-		l = longest{openedAt: now, last: l.current}
+		l = longest{openedAt: now, lastMS: l.ms}
 	}
-	l.current = max(l.current, left)
+	l.ms = max(l.ms, left)
 	w.routes[route] = l
-	most := max(l.last, l.current)
+	most := max(l.lastMS, l.ms)
 	if float64(left) >= freshShare*float64(most) {
-		return 0
+		return now
 	}
-	return most - left
+	return now.Add(-time.Duration(most-left) * time.Millisecond)
 }
--- a/test/hosting/programs_test.go
+++ b/test/hosting/programs_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/platform/caller"
 	"almondreel.example/almondreel/platform/standin"
 )
 
@@ -20,7 +21,7 @@
 	s := startSite(t, options{gateways: 1, engines: 1})
 	s.store.Name(1)
 	s.serves(0, 1, 10*time.Second)
-	require.True(t, standin.Ready(s.gateways[0].ready))
+	require.True(t, caller.Ready(s.gateways[0].ready))
 
 	s.store.Name(2)
 	s.serves(0, 2, 5*time.Second)
@@ -61,7 +62,7 @@
 	g := s.gateways[0]
 	s.serves(0, 1, 10*time.Second)
 	s.engines[0].SetEventMS(80)
-	outcomes := make(chan standin.Outcome, 3)
+	outcomes := make(chan caller.Outcome, 3)
 	for range 3 {
 		go func() { outcomes <- s.ask(0, key) }()
 	}
@@ -69,7 +70,7 @@
 	require.NoError(t, g.command.Process.Signal(syscall.SIGHUP))
 	time.Sleep(100 * time.Millisecond)
 	require.NoError(t, g.command.Process.Signal(syscall.SIGTERM))
-	s.soon(time.Second, "not ready", func() bool { return !standin.Ready(g.ready) })
+	s.soon(time.Second, "not ready", func() bool { return !caller.Ready(g.ready) })
 	for range 3 {
 		o := <-outcomes
 		require.Equal(t, 200, o.Status)
@@ -158,9 +159,9 @@
 func TestACallThatRunsOnceIsCountedOnce(t *testing.T) {
 	s := startSite(t, options{gateways: 1, engines: 1})
 	s.serves(0, 1, 10*time.Second)
-	c := standin.NewCaller(s.gateways[0].callers)
+	c := caller.New(s.gateways[0].callers)
 	defer c.Close()
-	s.ledger.SetDelay(30 * time.Millisecond)
+	s.ledger.SetDelayMS(30)
 	for n := range 20 {
 		attempt := fmt.Sprint("once-", n)
 		o := c.Ask(t.Context(), standin.OncePath+"x", attempt, key, time.Now().Add(askTime))
@@ -182,7 +183,7 @@
 	s.serves(0, 1, 10*time.Second)
 	s.serves(1, 1, 10*time.Second)
 	for n := range 14 {
-		c := standin.NewCaller(s.gateways[n%2].callers).WithBody(standin.CrashBody)
+		c := caller.New(s.gateways[n%2].callers).WithBody(standin.CrashBody)
 		o := c.Ask(t.Context(), standin.StreamPath+"x", fmt.Sprint("crash-", n), key, time.Now().Add(askTime))
 		c.Close()
 		require.NotEqual(t, http.StatusOK, o.Status)
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -18,6 +18,7 @@
 
 	"almondreel.example/almondreel/internal/process"
 	"almondreel.example/almondreel/internal/standin/faultproxy"
+	"almondreel.example/almondreel/platform/caller"
 	"almondreel.example/almondreel/platform/standin"
 )
 
@@ -219,8 +220,8 @@
 }
 
 // ask sends one stream to a gateway and returns the status and the body.
-func (s *site) ask(gateway int, key string) standin.Outcome {
-	c := standin.NewCaller(s.gateways[gateway].callers)
+func (s *site) ask(gateway int, key string) caller.Outcome {
+	c := caller.New(s.gateways[gateway].callers)
 	defer c.Close()
 	return c.Ask(context.Background(), standin.StreamPath+"x", "id-1", key, time.Now().Add(askTime))
 }
--- a/test/hosting/soak_test.go
+++ b/test/hosting/soak_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondreel.example/almondreel/internal/standin/faultproxy"
+	"almondreel.example/almondreel/platform/caller"
 	"almondreel.example/almondreel/platform/standin"
 )
 
@@ -27,8 +28,8 @@
 const (
 	// rageTime is how long faults are injected in one run.
 	rageTime = 8 * time.Second
-	// ledgerTime is what a call of the plain service takes.
-	ledgerTime = 20 * time.Millisecond
+	// ledgerMS is what a call of the plain service takes, in milliseconds.
+	ledgerMS = 20
 	// recoveryTime is within what every gateway serves the last version under
 	// the last configuration once all faults are over: "within seconds".
 	recoveryTime = 10 * time.Second
@@ -76,7 +77,7 @@
 	for n := range s.gateways {
 		s.serves(n, 1, recoveryTime)
 	}
-	s.ledger.SetDelay(ledgerTime)
+	s.ledger.SetDelayMS(ledgerMS)
 	s.watchCallers(t)
 	for end := time.Now().Add(rageTime); time.Now().Before(end); {
 		s.strike()
@@ -281,7 +282,7 @@
 // call asks one gateway, streams or calls that run at most once, and keeps its
 // connections until they break.
 func (s *storm) call(ctx context.Context, g *program, name string, kind int) {
-	c := standin.NewCaller(g.callers)
+	c := caller.New(g.callers)
 	defer c.Close()
 	for n := 0; ctx.Err() == nil; n++ {
 		path := standin.StreamPath
@@ -304,13 +305,13 @@
 }
 
 type told struct {
-	standin.Outcome
+	caller.Outcome
 	path string
 }
 
 func newJournal() *journal { return &journal{} }
 
-func (j *journal) add(o standin.Outcome, path string) {
+func (j *journal) add(o caller.Outcome, path string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.all = append(j.all, told{o, path})
