--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -30,6 +30,11 @@
 	calmTime   = 250 * time.Millisecond
 	// syncAnswer bounds a gateway's answer.
 	syncAnswer = 400 * time.Millisecond
+	// askAnswer bounds the answers when all gateways are asked: one that has no
+	// power drops what it is sent, and may be back a moment later. Each patientAsk-th
+	// time they have syncAnswer, as all may be slow.
+	askAnswer  = 120 * time.Millisecond
+	patientAsk = 4
 	// followTime is how long a gateway holds a question for news.
 	followTime = 2 * time.Second
 	// fallbackTime is how long no gateway answers before the store is asked.
@@ -51,6 +56,7 @@
 	answers  atomic.Pointer[control.Client] // of the gateway that answers; nil: none does
 	current  string                         // its address
 	heardAt  time.Time                      // a gateway answered, or the store was asked
+	asks     int                            // of all gateways at once
 	// passedOver holds until when gateways that did not answer come last.
 	passedOver map[string]time.Time
 }
@@ -139,9 +145,13 @@
 	defer cancel()
 	list := a.ranked()
 	answers := make(chan answer, len(list))
+	within := askAnswer
+	if a.asks++; a.asks%patientAsk == 0 {
+		within = syncAnswer
+	}
 	for _, g := range list {
 		client := a.client(g.Address)
-		go func() { answers <- a.askOne(ctx, client, g.Address) }()
+		go func() { answers <- a.askOne(ctx, client, g.Address, within) }()
 	}
 	best := answer{err: errNoGateway}
 	for range list {
@@ -188,11 +198,11 @@
 }
 
 func (a *agent) ask(ctx context.Context, address string) answer {
-	return a.askOne(ctx, a.client(address), address)
+	return a.askOne(ctx, a.client(address), address, syncAnswer)
 }
 
-func (a *agent) askOne(ctx context.Context, client *control.Client, address string) answer {
-	ctx, cancel := context.WithTimeout(ctx, syncAnswer)
+func (a *agent) askOne(ctx context.Context, client *control.Client, address string, within time.Duration) answer {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	r := answer{address: address}
 	request := neighbour.SyncRequest{Agent: a.reel.Say()}
