--- a/internal/hosted/knowledge.go
+++ b/internal/hosted/knowledge.go
@@ -73,7 +73,7 @@
 // naming is when a version was named.
 type naming struct {
 	at    time.Time
-	found bool // it was there when the process started, and at is only the latest
+	found bool // a process found it at its start, which is at; it was named before
 }
 
 func newKnowledge(store *platform.Store) *knowledge {
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -184,8 +184,8 @@
 	return addresses, draws
 }
 
-// someDrawer returns the address of one of the drawers, by lot, if there is one
-// in the own region of that region. Callers hold mu.
+// someDrawer returns the address of one of the drawers by lot, one of the own
+// region if there are any. Callers hold mu.
 func (a *Agent) someDrawer(drawers []string) []string {
 	var near, far []string
 	for _, name := range drawers {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -30,7 +30,7 @@
 type Ask struct {
 	ID           int64
 	Priority     int     // 0 goes first
-	Returning    bool    // the caller was refused before
+	Returning    bool    // a server failed it
 	Resumed      bool    // its answer has begun
 	PromptMS     float64 // milliseconds that a server reads its prompt
 	LeastMS      float64 // milliseconds that a server takes besides, if it has little to do
@@ -313,7 +313,7 @@
 	// minPatience is the least time that a request may wait for a place: two
 	// rounds of what the gateways tell each other.
 	minPatience = 60 * time.Millisecond
-	// returningPatience is how long a caller that came back may wait.
+	// returningPatience is how long a request may wait that a server failed.
 	returningPatience = 1200 * time.Millisecond
 )
 
