Tell those that waited when an arrival finds them a place

Cause: an arrival starts whatever waits and has a place, but only the verdict on the arriving request was returned. Another one that it started never heard of it, and its place stayed taken until its caller left. That needs something that frees a place without a step of the pool (a server's rest that is over, a share that grew), or a late request that leaves places to new ones, which is new. Ruled out: a gateway that stood still (others were answered meanwhile). Change: Arrive returns all verdicts. TestAnArrivalSettlesThoseThatWaited cannot be written against the former interface, which has no place for them.

--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -92,7 +92,8 @@
 	a.ID = p.last.Add(1)
 	began := time.Now()
 	p.mu.Lock()
-	verdict := p.pool(service).Arrive(began, a)
+	verdict, others := p.pool(service).Arrive(began, a)
+	p.settle(others)
 	ticket := make(chan schedule.Verdict, 1)
 	if _, waits := verdict.(schedule.Wait); waits {
 		p.tickets[a.ID] = ticket
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -191,26 +191,31 @@
 // Waiting returns the number of requests that wait.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
-// Arrive takes a new request, or one whose server did not run or finish it.
-func (p *Pool) Arrive(now time.Time, a Ask) Verdict {
+// Arrive takes a new request, or one whose server did not run or finish it. It
+// returns the verdict on it, and on others that waited: what kept them from a
+// place may have passed since the last step.
+func (p *Pool) Arrive(now time.Time, a Ask) (Verdict, []Settled) {
 	if len(p.waiting) == 0 || a.Resumed {
 		if s := p.choose(now, a); s != nil {
-			return p.start(s, a)
+			return p.start(s, a), nil
 		}
 	}
 	if !p.usable(a) {
-		return p.refuse(now, outcome.NoReplica, noServerDelay)
+		return p.refuse(now, outcome.NoReplica, noServerDelay), nil
 	}
 	if v, hopeless := p.hopeless(now, a); hopeless {
-		return v
+		return v, nil
 	}
 	p.waiting = append(p.waiting, a)
-	for _, s := range p.pump(now) {
-		if s.ID == a.ID {
-			return s.Verdict
+	verdict := Verdict(Wait{})
+	others := slices.DeleteFunc(p.pump(now), func(s Settled) bool {
+		if s.ID != a.ID {
+			return false
 		}
-	}
-	return Wait{}
+		verdict = s.Verdict
+		return true
+	})
+	return verdict, others
 }
 
 // Withdraw removes a request that waits, since its caller left.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -131,7 +131,9 @@
 	l.next++
 	r.ask.ID = l.next
 	l.asks[r.ask.ID] = r
-	l.verdict(r.gateway, r, l.pools[r.gateway].Arrive(l.now, r.ask))
+	verdict, others := l.pools[r.gateway].Arrive(l.now, r.ask)
+	l.settle(r.gateway, others)
+	l.verdict(r.gateway, r, verdict)
 }
 
 func (l *load) verdict(gateway int, r *request, v schedule.Verdict) {
@@ -341,7 +343,7 @@
 	for n := range l.servers {
 		l.ready(l.servers[n].ID, false)
 	}
-	v := l.pools[0].Arrive(l.now, schedule.Ask{ID: 1, ArrivedAt: l.now, AnswerBy: l.now.Add(time.Second), GiveUpAt: l.now.Add(6 * time.Second)})
+	v, _ := l.pools[0].Arrive(l.now, schedule.Ask{ID: 1, ArrivedAt: l.now, AnswerBy: l.now.Add(time.Second), GiveUpAt: l.now.Add(6 * time.Second)})
 	refused, ok := v.(schedule.Refuse)
 	require.True(t, ok)
 	require.Equal(t, outcome.NoReplica, refused.Reason)
@@ -351,10 +353,10 @@
 func TestWeightsThatAreOutOfDateAreNotUsed(t *testing.T) {
 	l := newLoad(1)
 	a := schedule.Ask{ID: 1, ArrivedAt: l.now, AnswerBy: l.now.Add(time.Second), GiveUpAt: l.now.Add(6 * time.Second), MinVersion: 2}
-	require.IsType(t, schedule.Refuse{}, l.pools[0].Arrive(l.now, a))
+	require.IsType(t, schedule.Refuse{}, verdict(l.pools[0].Arrive(l.now, a)))
 	l.servers[0].Version = 2
 	l.ready("e0", true)
-	require.IsType(t, schedule.Start{}, l.pools[0].Arrive(l.now, a))
+	require.IsType(t, schedule.Start{}, verdict(l.pools[0].Arrive(l.now, a)))
 }
 
 func TestThoseThatAServerFailedGoFirst(t *testing.T) {
@@ -364,9 +366,9 @@
 	ask := func(id int64, returning bool) schedule.Ask {
 		return schedule.Ask{ID: id, Returning: returning, ArrivedAt: now, AnswerBy: now.Add(time.Second), GiveUpAt: now.Add(6 * time.Second)}
 	}
-	require.IsType(t, schedule.Start{}, p.Arrive(now, ask(1, false)))
-	require.IsType(t, schedule.Wait{}, p.Arrive(now, ask(2, false)))
-	require.IsType(t, schedule.Wait{}, p.Arrive(now, ask(3, true)))
+	require.IsType(t, schedule.Start{}, verdict(p.Arrive(now, ask(1, false))))
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(2, false))))
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(3, true))))
 	settled := p.Ended(now, "a", schedule.Finished, 0)
 	require.Len(t, settled, 1)
 	require.EqualValues(t, 3, settled[0].ID)
@@ -380,9 +382,9 @@
 	ask := func(id int64, target time.Duration) schedule.Ask {
 		return schedule.Ask{ID: id, ArrivedAt: now, AnswerBy: now.Add(target), GiveUpAt: now.Add(6 * time.Second)}
 	}
-	require.IsType(t, schedule.Start{}, p.Arrive(now, ask(1, time.Second)))
-	require.IsType(t, schedule.Wait{}, p.Arrive(now, ask(2, -time.Second)))
-	require.IsType(t, schedule.Wait{}, p.Arrive(now, ask(3, time.Second)))
+	require.IsType(t, schedule.Start{}, verdict(p.Arrive(now, ask(1, time.Second))))
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(2, -time.Second))))
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(3, time.Second))))
 	settled := p.Ended(now, "a", schedule.Finished, 0)
 	require.Len(t, settled, 1)
 	require.EqualValues(t, 3, settled[0].ID)
@@ -402,6 +404,29 @@
 	require.Zero(t, waited("a", 4700*time.Millisecond, now.Add(40*time.Second)), "callers of long ago count no more")
 }
 
+func verdict(v schedule.Verdict, _ []schedule.Settled) schedule.Verdict { return v }
+
+// A request that arrives may find a place free for one that waited: a server's
+// rest is over, or the gateway's share has grown. The one that waited must hear of
+// it, or it waits until its time is up and its place is lost.
+func TestAnArrivalSettlesThoseThatWaited(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := schedule.NewPool(schedule.Options{})
+	p.SetServers(now, []schedule.Server{{ID: "a", Slots: 4, Ready: true}})
+	ask := func(id int64) schedule.Ask {
+		return schedule.Ask{ID: id, ArrivedAt: now, AnswerBy: now.Add(9 * time.Second), GiveUpAt: now.Add(9 * time.Second)}
+	}
+	p.Arrive(now, ask(1))
+	p.Ended(now, "a", schedule.Unreachable, 0)
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(2))), "it rests")
+	now = now.Add(time.Second)
+	v, others := p.Arrive(now, ask(3))
+	require.IsType(t, schedule.Wait{}, v, "one request tries it")
+	require.Len(t, others, 1)
+	require.EqualValues(t, 2, others[0].ID)
+	require.IsType(t, schedule.Start{}, others[0].Verdict)
+}
+
 func TestAFailingServerIsTriedWithOneRequest(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := schedule.NewPool(schedule.Options{})
@@ -409,12 +434,12 @@
 	ask := func(id int64) schedule.Ask {
 		return schedule.Ask{ID: id, ArrivedAt: now, AnswerBy: now.Add(9 * time.Second), GiveUpAt: now.Add(9 * time.Second)}
 	}
-	p.Arrive(now, ask(1))
+	verdict(p.Arrive(now, ask(1)))
 	p.Ended(now, "a", schedule.Unreachable, 0)
-	require.IsType(t, schedule.Wait{}, p.Arrive(now, ask(2)), "it rests")
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(2))), "it rests")
 	now = now.Add(time.Second)
 	require.Len(t, p.Tick(now), 1, "one request tries it")
-	require.IsType(t, schedule.Wait{}, p.Arrive(now, ask(3)))
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(3))))
 	p.Answered("a", 0, 0)
 	require.Len(t, p.Tick(now), 1)
 }
