--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -63,6 +63,10 @@
 		e.queueMS += time.Since(asked).Milliseconds()
 		switch p := place.(type) {
 		case schedule.Start:
+			if e.outdated(p.Server) {
+				e.front.Pools.ended(e.service.Name, p.Server.ID, schedule.Left, e.promptMS())
+				continue
+			}
 			o, again := e.attempt(ctx, p.Server, fingerprint, verdict)
 			if !again {
 				return o
@@ -198,6 +202,12 @@
 	return now.Add(time.Duration(within * float64(time.Millisecond)))
 }
 
+// outdated reports whether the version of a server ran out while the request
+// waited for its place.
+func (e *exchange) outdated(s schedule.Server) bool {
+	return e.route.Generates && s.Version < e.front.View.MinVersion(e.call.Model, e.beginsBy(time.Now()))
+}
+
 func (e *exchange) promptMS() float64 {
 	if e.service.Engine.ReadPerMillisecond <= 0 {
 		return 0
