--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -23,6 +23,7 @@
 	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/placement"
 	"almondreel.example/almondreel/internal/serving"
 	"almondreel.example/almondreel/internal/settings"
@@ -280,16 +281,7 @@
 
 // heartbeats tells every gateway of every replica until ctx ends.
 func (s *Site) heartbeats(ctx context.Context) error {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			s.beat()
-		}
-	}
+	return pause.Each(ctx, heartbeatInterval, s.beat)
 }
 
 func (s *Site) beat() {
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -63,7 +63,8 @@
 		e.queueMS += time.Since(asked).Milliseconds()
 		switch p := place.(type) {
 		case schedule.Start:
-			if e.outdated(p.Server) {
+			// The server's version may have run out while the request waited.
+			if p.Server.Version < e.minVersion() {
 				e.front.Pools.ended(e.service.Name, p.Server.ID, schedule.Left, e.promptMS())
 				continue
 			}
@@ -168,20 +169,19 @@
 // ask describes the request to the schedule.
 func (e *exchange) ask() schedule.Ask {
 	a := schedule.Ask{
-		Priority:     e.priority,
-		Resumed:      e.begun,
-		Returning:    e.sent > 0,
-		PromptMS:     e.promptMS(),
-		LeastMS:      plainHoldMS,
-		ArrivedAt:    e.arrivedAt,
-		AnswerBy:     e.firstCallAt.Add(time.Duration(e.route.TargetMilliseconds) * time.Millisecond),
-		GiveUpAt:     e.deadline,
-		Avoid:        e.avoid,
-		Organisation: e.organisation,
+		Priority:   e.priority,
+		Resumed:    e.begun,
+		Returning:  e.sent > 0,
+		PromptMS:   e.promptMS(),
+		LeastMS:    plainHoldMS,
+		ArrivedAt:  e.arrivedAt,
+		AnswerBy:   e.firstCallAt.Add(time.Duration(e.route.TargetMilliseconds) * time.Millisecond),
+		GiveUpAt:   e.deadline,
+		MinVersion: e.minVersion(),
+		Avoid:      e.avoid,
 	}
 	if e.route.Generates {
 		a.LeastMS = passMS
-		a.MinVersion = e.front.View.MinVersion(e.call.Model, e.beginsBy(time.Now()))
 	}
 	return a
 }
@@ -202,10 +202,13 @@
 	return now.Add(time.Duration(within * float64(time.Millisecond)))
 }
 
-// outdated reports whether the version of a server ran out while the request
-// waited for its place.
-func (e *exchange) outdated(s schedule.Server) bool {
-	return e.route.Generates && s.Version < e.front.View.MinVersion(e.call.Model, e.beginsBy(time.Now()))
+// minVersion is the oldest version that may serve the request if it is sent now;
+// 0 if it needs no weights.
+func (e *exchange) minVersion() int64 {
+	if !e.route.Generates {
+		return 0
+	}
+	return e.front.View.MinVersion(e.call.Model, e.beginsBy(time.Now()))
 }
 
 func (e *exchange) promptMS() float64 {
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -8,6 +8,7 @@
 
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/schedule"
 )
 
@@ -64,16 +65,7 @@
 
 // Run looks at waiting requests until ctx ends.
 func (p *Pools) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickTime)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			p.tick(time.Now())
-		}
-	}
+	return pause.Each(ctx, tickTime, func() { p.tick(time.Now()) })
 }
 
 func (p *Pools) tick(now time.Time) {
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -123,7 +123,7 @@
 	for pause.For(ctx, exchangeTime) {
 		n.mu.Lock()
 		o := n.gateways[address]
-		gone := time.Since(o.reached) > forgetTime && !n.isSeed(address)
+		gone := time.Since(o.reached) > forgetTime && !slices.Contains(n.seeds, address)
 		if gone {
 			delete(n.gateways, address)
 		}
@@ -136,15 +136,6 @@
 	}
 }
 
-func (n *neighbours) isSeed(address string) bool {
-	for _, s := range n.seeds {
-		if s == address {
-			return true
-		}
-	}
-	return false
-}
-
 func (n *neighbours) exchange(ctx context.Context, o *other) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeAnswer)
 	defer cancel()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -24,6 +24,7 @@
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/pkg/settle"
 )
 
@@ -119,16 +120,7 @@
 
 // Run writes batches until ctx ends.
 func (l *Ledger) Run(ctx context.Context) error {
-	ticker := time.NewTicker(flushEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			l.Flush(ctx)
-		}
-	}
+	return pause.Each(ctx, flushEvery, func() { l.Flush(ctx) })
 }
 
 // Flush writes all that waits, until ctx ends or the service fails.
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -19,6 +19,20 @@
 	}
 }
 
+// Each calls do at every tick until ctx ends, and returns the context's error.
+func Each(ctx context.Context, every time.Duration, do func()) error {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
 // Jitter returns a random time between half and one and a half of d.
 func Jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
--- a/internal/reel/agent_test.go
+++ b/internal/reel/agent_test.go
@@ -53,7 +53,7 @@
 	return s, nil
 }
 
-func (e *engine) Load(_ context.Context, o reel.Load) (bool, error) {
+func (e *engine) Load(_ context.Context, o reel.Load) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for n := range pieces {
@@ -64,7 +64,7 @@
 	if o.Abort {
 		e.aborted++
 	}
-	return true, nil
+	return nil
 }
 
 func (e *engine) Stage(_ context.Context, _ string, n int, data []byte) error {
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -249,7 +249,7 @@
 	abort := a.others()
 	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", time.Since(checked).Milliseconds())
 	counter.Add("LoadOrders", 1)
-	if _, err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); err != nil {
+	if err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); err != nil {
 		event.Fail(event.LoadUnsettled, err, "Version", v.manifest.Version)
 	}
 	a.await(ctx, v)
--- a/internal/reel/reel.go
+++ b/internal/reel/reel.go
@@ -54,18 +54,17 @@
 	return nil
 }
 
-// Load orders an engine to load layers of what is staged; To 0 means all.
+// Load orders an engine to load all layers of what is staged.
 type Load struct {
-	Model    string
-	Version  int64
-	From, To int
-	Abort    bool // cut off what the engine is answering; else it ends that first
+	Model   string
+	Version int64
+	Abort   bool // cut off what the engine is answering; else it ends that first
 }
 
 // Engine is the engine beside the agent.
 type Engine interface {
 	Report(ctx context.Context) (site.State, error)
-	Load(ctx context.Context, o Load) (bool, error)
+	Load(ctx context.Context, o Load) error
 	Stage(ctx context.Context, model string, piece int, data []byte) error
 	Staged(ctx context.Context, model string, piece int) ([]byte, error)
 	Held(ctx context.Context, model string) ([]int, error)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -28,18 +28,17 @@
 
 // Ask is a request for a place on a backend server.
 type Ask struct {
-	ID           int64
-	Priority     int     // 0 goes first
-	Returning    bool    // a server failed it
-	Resumed      bool    // its answer has begun
-	PromptMS     float64 // milliseconds that a server reads its prompt
-	LeastMS      float64 // milliseconds that a server takes besides, if it has little to do
-	ArrivedAt    time.Time
-	AnswerBy     time.Time // its target
-	GiveUpAt     time.Time // no use to the caller after this
-	MinVersion   int64
-	Avoid        []string // servers that have failed it
-	Organisation string
+	ID         int64
+	Priority   int     // 0 goes first
+	Returning  bool    // a server failed it
+	Resumed    bool    // its answer has begun
+	PromptMS   float64 // milliseconds that a server reads its prompt
+	LeastMS    float64 // milliseconds that a server takes besides, if it has little to do
+	ArrivedAt  time.Time
+	AnswerBy   time.Time // its target
+	GiveUpAt   time.Time // no use to the caller after this
+	MinVersion int64
+	Avoid      []string // servers that have failed it
 }
 
 // Verdict is what becomes of an Ask: Start, Wait or Refuse.
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -219,7 +219,7 @@
 	s.store.Configure(standin.Configuration{Version: s.version, Keys: keys, Origin: s.originAt})
 }
 
-// ask sends one stream to a gateway and returns the status and the body.
+// ask sends one stream to a gateway.
 func (s *site) ask(gateway int, key string) caller.Outcome {
 	c := caller.New(s.gateways[gateway].callers)
 	defer c.Close()
--- a/test/hosting/soak_test.go
+++ b/test/hosting/soak_test.go
@@ -285,14 +285,11 @@
 			running.Go(func() { s.call(ctx, g, fmt.Sprintf("%d-%d", n, k), k) })
 		}
 	}
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-	})
 	s.journal.stop = func() {
 		cancel()
 		running.Wait()
 	}
+	t.Cleanup(s.journal.stop)
 }
 
 // call asks one gateway, streams or calls that run at most once, and keeps its
