Draw only once every called neighbour has told its holdings

Cause: of two agents replaced together, each took the other's answer, that it holds nothing, for the first exchange and drew from the origin 22 ms after its start, while four neighbours held the whole version and answered later. Ruled out: the ranking (each draw was by the first of its rank) and the lag of the member list (all four were called). Before: TestReplacedAgentsAwaitThoseThatHold, with holders 60 ms late, draws four chunks (4456448 bytes for 4194304). The wait stays bounded by settleTime; a neighbour that cannot be reached counts as heard.

--- a/internal/transfer/bring.go
+++ b/internal/transfer/bring.go
@@ -33,7 +33,7 @@
 // source sends few chunks at a time and each is soon passed on.
 
 const (
-	settleTime   = 300 * time.Millisecond // for the first exchange, before the first draw
+	settleTime   = 300 * time.Millisecond // at most, for the first exchanges before the first draw
 	window       = 8                      // open chunks
 	freshTime    = 250 * time.Millisecond // and some draws: an open chunk counts that long
 	takeOverStep = time.Second
@@ -66,7 +66,7 @@
 
 // launchBrings starts what is the agent's turn. Callers hold mu.
 func (t *Transfer) launchBrings(ctx context.Context, now time.Time, copies []int) {
-	if !t.exchanged && now.Sub(t.startedAt) < settleTime || t.members.drawAt == nil {
+	if now.Sub(t.startedAt) < settleTime && !t.acquainted() || t.members.drawAt == nil {
 		return
 	}
 	t.open(now)
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -44,6 +44,7 @@
 	suspect      bool      // its last chunk stalled or failed
 	failures     int
 	heardAt      time.Time
+	told         bool               // it has told its holdings, or a call to it failed
 	cancel       context.CancelFunc // ends the calls; nil when the neighbour calls
 }
 
@@ -82,9 +83,6 @@
 	defer t.mu.Unlock()
 	t.members.update(t.terms, t.exchange.options.Self, peers, t.manifest)
 	t.dropSilent(time.Now())
-	if len(peers) == 0 && time.Since(t.startedAt) > settleTime {
-		t.exchanged = true
-	}
 	chosen := t.candidates(peers)
 	for _, p := range chosen {
 		n := t.meet(p)
@@ -235,6 +233,7 @@
 	t.note(n.peer.Name, err)
 	if err != nil {
 		n.toldSeen = 0
+		n.told = true
 		n.failures++
 		if n.failures >= maxFailures {
 			n.cancel()
@@ -251,12 +250,25 @@
 		n.acknowledged = agent.Mark{}
 		return unknownGap, false
 	}
-	t.exchanged = true
+	n.told = true
 	n.acknowledged = reply.Acknowledged
 	t.learn(n, reply.Holdings, reply.Seen)
 	return t.exchangeGap(), false
 }
 
+// acquainted reports whether every neighbour that the agent calls has told its
+// holdings or cannot be reached. One alone is not enough: of agents that start
+// together, the first to answer may hold nothing while another holds all.
+// Callers hold mu.
+func (t *Transfer) acquainted() bool {
+	for _, n := range t.neighbours {
+		if n.cancel != nil && !n.told {
+			return false
+		}
+	}
+	return len(t.neighbours) > 0
+}
+
 // exchangeGap is the time in which about one chunk arrives. Callers hold mu.
 func (t *Transfer) exchangeGap() time.Duration {
 	down := t.exchange.options.Down
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -64,7 +64,6 @@
 	far        int
 	startedAt  time.Time
 	bringAt    time.Time // next look at chunks to bring into the region
-	exchanged  bool      // a neighbour answered, or there is none
 	regionRate regionRate
 	// drawMicroseconds is the recent time of a draw from a source.
 	drawMicroseconds int64
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -234,6 +234,21 @@
 
 func TestReplacedAgentsDrawNothing(t *testing.T) {
 	t.Parallel()
+	replacedDrawNothing(t, 0)
+}
+
+// TestReplacedAgentsAwaitThoseThatHold: the other replacement, which holds
+// nothing, answers at once and those that hold the version answer later.
+// Pattern: two servers replaced together while the others are busy.
+func TestReplacedAgentsAwaitThoseThatHold(t *testing.T) {
+	t.Parallel()
+	replacedDrawNothing(t, 60*time.Millisecond)
+}
+
+// replacedDrawNothing replaces two of six holders; the others answer exchanges
+// only after delay.
+func replacedDrawNothing(t *testing.T, delay time.Duration) {
+	t.Helper()
 	s := start(t, options(6))
 	m := publish(t, s, "1", 1)
 	fetch(s, s.PlanOf(m))
@@ -241,6 +256,9 @@
 	before := s.Origin.Sent().Bytes
 	s.Agents()[0].Kill()
 	s.Agents()[1].Kill()
+	for _, a := range s.Agents()[2:] {
+		a.SetFaults(swarm.Faults{CallsDelay: delay})
+	}
 	for range 2 {
 		_, err := s.Add()
 		require.NoError(t, err)
