Read digests when a version is named; begin connections anew sooner

Cause, from the agents' logs after losses of power: 0.40 s passed between an agent's start and a gateway's first word, since a peer without power drops the opening packet, a try lasted 120 ms and the next began 70 ms later, and a gateway that did not know yet was asked again only after all others had failed; 0.15 to 0.45 s more until the last agent had the digests, as neighbours were asked too early and again 40 to 200 ms later. Changed: digests are sought by a duty of their own as soon as a version is named; neighbours and gateways hold a question until they know; dials begin anew after 60, 120, 240 ms (internal/redial), and a gateway that has taken the connection is given 400 ms, so that agents do not pile up connections at a slow one. What the digests read early save shows only where the origin leaves in between.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,6 +15,7 @@
 
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/redial"
 )
 
 const dialTimeout = 2 * time.Second
@@ -86,6 +87,14 @@
 	}
 }
 
+// Connect connects within a time, unless the client is connected already.
+func (c *Client) Connect(ctx context.Context, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	_, err := c.connect(ctx)
+	return errs.Wrap(err, "connect", c.address)
+}
+
 // Close closes the connection; a later call connects again.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -124,8 +133,7 @@
 func dial(ctx context.Context, address string) (*rpc.Client, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := redial.Dial(ctx, net.Dialer{}, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -18,6 +18,7 @@
 	"almondreel.example/almondreel/internal/logsink"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
+	"almondreel.example/almondreel/internal/redial"
 	"almondreel.example/almondreel/internal/reel"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/platform"
@@ -30,11 +31,11 @@
 	calmTime   = 250 * time.Millisecond
 	// syncAnswer bounds a gateway's answer.
 	syncAnswer = 400 * time.Millisecond
-	// askAnswer bounds the answers when all gateways are asked: one that has no
-	// power drops what it is sent, and may be back a moment later. Each patientAsk-th
-	// time they have syncAnswer, as all may be slow.
-	askAnswer  = 120 * time.Millisecond
-	patientAsk = 4
+	// connectTime bounds a connection to a gateway: one that has no power drops
+	// what it is sent, and may be back a moment later.
+	connectTime = 150 * time.Millisecond
+	// askAgain is the pause before all gateways are asked again when none answered.
+	askAgain = 25 * time.Millisecond
 	// followTime is how long a gateway holds a question for news.
 	followTime = 2 * time.Second
 	// fallbackTime is how long no gateway answers before the store is asked.
@@ -56,7 +57,6 @@
 	answers  atomic.Pointer[control.Client] // of the gateway that answers; nil: none does
 	current  string                         // its address
 	heardAt  time.Time                      // a gateway answered, or the store was asked
-	asks     int                            // of all gateways at once
 	// passedOver holds until when gateways that did not answer come last.
 	passedOver map[string]time.Time
 }
@@ -92,9 +92,11 @@
 }
 
 func newPeerClient() *http.Client {
-	dialer := net.Dialer{Timeout: peerDial}
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return redial.Dial(ctx, net.Dialer{Timeout: peerDial}, address)
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
+		DialContext: dial, DisableCompression: true,
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: pieceIdle / 2,
 	}}
 }
@@ -110,7 +112,10 @@
 			a.readStore(ctx)
 		}
 		every := calmTime
-		if a.reel.Urgent() {
+		switch {
+		case a.current == "":
+			every = askAgain
+		case a.reel.Urgent():
 			every = urgentTime
 		}
 		pause.For(ctx, every)
@@ -145,13 +150,9 @@
 	defer cancel()
 	list := a.ranked()
 	answers := make(chan answer, len(list))
-	within := askAnswer
-	if a.asks++; a.asks%patientAsk == 0 {
-		within = syncAnswer
-	}
 	for _, g := range list {
 		client := a.client(g.Address)
-		go func() { answers <- a.askOne(ctx, client, g.Address, within) }()
+		go func() { answers <- a.askOne(ctx, client, g.Address) }()
 	}
 	best := answer{err: errNoGateway}
 	for range list {
@@ -198,13 +199,18 @@
 }
 
 func (a *agent) ask(ctx context.Context, address string) answer {
-	return a.askOne(ctx, a.client(address), address, syncAnswer)
+	return a.askOne(ctx, a.client(address), address)
 }
 
-func (a *agent) askOne(ctx context.Context, client *control.Client, address string, within time.Duration) answer {
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
+// askOne asks a gateway. One that takes the connection is alive and is given
+// longer than the connection: asking it anew would only add to what slows it.
+func (a *agent) askOne(ctx context.Context, client *control.Client, address string) answer {
 	r := answer{address: address}
+	if r.err = client.Connect(ctx, connectTime); r.err != nil {
+		return r
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncAnswer)
+	defer cancel()
 	request := neighbour.SyncRequest{Agent: a.reel.Say()}
 	r.err = client.Call(ctx, neighbour.MethodSync, request, &r.reply)
 	return r
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -318,6 +318,8 @@
 	n, now := r.neighbours, time.Now()
 	n.roster.hear(request.Agent, now, true)
 	n.roster.announce()
+	n.awaitKnowledge()
+	now = time.Now()
 	reply.Wanted = n.roster.wanted(request.Agent.Service)
 	for _, a := range n.roster.words(now, false) {
 		if a.Name != request.Agent.Name && a.Service == request.Agent.Service {
@@ -329,6 +331,29 @@
 	return nil
 }
 
+// knowledgeTime is how long an agent waits at a gateway that has not heard from
+// the store since its start: less than the agent waits for an answer.
+const knowledgeTime = 200 * time.Millisecond
+
+// awaitKnowledge returns once this gateway has heard from the store, or after a
+// while: agents that start with it would have to ask again and again.
+func (n *neighbours) awaitKnowledge() {
+	timer := time.NewTimer(knowledgeTime)
+	defer timer.Stop()
+	for {
+		changed := n.roster.beliefs.Changed()
+		if n.roster.beliefs.Revision() > 0 {
+			return
+		}
+		select {
+		case <-changed:
+			pause.For(context.Background(), settleTime) // the view follows the items
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 // Follow waits until this gateway knows of something else than the agent.
 func (r receiver) Follow(request neighbour.FollowRequest, reply *neighbour.FollowReply) error {
 	n := r.neighbours
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -69,8 +69,7 @@
 	ready    *version            // the newest version of which every piece is here
 	switches bool                // a load order is on its way or in progress
 	change   change              // that the gateways are told of
-
-	manifestTries int // in a row; owned by keep
+	coming   *Manifest           // the newest that was read; its version may not be begun yet
 }
 
 // change is a change-over that the gateways know of beforehand, so that they
@@ -106,7 +105,7 @@
 
 // Run keeps the engine's weights until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
-	parts := []func(context.Context){a.watchEngine, a.keep}
+	parts := []func(context.Context){a.watchEngine, a.keep, a.seek}
 	for n := range fetchers {
 		parts = append(parts, func(ctx context.Context) { a.fetch(ctx, n >= servingFetchers) })
 	}
@@ -262,11 +261,13 @@
 func (a *Agent) manifestOf(model string, number int64) (Manifest, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	v := a.find(model, number)
-	if v == nil {
-		return Manifest{}, false
+	if v := a.find(model, number); v != nil {
+		return v.manifest, true
+	}
+	if c := a.coming; c != nil && c.Model == model && c.Version == number {
+		return *c, true
 	}
-	return v.manifest, true
+	return Manifest{}, false
 }
 
 // fetch brings pieces, one after the other.
--- a/internal/reel/agent_test.go
+++ b/internal/reel/agent_test.go
@@ -106,6 +106,7 @@
 	drawn   int
 	corrupt int
 	down    bool
+	most    int      // pieces that it gives out; 0: all
 	readers []string // agents that asked for digests, in order
 }
 
@@ -125,7 +126,7 @@
 func (o *origin) Piece(_ context.Context, _, _ string, version int64, n int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.down {
+	if o.down || o.most > 0 && o.drawn >= o.most {
 		return nil, errors.New("origin is down")
 	}
 	o.drawn++
@@ -242,6 +243,62 @@
 	require.Less(t, len(c.origin.readers), len(names), "its link carries pieces")
 }
 
+// lone runs one agent that finishes what it begins, and returns the address at
+// which it serves others.
+func lone(t *testing.T, o *origin) (*reel.Agent, string) {
+	a := reel.NewAgent(reel.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, VersionMS: 8000, Engine: newEngine(), Origin: o, Peers: reel.NewPeers(&http.Client{})})
+	server := httptest.NewServer(a.Handler())
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return a, server.Listener.Addr().String()
+}
+
+// Pattern: a version is named while most of the one before is there, and the
+// origin leaves soon after. Its digests are read at once.
+func TestDigestsAreReadWhileAnOlderVersionIsFinished(t *testing.T) {
+	a, address := lone(t, &origin{most: pieces * 3 / 4})
+	a.Adopt(wanted(1), nil, nil)
+	held := func() int {
+		words := a.Say().Pieces.Have
+		count := 0
+		for n := range pieces {
+			if draw.Has(words, n) {
+				count++
+			}
+		}
+		return count
+	}
+	require.Eventually(t, func() bool { return held() == pieces*3/4 }, 5*time.Second, 5*time.Millisecond)
+	a.Adopt(wanted(2), nil, nil)
+	require.Eventually(t, func() bool {
+		m, err := reel.NewPeers(&http.Client{}).Manifest(context.Background(), address, model, 2)
+		return err == nil && m.Version == 2
+	}, 2*time.Second, 10*time.Millisecond)
+	require.EqualValues(t, 1, a.Say().Pieces.Version, "the older one is still being finished")
+}
+
+// Pattern: all agents hear of a version at once. One that asks another for the
+// digests a moment too early waits for them, instead of asking again later.
+func TestANeighbourWaitsForDigests(t *testing.T) {
+	o := &origin{down: true}
+	a, address := lone(t, o)
+	a.Adopt(wanted(1), nil, nil)
+	time.AfterFunc(60*time.Millisecond, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.down = false
+	})
+	m, err := reel.NewPeers(&http.Client{}).Manifest(context.Background(), address, model, 1)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, m.Version)
+}
+
 func TestSpoiltPiecesAreNeverLoaded(t *testing.T) {
 	c := newCrew(t, 3, &origin{corrupt: 3})
 	c.want(t, 1)
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"math/bits"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
@@ -78,21 +76,13 @@
 	return float64(there) >= finishShare*float64(len(v.manifest.Digests))
 }
 
-// manifestPause is the longest pause between tries for a manifest.
-const manifestPause = 200 * time.Millisecond
-
-// open begins to bring a version, with what is staged of it already.
+// open begins to bring a version whose digests are known, with what is staged of
+// it already.
 func (a *Agent) open(ctx context.Context, w neighbour.Wanted) {
-	m, err := a.manifest(ctx, w)
-	if err != nil {
-		a.manifestTries++
-		if !errors.Is(err, errNotYet) && a.manifestTries&(a.manifestTries-1) == 0 { // the first, second, fourth and so on
-			event.Fail(event.ManifestMissing, err, "Model", w.Engine.Model, "Version", w.Version, "Tries", a.manifestTries)
-		}
-		pause.For(ctx, min(time.Duration(a.manifestTries)*keepTime, manifestPause))
+	m, ok := a.comingOf(w)
+	if !ok {
 		return
 	}
-	a.manifestTries = 0
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	v := &version{manifest: m, data: make([][]byte, len(m.Digests))}
 	v.plan = draw.NewPlan(a.Name, a.Region, len(m.Digests), time.Now(), random)
@@ -135,72 +125,6 @@
 // taken to be of another version: some spoil.
 const maxMisses = 12
 
-// manifest asks for a version's digests: those who draw pieces from the origin
-// ask it; the others ask one of these, and the origin only now and then, so that
-// its link carries pieces.
-func (a *Agent) manifest(ctx context.Context, w neighbour.Wanted) (Manifest, error) {
-	addresses, draws := a.manifestHolders(w)
-	for _, address := range addresses {
-		m, err := a.Peers.Manifest(ctx, address, w.Engine.Model, w.Version)
-		if err == nil {
-			return m, nil
-		}
-		counter.Add("ManifestFailures.Agent", 1)
-	}
-	if !draws && (a.manifestTries+1)%originTries != 0 {
-		return Manifest{}, errNotYet
-	}
-	return a.Origin.Manifest(ctx, w.Origin, w.Engine.Model, w.Version)
-}
-
-// originTries is how often an agent that does not draw from the origin tries to
-// have the digests from one that does before it asks the origin itself.
-const originTries = 8
-
-// errNotYet says that a neighbour should have the manifest soon.
-var errNotYet = errors.New("neighbours do not have it yet")
-
-// manifestHolders returns the addresses of agents that have the digests or
-// should have them soon, those of the own region first, and whether this agent
-// draws from the origin. A drawer asks only those that have them.
-func (a *Agent) manifestHolders(w neighbour.Wanted) (addresses []string, draws bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	needers := []string{a.Name}
-	for _, m := range a.members {
-		if m.Service != a.Service {
-			continue
-		}
-		needers = append(needers, m.Name)
-		if m.Pieces.Model == w.Engine.Model && m.Pieces.Version == w.Version && m.Region == a.Region {
-			addresses = append(addresses, m.Address)
-		}
-	}
-	drawers := draw.Drawers(needers)
-	draws = slices.Contains(drawers, a.Name)
-	if !draws && len(addresses) == 0 {
-		addresses = a.someDrawer(drawers)
-	}
-	return addresses, draws
-}
-
-// someDrawer returns the address of one of the drawers by lot, one of the own
-// region if there are any. Callers hold mu.
-func (a *Agent) someDrawer(drawers []string) []string {
-	var near, far []string
-	for _, name := range drawers {
-		if a.members[name].Region == a.Region {
-			near = append(near, a.members[name].Address)
-		} else {
-			far = append(far, a.members[name].Address)
-		}
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	return []string{near[rand.IntN(len(near))]}
-}
-
 // turn reports whether the engine may change over to a version now. One that serves nothing
 // need not wait.
 func (a *Agent) turn(wanted int64) bool {
--- a/internal/reel/peers.go
+++ b/internal/reel/peers.go
@@ -204,7 +204,7 @@
 
 func (a *Agent) serveManifest(w http.ResponseWriter, r *http.Request) {
 	version, _ := strconv.ParseInt(r.PathValue("version"), 10, 64)
-	m, ok := a.manifestOf(r.PathValue("model"), version)
+	m, ok := a.awaitManifest(r.Context(), r.PathValue("model"), version)
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
