Stage pieces as they come

Cause, from the agents' logs after losses of power everywhere: half of the engines came back with all pieces of the wanted version staged and served 0.95 s after their start, the others with none and served after 3.5 to 5 s. Those with pieces were the ones that had changed over before: pieces were staged in the check before an order only, so that whole versions lay in the agents' memory, waiting for their turn of up to 2.5 s. Now pieces are staged as they come, an older version that waits for its turn first. Nothing is staged from the check before an order until the order is carried out, or for five seconds if its answer is lost; after a start every piece that lies at the engine is looked at, as two versions may lie side by side.

Tried before it and reverted: agents forecast when their engines serve, and gateways keep callers until then, as many as there will be places.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -59,6 +59,7 @@
 	ManifestMissing
 	StagedUnread
 	StagedSpoilt
+	PieceUnstaged
 )
 
 // Events of requests: 4000 to 4099.
@@ -131,6 +132,7 @@
 	ManifestMissing:   "manifest could not be read",
 	StagedUnread:      "staged pieces could not be listed",
 	StagedSpoilt:      "staged pieces missing or spoilt: staged again",
+	PieceUnstaged:     "piece could not be staged",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -58,6 +58,9 @@
 type Agent struct {
 	Options
 
+	// staging is held while what lies at the engine is changed, or must not be.
+	staging sync.Mutex
+
 	mu       sync.Mutex
 	wanted   neighbour.Wanted
 	state    site.State
@@ -69,7 +72,9 @@
 	ready    *version            // the newest version of which every piece is here
 	switches bool                // a load order is on its way or in progress
 	change   change              // that the gateways are told of
-	coming   *Manifest           // the newest that was read; its version may not be begun yet
+	// stageFrom is when pieces may be staged again after an order without an answer.
+	stageFrom time.Time
+	coming    *Manifest // the newest that was read; its version may not be begun yet
 }
 
 // change is a change-over that the gateways know of beforehand, so that they
@@ -96,6 +101,8 @@
 	manifest Manifest
 	plan     *draw.Plan
 	data     [][]byte
+	staged   []bool // pieces that lie at the engine
+	stagedAt int64  // start of that engine, Unix milliseconds
 }
 
 // NewAgent returns an agent that knows nothing yet.
@@ -105,7 +112,7 @@
 
 // Run keeps the engine's weights until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
-	parts := []func(context.Context){a.watchEngine, a.keep, a.seek}
+	parts := []func(context.Context){a.watchEngine, a.keep, a.seek, a.stage}
 	for n := range fetchers {
 		parts = append(parts, func(ctx context.Context) { a.fetch(ctx, n >= servingFetchers) })
 	}
--- a/internal/reel/agent_test.go
+++ b/internal/reel/agent_test.go
@@ -246,17 +246,72 @@
 // lone runs one agent that finishes what it begins, and returns the address at
 // which it serves others.
 func lone(t *testing.T, o *origin) (*reel.Agent, string) {
-	a := reel.NewAgent(reel.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, VersionMS: 8000, Engine: newEngine(), Origin: o, Peers: reel.NewPeers(&http.Client{})})
+	a, stop := beside(newEngine(), o)
+	t.Cleanup(stop)
 	server := httptest.NewServer(a.Handler())
 	t.Cleanup(server.Close)
+	return a, server.Listener.Addr().String()
+}
+
+// beside runs an agent beside an engine until stop is called.
+func beside(e *engine, o *origin) (a *reel.Agent, stop func()) {
+	a = reel.NewAgent(reel.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, VersionMS: 8000, Engine: e, Origin: o, Peers: reel.NewPeers(&http.Client{})})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx) }()
-	t.Cleanup(func() {
+	return a, func() {
 		cancel()
 		<-ended
-	})
-	return a, server.Listener.Addr().String()
+	}
+}
+
+// lies returns the number of pieces of a version that lie at an engine.
+func (e *engine) lies(version int64) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for n, data := range e.staged {
+		if string(data) == string(pieceOf(version, n)) {
+			count++
+		}
+	}
+	return count
+}
+
+// Pattern: agents and engines crash everywhere while a version is on its way.
+// What came before lies at the engines, beside pieces of the version before it.
+func TestWhatCameOutlastsACrash(t *testing.T) {
+	e := newEngine()
+	for n := range pieces {
+		e.staged[n] = pieceOf(1, n)
+	}
+	e.holding = 1
+	a, stop := beside(e, &origin{most: pieces * 3 / 4})
+	a.Adopt(wanted(2), nil, nil)
+	require.Eventually(t, func() bool { return e.lies(2) == pieces*3/4 }, 5*time.Second, 5*time.Millisecond)
+	stop()
+	e.mu.Lock()
+	e.holding, e.born = 0, 2
+	e.mu.Unlock()
+	o := &origin{}
+	a, stop = beside(e, o)
+	defer stop()
+	a.Adopt(wanted(2), nil, nil)
+	require.Eventually(t, func() bool { return e.serves() == 2 }, 5*time.Second, 5*time.Millisecond)
+	require.False(t, e.spoilt)
+	require.Equal(t, pieces/4, o.drawn, "only what had not come")
+}
+
+// Pattern: a crash of all while the engines change over one after the other. All
+// of them have the new version at hand.
+func TestAVersionIsStagedBeforeItsTurn(t *testing.T) {
+	e := newEngine()
+	e.holding = 1
+	a, stop := beside(e, &origin{})
+	defer stop()
+	a.Adopt(wanted(2), nil, nil)
+	require.Eventually(t, func() bool { return e.lies(2) == pieces }, 2*time.Second, 5*time.Millisecond)
+	require.EqualValues(t, 1, e.serves(), "its turn has not come")
 }
 
 // Pattern: a version is named while most of the one before is there, and the
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -84,9 +84,12 @@
 		return
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	v := &version{manifest: m, data: make([][]byte, len(m.Digests))}
+	v := &version{manifest: m, data: make([][]byte, len(m.Digests)), staged: make([]bool, len(m.Digests))}
 	v.plan = draw.NewPlan(a.Name, a.Region, len(m.Digests), time.Now(), random)
 	staged := 0
+	a.mu.Lock()
+	v.stagedAt = a.state.Born
+	a.mu.Unlock()
 	if a.bringing == nil { // after a start, the engine may hold what was staged before
 		staged = a.readStaged(ctx, v)
 	}
@@ -104,27 +107,19 @@
 		event.Fail(event.StagedUnread, err, "Version", v.manifest.Version)
 		return 0
 	}
-	found, misses := 0, 0
+	found := 0
 	for _, n := range held {
-		if misses > maxMisses {
-			break // it is another version that lies there
-		}
 		data, err := a.Engine.Staged(ctx, v.manifest.Model, n)
 		if err != nil || v.manifest.Verify(n, data) != nil {
-			misses++
-			continue
+			continue // it is spoilt, or of another version
 		}
-		v.data[n] = data
+		v.data[n], v.staged[n] = data, true
 		v.plan.Got(n)
 		found++
 	}
 	return found
 }
 
-// maxMisses is the number of staged pieces that may differ before the rest is
-// taken to be of another version: some spoil.
-const maxMisses = 12
-
 // turn reports whether the engine may change over to a version now. One that serves nothing
 // need not wait.
 func (a *Agent) turn(wanted int64) bool {
@@ -164,6 +159,8 @@
 	if serving && !pause.For(ctx, time.Until(at)-checkTime) {
 		return
 	}
+	a.staging.Lock()
+	defer a.staging.Unlock()
 	checked := time.Now()
 	if !a.check(ctx, v) || serving && !pause.For(ctx, time.Until(at)) {
 		return
@@ -175,6 +172,7 @@
 	counter.Add("LoadOrders", 1)
 	if err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); err != nil {
 		event.Fail(event.LoadUnsettled, err, "Version", v.manifest.Version)
+		a.unsettled()
 	}
 	a.await(ctx, v)
 }
@@ -243,41 +241,3 @@
 		a.change = change{}
 	}
 }
-
-// checkRounds bounds how often what is staged is read back and mended.
-const checkRounds = 4
-
-// check stages a version and returns true once every piece has been read back
-// as it should be.
-func (a *Agent) check(ctx context.Context, v *version) bool {
-	for range checkRounds {
-		differs, err := a.mend(ctx, v)
-		if err != nil {
-			event.Fail(event.StagedSpoilt, err, "Version", v.manifest.Version)
-			return false
-		}
-		if differs == 0 {
-			return true
-		}
-		event.Log(event.StagedSpoilt, "Pieces", differs, "Version", v.manifest.Version)
-	}
-	return false
-}
-
-// mend reads every staged piece back and stages those again that differ. It
-// returns their number.
-func (a *Agent) mend(ctx context.Context, v *version) (int, error) {
-	differs := 0
-	for n := range v.manifest.Digests {
-		data, err := a.Engine.Staged(ctx, v.manifest.Model, n)
-		if err == nil && v.manifest.Verify(n, data) == nil {
-			continue // one that is missing or cannot be read is staged again
-		}
-		differs++
-		counter.Add("PiecesStaged", 1)
-		if err := a.Engine.Stage(ctx, v.manifest.Model, n, v.data[n]); err != nil {
-			return differs, err
-		}
-	}
-	return differs, nil
-}
