Count holders that failed twice as gone; let two pieces fly once one is here

It stays at one until the first piece is here, as all of the first ones share the origin's link, and is two from then on.

--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -27,8 +27,9 @@
 	regionStep = 250 * time.Millisecond
 	// perHolder bounds pieces in flight from one holder.
 	perHolder = 1
-	// perOrigin bounds pieces in flight from the origin to one agent.
-	perOrigin = 1
+	// perOrigin bounds pieces in flight from the origin to one agent, once it has
+	// its first: those share the origin's link, and all wait for one of them.
+	perOrigin = 2
 	// scarce is the number of agents that lack a version for each that has a
 	// piece, from which on the piece is drawn from the origin as well.
 	scarce = 4
@@ -41,6 +42,11 @@
 	// once; the rest doubles with each failure in a row.
 	firstRest   = 80 * time.Millisecond
 	longestRest = 500 * time.Millisecond
+	// goneFrom failures in a row, a holder counts as gone for goneTime: longer than
+	// the others' word of a living one lasts. Pieces that it alone has are then
+	// drawn by others.
+	goneFrom = 2
+	goneTime = 2 * time.Second
 )
 
 // Member is an agent that takes part.
@@ -69,9 +75,11 @@
 	flying       map[int]Source
 	fromHolder   map[string]int
 	fromOrigin   int
+	begun        bool              // a piece came from the origin
 	farSince     map[int]time.Time // when a piece was first seen in another region only
 	resting      map[string]time.Time
-	failures     map[string]int // in a row, by source
+	failures     map[string]int       // in a row, by source
+	gone         map[string]time.Time // holders that failed, until when they count as gone
 	random       *rand.Rand
 }
 
@@ -80,7 +88,7 @@
 	return &Plan{
 		name: name, region: region, pieces: pieces, openedAt: openedAt,
 		have: make([]uint64, (pieces+63)/64), flying: map[int]Source{}, fromHolder: map[string]int{},
-		farSince: map[int]time.Time{}, resting: map[string]time.Time{}, failures: map[string]int{}, random: random,
+		farSince: map[int]time.Time{}, resting: map[string]time.Time{}, failures: map[string]int{}, gone: map[string]time.Time{}, random: random,
 	}
 }
 
@@ -124,6 +132,7 @@
 	switch end {
 	case Brought:
 		p.failures[f.Source.Holder] = 0
+		p.begun = p.begun || f.Source.Holder == ""
 		return
 	case Busy:
 		p.resting[f.Source.Holder] = now.Add(busyRest)
@@ -132,6 +141,9 @@
 	p.failures[f.Source.Holder]++
 	rest := firstRest << min(p.failures[f.Source.Holder]-1, 4)
 	p.resting[f.Source.Holder] = now.Add(min(rest, longestRest))
+	if p.failures[f.Source.Holder] >= goneFrom {
+		p.gone[f.Source.Holder] = now.Add(goneTime)
+	}
 }
 
 // Failures returns how often in a row a source has failed.
@@ -141,7 +153,7 @@
 // first; then a neighbour is drawn by lot, so that all of them are asked alike,
 // and the rarest piece that it can give.
 func (p *Plan) Next(now time.Time, members []Member) (Fetch, bool) {
-	view := p.look(members)
+	view := p.look(now, members)
 	f, ok := p.unlocking(now, view)
 	if !ok {
 		f, ok = p.nearby(now, view)
@@ -200,7 +212,11 @@
 
 // originFree reports whether this agent may ask the origin now.
 func (p *Plan) originFree(now time.Time) bool {
-	return p.fromOrigin < perOrigin && !now.Before(p.resting[""])
+	most := perOrigin
+	if !p.begun {
+		most = 1
+	}
+	return p.fromOrigin < most && !now.Before(p.resting[""])
 }
 
 // nearby returns a piece that a neighbour has.
@@ -234,10 +250,10 @@
 	counts    []int    // copies of each piece in this region
 }
 
-func (p *Plan) look(members []Member) view {
+func (p *Plan) look(now time.Time, members []Member) view {
 	v := view{needers: []string{p.name}, nearby: []string{p.name}}
 	for _, m := range members {
-		if m.Name == p.name {
+		if m.Name == p.name || now.Before(p.gone[m.Name]) {
 			continue
 		}
 		if m.Needs {
--- a/internal/draw/draw_test.go
+++ b/internal/draw/draw_test.go
@@ -19,6 +19,7 @@
 	originTime = 27 * time.Millisecond
 	tick       = 7 * time.Millisecond
 	newsAge    = 200 * time.Millisecond // of what agents know of each other
+	listedTime = 2 * time.Second        // an agent that died counts as a member
 )
 
 // flight is a fetch on its way.
@@ -33,6 +34,7 @@
 	name, region string
 	plan         *draw.Plan
 	dead         bool
+	diedAt       time.Time
 	doneAt       time.Time
 	sendsUntil   time.Time
 	told         [][]uint64 // what the others hear, oldest first
@@ -77,7 +79,7 @@
 func (p *play) members(of *taker) []draw.Member {
 	var out []draw.Member
 	for _, a := range p.agents {
-		if a != of && !a.dead {
+		if a != of && (!a.dead || p.now.Sub(a.diedAt) < listedTime) {
 			have := a.told[0]
 			out = append(out, draw.Member{Name: a.name, Region: a.region, Have: have, Needs: !full(have)})
 		}
@@ -260,12 +262,32 @@
 	for range 100 {
 		p.step()
 	}
-	for _, n := range []int{0, 7, 14} {
-		p.agents[n].dead = true
-	}
+	p.kill(0, 7, 14)
 	p.run(12 * time.Second)
 }
 
+// kill ends agents; the others hear of it late.
+func (p *play) kill(agents ...int) {
+	for _, n := range agents {
+		p.agents[n].dead, p.agents[n].diedAt = true, p.now
+	}
+}
+
+// Pattern: servers leave half a second after a version was named, with pieces
+// that nobody else has, and the origin two seconds later.
+func TestPiecesOfThoseThatLeftAreDrawnAgainAtOnce(t *testing.T) {
+	for _, perRegion := range []int{4, 7} {
+		p := newPlay(t, perRegion)
+		p.downAt = p.now.Add(2500 * time.Millisecond)
+		p.upAt = p.downAt.Add(6 * time.Second)
+		for range int(500 * time.Millisecond / tick) {
+			p.step()
+		}
+		p.kill(0, perRegion)
+		require.LessOrEqual(t, p.run(12*time.Second), 5*time.Second)
+	}
+}
+
 // Pattern: the origin dies 2.5 s after a version was named.
 func TestACopyIsOutBeforeTheOriginDies(t *testing.T) {
 	p := newPlay(t, 7)
