--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -42,6 +42,8 @@
 	// once; the rest doubles with each failure in a row.
 	firstRest   = 80 * time.Millisecond
 	longestRest = 500 * time.Millisecond
+	// longestOriginRest is that of the origin, for which all wait.
+	longestOriginRest = 150 * time.Millisecond
 	// goneFrom failures in a row, a holder counts as gone for goneTime: longer than
 	// the others' word of a living one lasts. Pieces that it alone has are then
 	// drawn by others.
@@ -70,7 +72,7 @@
 type Plan struct {
 	name, region string
 	pieces       int
-	openedAt     time.Time
+	openedAt     time.Time // or when the origin last failed: ranks count from there
 	have         []uint64
 	flying       map[int]Source
 	fromHolder   map[string]int
@@ -139,8 +141,12 @@
 		return
 	}
 	p.failures[f.Source.Holder]++
-	rest := firstRest << min(p.failures[f.Source.Holder]-1, 4)
-	p.resting[f.Source.Holder] = now.Add(min(rest, longestRest))
+	rest, longest := firstRest<<min(p.failures[f.Source.Holder]-1, 4), longestRest
+	if f.Source.Holder == "" {
+		longest = longestOriginRest
+		p.openedAt = now
+	}
+	p.resting[f.Source.Holder] = now.Add(min(rest, longest))
 	if p.failures[f.Source.Holder] >= goneFrom {
 		p.gone[f.Source.Holder] = now.Add(goneTime)
 	}
--- a/internal/draw/draw_test.go
+++ b/internal/draw/draw_test.go
@@ -296,11 +296,17 @@
 	require.LessOrEqual(t, p.run(12*time.Second), 5*time.Second)
 }
 
-// Pattern: the origin is down when a version is named.
+// Pattern: the origin is down when a version is named, for longer than those of
+// later ranks wait. It is then drawn from as if the version were named anew.
 func TestTheOriginIsAskedAgainWhenItReturns(t *testing.T) {
-	p := newPlay(t, 4)
-	p.downAt, p.upAt = p.now, p.now.Add(3*time.Second)
-	require.LessOrEqual(t, p.run(12*time.Second), 3*time.Second+2*bound)
+	for _, away := range []time.Duration{3 * time.Second, 6 * time.Second} {
+		p := newPlay(t, 4)
+		p.downAt, p.upAt = p.now, p.now.Add(away)
+		took := p.run(12 * time.Second)
+		t.Logf("%v after it returned, %d pieces out of the origin", took-away, p.copies)
+		require.LessOrEqual(t, took, away+2*bound)
+		require.LessOrEqual(t, p.copies, pieces*3/2)
+	}
 }
 
 func TestASpoiltPieceIsFetchedAgain(t *testing.T) {
