--- a/internal/swarm/faults.go
+++ b/internal/swarm/faults.go
@@ -10,11 +10,11 @@
 
 // Faults of an agent towards the others.
 type Faults struct {
-	CorruptOneIn  int           // one chunk in this many is sent with a changed byte
-	CutShortOneIn int           // one chunk in this many ends early
-	TooLongOneIn  int           // one chunk in this many has bytes added
-	Stalled       bool          // chunks stop after their first bytes, and exchanges hang
-	CallsDelay    time.Duration // its connection for exchanges is answered that much later
+	CorruptOneIn           int  // one chunk in this many is sent with a changed byte
+	CutShortOneIn          int  // one chunk in this many ends early
+	TooLongOneIn           int  // one chunk in this many has bytes added
+	Stalled                bool // chunks stop after their first bytes, and exchanges hang
+	CallsDelayMilliseconds int  // its connection for exchanges is answered that much later
 }
 
 // SetFaults replaces the agent's faults.
@@ -39,7 +39,7 @@
 			return
 		}
 		if !strings.HasPrefix(r.URL.Path, agent.ChunkPath) {
-			time.Sleep(f.CallsDelay)
+			time.Sleep(time.Duration(f.CallsDelayMilliseconds) * time.Millisecond)
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -242,12 +242,12 @@
 // Pattern: two servers replaced together while the others are busy.
 func TestReplacedAgentsAwaitThoseThatHold(t *testing.T) {
 	t.Parallel()
-	replacedDrawNothing(t, 60*time.Millisecond)
+	replacedDrawNothing(t, 60)
 }
 
 // replacedDrawNothing replaces two of six holders; the others answer exchanges
-// only after delay.
-func replacedDrawNothing(t *testing.T, delay time.Duration) {
+// only after a delay.
+func replacedDrawNothing(t *testing.T, delayMilliseconds int) {
 	t.Helper()
 	s := start(t, options(6))
 	m := publish(t, s, "1", 1)
@@ -257,7 +257,7 @@
 	s.Agents()[0].Kill()
 	s.Agents()[1].Kill()
 	for _, a := range s.Agents()[2:] {
-		a.SetFaults(swarm.Faults{CallsDelay: delay})
+		a.SetFaults(swarm.Faults{CallsDelayMilliseconds: delayMilliseconds})
 	}
 	for range 2 {
 		_, err := s.Add()
