Wait for gateways in the end-to-end test of a request

Cause: the test waits until three agents say that they serve, and asks every gateway at once; gateways hear of it a moment later. The test now repeats a call for 10 s, as the tests of requests do, and requires of each refusal before the answer that it says not run and names a time to come back, which it did not check before. All that it asserts of the answers stays.

--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -48,6 +48,27 @@
 	return f, ctx
 }
 
+// answered repeats a call until it is answered. Agents say that they serve before
+// every gateway has heard it; until then it must be told not to be run, and when
+// to come back.
+func answered(t *testing.T, call func() (client.Answer, error)) client.Answer {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		a, err := call()
+		require.NoError(t, err)
+		if a.Record.Outcome == "Answered" {
+			return a
+		}
+		require.Equal(t, "Refused", a.Record.Outcome, a.Record.Reason)
+		require.True(t, a.Record.NotRun)
+		require.False(t, a.Record.RetryAt.IsZero())
+		require.True(t, time.Now().Before(deadline), "still refused: %s", a.Record.Reason)
+		t.Logf("refused: %s", a.Record.Reason)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func TestRequestIsServedEndToEnd(t *testing.T) {
 	f, ctx := start(t, site(t))
 	first, err := f.AwaitServing(ctx, "1", 3)
@@ -55,20 +76,20 @@
 
 	for _, g := range f.Gateways {
 		caller := client.New("http://"+g.Caller, f.Site.Organisations[0].Key, nil)
-		a, err := caller.Complete(ctx, client.Completion{Class: "auction-questions", Prompt: "Lot 3?", MaxTokens: 5})
-		require.NoError(t, err)
-		require.Equal(t, "Answered", a.Record.Outcome, a.Record.Reason)
+		a := answered(t, func() (client.Answer, error) {
+			return caller.Complete(ctx, client.Completion{Class: "auction-questions", Prompt: "Lot 3?", MaxTokens: 5})
+		})
 		require.Equal(t, first, a.Record.Digest)
 		require.Len(t, a.Tokens, 5)
 
-		a, err = caller.Call(ctx, "barnboard-lookups", "", []byte(`{"text":"board"}`))
-		require.NoError(t, err)
-		require.Equal(t, "Answered", a.Record.Outcome, a.Record.Reason)
+		a = answered(t, func() (client.Answer, error) {
+			return caller.Call(ctx, "barnboard-lookups", "", []byte(`{"text":"board"}`))
+		})
 		require.NotEmpty(t, a.Body)
 
-		a, err = caller.Call(ctx, "settlement-postings", "posting-"+g.Name, []byte(`{"text":"post"}`))
-		require.NoError(t, err)
-		require.Equal(t, "Answered", a.Record.Outcome, a.Record.Reason)
+		answered(t, func() (client.Answer, error) {
+			return caller.Call(ctx, "settlement-postings", "posting-"+g.Name, []byte(`{"text":"post"}`))
+		})
 	}
 
 	require.NoError(t, f.Release(ctx, "2"))
