Use one piece of code for waits, counts and dials

Behaviour stays. Gateways wait for news of the store in one loop, for agents that start and for those that follow; a plan counts the copies elsewhere once a step, as those of its own region; transports take redial.DialContext; manifests are compared in one place. The origin no longer gets an entry among holders that are gone, which nothing read. A neighbour that has spoken is marked heard, next to what it was told.

--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -142,14 +142,14 @@
 	}
 	p.failures[f.Source.Holder]++
 	rest, longest := firstRest<<min(p.failures[f.Source.Holder]-1, 4), longestRest
-	if f.Source.Holder == "" {
+	switch {
+	case f.Source.Holder == "":
 		longest = longestOriginRest
 		p.openedAt = now
-	}
-	p.resting[f.Source.Holder] = now.Add(min(rest, longest))
-	if p.failures[f.Source.Holder] >= goneFrom {
+	case p.failures[f.Source.Holder] >= goneFrom:
 		p.gone[f.Source.Holder] = now.Add(goneTime)
 	}
+	p.resting[f.Source.Holder] = now.Add(min(rest, longest))
 }
 
 // Failures returns how often in a row a source has failed.
@@ -207,12 +207,7 @@
 // it, should be drawn from the origin as well, by the first of its rank: the
 // links of those few would take longer than the origin's.
 func (p *Plan) drawsScarce(now time.Time, piece int, v view) bool {
-	held := v.copies(piece)
-	for _, m := range v.far {
-		if Has(m.Have, piece) {
-			held++
-		}
-	}
+	held := v.copies(piece) + v.farCounts[piece]
 	return held > 0 && held*scarce <= len(v.needers) && p.originFree(now) && p.position(strconv.Itoa(piece), v) == 0
 }
 
@@ -254,6 +249,7 @@
 	nearby    []string // those of this region
 	drawers   []string // those that draw from the origin
 	counts    []int    // copies of each piece in this region
+	farCounts []int    // elsewhere
 }
 
 func (p *Plan) look(now time.Time, members []Member) view {
@@ -275,15 +271,21 @@
 		}
 	}
 	v.drawers = Drawers(v.needers)
-	v.counts = make([]int, p.pieces)
-	for _, m := range v.near {
+	v.counts, v.farCounts = p.count(v.near), p.count(v.far)
+	return v
+}
+
+// count returns how many of the members have each piece.
+func (p *Plan) count(members []Member) []int {
+	counts := make([]int, p.pieces)
+	for _, m := range members {
 		for piece := range p.pieces {
 			if Has(m.Have, piece) {
-				v.counts[piece]++
+				counts[piece]++
 			}
 		}
 	}
-	return v
+	return counts
 }
 
 // Drawers returns those of the agents that lack a version who draw it from the
@@ -298,11 +300,7 @@
 // source returns where a piece that no neighbour has may be fetched from now.
 func (p *Plan) source(now time.Time, piece int, v view) (Source, bool) {
 	item := strconv.Itoa(piece)
-	held := false
-	for _, m := range v.far {
-		held = held || Has(m.Have, piece)
-	}
-	if !held {
+	if v.farCounts[piece] == 0 {
 		return Source{}, p.originFree(now) && !now.Before(stripe.Turn(p.openedAt, p.position(item, v), originStep))
 	}
 	since, seen := p.farSince[piece]
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -92,11 +92,8 @@
 }
 
 func newPeerClient() *http.Client {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		return redial.Dial(ctx, net.Dialer{Timeout: peerDial}, address)
-	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dial, DisableCompression: true,
+		DialContext: redial.DialContext(net.Dialer{Timeout: peerDial}), DisableCompression: true,
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: pieceIdle / 2,
 	}}
 }
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -338,11 +338,16 @@
 // awaitKnowledge returns once this gateway has heard from the store, or after a
 // while: agents that start with it would have to ask again and again.
 func (n *neighbours) awaitKnowledge() {
-	timer := time.NewTimer(knowledgeTime)
+	n.await(knowledgeTime, func() bool { return n.roster.beliefs.Revision() > 0 })
+}
+
+// await returns once what is believed of the store satisfies done, or after a time.
+func (n *neighbours) await(within time.Duration, done func() bool) {
+	timer := time.NewTimer(within)
 	defer timer.Stop()
 	for {
 		changed := n.roster.beliefs.Changed()
-		if n.roster.beliefs.Revision() > 0 {
+		if done() {
 			return
 		}
 		select {
@@ -357,21 +362,10 @@
 // Follow waits until this gateway knows of something else than the agent.
 func (r receiver) Follow(request neighbour.FollowRequest, reply *neighbour.FollowReply) error {
 	n := r.neighbours
-	timer := time.NewTimer(min(time.Duration(request.WaitMilliseconds)*time.Millisecond, followTime))
-	defer timer.Stop()
-	for waiting := true; waiting; {
-		changed := n.roster.beliefs.Changed()
+	n.await(min(time.Duration(request.WaitMilliseconds)*time.Millisecond, followTime), func() bool {
 		reply.Wanted = n.roster.wanted(request.Service)
-		if reply.Wanted.Revision > 0 && !reply.Wanted.Same(request.Known) {
-			break
-		}
-		select {
-		case <-changed:
-			pause.For(context.Background(), settleTime) // the view follows the items
-		case <-timer.C:
-			waiting = false
-		}
-	}
+		return reply.Wanted.Revision > 0 && !reply.Wanted.Same(request.Known)
+	})
 	reply.Named = n.named(time.Now())
 	return nil
 }
--- a/internal/redial/redial.go
+++ b/internal/redial/redial.go
@@ -30,6 +30,11 @@
 	}
 }
 
+// DialContext returns a transport's way to connect with d as Dial does.
+func DialContext(d net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return Dial(ctx, d, address) }
+}
+
 // over reports whether ctx has ended or its deadline has passed: a dial notices
 // the deadline by itself, a moment before ctx ends.
 func over(ctx context.Context) bool {
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -246,7 +246,7 @@
 // find returns a version that the agent holds pieces of, or nil.
 func (a *Agent) find(model string, number int64) *version {
 	for _, v := range []*version{a.bringing, a.ready, a.former} {
-		if v != nil && v.manifest.Model == model && v.manifest.Version == number {
+		if v != nil && v.manifest.is(model, number) {
 			return v
 		}
 	}
@@ -271,7 +271,7 @@
 	if v := a.find(model, number); v != nil {
 		return v.manifest, true
 	}
-	if c := a.coming; c != nil && c.Model == model && c.Version == number {
+	if c := a.coming; c != nil && c.is(model, number) {
 		return *c, true
 	}
 	return Manifest{}, false
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -83,13 +83,8 @@
 	if !ok {
 		return
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	v := &version{manifest: m, data: make([][]byte, len(m.Digests)), staged: make([]bool, len(m.Digests))}
-	v.plan = draw.NewPlan(a.Name, a.Region, len(m.Digests), time.Now(), random)
+	v := a.newVersion(m)
 	staged := 0
-	a.mu.Lock()
-	v.stagedAt = a.state.Born
-	a.mu.Unlock()
 	if a.bringing == nil { // after a start, the engine may hold what was staged before
 		staged = a.readStaged(ctx, v)
 	}
@@ -100,6 +95,17 @@
 	event.Log(event.TransferStarted, "Model", m.Model, "Version", m.Version, "Pieces", len(m.Digests), "Staged", staged)
 }
 
+// newVersion returns a version of which nothing is here.
+func (a *Agent) newVersion(m Manifest) *version {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &version{
+		manifest: m, data: make([][]byte, len(m.Digests)), staged: make([]bool, len(m.Digests)), stagedAt: a.state.Born,
+		plan: draw.NewPlan(a.Name, a.Region, len(m.Digests), time.Now(), random),
+	}
+}
+
 // readStaged takes the pieces that lie at the engine and are of the version.
 func (a *Agent) readStaged(ctx context.Context, v *version) int {
 	held, err := a.Engine.Held(ctx, v.manifest.Model)
--- a/internal/reel/reel.go
+++ b/internal/reel/reel.go
@@ -46,6 +46,10 @@
 	return nil
 }
 
+func (m Manifest) is(model string, version int64) bool {
+	return m.Model == model && m.Version == version
+}
+
 // Verify reports whether data is the piece.
 func (m Manifest) Verify(piece int, data []byte) error {
 	if piece < 0 || piece >= len(m.Digests) || sha256.Sum256(data) != m.Digests[piece] {
--- a/internal/reel/seek.go
+++ b/internal/reel/seek.go
@@ -82,7 +82,7 @@
 	if w.Version == 0 || w.Engine.Model == "" || !a.heard {
 		return w, false
 	}
-	known := a.bringing != nil && a.bringing.manifest.is(w) || a.coming != nil && a.coming.is(w)
+	known := a.bringing != nil && a.bringing.manifest.is(w.Engine.Model, w.Version) || a.coming != nil && a.coming.is(w.Engine.Model, w.Version)
 	return w, !known
 }
 
@@ -90,16 +90,12 @@
 func (a *Agent) comingOf(w neighbour.Wanted) (Manifest, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.coming == nil || !a.coming.is(w) {
+	if a.coming == nil || !a.coming.is(w.Engine.Model, w.Version) {
 		return Manifest{}, false
 	}
 	return *a.coming, true
 }
 
-func (m Manifest) is(w neighbour.Wanted) bool {
-	return m.Model == w.Engine.Model && m.Version == w.Version
-}
-
 // awaitManifest returns the manifest for a neighbour, who waits a little for it:
 // all agents hear of a version at about the same time.
 func (a *Agent) awaitManifest(ctx context.Context, model string, number int64) (Manifest, bool) {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -406,6 +406,11 @@
 
 func verdict(v schedule.Verdict, _ []schedule.Settled) schedule.Verdict { return v }
 
+// patient is a request that may wait for long.
+func patient(id int64, now time.Time) schedule.Ask {
+	return schedule.Ask{ID: id, ArrivedAt: now, AnswerBy: now.Add(9 * time.Second), GiveUpAt: now.Add(9 * time.Second)}
+}
+
 // A request that arrives may find a place free for one that waited: a server's
 // rest is over, or the gateway's share has grown. The one that waited must hear of
 // it, or it waits until its time is up and its place is lost.
@@ -413,14 +418,11 @@
 	now := time.Unix(1000, 0)
 	p := schedule.NewPool(schedule.Options{})
 	p.SetServers(now, []schedule.Server{{ID: "a", Slots: 4, Ready: true}})
-	ask := func(id int64) schedule.Ask {
-		return schedule.Ask{ID: id, ArrivedAt: now, AnswerBy: now.Add(9 * time.Second), GiveUpAt: now.Add(9 * time.Second)}
-	}
-	p.Arrive(now, ask(1))
+	p.Arrive(now, patient(1, now))
 	p.Ended(now, "a", schedule.Unreachable, 0)
-	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(2))), "it rests")
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, patient(2, now))), "it rests")
 	now = now.Add(time.Second)
-	v, others := p.Arrive(now, ask(3))
+	v, others := p.Arrive(now, patient(3, now))
 	require.IsType(t, schedule.Wait{}, v, "one request tries it")
 	require.Len(t, others, 1)
 	require.EqualValues(t, 2, others[0].ID)
@@ -431,15 +433,12 @@
 	now := time.Unix(1000, 0)
 	p := schedule.NewPool(schedule.Options{})
 	p.SetServers(now, []schedule.Server{{ID: "a", Slots: 8, Ready: true}})
-	ask := func(id int64) schedule.Ask {
-		return schedule.Ask{ID: id, ArrivedAt: now, AnswerBy: now.Add(9 * time.Second), GiveUpAt: now.Add(9 * time.Second)}
-	}
-	verdict(p.Arrive(now, ask(1)))
+	verdict(p.Arrive(now, patient(1, now)))
 	p.Ended(now, "a", schedule.Unreachable, 0)
-	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(2))), "it rests")
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, patient(2, now))), "it rests")
 	now = now.Add(time.Second)
 	require.Len(t, p.Tick(now), 1, "one request tries it")
-	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, ask(3))))
+	require.IsType(t, schedule.Wait{}, verdict(p.Arrive(now, patient(3, now))))
 	p.Answered("a", 0, 0)
 	require.Len(t, p.Tick(now), 1)
 }
--- a/internal/transfer/neighbours.go
+++ b/internal/transfer/neighbours.go
@@ -44,7 +44,7 @@
 	suspect      bool      // its last chunk stalled or failed
 	failures     int
 	heardAt      time.Time
-	told         bool               // it has told its holdings, or a call to it failed
+	heard        bool               // it has told its holdings, or a call to it failed
 	cancel       context.CancelFunc // ends the calls; nil when the neighbour calls
 }
 
@@ -233,7 +233,7 @@
 	t.note(n.peer.Name, err)
 	if err != nil {
 		n.toldSeen = 0
-		n.told = true
+		n.heard = true
 		n.failures++
 		if n.failures >= maxFailures {
 			n.cancel()
@@ -250,7 +250,7 @@
 		n.acknowledged = agent.Mark{}
 		return unknownGap, false
 	}
-	n.told = true
+	n.heard = true
 	n.acknowledged = reply.Acknowledged
 	t.learn(n, reply.Holdings, reply.Seen)
 	return t.exchangeGap(), false
@@ -262,7 +262,7 @@
 // Callers hold mu.
 func (t *Transfer) acquainted() bool {
 	for _, n := range t.neighbours {
-		if n.cancel != nil && !n.told {
+		if n.cancel != nil && !n.heard {
 			return false
 		}
 	}
