Heed servers that are about to end and servers that name a time

A departure holds for one start of a server (its ID and time of birth), whatever lists say, and is passed on between gateways; it is forgotten two minutes after the server left the list. A server that names a time rests until then, a minute at most; when all of a service rest, callers are told at once when the first of them is back.

Ruled out: tying the departure to the address (another server has it later), and a departure that expires (the server never takes it back).

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/site"
@@ -101,7 +102,8 @@
 		return e.failedSend(ctx, err)
 	}
 	defer response.Body.Close()
-	reply := e.front.Dialect.Reply(response.StatusCode, response.Header)
+	reply := e.front.Dialect.Reply(response.StatusCode, response.Header, time.Now())
+	e.heed(s, reply)
 	switch {
 	case reply.NotRun:
 		return rejected{reason: outcome.BackendRefused, at: rejection(response.StatusCode), detail: response.Status}
@@ -114,6 +116,18 @@
 	return e.plain(ctx, s, response)
 }
 
+// heed takes what a server's answer says of the server itself.
+func (e *exchange) heed(s schedule.Server, r Reply) {
+	if r.Departs && e.front.Pools.Depart(e.service.Name, schedule.Departure{Server: s.ID, Born: s.Born, At: time.Now()}) {
+		counter.Add("ServersDeparting", 1)
+		event.Log(event.ServerDeparts, "Server", s.ID, "Address", s.Address, "Service", e.service.Name, "From", "server")
+	}
+	if !r.RestUntil.IsZero() {
+		e.front.Pools.rest(e.service.Name, s.ID, r.RestUntil)
+		counter.Add("ServersResting", 1)
+	}
+}
+
 // rejection tells a server that is another one, or serves other weights, from
 // one that is full.
 func rejection(status int) schedule.End {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -35,6 +35,10 @@
 	AttemptID string
 	Signed    bool // the server vouches for the answer
 	NotRun    bool // the request did not run and will not
+	Departs   bool // the server is about to end
+	// RestUntil is the moment before which a server that turned the request away
+	// wants no others; zero: it named none.
+	RestUntil time.Time
 }
 
 // Dialect translates headers of callers and backend servers.
@@ -43,8 +47,8 @@
 	Call(h http.Header, at time.Time) Call
 	// Forward returns the headers for a backend server.
 	Forward(caller http.Header, f Forward, now time.Time) http.Header
-	// Reply reads a backend server's headers.
-	Reply(status int, h http.Header) Reply
+	// Reply reads a backend server's headers that came at a time.
+	Reply(status int, h http.Header, at time.Time) Reply
 	// Relay copies to a caller what a backend server answered; signed answers
 	// keep their signature.
 	Relay(to, from http.Header, signed bool)
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -129,7 +129,7 @@
 	e.rejected++
 	e.avoid = append(e.avoid, s.ID)
 	if e.rejected >= maxRejections || !e.front.mayRetry(e.service.Name) {
-		return e.notRun(e.front.Pools.refusal(e.service.Name, r.reason)), false
+		return e.notRun(e.front.Pools.refusal(e.service.Name, r.reason, e.ask())), false
 	}
 	counter.Add("Retried."+string(r.reason), 1)
 	event.Log(event.RequestRetried, "Request", e.call.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail)
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -139,11 +139,39 @@
 	return p.pool(service).UsualMS()
 }
 
+// rest keeps requests from a server that wants none until a moment.
+func (p *Pools) rest(service, server string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(service).Rest(time.Now(), server, until)
+}
+
+// Depart keeps new requests from a server of a service that is about to end,
+// and reports whether that was news.
+func (p *Pools) Depart(service string, d schedule.Departure) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool(service).Depart(time.Now(), d)
+}
+
+// Departures returns the servers that are about to end, by service.
+func (p *Pools) Departures() map[string][]schedule.Departure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string][]schedule.Departure{}
+	for name, pool := range p.pools {
+		if all := pool.Departures(); len(all) > 0 {
+			out[name] = all
+		}
+	}
+	return out
+}
+
 // refusal names a time to come back for a request that a server turned away.
-func (p *Pools) refusal(service string, reason outcome.Reason) outcome.Refused {
+func (p *Pools) refusal(service string, reason outcome.Reason, a schedule.Ask) outcome.Refused {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.pool(service).Turn(time.Now(), reason)
+	r := p.pool(service).Turn(time.Now(), reason, a)
 	return outcome.Refused{Reason: r.Reason, RetryAt: r.RetryAt}
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -78,6 +78,7 @@
 	LedgerKeyTaken
 	LedgerNotHandedOver
 	RequestEnded
+	ServerDeparts
 )
 
 var catalogue = map[Number]string{
@@ -148,4 +149,5 @@
 	LedgerKeyTaken:      "ledger key holds another batch: the batch is not in the ledger",
 	LedgerNotHandedOver: "outcome records could not be handed to another gateway",
 	RequestEnded:        "request ended",
+	ServerDeparts:       "backend server is about to end: no new requests",
 }
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -12,6 +12,7 @@
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/rank"
+	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
@@ -222,9 +223,30 @@
 			Fingerprint: e.Fingerprint, Server: e.Server, Convicted: e.Convicted, LeftMilliseconds: e.ExpiresAt.Sub(now).Milliseconds(),
 		})
 	}
+	w.Departures = n.departures(now)
 	return w
 }
 
+func (n *neighbours) departures(now time.Time) []neighbour.Departure {
+	var out []neighbour.Departure
+	for service, all := range n.roster.pools.Departures() {
+		for _, d := range all {
+			out = append(out, neighbour.Departure{Service: service, Server: d.Server, Born: d.Born, AgeMilliseconds: now.Sub(d.At).Milliseconds()})
+		}
+	}
+	return out
+}
+
+// depart takes the servers that another gateway heard are about to end.
+func (n *neighbours) depart(departures []neighbour.Departure, from string, now time.Time) {
+	for _, d := range departures {
+		at := now.Add(-time.Duration(d.AgeMilliseconds) * time.Millisecond)
+		if n.roster.pools.Depart(d.Service, schedule.Departure{Server: d.Server, Born: d.Born, At: at}) {
+			event.Log(event.ServerDeparts, "Server", d.Server, "Service", d.Service, "From", from)
+		}
+	}
+}
+
 func (n *neighbours) named(now time.Time) []neighbour.Named {
 	var out []neighbour.Named
 	for v, seen := range n.roster.ages() {
@@ -295,6 +317,7 @@
 		n.roster.age(site.Version{Model: v.Model, Number: v.Version}, naming{at, v.Found})
 	}
 	n.adopt(request.Convictions, now)
+	n.depart(request.Departures, request.Gateway.Name, now)
 	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
 	reply.Gateways = n.known(now)
 	reply.AgeMilliseconds = now.Sub(n.roster.confirmed()).Milliseconds()
--- a/internal/hosted/roster.go
+++ b/internal/hosted/roster.go
@@ -103,7 +103,7 @@
 func (r *roster) server(now time.Time, s site.Server, service site.Service) schedule.Server {
 	out := schedule.Server{
 		ID: s.ID, Address: s.Address, Region: r.hosting.Region(s.DataCentre),
-		Slots: max(1, s.Slots), Ready: true,
+		Slots: max(1, s.Slots), Born: s.State.Born, Ready: true,
 	}
 	if service.Engine.Slots == 0 {
 		return out
--- a/internal/neighbour/messages.go
+++ b/internal/neighbour/messages.go
@@ -114,6 +114,14 @@
 	LeftMilliseconds int64
 }
 
+// Departure is a backend server that said it is about to end.
+type Departure struct {
+	Service         string
+	Server          string
+	Born            int64 // Unix milliseconds of the start of the server that said so
+	AgeMilliseconds int64 // since it said so
+}
+
 // ExchangeRequest is one gateway's word to another.
 type ExchangeRequest struct {
 	Gateway         Gateway
@@ -123,6 +131,7 @@
 	Gateways        []Gateway      // others that it knows
 	Named           []Named
 	Convictions     []Conviction
+	Departures      []Departure
 	AgeMilliseconds int64 // since its beliefs were known to be current; below 0: never
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -22,6 +22,7 @@
 	Address string // IP:port
 	Region  string
 	Slots   int   // requests that it runs at once
+	Born    int64 // Unix milliseconds of its start; 0: not said
 	Version int64 // of the weights that it serves; 0 for a plain service
 	Ready   bool  // it takes new requests
 }
@@ -75,14 +76,15 @@
 
 // Pool is not safe for concurrent use.
 type Pool struct {
-	options  Options
-	servers  map[string]*server
-	order    []*server
-	waiting  []Ask
-	finished window
-	promised time.Time
-	firsts   firsts
-	shares   map[string]float64 // of what runs in a region: this gateway's
+	options   Options
+	servers   map[string]*server
+	order     []*server
+	waiting   []Ask
+	finished  window
+	promised  time.Time
+	firsts    firsts
+	shares    map[string]float64 // of what runs in a region: this gateway's
+	departing departures
 }
 
 type server struct {
@@ -92,11 +94,14 @@
 	reading   float64 // milliseconds of prompts that have not answered yet
 	failures  int     // in a row
 	resumesAt time.Time
+
+	departs    bool      // it said that it is about to end
+	restsUntil time.Time // it said that it wants no requests until then
 }
 
 // NewPool returns a pool without servers.
 func NewPool(o Options) *Pool {
-	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}}
+	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}}
 }
 
 // SetServers replaces the list of servers. What runs on a server that leaves
@@ -113,8 +118,13 @@
 		if held.Version != s.Version {
 			held.failures, held.resumesAt = 0, time.Time{}
 		}
+		if s.Born > held.Born {
+			held.restsUntil = time.Time{}
+		}
 		held.Server = s
+		held.departs = p.departing.covers(s)
 	}
+	p.departing.prune(now, listed)
 	for id, s := range p.servers {
 		if !listed[id] {
 			s.Ready = false
@@ -200,7 +210,7 @@
 		}
 	}
 	if !p.usable(a) {
-		return p.refuse(now, outcome.NoReplica, noServerDelay), nil
+		return p.noReplica(now, a), nil
 	}
 	if v, hopeless := p.hopeless(now, a); hopeless {
 		return v, nil
@@ -308,10 +318,10 @@
 func (p *Pool) Tick(now time.Time) []Settled {
 	var out []Settled
 	p.waiting = slices.DeleteFunc(p.waiting, func(a Ask) bool {
-		if now.Before(p.patience(a)) {
+		if now.Before(p.patience(a)) && !p.allRest(now, a) {
 			return false
 		}
-		out = append(out, Settled{a.ID, p.refuse(now, outcome.WaitTooLong, 0)})
+		out = append(out, Settled{a.ID, p.Turn(now, outcome.WaitTooLong, a)})
 		return true
 	})
 	return append(out, p.pump(now)...)
@@ -391,11 +401,6 @@
 	return Refuse{Reason: reason, RetryAt: at}
 }
 
-// usable reports whether any server could run the request, now or soon.
-func (p *Pool) usable(a Ask) bool {
-	return slices.ContainsFunc(p.order, func(s *server) bool { return s.Ready && s.Version >= a.MinVersion })
-}
-
 // pump starts what waits while there is room. A late request that finds none
 // does not hold up those behind it, which may use places that it may not.
 func (p *Pool) pump(now time.Time) []Settled {
@@ -522,7 +527,7 @@
 // takes reports whether the server may get the request now. One that failed is
 // tried with a single request after its suspension.
 func (s *server) takes(now time.Time, a Ask) bool {
-	if !s.Ready || s.Version < a.MinVersion || now.Before(s.resumesAt) {
+	if !s.Ready || s.departs || s.Version < a.MinVersion || now.Before(s.resumesAt) || now.Before(s.restsUntil) {
 		return false
 	}
 	return s.resumesAt.IsZero() || s.own == 0
@@ -555,7 +560,12 @@
 	return w.count + w.last*(1-now.Sub(w.openedAt).Seconds())
 }
 
+// noReplica refuses a request that no server could run while it may wait.
+func (p *Pool) noReplica(now time.Time, a Ask) Refuse {
+	return p.refuse(now, outcome.NoReplica, noServerDelay).notBefore(p.returnsAt(now, a))
+}
+
 // Turn refuses a request that no server took, with a time to come back at.
-func (p *Pool) Turn(now time.Time, reason outcome.Reason) Refuse {
-	return p.refuse(now, reason, 0)
+func (p *Pool) Turn(now time.Time, reason outcome.Reason, a Ask) Refuse {
+	return p.refuse(now, reason, 0).notBefore(p.returnsAt(now, a))
 }
