Take namings of versions that the store no longer holds; end weights with the oldest newer version

Cause: the store holds only the newest version of a model, and a gateway took the age of a version from others only if it knew the version itself. Agents counted the time to hurry from the version they were to bring, which each naming put off, while what their engines served ended with the oldest version newer than it.

internal/naming holds both rules for both programs, as steps without a clock. Ruled out: asking the store, which has only the newest; a longer memory of the store's history, which it may discard.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -275,7 +275,7 @@
 // readStore asks the store itself, since no gateway answers.
 func (a *agent) readStore(ctx context.Context) {
 	a.heardAt = time.Now()
-	known := newKnowledge(a.store)
+	known := newKnowledge(a.store, a.settings.Hosting.VersionMS)
 	if err := known.reload(ctx); err != nil {
 		event.Fail(event.StoreDown, err)
 		return
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -73,7 +73,7 @@
 func newGateway(s settings.HostedGateway) *gateway {
 	pools := direct.NewPools(schedule.Options{Region: s.Region, Extra: extraSlots, Local: localPreference})
 	crashes := direct.NewCrashes()
-	g := &gateway{settings: s, knowledge: newKnowledge(platform.NewStore(s.Hosting.Store))}
+	g := &gateway{settings: s, knowledge: newKnowledge(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
 	g.roster = newRoster(g.knowledge, s.Hosting, pools)
 	own := neighbour.Gateway{Name: s.Name, Address: s.NeighbourListen, Region: s.Region}
 	g.neighbours = newNeighbours(g.roster, own, s.Hosting.Gateways, crashes.Table)
--- a/internal/hosted/knowledge.go
+++ b/internal/hosted/knowledge.go
@@ -10,6 +10,7 @@
 
 	"almondreel.example/almondreel/internal/belief"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/naming"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/site"
@@ -52,7 +53,7 @@
 	mu            sync.Mutex
 	configuration *site.Configuration
 	versions      map[string]site.Version // by model
-	named         map[site.Version]naming
+	named         *naming.Ages
 	servers       map[string]site.Server // by ID
 	lapsed        map[string]lapse       // whose entries went while the store was away
 	bootedAt      time.Time
@@ -70,16 +71,10 @@
 	until  time.Time
 }
 
-// naming is when a version was named.
-type naming struct {
-	at    time.Time
-	found bool // a process found it at its start, which is at; it was named before
-}
-
-func newKnowledge(store *platform.Store) *knowledge {
+func newKnowledge(store *platform.Store, versionMS int) *knowledge {
 	return &knowledge{
 		store: store, beliefs: belief.New(), bootedAt: time.Now(),
-		versions: map[string]site.Version{}, named: map[site.Version]naming{},
+		versions: map[string]site.Version{}, named: naming.NewAges(versionMS),
 		servers: map[string]site.Server{}, lapsed: map[string]lapse{},
 		changed: make(chan struct{}, 1), leads: func() bool { return true },
 	}
@@ -231,10 +226,11 @@
 		return
 	}
 	k.versions[v.Model] = v
-	k.named[v] = naming{at: time.Now()}
-	if k.returnedAt.IsZero() && time.Since(k.bootedAt) < bootTime {
-		k.named[v] = naming{at: k.bootedAt, found: true}
+	seen := naming.Naming{At: time.Now()}
+	if k.returnedAt.IsZero() && naming.FoundAtStart(k.bootedAt, seen.At) {
+		seen = naming.Naming{At: k.bootedAt, Found: true}
 	}
+	k.named.Note(v, seen)
 	event.Log(event.VersionNamed, "Model", v.Model, "Version", v.Number, "Revision", i.Revision, "From", from)
 }
 
@@ -308,20 +304,23 @@
 	return w
 }
 
-// age takes what another process knows of the naming of a version. One that saw
-// it named knows better than one that found it.
-func (k *knowledge) age(v site.Version, n naming) {
+// age takes what another process knows of the naming of a version.
+func (k *knowledge) age(v site.Version, n naming.Naming) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	held, ok := k.named[v]
-	if ok && (held.found && !n.found || held.found == n.found && n.at.Before(held.at)) {
-		k.named[v] = n
-	}
+	k.named.Note(v, n)
 }
 
 // ages returns when each version was named.
-func (k *knowledge) ages() map[site.Version]naming {
+func (k *knowledge) ages() map[site.Version]naming.Naming {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.named.All()
+}
+
+// MinVersion is the oldest version of a model that may serve at a moment.
+func (k *knowledge) MinVersion(model string, at time.Time) int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return maps.Clone(k.named)
+	return k.named.Oldest(model, at)
 }
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -9,6 +9,7 @@
 
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/naming"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/rank"
@@ -251,7 +252,7 @@
 	var out []neighbour.Named
 	for v, seen := range n.roster.ages() {
 		out = append(out, neighbour.Named{
-			Model: v.Model, Version: v.Number, AgeMilliseconds: now.Sub(seen.at).Milliseconds(), Found: seen.found,
+			Model: v.Model, Version: v.Number, AgeMilliseconds: now.Sub(seen.At).Milliseconds(), Found: seen.Found,
 		})
 	}
 	return out
@@ -314,7 +315,7 @@
 	}
 	for _, v := range request.Named {
 		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
-		n.roster.age(site.Version{Model: v.Model, Number: v.Version}, naming{at, v.Found})
+		n.roster.age(site.Version{Model: v.Model, Number: v.Version}, naming.Naming{At: at, Found: v.Found})
 	}
 	n.adopt(request.Convictions, now)
 	n.depart(request.Departures, request.Gateway.Name, now)
--- a/internal/hosted/roster.go
+++ b/internal/hosted/roster.go
@@ -19,12 +19,6 @@
 	// agentTime is how long an agent's word on its engine goes before the
 	// engine's entry in the store.
 	agentTime = 1200 * time.Millisecond
-	// versionMargin is kept of the time that a version has, for what the
-	// processes and the operators' confirmation differ by.
-	versionMargin = 100 * time.Millisecond
-	// bootTime is how long after its start a process may still use weights that were
-	// out of date before.
-	bootTime = 2 * time.Second
 )
 
 // roster joins what the store lists with what agents say into the servers that
@@ -175,20 +169,3 @@
 	}
 	return out
 }
-
-// MinVersion is the oldest version of a model that may serve at a moment: the newest
-// one whose time is up.
-func (r *roster) MinVersion(model string, at time.Time) int64 {
-	within := time.Duration(r.hosting.VersionMS)*time.Millisecond - versionMargin
-	oldest := int64(0)
-	for v, n := range r.ages() {
-		due := n.at.Add(within)
-		if n.found {
-			due = n.at.Add(bootTime)
-		}
-		if v.Model == model && v.Number > oldest && at.After(due) {
-			oldest = v.Number
-		}
-	}
-	return oldest
-}
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -10,6 +10,7 @@
 	"almondreel.example/almondreel/internal/draw"
 	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/naming"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/site"
@@ -66,7 +67,7 @@
 	state    site.State
 	heard    bool // the engine answered the last report
 	members  map[string]member
-	named    map[int64]time.Time // when a version was named
+	named    *naming.Ages
 	bringing *version            // the version that is wanted, from the first piece on
 	former   *version            // was being brought before it, kept for those who finish it
 	ready    *version            // the newest version of which every piece is here
@@ -107,7 +108,7 @@
 
 // NewAgent returns an agent that knows nothing yet.
 func NewAgent(o Options) *Agent {
-	return &Agent{Options: o, members: map[string]member{}, named: map[int64]time.Time{}}
+	return &Agent{Options: o, members: map[string]member{}, named: naming.NewAges(o.VersionMS)}
 }
 
 // Run keeps the engine's weights until ctx ends.
@@ -173,15 +174,10 @@
 	}
 	for _, n := range named {
 		at := now.Add(-time.Duration(n.AgeMilliseconds) * time.Millisecond)
-		if n.Found { // its time may be over
-			at = now.Add(-time.Duration(a.VersionMS) * time.Millisecond)
-		}
-		if n.Model == wanted.Engine.Model {
-			a.named[n.Version] = at
-		}
+		a.named.Note(site.Version{Model: n.Model, Number: n.Version}, naming.Naming{At: at, Found: n.Found})
 	}
-	if _, ok := a.named[wanted.Version]; !ok {
-		a.named[wanted.Version] = now
+	if _, ok := a.named.NamedAt(wanted.Engine.Model, wanted.Version); !ok {
+		a.named.Note(site.Version{Model: wanted.Engine.Model, Number: wanted.Version}, naming.Naming{At: now})
 	}
 }
 
@@ -299,16 +295,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	held := a.state.Holding(a.wanted.Engine.Layers)
-	if !held.Whole || held.Version >= a.wanted.Version {
+	ends, ok := a.named.EndsAt(a.wanted.Engine.Model, held.Version)
+	if !held.Whole || !ok {
 		return held.Whole
 	}
-	hurry := a.named[a.wanted.Version].Add(time.Duration(hurryShare * float64(a.VersionMS) * float64(time.Millisecond)))
-	return time.Now().Before(hurry)
+	return time.Now().Before(ends.Add(-a.hurryTime()))
 }
 
-// hurryShare of a version's time has passed when bringing it goes before
-// answers: without it there are none soon.
-const hurryShare = 0.65
+// hurryShare of a version's time is left when bringing it goes before answers:
+// without it there are none soon.
+const hurryShare = 0.35
+
+func (a *Agent) hurryTime() time.Duration {
+	return time.Duration(hurryShare * float64(a.VersionMS) * float64(time.Millisecond))
+}
 
 // whole reports whether there is nothing to bring.
 func (a *Agent) whole() bool {
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -59,7 +59,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := a.bringing
-	by := a.named[v.manifest.Version].Add(time.Duration(a.VersionMS) * time.Millisecond)
+	named, _ := a.named.NamedAt(v.manifest.Model, v.manifest.Version)
+	by := named.Add(a.versionTime())
 	if v.plan.Complete() || time.Until(by) < finishTime {
 		return false
 	}
@@ -141,11 +142,17 @@
 			engines = append(engines, m.Name)
 		}
 	}
-	named := a.named[wanted]
-	turn := draw.Turn(a.Name, wanted, engines, named, named.Add(time.Duration(a.VersionMS)*time.Millisecond))
+	ends, ok := a.named.EndsAt(a.wanted.Engine.Model, held.Version)
+	if !ok {
+		return true
+	}
+	turn := draw.Turn(a.Name, wanted, engines, ends.Add(-a.versionTime()), ends)
 	return !time.Now().Before(turn.Add(-switchNotice))
 }
 
+// versionTime is how long after its naming a version must serve everywhere.
+func (a *Agent) versionTime() time.Duration { return time.Duration(a.VersionMS) * time.Millisecond }
+
 const (
 	// drainTime is how long before the order the engine gets no new requests, so
 	// that short answers end.
@@ -193,8 +200,8 @@
 	defer a.mu.Unlock()
 	at = time.Now()
 	held := a.state.Holding(a.wanted.Engine.Layers)
-	over := a.named[v.manifest.Version].Add(time.Duration(a.VersionMS) * time.Millisecond)
-	serving = held.Whole && at.Before(over) // later, the gateways no longer use it
+	ends, ok := a.named.EndsAt(v.manifest.Model, held.Version)
+	serving = held.Whole && ok && at.Before(ends) // later, the gateways no longer use it
 	if serving {
 		at = at.Add(switchNotice)
 		a.change = change{
