Keep descriptors in hand: end idle connections of callers as they run out

Cause: a gateway kept each caller's connection for 90 s. Callers that repeat at once, each time on a new connection, took all descriptors (4,629 open where the site gives 4,100); accept then failed and waited up to a second between tries while the gateway said that it was ready.

internal/intake holds callers to half of the sockets. Over that, the longest idle connection of the address that has most of them ends, by a read deadline, so that a request whose reading has begun is served all the same. Refusals say Connection: close while connections are scarce, and a request beyond a third of the sockets in progress is refused at once, with times to come back spread over a second. The key Files of the gateway's settings holds the limit.

Ruled out: closing connections outright (cuts off requests that were just read), a short idle time-out (operators' callers reuse connections for minutes). Before: the end-to-end test's new callers get no answer, accept4: too many open files. After: all answered, 2.5 times as many connections as the limit tried.

Count only chunks that cross between regions in what decides to hurry: those that a region draws itself said that its links were faster than they are.

--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -16,6 +16,7 @@
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/internal/transmit"
@@ -27,6 +28,9 @@
 	defaultBodyBytes = 4 << 20
 	// unknownDelay is what a caller waits that came before a configuration did.
 	unknownDelay = 300 * time.Millisecond
+	// fullDelay is what a caller waits, more or less, whom a gateway refused that
+	// has too many requests in progress: about as long as one of them takes.
+	fullDelay = time.Second
 	// retryMargin of what the site allows is spent; the rest is for requests
 	// that are counted otherwise elsewhere.
 	retryMargin = 0.92
@@ -42,6 +46,15 @@
 	Pools   *Pools
 	Crashes *Crashes
 	Retries Retries
+	Intake  Intake
+}
+
+// Intake is what the gateway may take up. Its methods are safe for concurrent use.
+type Intake interface {
+	// Full reports whether no further request may be taken up.
+	Full() bool
+	// Crowded reports whether callers that are refused should close their connections.
+	Crowded() bool
 }
 
 // Retries bounds the requests that all gateways together send once more: a
@@ -115,6 +128,9 @@
 	if e.front.leaving.Load() {
 		return e.refusal(outcome.ShuttingDown), false
 	}
+	if e.front.Intake.Full() {
+		return outcome.Refused{Reason: outcome.QueueFull, RetryAt: e.arrivedAt.Add(pause.Jitter(fullDelay))}, false
+	}
 	c := e.front.View.Configuration()
 	if c == nil {
 		return e.refusal(outcome.KeyValueUnavailable), false
@@ -197,6 +213,9 @@
 		panic(http.ErrAbortHandler)
 	case outcome.Refused:
 		e.front.Dialect.Refuse(e.w.Header(), o.RetryAt, time.Now())
+		if e.front.Intake.Crowded() {
+			e.w.Header().Set("Connection", "close")
+		}
 	}
 	if e.begun {
 		panic(http.ErrAbortHandler) // an answer that ends early must not look whole
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -14,6 +14,7 @@
 	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/intake"
 	"almondreel.example/almondreel/internal/logsink"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
@@ -50,6 +51,7 @@
 	front      *direct.Front
 	leaving    atomic.Bool
 	callers    *http.Server
+	intake     *intake.Intake
 }
 
 // RunGateway runs a gateway until SIGINT or SIGTERM, and drains it then.
@@ -73,13 +75,13 @@
 func newGateway(s settings.HostedGateway) *gateway {
 	pools := direct.NewPools(schedule.Options{Region: s.Region, Extra: extraSlots, Local: localPreference})
 	crashes := direct.NewCrashes()
-	g := &gateway{settings: s, knowledge: newKnowledge(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
+	g := &gateway{settings: s, intake: intake.New(s.Files), knowledge: newKnowledge(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
 	g.roster = newRoster(g.knowledge, s.Hosting, pools)
 	own := neighbour.Gateway{Name: s.Name, Address: s.NeighbourListen, Region: s.Region}
 	g.neighbours = newNeighbours(g.roster, own, s.Hosting.Gateways, crashes.Table)
 	g.knowledge.leads = g.neighbours.leads
 	retries := direct.Retries{Share: s.Retries.Share, Besides: s.Retries.Besides, SpanMS: int(s.Retries.SpanSeconds * 1000), Gateways: g.neighbours.most}
-	g.front = direct.NewFront(direct.Options{View: g.roster, Dialect: platform.Dialect{}, Pools: pools, Crashes: crashes, Retries: retries})
+	g.front = direct.NewFront(direct.Options{View: g.roster, Dialect: platform.Dialect{}, Pools: pools, Crashes: crashes, Retries: retries, Intake: g.intake})
 	return g
 }
 
@@ -93,6 +95,7 @@
 	mux.Handle(control.Path, calls)
 	mux.Handle("GET /metrics", counter.Handler())
 	g.callers = newServer(g.front)
+	g.callers.ConnState = g.intake.Track
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -68,11 +68,11 @@
 	heard    bool // the engine answered the last report
 	members  map[string]member
 	named    *naming.Ages
-	bringing *version            // the version that is wanted, from the first piece on
-	former   *version            // was being brought before it, kept for those who finish it
-	ready    *version            // the newest version of which every piece is here
-	switches bool                // a load order is on its way or in progress
-	change   change              // that the gateways are told of
+	bringing *version // the version that is wanted, from the first piece on
+	former   *version // was being brought before it, kept for those who finish it
+	ready    *version // the newest version of which every piece is here
+	switches bool     // a load order is on its way or in progress
+	change   change   // that the gateways are told of
 	// stageFrom is when pieces may be staged again after an order without an answer.
 	stageFrom time.Time
 	coming    *Manifest // the newest that was read; its version may not be begun yet
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -25,6 +25,7 @@
 	ReadyListen     string  `yaml:"ReadyListen"`     // the platform's readiness questions
 	NeighbourListen string  `yaml:"NeighbourListen"` // net/rpc of gateways and agents, metrics
 	Retries         Retries `yaml:"Retries"`
+	Files           int     `yaml:"Files"`        // that the process may have open, sockets included
 	GraceSeconds    float64 `yaml:"GraceSeconds"` // from SIGTERM until the platform kills the process
 }
 
@@ -78,6 +79,8 @@
 }
 
 const (
+	minFiles    = 64
+	maxFiles    = 1 << 24
 	minMemoryMB = 16
 	maxMemoryMB = 1 << 20
 	maxBoundMS  = 10 * 60 * 1000
@@ -92,6 +95,7 @@
 	c.refuse(g.Retries.Share >= 0 && g.Retries.Share <= 1, "Retries.Share", "a share from 0 to 1")
 	c.refuse(g.Retries.Besides >= 0, "Retries.Besides", "a number, 0 or more")
 	c.refuse(g.Retries.SpanSeconds > 0 && g.Retries.SpanSeconds <= maxBoundMS/1000, "Retries.SpanSeconds", "seconds, above 0, at most ten minutes")
+	c.refuse(g.Files >= minFiles && g.Files <= maxFiles, "Files", "a number, 64 or more")
 	c.refuse(g.GraceSeconds > 0 && g.GraceSeconds <= maxBoundMS/1000, "GraceSeconds", "seconds, above 0, at most ten minutes")
 	return c.err()
 }
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -25,6 +25,7 @@
   Gateways:
   Places:
     - {DataCentre: north-a, Region: north}
+Files: 4100
 `
 
 func TestHostedSettings(t *testing.T) {
@@ -49,6 +50,7 @@
 		{"Program: almondreel-gateway", "Program: almondreel-agent", ":10: key Hosting.Program"},
 		{"Share: 0.2", "Share: 2", "key Retries.Share"},
 		{"GraceSeconds: 7.5", "GraceSeconds: 0", ":7: key GraceSeconds"},
+		{"Files: 4100", "Files: 12", "key Files"},
 		{"Region: north}", `Region: ""}`, "key Hosting.Places[0].Region"},
 		{"GraceSeconds: 7.5", "GraceSeconds: 7.5\nDrainS: 2", "key DrainS"},
 	} {
--- a/internal/transfer/hurry.go
+++ b/internal/transfer/hurry.go
@@ -8,7 +8,7 @@
 	rateSamples = 4096
 )
 
-// regionRate measures how fast chunks come into the region.
+// regionRate measures how fast chunks come into the region from other regions.
 type regionRate struct {
 	times []time.Time // of the newest chunks
 }
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -202,7 +202,8 @@
 		return
 	}
 	now := time.Now()
-	if !t.anywhere.Test(uint(i)) {
+	elsewhere := t.anywhere.Test(uint(i))
+	if !elsewhere {
 		t.anywhere.Set(uint(i))
 		t.chunks[i].seenAt = now
 		t.seenCount++
@@ -210,7 +211,9 @@
 	if near && !t.region.Test(uint(i)) {
 		t.region.Set(uint(i))
 		t.chunks[i].nearAt = now
-		t.regionRate.add(now)
+		if elsewhere { // else the region drew it, which says nothing of the links between regions
+			t.regionRate.add(now)
+		}
 		t.seenCount++
 	}
 }
--- a/test/hosting/standin_test.go
+++ b/test/hosting/standin_test.go
@@ -64,10 +64,13 @@
 	require.NotEqual(t, http.StatusOK, s.ask(0, key).Status, "it knows no configuration")
 }
 
+// gatewayFiles is what a gateway may have open: 250 connections of callers.
+const gatewayFiles = 700
+
 func gatewaySettings(g *program) string {
 	return fmt.Sprintf(
-		"CallerListen: %q\nReadyListen: %q\nNeighbourListen: %q\nGraceSeconds: 8\nRetries: {Share: 0.2, Besides: 100, SpanSeconds: 10}\n",
-		g.callers, g.ready, g.control)
+		"CallerListen: %q\nReadyListen: %q\nNeighbourListen: %q\nGraceSeconds: 8\nFiles: %d\nRetries: {Share: 0.2, Besides: 100, SpanSeconds: 10}\n",
+		g.callers, g.ready, g.control, gatewayFiles)
 }
 
 func agentSettings(pieces, engine string) string {
