Finish a version that is nearly there for as long as it may serve

The decision stands in internal/draw and goes by the moment until which the version may serve, not by its own time to be everywhere. Ruled out by the log: pace of the pieces (a copy cannot leave the origin before it goes).

--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -44,24 +44,14 @@
 	}
 }
 
-const (
-	// finishShare of its pieces held by some agent, a version is brought to its
-	// end although a newer one is named: engines must serve it before they can
-	// serve that one.
-	finishShare = 0.6
-	// finishTime is what is left of a version's time at the least to finish it.
-	finishTime = 1200 * time.Millisecond
-)
-
 // finishing reports whether the version that is being brought should be
 // finished before a newer one is begun.
 func (a *Agent) finishing() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := a.bringing
-	named, _ := a.named.NamedAt(v.manifest.Model, v.manifest.Version)
-	by := named.Add(a.versionTime())
-	if v.plan.Complete() || time.Until(by) < finishTime {
+	ends, ok := a.named.EndsAt(v.manifest.Model, v.manifest.Version)
+	if !ok || v.plan.Complete() {
 		return false
 	}
 	held := v.plan.Have()
@@ -74,7 +64,7 @@
 	for _, word := range held {
 		there += bits.OnesCount64(word)
 	}
-	return float64(there) >= finishShare*float64(len(v.manifest.Digests))
+	return draw.Finish(time.Now(), there, len(v.manifest.Digests), ends)
 }
 
 // open begins to bring a version whose digests are known, with what is staged of
