Tell agents and gateways what is new; two speakers a region between regions

Cause: an answer to an agent listed all others at every word (13.6 KB at 120 agents, 1.56 Mbit/s of a link of 7.6 while pieces fly), gateways exchanged all with all each 150 ms, agents without a gateway asked all of them each 25 ms, and each word had the servers merged and sorted anew: all of it goes as the square of the site.

internal/roll numbers what agents say; an agent names the number that it was told up to, and hears what changed since, pieces apart. internal/exchange says who talks to whom: all within a region, two speakers of each between regions, by rank, with sums of what runs. Agents without a gateway ask three at once, their own region first, the pause doubling to 200 ms. Only news rebuilds the list of servers.

Both are steps without network. Ruled out: telling only a sample of far agents (a piece held by one that is not in it would be drawn from the origin again).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"almondreel.example/almondreel/internal/duty"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/exchange"
 	"almondreel.example/almondreel/internal/logsink"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
@@ -34,8 +36,11 @@
 	// connectTime bounds a connection to a gateway: one that has no power drops
 	// what it is sent, and may be back a moment later.
 	connectTime = 150 * time.Millisecond
-	// askAgain is the pause before all gateways are asked again when none answered.
-	askAgain = 25 * time.Millisecond
+	// askAgain and askAgainMost are the pauses before gateways are asked again when
+	// none answered: the pause doubles, so that all agents together ask for fewer
+	// connections than gateways take that have just started.
+	askAgain     = 25 * time.Millisecond
+	askAgainMost = 200 * time.Millisecond
 	// followTime is how long a gateway holds a question for news.
 	followTime = 2 * time.Second
 	// fallbackTime is how long no gateway answers before the store is asked.
@@ -56,6 +61,8 @@
 	clients  map[string]*control.Client
 	answers  atomic.Pointer[control.Client] // of the gateway that answers; nil: none does
 	current  string                         // its address
+	mark     neighbour.Mark                 // up to which it told of other agents
+	known    uint64                         // digest of the gateways that it told
 	heardAt  time.Time                      // a gateway answered, or the store was asked
 	// passedOver holds until when gateways that did not answer come last.
 	passedOver map[string]time.Time
@@ -104,6 +111,7 @@
 		a.gateways = append(a.gateways, neighbour.Gateway{Address: g})
 	}
 	a.heardAt = time.Now()
+	alone := askAgain
 	for ctx.Err() == nil {
 		if !a.tell(ctx) && time.Since(a.heardAt) > fallbackTime {
 			a.readStore(ctx)
@@ -111,22 +119,26 @@
 		every := calmTime
 		switch {
 		case a.current == "":
-			every = askAgain
+			every = pause.Jitter(alone)
+			alone = min(2*alone, askAgainMost)
 		case a.reel.Urgent():
 			every = urgentTime
 		}
+		if a.current != "" {
+			alone = askAgain
+		}
 		pause.For(ctx, every)
 	}
 	return ctx.Err()
 }
 
 // tell speaks to one gateway: the one that answered last, or one of its own
-// region instead. If there is none or it fails, all are asked.
+// region instead. If there is none or it fails, some are asked at once.
 func (a *agent) tell(ctx context.Context) bool {
 	if a.current != "" && a.adopt(ctx, a.ask(ctx, a.ranked()[0].Address)) {
 		return true
 	}
-	return ctx.Err() == nil && a.adopt(ctx, a.askAll(ctx))
+	return ctx.Err() == nil && a.adopt(ctx, a.askSome(ctx))
 }
 
 // answer is what a gateway said, or the error why it did not.
@@ -139,13 +151,19 @@
 // knows reports whether the gateway has heard from the store since its start.
 func (r answer) knows() bool { return r.err == nil && r.reply.Wanted.Revision > 0 }
 
-// askAll asks all gateways at once, since one that lost its power would hold up
-// those behind it for the whole of syncAnswer. It returns the first answer of a
-// gateway that knows what is wanted, or any answer.
-func (a *agent) askAll(ctx context.Context) answer {
+// askedAtOnce is the number of gateways that an agent without one asks at once: one
+// that lost its power would hold up those behind it for the whole of syncAnswer,
+// and all agents ask when all processes start.
+const askedAtOnce = 3
+
+// askSome asks the gateways that rank first. It returns the first answer of one
+// that knows what is wanted, or any answer. Those that did not answer come last
+// next time.
+func (a *agent) askSome(ctx context.Context) answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	list := a.ranked()
+	list = list[:min(len(list), askedAtOnce)]
 	answers := make(chan answer, len(list))
 	for _, g := range list {
 		client := a.client(g.Address)
@@ -157,6 +175,9 @@
 		if r.knows() {
 			return r
 		}
+		if r.err != nil {
+			a.passOver(r.address)
+		}
 		if best.err != nil {
 			best = r
 		}
@@ -164,18 +185,23 @@
 	return best
 }
 
+func (a *agent) passOver(address string) { a.passedOver[address] = time.Now().Add(passOverTime) }
+
 var errNoGateway = errors.New("no gateway is known")
 
 func (a *agent) ranked() []neighbour.Gateway {
 	out := slices.Clone(a.gateways)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	slices.SortStableFunc(out, func(x, y neighbour.Gateway) int { return a.rank(x) - a.rank(y) })
 	return out
 }
 
 func (a *agent) rank(g neighbour.Gateway) int {
 	switch {
-	case time.Now().Before(a.passedOver[g.Address]):
+	case time.Now().Before(a.passedOver[g.Address]) && g.Region == a.settings.Region:
 		return 4
+	case time.Now().Before(a.passedOver[g.Address]):
+		return 5
 	case g.Region == a.settings.Region && g.Address == a.current:
 		return 0
 	case g.Region == a.settings.Region:
@@ -208,7 +234,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncAnswer)
 	defer cancel()
-	request := neighbour.SyncRequest{Agent: a.reel.Say()}
+	request := neighbour.SyncRequest{Agent: a.reel.Say(), Mark: a.mark, Gateways: a.known}
 	r.err = client.Call(ctx, neighbour.MethodSync, request, &r.reply)
 	return r
 }
@@ -216,7 +242,7 @@
 // adopt takes a gateway's answer; false if it did not answer.
 func (a *agent) adopt(ctx context.Context, r answer) bool {
 	if r.err != nil {
-		a.passedOver[r.address] = time.Now().Add(passOverTime)
+		a.passOver(r.address)
 		if a.current != "" && a.current == r.address && ctx.Err() == nil {
 			event.Fail(event.NeighbourDown, r.err, "Address", r.address)
 			a.current = ""
@@ -228,9 +254,12 @@
 	if a.current != r.address {
 		event.Log(event.NeighbourUp, "Address", r.address)
 	}
-	a.current, a.heardAt = r.address, time.Now()
-	a.reel.Adopt(r.reply.Wanted, r.reply.Agents, r.reply.Named)
-	a.learn(r.reply.Gateways)
+	a.current, a.heardAt, a.mark = r.address, time.Now(), r.reply.Mark
+	a.reel.Adopt(r.reply.Wanted, r.reply.Named)
+	a.reel.Meet(reel.Others{Whole: r.reply.Whole, Agents: r.reply.Agents, Pieces: r.reply.Pieces, Gone: r.reply.Gone})
+	if r.reply.Gateways != nil {
+		a.learn(r.reply.Gateways)
+	}
 	return true
 }
 
@@ -257,12 +286,13 @@
 	if err := client.Call(ctx, neighbour.MethodFollow, request, &reply); err != nil {
 		return err
 	}
-	a.reel.Adopt(reply.Wanted, nil, reply.Named)
+	a.reel.Adopt(reply.Wanted, reply.Named)
 	return nil
 }
 
 // learn takes the gateways that are alive; those of the settings stay known.
 func (a *agent) learn(list []neighbour.Gateway) {
+	a.known = exchange.Digest(list)
 	next := slices.Clone(list)
 	for _, s := range a.settings.Hosting.Gateways {
 		if !slices.ContainsFunc(next, func(g neighbour.Gateway) bool { return g.Address == s }) {
@@ -280,5 +310,5 @@
 		event.Fail(event.StoreDown, err)
 		return
 	}
-	a.reel.Adopt(known.wanted(a.settings.Backend.Service), nil, nil)
+	a.reel.Adopt(known.wanted(a.settings.Backend.Service), nil)
 }
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
-	"reflect"
-	"slices"
 	"sync"
 	"time"
 
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/exchange"
 	"almondreel.example/almondreel/internal/naming"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/rank"
+	"almondreel.example/almondreel/internal/roll"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/pkg/quarantine"
@@ -22,49 +22,45 @@
 	// exchangeTime is how often a gateway tells the others its load: a third of
 	// the time that a request may wait at the least.
 	exchangeTime = 150 * time.Millisecond
+	// spreadTime is how often the schedule takes what others have running, so that
+	// its averages do not depend on the number of gateways.
+	spreadTime = 25 * time.Millisecond
 	// exchangeAnswer bounds a call between gateways.
 	exchangeAnswer = 400 * time.Millisecond
-	// neighbourTime is how long a gateway that says nothing counts as alive.
-	neighbourTime = 1500 * time.Millisecond
-	// forgetTime is how long a gateway is still called that does not answer.
-	forgetTime = 20 * time.Second
+)
+
+// Rates of what gateways tell each other of agents. Pieces that are held far away
+// are only fetched when nobody near has them.
+var (
+	nearRates = roll.Rates{Alive: agentTime / 2, Pieces: 140 * time.Millisecond}
+	farRates  = roll.Rates{Alive: agentTime / 2, Pieces: 500 * time.Millisecond}
 )
 
 // neighbours is a gateway's part in what gateways and agents tell each other.
 type neighbours struct {
 	roster     *roster
 	own        neighbour.Gateway
-	seeds      []string
 	quarantine *quarantine.Table
 
-	mu       sync.Mutex
-	peak     int               // gateways that were alive at once
-	gateways map[string]*other // by address
-	started  chan string       // addresses that nobody calls yet
+	mu      sync.Mutex
+	table   *exchange.Table
+	others  map[string]*other // that are called or will be soon, by address
+	started chan string       // addresses that nobody calls yet
 }
 
-// other is another gateway.
+// other is a gateway that is called. Only the goroutine that calls it uses its
+// fields.
 type other struct {
-	neighbour.Gateway
-	client  *control.Client
-	running map[string]int
-	heardAt time.Time // it called
-	reached time.Time // it answered
-	called  bool      // a goroutine calls it, or will soon
-	up      bool
-	told    map[string]telling // by agent
-}
-
-// telling is what another gateway was last told of an agent.
-type telling struct {
-	agent   neighbour.Agent // without what changes all the time
-	have    []uint64
-	version int64 // of the pieces
-	at      time.Time
+	client *control.Client
+	up     bool
+	told   roll.Told
 }
 
 func newNeighbours(r *roster, own neighbour.Gateway, seeds []string, q *quarantine.Table) *neighbours {
-	n := &neighbours{roster: r, own: own, seeds: seeds, quarantine: q, gateways: map[string]*other{}, started: make(chan string, 64)}
+	n := &neighbours{
+		roster: r, own: own, quarantine: q, table: exchange.New(own, seeds, time.Now()),
+		others: map[string]*other{}, started: make(chan string, 64),
+	}
 	for _, s := range seeds {
 		n.meet(neighbour.Gateway{Address: s})
 	}
@@ -72,37 +68,38 @@
 }
 
 // meet notes a gateway that someone named.
-func (n *neighbours) meet(g neighbour.Gateway) *other {
+func (n *neighbours) meet(gateways ...neighbour.Gateway) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if g.Address == n.own.Address || g.Address == "" {
-		return nil
-	}
-	o, ok := n.gateways[g.Address]
-	if !ok {
-		o = &other{client: control.NewClient(g.Address), reached: time.Now()}
-		n.gateways[g.Address] = o
+	now := time.Now()
+	for _, g := range gateways {
+		n.table.Meet(g, now)
+		n.begin(g.Address)
 	}
-	if !o.called {
-		select {
-		case n.started <- g.Address:
-			o.called = true
-		default: // it is named again soon
-		}
+}
+
+// begin has a gateway called from now on. Callers hold mu.
+func (n *neighbours) begin(address string) {
+	if _, called := n.others[address]; called || address == "" || address == n.own.Address {
+		return
 	}
-	if g.Name != "" {
-		o.Gateway = g
+	select {
+	case n.started <- address:
+		n.others[address] = &other{client: control.NewClient(address)}
+	default: // it is named again soon
 	}
-	o.Address = g.Address
-	return o
 }
 
-// run calls each known gateway in turn until ctx ends.
+// run calls the gateways, and tells the pools what they say, until ctx ends.
 func (n *neighbours) run(ctx context.Context) error {
 	ended := make(chan struct{})
 	callers := 0
+	ticker := time.NewTicker(spreadTime)
+	defer ticker.Stop()
 	for {
 		select {
+		case <-ticker.C:
+			n.spread(time.Now())
 		case address := <-n.started:
 			callers++
 			go func() {
@@ -120,105 +117,78 @@
 	}
 }
 
-// call exchanges with one gateway until it has been gone for long.
+// call exchanges with one gateway, while the table says so, until it has been
+// gone for long.
 func (n *neighbours) call(ctx context.Context, address string) {
+	n.mu.Lock()
+	o := n.others[address]
+	n.mu.Unlock()
 	for pause.For(ctx, exchangeTime) {
 		n.mu.Lock()
-		o := n.gateways[address]
-		gone := time.Since(o.reached) > forgetTime && !slices.Contains(n.seeds, address)
+		now := time.Now()
+		gone, talks := n.table.Gone(address, now), n.table.Talks(address, now)
 		if gone {
-			delete(n.gateways, address)
+			delete(n.others, address)
 		}
 		n.mu.Unlock()
-		if gone {
+		switch {
+		case gone:
 			return
+		case talks:
+			n.exchange(ctx, address, o)
+		default:
+			o.up, o.told = false, roll.Told{}
 		}
-		n.exchange(ctx, o)
-		n.spread(time.Now())
 	}
 }
 
-func (n *neighbours) exchange(ctx context.Context, o *other) {
+func (n *neighbours) exchange(ctx context.Context, address string, o *other) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeAnswer)
 	defer cancel()
-	request := n.word(time.Now())
-	request.Agents = o.news(request.Agents, time.Now(), o.Region != n.own.Region)
+	request := n.word(time.Now(), address, o)
 	var reply neighbour.ExchangeReply
 	err := o.client.Call(ctx, neighbour.MethodExchange, request, &reply)
-	n.note(o, err)
+	n.note(address, o, err)
 	if err != nil {
 		return
 	}
 	now := time.Now()
 	k := n.roster.knowledge
-	k.take(k.beliefs.Adopt(reply.Beliefs), o.Address)
+	k.take(k.beliefs.Adopt(reply.Beliefs), address)
 	if reply.AgeMilliseconds >= 0 && k.beliefs.Revision() >= reply.Beliefs.Revision {
 		k.confirm(now.Add(-time.Duration(reply.AgeMilliseconds) * time.Millisecond))
 	}
-	for _, g := range reply.Gateways {
-		n.meet(g)
-	}
+	n.meet(reply.Gateways...)
 }
 
-const (
-	// tellAgain is how often another gateway is told of an agent that has not
-	// changed: it takes the word for agentTime.
-	tellAgain = agentTime / 2
-	// tellPieces and tellPiecesFar are how often it is told of pieces that an
-	// agent got: far ones are only fetched when no near agent has them.
-	tellPieces    = 140 * time.Millisecond
-	tellPiecesFar = 500 * time.Millisecond
-)
-
-// news leaves out agents that the gateway was told of lately and that have not
-// changed. Only the goroutine that calls the gateway uses it.
-func (o *other) news(agents []neighbour.Agent, now time.Time, far bool) []neighbour.Agent {
-	if o.told == nil || !o.up {
-		o.told = map[string]telling{}
-	}
-	pieces := tellPieces
-	if far {
-		pieces = tellPiecesFar
-	}
-	var out []neighbour.Agent
-	for _, a := range agents {
-		same := a
-		same.AgeMilliseconds, same.Pieces, same.Change = 0, neighbour.Pieces{}, neighbour.Change{Version: a.Change.Version}
-		held, ok := o.told[a.Name]
-		since := now.Sub(held.at)
-		got := !slices.Equal(held.have, a.Pieces.Have) || held.version != a.Pieces.Version
-		if ok && since < tellAgain && reflect.DeepEqual(held.agent, same) && !(got && since >= pieces) {
-			continue
-		}
-		o.told[a.Name] = telling{same, a.Pieces.Have, a.Pieces.Version, now}
-		out = append(out, a)
-	}
-	return out
-}
-
-func (n *neighbours) note(o *other, err error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+func (n *neighbours) note(address string, o *other, err error) {
 	if err == nil {
-		o.reached = time.Now()
+		n.mu.Lock()
+		n.table.Answered(address, time.Now())
+		n.mu.Unlock()
+	} else {
+		o.told = roll.Told{} // it may be another process by now
 	}
 	if up := err == nil; up != o.up {
 		o.up = up
 		if up {
-			event.Log(event.NeighbourUp, "Address", o.Address, "Name", o.Name)
+			event.Log(event.NeighbourUp, "Address", address)
 		} else {
-			event.Fail(event.NeighbourDown, err, "Address", o.Address, "Name", o.Name)
+			event.Fail(event.NeighbourDown, err, "Address", address)
 		}
 	}
 }
 
-// word is what this gateway tells the others.
-func (n *neighbours) word(now time.Time) neighbour.ExchangeRequest {
-	k := n.roster.knowledge
-	w := neighbour.ExchangeRequest{
-		Gateway: n.own, Revision: k.beliefs.Revision(), Running: n.roster.pools.Running(),
-		Agents: n.roster.words(now, true), Gateways: n.known(now), Named: n.named(now),
-	}
+// word is what this gateway tells another one.
+func (n *neighbours) word(now time.Time, to string, o *other) neighbour.ExchangeRequest {
+	running := n.roster.pools.Running()
+	n.mu.Lock()
+	w := n.table.Word(to, running, now)
+	far := n.table.Far(to)
+	n.mu.Unlock()
+	w.Revision = n.roster.beliefs.Revision()
+	w.Named = n.named(now)
+	w.Agents, w.Alive = n.roster.news(&o.told, now, n.own.Region, far)
 	for _, e := range n.quarantine.Convictions(now) {
 		w.Convictions = append(w.Convictions, neighbour.Conviction{
 			Fingerprint: e.Fingerprint, Server: e.Server, Convicted: e.Convicted, LeftMilliseconds: e.ExpiresAt.Sub(now).Milliseconds(),
@@ -262,36 +232,29 @@
 func (n *neighbours) known(now time.Time) []neighbour.Gateway {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := []neighbour.Gateway{n.own}
-	for _, o := range n.gateways {
-		if o.Name != "" && now.Sub(o.heardAt) < neighbourTime {
-			out = append(out, o.Gateway)
-		}
+	return n.table.Known(now)
+}
+
+// unlike returns the gateways that are alive, or nil if they are those of the digest.
+func (n *neighbours) unlike(digest uint64, now time.Time) []neighbour.Gateway {
+	known := n.known(now)
+	if exchange.Digest(known) == digest {
+		return nil
 	}
-	n.peak = max(n.peak, len(out))
-	return out
+	return known
 }
 
-// most returns the number of gateways that were alive at once, this one
-// included and at least the ones of the settings: what they spent still counts
-// when some of them are gone.
+// most returns the number of gateways that share what all may spend.
 func (n *neighbours) most() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return max(n.peak, len(n.seeds))
+	return n.table.Most()
 }
 
 // spread tells the pools what the other gateways have running.
 func (n *neighbours) spread(now time.Time) {
-	running := map[string]int{}
 	n.mu.Lock()
-	for _, o := range n.gateways {
-		if now.Sub(o.heardAt) < neighbourTime {
-			for server, count := range o.running {
-				running[server] += count
-			}
-		}
-	}
+	running := n.table.Others(now)
 	n.mu.Unlock()
 	n.roster.pools.SetOthers(now, running)
 }
@@ -302,17 +265,15 @@
 // Exchange takes another gateway's word and returns what it lacks.
 func (r receiver) Exchange(request neighbour.ExchangeRequest, reply *neighbour.ExchangeReply) error {
 	n, now := r.neighbours, time.Now()
-	if o := n.meet(request.Gateway); o != nil {
-		n.mu.Lock()
-		o.heardAt, o.running = now, request.Running
-		n.mu.Unlock()
-	}
-	for _, g := range request.Gateways {
-		n.meet(g)
-	}
-	for _, a := range request.Agents {
-		n.roster.hear(a, now.Add(-time.Duration(a.AgeMilliseconds)*time.Millisecond), false)
+	n.mu.Lock()
+	n.table.Hear(request, now)
+	n.mu.Unlock()
+	n.meet(append(request.Gateways, request.Gateway)...)
+	way := roll.Far
+	if request.Gateway.Region == n.own.Region {
+		way = roll.Near
 	}
+	n.roster.hearAll(request.Agents, request.Alive, way, now)
 	for _, v := range request.Named {
 		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
 		n.roster.age(site.Version{Model: v.Model, Number: v.Version}, naming.Naming{At: at, Found: v.Found})
@@ -320,9 +281,8 @@
 	n.adopt(request.Convictions, now)
 	n.depart(request.Departures, request.Gateway.Name, now)
 	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
-	reply.Gateways = n.known(now)
+	reply.Gateways = n.unlike(request.Known, now)
 	reply.AgeMilliseconds = now.Sub(n.roster.confirmed()).Milliseconds()
-	n.spread(now)
 	return nil
 }
 
@@ -340,17 +300,13 @@
 // Sync takes an agent's word and returns what it lacks.
 func (r receiver) Sync(request neighbour.SyncRequest, reply *neighbour.SyncReply) error {
 	n, now := r.neighbours, time.Now()
-	n.roster.hear(request.Agent, now, true)
-	n.roster.announce()
+	n.roster.hear(request.Agent, now)
 	n.awaitKnowledge()
 	now = time.Now()
 	reply.Wanted = n.roster.wanted(request.Agent.Service)
-	for _, a := range n.roster.words(now, false) {
-		if a.Name != request.Agent.Name && a.Service == request.Agent.Service {
-			reply.Agents = append(reply.Agents, a)
-		}
-	}
-	reply.Gateways = n.known(now)
+	u := n.roster.since(request.Mark, request.Agent)
+	reply.Whole, reply.Agents, reply.Pieces, reply.Gone, reply.Mark = u.Whole, u.Agents, u.Pieces, u.Gone, u.Mark
+	reply.Gateways = n.unlike(request.Gateways, now)
 	reply.Named = n.named(now)
 	return nil
 }
--- a/internal/hosted/roster.go
+++ b/internal/hosted/roster.go
@@ -8,6 +8,7 @@
 	"almondreel.example/almondreel/internal/direct"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/neighbour"
+	"almondreel.example/almondreel/internal/roll"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/internal/site"
@@ -29,18 +30,12 @@
 	pools   *direct.Pools
 
 	mu     sync.Mutex
-	agents map[string]agentWord // by engine address
+	agents *roll.Roll
 	listed int
 }
 
-type agentWord struct {
-	neighbour.Agent
-	at     time.Time // when the agent said so
-	direct bool      // to this gateway
-}
-
 func newRoster(k *knowledge, h settings.Hosting, pools *direct.Pools) *roster {
-	return &roster{knowledge: k, hosting: h, pools: pools, agents: map[string]agentWord{}}
+	return &roster{knowledge: k, hosting: h, pools: pools, agents: roll.New(time.Now().UnixNano())}
 }
 
 // run keeps the pools' servers in step until ctx ends.
@@ -103,8 +98,8 @@
 		return out
 	}
 	holding := s.State.Holding(service.Engine.Layers)
-	if a, ok := r.word(s.Address); ok && now.Sub(a.at) < agentTime && a.Born >= s.State.Born {
-		holding = a.serves(now)
+	if a, ok := r.word(s.Address); ok && now.Sub(a.At) < agentTime && a.Born >= s.State.Born {
+		holding = serves(a, now)
 		if a.Born > s.State.Born { // the entry is of the start before, perhaps under another ID
 			holding.Whole = false
 		}
@@ -115,14 +110,14 @@
 
 // serves returns what the agent's engine serves at a moment, by its word and
 // the change that it announced.
-func (a agentWord) serves(now time.Time) site.Holding {
+func serves(a roll.Word, now time.Time) site.Holding {
 	holding := a.Holding
 	c := a.Change
 	if c.Version == 0 || holding.Version >= c.Version {
 		holding.Whole = holding.Whole && !(a.Switching && c.Version == 0)
 		return holding
 	}
-	since := now.Sub(a.at).Milliseconds()
+	since := now.Sub(a.At).Milliseconds()
 	switch {
 	case since < c.StartMilliseconds:
 	case since < c.EndMilliseconds:
@@ -133,39 +128,55 @@
 	return holding
 }
 
-func (r *roster) word(address string) (agentWord, bool) {
+func (r *roster) word(engine string) (roll.Word, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a, ok := r.agents[address]
-	return a, ok
+	return r.agents.Beside(engine)
 }
 
-// hear takes an agent's word; at is when the agent gave it.
-func (r *roster) hear(a neighbour.Agent, at time.Time, direct bool) {
+// hear takes the word of an agent that speaks to this gateway.
+func (r *roster) hear(a neighbour.Agent, now time.Time) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if held, ok := r.agents[a.EngineAddress]; !ok || at.After(held.at) {
-		r.agents[a.EngineAddress] = agentWord{a, at, direct}
+	news := r.agents.Hear(a, now, roll.Direct)
+	r.mu.Unlock()
+	if news {
+		r.announce()
+	}
+}
+
+// hearAll takes what another gateway says of agents.
+func (r *roster) hearAll(words []neighbour.Agent, alive []neighbour.Seen, way roll.Way, now time.Time) {
+	r.mu.Lock()
+	news := false
+	for _, a := range words {
+		news = r.agents.Hear(a, now.Add(-time.Duration(a.AgeMilliseconds)*time.Millisecond), way) || news
+	}
+	for _, s := range alive {
+		r.agents.Seen(s.Name, now.Add(-time.Duration(s.AgeMilliseconds)*time.Millisecond))
+	}
+	r.mu.Unlock()
+	if news {
+		r.announce()
 	}
 }
 
-// words returns the agents that spoke lately, with the age of their words; only
-// those that speak to this gateway if direct.
-func (r *roster) words(now time.Time, direct bool) []neighbour.Agent {
+// news is what another gateway has not heard of agents: one in another region
+// hears of all agents in this one, one in this region of those that speak to
+// this gateway and of what other regions passed on to it.
+func (r *roster) news(told *roll.Told, now time.Time, region string, far bool) ([]neighbour.Agent, []neighbour.Seen) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []neighbour.Agent
-	for address, a := range r.agents {
-		age := now.Sub(a.at)
-		if age > 2*agentTime {
-			delete(r.agents, address)
-			continue
-		}
-		if direct && !a.direct {
-			continue
-		}
-		a.AgeMilliseconds = age.Milliseconds()
-		out = append(out, a.Agent)
+	r.agents.Expire(now)
+	if far {
+		return r.agents.News(told, now, farRates, func(w roll.Word) bool { return w.Region == region })
 	}
-	return out
+	return r.agents.News(told, now, nearRates, func(w roll.Word) bool { return w.Way != roll.Near })
+}
+
+// since is what an agent has not heard of the others of its service.
+func (r *roster) since(mark neighbour.Mark, a neighbour.Agent) roll.Update {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.agents.Expire(time.Now())
+	return r.agents.Since(mark, a.Name, a.Service)
 }
--- a/internal/neighbour/messages.go
+++ b/internal/neighbour/messages.go
@@ -64,9 +64,29 @@
 	return w == o
 }
 
+// Mark is a point in what a gateway has to tell of agents.
+type Mark struct {
+	Start  int64 // of the gateway's process; others begin anew
+	Change int64 // number of the last change that was told
+}
+
+// Holder is an agent's pieces alone.
+type Holder struct {
+	Name   string
+	Pieces Pieces
+}
+
+// Seen says that an agent is alive and says what it said before.
+type Seen struct {
+	Name            string
+	AgeMilliseconds int64 // since it said so
+}
+
 // SyncRequest is an agent's word to a gateway.
 type SyncRequest struct {
-	Agent Agent
+	Agent    Agent
+	Mark     Mark   // up to which it was told
+	Gateways uint64 // digest of the gateways that it knows
 }
 
 // FollowRequest waits until the gateway knows of something else than Known.
@@ -85,16 +105,21 @@
 // SyncReply is what the agent may lack.
 type SyncReply struct {
 	Wanted   Wanted
-	Agents   []Agent // the others of its service
-	Gateways []Gateway
+	Whole    bool     // Agents are all others of its service; else those that changed
+	Agents   []Agent  // without what only gateways need
+	Pieces   []Holder // of agents of which nothing else changed
+	Gone     []string // agents that are no more
+	Mark     Mark
+	Gateways []Gateway // nil: those that it knows
 	Named    []Named
 }
 
 // Gateway is where a gateway listens for its neighbours.
 type Gateway struct {
-	Name    string
-	Address string
-	Region  string
+	Name            string
+	Address         string
+	Region          string
+	AgeMilliseconds int64 // since it was heard
 }
 
 // Named is how long ago a version was named. It was named before that, at an
@@ -122,22 +147,31 @@
 	AgeMilliseconds int64 // since it said so
 }
 
+// Load is what the gateways of a region have running.
+type Load struct {
+	Region          string
+	Running         map[string]int // requests by server
+	AgeMilliseconds int64
+}
+
 // ExchangeRequest is one gateway's word to another.
 type ExchangeRequest struct {
-	Gateway         Gateway
-	Revision        int64
-	Running         map[string]int // requests by server
-	Agents          []Agent        // that spoke to this gateway
-	Gateways        []Gateway      // others that it knows
-	Named           []Named
-	Convictions     []Conviction
-	Departures      []Departure
-	AgeMilliseconds int64 // since its beliefs were known to be current; below 0: never
+	Gateway     Gateway
+	Revision    int64
+	Running     map[string]int // requests of this gateway, by server
+	Loads       []Load         // of regions that the other does not hear itself
+	Agents      []Agent        // whose words are new
+	Alive       []Seen
+	Gateways    []Gateway // that the other does not hear itself
+	Known       uint64    // digest of the gateways that this one knows
+	Named       []Named
+	Convictions []Conviction
+	Departures  []Departure
 }
 
 // ExchangeReply is what the calling gateway lacks.
 type ExchangeReply struct {
 	Beliefs         belief.Update
-	Gateways        []Gateway
-	AgeMilliseconds int64
+	Gateways        []Gateway // nil: those that it knows
+	AgeMilliseconds int64     // since its beliefs were known to be current; below 0: never
 }
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -26,7 +26,7 @@
 	servingFetchers = 2
 	// idleTime is the pause of a fetcher that has nothing to do.
 	idleTime = 25 * time.Millisecond
-	// memberTime is how long an agent that says nothing counts as alive.
+	// memberTime is how long an agent counts as alive that a gateway does not know.
 	memberTime = 2 * time.Second
 	// loadTime is how long a load order may take beyond what the engine runs.
 	loadTime = 5 * time.Second
@@ -94,7 +94,7 @@
 
 type member struct {
 	neighbour.Agent
-	at time.Time // when it said so
+	until time.Time // it counts as gone from then on; zero: a gateway will say so
 }
 
 // version is the version that the agent brings or has brought.
@@ -156,7 +156,7 @@
 
 // Adopt takes what a gateway or the store said. What was read at an older
 // revision of the store changes nothing.
-func (a *Agent) Adopt(wanted neighbour.Wanted, agents []neighbour.Agent, named []neighbour.Named) {
+func (a *Agent) Adopt(wanted neighbour.Wanted, named []neighbour.Named) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -164,14 +164,6 @@
 		wanted = a.wanted
 	}
 	a.wanted = wanted
-	for _, m := range agents {
-		a.meet(member{m, now.Add(-time.Duration(m.AgeMilliseconds) * time.Millisecond)})
-	}
-	for name, m := range a.members {
-		if now.Sub(m.at) > memberTime {
-			delete(a.members, name)
-		}
-	}
 	for _, n := range named {
 		at := now.Add(-time.Duration(n.AgeMilliseconds) * time.Millisecond)
 		a.named.Note(site.Version{Model: n.Model, Number: n.Version}, naming.Naming{At: at, Found: n.Found})
@@ -181,6 +173,47 @@
 	}
 }
 
+// Others is what a gateway says of other agents.
+type Others struct {
+	Whole  bool // Agents are all that it knows
+	Agents []neighbour.Agent
+	Pieces []neighbour.Holder
+	Gone   []string
+}
+
+// Meet takes what a gateway says of other agents. Those that a gateway does not
+// know which tells everything, as it has just started, are kept for a while.
+func (a *Agent) Meet(o Others) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if o.Whole {
+		for name, m := range a.members {
+			if m.until.IsZero() {
+				m.until = now.Add(memberTime)
+				a.members[name] = m
+			}
+		}
+	}
+	for _, m := range o.Agents {
+		a.meet(member{Agent: m})
+	}
+	for _, h := range o.Pieces {
+		if m, ok := a.members[h.Name]; ok {
+			m.Pieces, m.until = h.Pieces, time.Time{}
+			a.meet(m)
+		}
+	}
+	for _, name := range o.Gone {
+		delete(a.members, name)
+	}
+	for name, m := range a.members {
+		if !m.until.IsZero() && now.After(m.until) {
+			delete(a.members, name)
+		}
+	}
+}
+
 // meet takes what another agent said. Pieces that it holds are not forgotten
 // for an older word.
 func (a *Agent) meet(m member) {
--- a/internal/reel/agent_test.go
+++ b/internal/reel/agent_test.go
@@ -204,7 +204,8 @@
 		done := true
 		for n, a := range c.agents {
 			others := append(append([]neighbour.Agent(nil), words[:n]...), words[n+1:]...)
-			a.Adopt(wanted(version), others, []neighbour.Named{age})
+			a.Adopt(wanted(version), []neighbour.Named{age})
+			a.Meet(reel.Others{Whole: true, Agents: others})
 			done = done && c.engines[n].serves() == version
 		}
 		return done
@@ -287,7 +288,7 @@
 	}
 	e.holding = 1
 	a, stop := beside(e, &origin{most: pieces * 3 / 4})
-	a.Adopt(wanted(2), nil, nil)
+	a.Adopt(wanted(2), nil)
 	require.Eventually(t, func() bool { return e.lies(2) == pieces*3/4 }, 5*time.Second, 5*time.Millisecond)
 	stop()
 	e.mu.Lock()
@@ -296,7 +297,7 @@
 	o := &origin{}
 	a, stop = beside(e, o)
 	defer stop()
-	a.Adopt(wanted(2), nil, nil)
+	a.Adopt(wanted(2), nil)
 	require.Eventually(t, func() bool { return e.serves() == 2 }, 5*time.Second, 5*time.Millisecond)
 	require.False(t, e.spoilt)
 	require.Equal(t, pieces/4, o.drawn, "only what had not come")
@@ -309,7 +310,7 @@
 	e.holding = 1
 	a, stop := beside(e, &origin{})
 	defer stop()
-	a.Adopt(wanted(2), nil, nil)
+	a.Adopt(wanted(2), nil)
 	require.Eventually(t, func() bool { return e.lies(2) == pieces }, 2*time.Second, 5*time.Millisecond)
 	require.EqualValues(t, 1, e.serves(), "its turn has not come")
 }
@@ -318,7 +319,7 @@
 // origin leaves soon after. Its digests are read at once.
 func TestDigestsAreReadWhileAnOlderVersionIsFinished(t *testing.T) {
 	a, address := lone(t, &origin{most: pieces * 3 / 4})
-	a.Adopt(wanted(1), nil, nil)
+	a.Adopt(wanted(1), nil)
 	held := func() int {
 		words := a.Say().Pieces.Have
 		count := 0
@@ -330,7 +331,7 @@
 		return count
 	}
 	require.Eventually(t, func() bool { return held() == pieces*3/4 }, 5*time.Second, 5*time.Millisecond)
-	a.Adopt(wanted(2), nil, nil)
+	a.Adopt(wanted(2), nil)
 	require.Eventually(t, func() bool {
 		m, err := reel.NewPeers(&http.Client{}).Manifest(context.Background(), address, model, 2)
 		return err == nil && m.Version == 2
@@ -343,7 +344,7 @@
 func TestANeighbourWaitsForDigests(t *testing.T) {
 	o := &origin{down: true}
 	a, address := lone(t, o)
-	a.Adopt(wanted(1), nil, nil)
+	a.Adopt(wanted(1), nil)
 	time.AfterFunc(60*time.Millisecond, func() {
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -400,7 +401,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx) }()
-	a.Adopt(wanted(1), nil, nil)
+	a.Adopt(wanted(1), nil)
 	require.Eventually(t, func() bool { return a.Say().Ready == 1 }, 5*time.Second, 10*time.Millisecond)
 	cancel()
 	<-ended
@@ -410,7 +411,7 @@
 
 func TestAnOlderWordChangesNothing(t *testing.T) {
 	a := reel.NewAgent(reel.Options{Name: "a", Engine: newEngine()})
-	a.Adopt(wanted(3), nil, nil)
-	a.Adopt(wanted(2), nil, nil)
+	a.Adopt(wanted(3), nil)
+	a.Adopt(wanted(2), nil)
 	require.EqualValues(t, 3, a.Wanted().Version)
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -163,7 +163,7 @@
 
 const (
 	// shareWeight is how fast a gateway's share of a region follows what runs:
-	// over about ten rounds of what the gateways tell each other.
+	// over about ten steps, two rounds of what the gateways tell each other.
 	shareWeight = 0.1
 	// fewRunning requests in a region say little of who sends how many.
 	fewRunning = 8
