Draw the newest version ahead while an older one is passed on

An agent that has brought every piece which it is the first to draw begins with its part of the next version at the origin, one piece at a time. The line on a complete transfer says where the pieces came from.

--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -176,6 +176,38 @@
 	return f, true
 }
 
+// Drawn reports whether this agent has brought every piece that it is the first
+// to draw from the origin.
+func (p *Plan) Drawn(now time.Time, members []Member) bool {
+	v := p.look(now, members)
+	for piece := range p.pieces {
+		if !Has(p.have, piece) && p.position(strconv.Itoa(piece), v) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Ahead returns the next piece to draw from the origin of a version whose turn
+// has not come, while an older one is still passed on: one that this agent is the
+// first to draw. The origin's link is free by then, and it may leave.
+func (p *Plan) Ahead(now time.Time, members []Member) (Fetch, bool) {
+	if p.fromOrigin > 0 || !p.originFree(now) {
+		return Fetch{}, false
+	}
+	v := p.look(now, members)
+	first := p.random.IntN(p.pieces)
+	for n := range p.pieces {
+		piece := (first + n) % p.pieces
+		if p.open(piece) && p.position(strconv.Itoa(piece), v) == 0 {
+			p.flying[piece] = Source{}
+			p.fromOrigin++
+			return Fetch{Piece: piece}, true
+		}
+	}
+	return Fetch{}, false
+}
+
 // open reports whether a piece is neither here nor on its way.
 func (p *Plan) open(piece int) bool {
 	_, flies := p.flying[piece]
--- a/internal/draw/draw_test.go
+++ b/internal/draw/draw_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,6 +38,7 @@
 	diedAt       time.Time
 	doneAt       time.Time
 	sendsUntil   time.Time
+	takesUntil   time.Time
 	told         [][]uint64 // what the others hear, oldest first
 }
 
@@ -56,8 +58,12 @@
 }
 
 func newPlay(t *testing.T, perRegion int) *play {
+	return newPlayIn(t, perRegion, "north", "south", "west")
+}
+
+func newPlayIn(t *testing.T, perRegion int, regions ...string) *play {
 	p := &play{t: t, now: time.Unix(1000, 0), across: map[string]int{}, slots: 4}
-	for _, region := range []string{"north", "south", "west"} {
+	for _, region := range regions {
 		for n := range perRegion {
 			name := fmt.Sprintf("%s-%d", region, n)
 			plan := draw.NewPlan(name, region, pieces, p.now, rand.New(rand.NewPCG(uint64(len(p.agents)), 7)))
@@ -152,7 +158,12 @@
 		start = *sends
 	}
 	*sends = start.Add(each)
-	p.flights = append(p.flights, flight{f, a, *sends})
+	arrives := start.Add(each)
+	if earliest := a.takesUntil.Add(pieceTime); earliest.After(arrives) {
+		arrives = earliest
+	}
+	a.takesUntil = arrives
+	p.flights = append(p.flights, flight{f, a, arrives})
 }
 
 func (p *play) land(f flight) {
@@ -208,6 +219,19 @@
 	}
 }
 
+func TestTrialFive(t *testing.T) {
+	for _, perRegion := range []int{6, 24} {
+		p := newPlayIn(t, perRegion, "delta", "piedmont", "gulf", "bluegrass", "ozark")
+		took := p.run(10 * time.Second)
+		var half []time.Duration
+		for _, a := range p.agents {
+			half = append(half, a.doneAt.Sub(time.Unix(1000, 0)))
+		}
+		slices.Sort(half)
+		t.Logf("%d agents: first %v half %v all %v, %d out of the origin, across %v", 5*perRegion, half[0], half[len(half)/2], took, p.copies, p.across)
+	}
+}
+
 // Pattern: engines are added while others hold the version.
 func TestAddedEnginesTakeItFromTheirRegion(t *testing.T) {
 	p := newPlay(t, 6)
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -69,6 +69,7 @@
 	members  map[string]member
 	named    *naming.Ages
 	bringing *version // the version that is wanted, from the first piece on
+	upcoming *version // wanted, and not begun while an older one is finished
 	former   *version // was being brought before it, kept for those who finish it
 	ready    *version // the newest version of which every piece is here
 	switches bool     // a load order is on its way or in progress
@@ -103,9 +104,13 @@
 	plan     *draw.Plan
 	data     [][]byte
 	staged   []bool // pieces that lie at the engine
-	stagedAt int64  // start of that engine, Unix milliseconds
+	from     origins
+	stagedAt int64 // start of that engine, Unix milliseconds
 }
 
+// origins counts where a version's pieces came from.
+type origins struct{ origin, region, elsewhere int }
+
 // NewAgent returns an agent that knows nothing yet.
 func NewAgent(o Options) *Agent {
 	return &Agent{Options: o, members: map[string]member{}, named: naming.NewAges(o.VersionMS)}
@@ -274,7 +279,7 @@
 
 // find returns a version that the agent holds pieces of, or nil.
 func (a *Agent) find(model string, number int64) *version {
-	for _, v := range []*version{a.bringing, a.ready, a.former} {
+	for _, v := range []*version{a.bringing, a.ready, a.former, a.upcoming} {
 		if v != nil && v.manifest.is(model, number) {
 			return v
 		}
@@ -369,6 +374,14 @@
 	}
 	v.data[f.Piece] = data
 	v.plan.Got(f.Piece)
+	switch holder := f.Source.Holder; {
+	case holder == "":
+		v.from.origin++
+	case a.members[holder].Region == a.Region:
+		v.from.region++
+	default:
+		v.from.elsewhere++
+	}
 	a.noteComplete(v)
 	return true
 }
@@ -394,6 +407,9 @@
 	if v == nil || !a.heard {
 		return nil, draw.Fetch{}, "", false
 	}
+	if u, f, ok := a.nextAhead(); ok {
+		return u, f, a.wanted.Origin, true
+	}
 	f, ok = v.plan.Next(time.Now(), a.drawMembers(v.manifest))
 	address = a.wanted.Origin
 	if f.Source.Holder != "" {
@@ -402,13 +418,33 @@
 	return v, f, address, ok
 }
 
+// nextAhead chooses a piece of the wanted version that is to be drawn from the
+// origin although an older one is still being finished, once this agent has drawn
+// its part of that. Callers hold mu.
+func (a *Agent) nextAhead() (*version, draw.Fetch, bool) {
+	v, c := a.bringing, a.coming
+	if c == nil || !c.is(a.wanted.Engine.Model, a.wanted.Version) || c.Version <= v.manifest.Version || v.plan.Complete() {
+		return nil, draw.Fetch{}, false
+	}
+	now := time.Now()
+	if !v.plan.Drawn(now, a.drawMembers(v.manifest)) {
+		return nil, draw.Fetch{}, false
+	}
+	if a.upcoming == nil || !a.upcoming.manifest.is(c.Model, c.Version) {
+		a.upcoming = a.newVersion(*c)
+	}
+	f, ok := a.upcoming.plan.Ahead(now, a.drawMembers(*c))
+	return a.upcoming, f, ok
+}
+
 // noteComplete makes a version ready to load once all its pieces are here.
 func (a *Agent) noteComplete(v *version) {
 	if !v.plan.Complete() || a.ready != nil && a.ready.manifest.Version >= v.manifest.Version {
 		return
 	}
 	a.ready = v
-	event.Log(event.TransferVerified, "Model", v.manifest.Model, "Version", v.manifest.Version)
+	event.Log(event.TransferVerified, "Model", v.manifest.Model, "Version", v.manifest.Version,
+		"FromOrigin", v.from.origin, "FromRegion", v.from.region, "FromElsewhere", v.from.elsewhere)
 }
 
 // bring fetches a piece and checks it.
--- a/internal/reel/agent_test.go
+++ b/internal/reel/agent_test.go
@@ -339,6 +339,34 @@
 	require.EqualValues(t, 1, a.Say().Pieces.Version, "the older one is still being finished")
 }
 
+// Pattern: two versions are named in a row and the origin leaves soon after. An
+// agent that has drawn its part of the first draws its part of the second at once,
+// while it waits for others' pieces of the first.
+func TestTheNextVersionIsDrawnWhileAnOlderOneIsPassedOn(t *testing.T) {
+	o := &origin{}
+	a, address := lone(t, o)
+	a.Adopt(wanted(1), nil)
+	all := neighbour.Pieces{Model: model, Version: 1, Have: []uint64{1<<pieces - 1}}
+	silent := neighbour.Agent{Name: "b", Address: "127.0.0.1:1", Region: "north", Service: "pool", Pieces: all}
+	slow := neighbour.Agent{Name: "c", Address: "127.0.0.1:1", Region: "north", Service: "pool"}
+	a.Meet(reel.Others{Whole: true, Agents: []neighbour.Agent{silent, slow}})
+	time.Sleep(200 * time.Millisecond)
+	a.Adopt(wanted(2), nil)
+	peers := reel.NewPeers(&http.Client{})
+	drawn := func() int {
+		count := 0
+		for n := range pieces {
+			if data, _, err := peers.Piece(context.Background(), address, model, 2, n); err == nil && string(data) == string(pieceOf(2, n)) {
+				count++
+			}
+		}
+		return count
+	}
+	require.Eventually(t, func() bool { return drawn() > 0 }, time.Second, 10*time.Millisecond)
+	require.EqualValues(t, 1, a.Say().Pieces.Version, "the older one is still being finished")
+	require.Less(t, drawn(), pieces, "others draw the rest")
+}
+
 // Pattern: all agents hear of a version at once. One that asks another for the
 // digests a moment too early waits for them, instead of asking again later.
 func TestANeighbourWaitsForDigests(t *testing.T) {
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -74,22 +74,25 @@
 	if !ok {
 		return
 	}
-	v := a.newVersion(m)
+	a.mu.Lock()
+	v, starts := a.upcoming, a.bringing == nil
+	if v == nil || !v.manifest.is(m.Model, m.Version) {
+		v = a.newVersion(m)
+	}
+	a.mu.Unlock()
 	staged := 0
-	if a.bringing == nil { // after a start, the engine may hold what was staged before
+	if starts { // the engine may hold what was staged before
 		staged = a.readStaged(ctx, v)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.former, a.bringing = a.bringing, v
+	a.former, a.bringing, a.upcoming = a.bringing, v, nil
 	a.noteComplete(v)
 	event.Log(event.TransferStarted, "Model", m.Model, "Version", m.Version, "Pieces", len(m.Digests), "Staged", staged)
 }
 
-// newVersion returns a version of which nothing is here.
+// newVersion returns a version of which nothing is here. Callers hold mu.
 func (a *Agent) newVersion(m Manifest) *version {
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &version{
 		manifest: m, data: make([][]byte, len(m.Digests)), staged: make([]bool, len(m.Digests)), stagedAt: a.state.Born,
