Serve a version nearly to its end; take back attempts that have not begun

Cause: requests were refused 0.6 s before a version's time was over, so that a queue at an engine would not let them begin too late. Where the next version is not there yet, that is 0.6 s without service on every engine at once.

Requests are sent on while most begin in time (the usual wait and the prompt, 250 ms at least), and an attempt whose answer has not begun is cancelled 50 ms before the version's end. It may have begun unseen, so it is never called "not run".

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -83,7 +83,10 @@
 	leastSilence = 350 * time.Millisecond
 )
 
-var errSilent = errors.New("server is silent")
+var (
+	errSilent = errors.New("server is silent")
+	errEnded  = errors.New("version of the weights ended before the answer began")
+)
 
 // send sends the request to one server and passes its answer on.
 func (e *exchange) send(ctx context.Context, s schedule.Server) result {
@@ -93,6 +96,7 @@
 	e.sentAt = now
 	silence := e.watchSilence(s, cancel)
 	defer silence.stop()
+	defer e.guardVersion(s, cancel)()
 	response, err := e.front.client.Send(ctx, transmit.Message{
 		Method: e.r.Method, Address: s.Address, Host: e.r.Host, Path: e.r.RequestURI,
 		Header: e.front.Dialect.Forward(e.r.Header, e.forward(ctx, s), now),
@@ -184,6 +188,28 @@
 	return w
 }
 
+// guardMargin is kept of a version's time for a cancellation's way to the server.
+const guardMargin = 50 * time.Millisecond
+
+// guardVersion cancels an attempt whose answer has not begun when the time of the
+// server's weights ends. The function that it returns ends the guard.
+func (e *exchange) guardVersion(s schedule.Server, cancel context.CancelCauseFunc) func() {
+	e.guard = nil
+	if !e.route.Generates {
+		return func() {}
+	}
+	ends, ok := e.front.View.EndsAt(e.call.Model, s.Version)
+	if !ok {
+		return func() {}
+	}
+	guard := time.AfterFunc(time.Until(ends.Add(-guardMargin)), func() {
+		counter.Add("AttemptsEndedWithVersion", 1)
+		cancel(errEnded)
+	})
+	e.guard = guard
+	return func() { guard.Stop() }
+}
+
 // silenceStep separates looks at a request that waits.
 const silenceStep = 100 * time.Millisecond
 
@@ -206,6 +232,8 @@
 	var unsent *transmit.Unsent
 	notSent := errors.As(err, &unsent)
 	switch {
+	case errors.Is(context.Cause(ctx), errEnded) && !notSent:
+		return versionEnded()
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) && !notSent:
 		return stopped{}
 	case notSent:
@@ -216,6 +244,12 @@
 	return unusable{reason: outcome.BackendDied, at: schedule.Broken, mayHaveDied: true, detail: err.Error()}
 }
 
+// versionEnded is no failure of the server's. The request may have begun
+// unseen.
+func versionEnded() result {
+	return unusable{reason: outcome.BackendFailed, at: schedule.Left, detail: errEnded.Error()}
+}
+
 // plain reads an answer to its end before a byte of it is passed on.
 func (e *exchange) plain(ctx context.Context, s schedule.Server, response *http.Response) result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
@@ -235,6 +269,8 @@
 func (e *exchange) cut(ctx context.Context, err error, begun bool) result {
 	cause := context.Cause(ctx)
 	switch {
+	case errors.Is(cause, errEnded):
+		return versionEnded()
 	case errors.Is(cause, errSilent):
 		return unusable{reason: outcome.BackendFailed, at: schedule.Silent, answered: begun, detail: errSilent.Error()}
 	case ctx.Err() != nil:
@@ -247,6 +283,9 @@
 func (e *exchange) answeredBy(s schedule.Server) {
 	e.front.Pools.answered(e.service.Name, s.ID, float64(time.Since(e.sentAt).Milliseconds()), e.promptMS())
 	e.front.hearing.begun(s.ID, e.sentAt, time.Now())
+	if e.guard != nil {
+		e.guard.Stop()
+	}
 	if e.firstMS == 0 {
 		e.firstMS = time.Since(e.arrivedAt).Milliseconds()
 		counter.Observe("FirstAnswerMilliseconds."+e.route.Name, e.firstMS)
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -67,6 +67,9 @@
 	// MinVersion is the oldest version of a model that may serve a request which
 	// begins at a moment.
 	MinVersion(model string, at time.Time) int64
+	// EndsAt is the moment from which no request may begin on a version of a
+	// model, and false if no newer one was named.
+	EndsAt(model string, version int64) (time.Time, bool)
 }
 
 // status is the HTTP status of an outcome that is the gateway's own.
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -33,11 +33,12 @@
 	version      int64 // of the configuration
 	body         []byte
 
-	sentAt    time.Time // to the last server
-	server    string    // that has or had the request last
-	sent      int       // servers that were sent the request
-	runs      int       // servers that may have run it
-	rejected  int       // servers that said they did not
+	sentAt    time.Time   // to the last server
+	guard     *time.Timer // ends the attempt with the version of its server's weights
+	server    string      // that has or had the request last
+	sent      int         // servers that were sent the request
+	runs      int         // servers that may have run it
+	rejected  int         // servers that said they did not
 	avoid     []string
 	begun     bool   // a byte of the answer is on its way to the caller
 	lastEvent string // last event that the caller was sent
@@ -186,19 +187,14 @@
 	return a
 }
 
-const (
-	// leastBeginMS covers the way to an engine and a queue there of half its
-	// places, in milliseconds.
-	leastBeginMS = 600
-	// beginFactor times what most answers take covers nearly all: on days with
-	// few engines left the slowest took about twice as long as five of six.
-	beginFactor = 2
-)
+// leastBeginMS covers the way to an engine and one of its passes, in milliseconds.
+const leastBeginMS = 250
 
-// beginsBy is the moment by which a request that is sent now has begun at an
-// engine: the later, the longer engines let their queues wait.
+// beginsBy is the moment by which most requests that are sent now have begun at
+// an engine: the later, the longer engines let their queues wait. The rest are
+// ended with the version's time (see guardVersion).
 func (e *exchange) beginsBy(now time.Time) time.Time {
-	within := max(leastBeginMS, beginFactor*e.front.Pools.usualMS(e.service.Name))
+	within := max(leastBeginMS, e.front.Pools.usualMS(e.service.Name)+e.promptMS())
 	return now.Add(time.Duration(within * float64(time.Millisecond)))
 }
 
