Send configurations between regions once and compressed; agents of a region meet at one gateway

Agents spoke to the gateway that answered first, and what they said of pieces was two rounds old at the others.

One call at a time pulls beliefs; values of 4 KB and more go to other regions compressed, each packed once; agents of a region rank its gateways alike; the second follower of the store pauses for 400 ms, the first for 100 ms.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -20,6 +21,7 @@
 	"almondreel.example/almondreel/internal/logsink"
 	"almondreel.example/almondreel/internal/neighbour"
 	"almondreel.example/almondreel/internal/pause"
+	"almondreel.example/almondreel/internal/rank"
 	"almondreel.example/almondreel/internal/redial"
 	"almondreel.example/almondreel/internal/reel"
 	"almondreel.example/almondreel/internal/settings"
@@ -189,27 +191,42 @@
 
 var errNoGateway = errors.New("no gateway is known")
 
+// ranked returns the gateways in the order in which they are asked: those of the
+// own region first, ranked alike by all its agents, so that what these say of
+// their pieces meets in one place and is a word old; the others by lot.
 func (a *agent) ranked() []neighbour.Gateway {
 	out := slices.Clone(a.gateways)
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	slices.SortStableFunc(out, func(x, y neighbour.Gateway) int { return a.rank(x) - a.rank(y) })
+	var near []string
+	for _, g := range out {
+		if g.Region == a.settings.Region {
+			near = append(near, g.Address)
+		}
+	}
+	place := map[string]int{}
+	for n, address := range rank.First(a.settings.Region, near, len(near)) {
+		place[address] = n
+	}
+	slices.SortStableFunc(out, func(x, y neighbour.Gateway) int {
+		return cmp.Or(cmp.Compare(a.group(x), a.group(y)), cmp.Compare(place[x.Address], place[y.Address]))
+	})
 	return out
 }
 
-func (a *agent) rank(g neighbour.Gateway) int {
-	switch {
-	case time.Now().Before(a.passedOver[g.Address]) && g.Region == a.settings.Region:
+// group is lower for gateways that are asked before others.
+func (a *agent) group(g neighbour.Gateway) int {
+	near := g.Region == a.settings.Region
+	switch passed := time.Now().Before(a.passedOver[g.Address]); {
+	case passed && near:
+		return 3
+	case passed:
 		return 4
-	case time.Now().Before(a.passedOver[g.Address]):
-		return 5
-	case g.Region == a.settings.Region && g.Address == a.current:
+	case near:
 		return 0
-	case g.Region == a.settings.Region:
-		return 1
 	case g.Address == a.current:
-		return 2
+		return 1
 	}
-	return 3
+	return 2
 }
 
 func (a *agent) client(address string) *control.Client {
--- a/internal/hosted/knowledge.go
+++ b/internal/hosted/knowledge.go
@@ -25,8 +25,10 @@
 	// by what others say that do.
 	trustTime = 800 * time.Millisecond
 	// batchTime separates watches, so that changes which come together take one
-	// call: each is priced.
-	batchTime = 60 * time.Millisecond
+	// call: each is priced. spareBatchTime is that of a follower that only stands in
+	// for the first one.
+	batchTime      = 100 * time.Millisecond
+	spareBatchTime = 400 * time.Millisecond
 	// retryPause separates calls to a store that does not answer; every call
 	// is priced, refused ones too.
 	retryPause = 250 * time.Millisecond
@@ -62,9 +64,18 @@
 	returnedAt    time.Time // the store's last return
 	confirmedAt   time.Time // when the beliefs were last known to be current
 	changed       chan struct{}
-	leads         func() bool // this process is one of those that follow the store for all
+	leads         func() duties // what this process has to follow of the store for all
 }
 
+// duties is a process's part in following the store for all.
+type duties int
+
+const (
+	none  duties = iota // others follow it
+	spare               // it stands in for the first
+	first
+)
+
 // lapse is a server whose entry may come back until a moment.
 type lapse struct {
 	server site.Server
@@ -76,14 +87,15 @@
 		store: store, beliefs: belief.New(), bootedAt: time.Now(),
 		versions: map[string]site.Version{}, named: naming.NewAges(versionMS),
 		servers: map[string]site.Server{}, lapsed: map[string]lapse{},
-		changed: make(chan struct{}, 1), leads: func() bool { return true },
+		changed: make(chan struct{}, 1), leads: func() duties { return first },
 	}
 }
 
 // watch follows the store until ctx ends.
 func (k *knowledge) watch(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !k.leads() && time.Since(k.confirmed()) < trustTime {
+		duty := k.leads()
+		if duty == none && time.Since(k.confirmed()) < trustTime {
 			pause.For(ctx, trustTime/4)
 			continue
 		}
@@ -91,7 +103,11 @@
 			k.setDown(err)
 			pause.For(ctx, pause.Jitter(retryPause))
 		}
-		pause.For(ctx, batchTime)
+		if duty == spare {
+			pause.For(ctx, spareBatchTime)
+		} else {
+			pause.For(ctx, batchTime)
+		}
 	}
 	return ctx.Err()
 }
@@ -324,3 +340,10 @@
 	defer k.mu.Unlock()
 	return k.named.Oldest(model, at)
 }
+
+// EndsAt is the moment from which no request may begin on a version of a model.
+func (k *knowledge) EndsAt(model string, version int64) (time.Time, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.named.EndsAt(model, version)
+}
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/belief"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/exchange"
 	"almondreel.example/almondreel/internal/naming"
 	"almondreel.example/almondreel/internal/neighbour"
+	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/rank"
 	"almondreel.example/almondreel/internal/roll"
@@ -46,6 +49,8 @@
 	table   *exchange.Table
 	others  map[string]*other // that are called or will be soon, by address
 	started chan string       // addresses that nobody calls yet
+	pulls   time.Time         // a call that pulls beliefs may go on until then
+	packs   map[string]pack   // by key
 }
 
 // other is a gateway that is called. Only the goroutine that calls it uses its
@@ -59,7 +64,7 @@
 func newNeighbours(r *roster, own neighbour.Gateway, seeds []string, q *quarantine.Table) *neighbours {
 	n := &neighbours{
 		roster: r, own: own, quarantine: q, table: exchange.New(own, seeds, time.Now()),
-		others: map[string]*other{}, started: make(chan string, 64),
+		others: map[string]*other{}, started: make(chan string, 64), packs: map[string]pack{},
 	}
 	for _, s := range seeds {
 		n.meet(neighbour.Gateway{Address: s})
@@ -146,19 +151,90 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeAnswer)
 	defer cancel()
 	request := n.word(time.Now(), address, o)
+	request.Pulls = n.beginPull(time.Now())
 	var reply neighbour.ExchangeReply
 	err := o.client.Call(ctx, neighbour.MethodExchange, request, &reply)
 	n.note(address, o, err)
-	if err != nil {
-		return
+	if err == nil {
+		n.pulled(reply, address)
+		n.meet(reply.Gateways...)
+	}
+	if request.Pulls {
+		n.endPull()
+	}
+}
+
+// pullTime is how long one call may keep others from pulling beliefs: what
+// changed is then told once and not by every gateway that is called meanwhile.
+const pullTime = 100 * time.Millisecond
+
+// beginPull reports whether a call may pull beliefs now.
+func (n *neighbours) beginPull(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Before(n.pulls) {
+		return false
+	}
+	n.pulls = now.Add(pullTime)
+	return true
+}
+
+func (n *neighbours) endPull() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pulls = time.Time{}
+}
+
+// pulled takes what another gateway believes.
+func (n *neighbours) pulled(reply neighbour.ExchangeReply, from string) {
+	for i, item := range reply.Beliefs.Items {
+		if !reply.Packed[item.Key] {
+			continue
+		}
+		value, err := packed.Unpack(item.Value)
+		if err != nil {
+			event.Fail(event.EntryUnreadable, err, "Key", item.Key, "Revision", item.Revision, "From", from)
+			return
+		}
+		reply.Beliefs.Items[i].Value = value
 	}
-	now := time.Now()
 	k := n.roster.knowledge
-	k.take(k.beliefs.Adopt(reply.Beliefs), address)
-	if reply.AgeMilliseconds >= 0 && k.beliefs.Revision() >= reply.Beliefs.Revision {
-		k.confirm(now.Add(-time.Duration(reply.AgeMilliseconds) * time.Millisecond))
+	k.take(k.beliefs.Adopt(reply.Beliefs), from)
+	if reply.AgeMilliseconds >= 0 && k.beliefs.Revision() >= reply.Revision {
+		k.confirm(time.Now().Add(-time.Duration(reply.AgeMilliseconds) * time.Millisecond))
+	}
+}
+
+// pack is the compressed value of an item at a revision.
+type pack struct {
+	revision int64
+	value    []byte
+}
+
+// packFrom is the size in bytes from which values are compressed that go to
+// another region: a configuration, and not the entry of a server.
+const packFrom = 4 << 10
+
+// pack compresses large values, each once. It returns the keys of those.
+func (n *neighbours) pack(u belief.Update) (belief.Update, map[string]bool) {
+	packs := map[string]bool{}
+	for i, item := range u.Items {
+		if len(item.Value) < packFrom {
+			continue
+		}
+		n.mu.Lock()
+		held := n.packs[item.Key]
+		n.mu.Unlock()
+		if held.revision != item.Revision {
+			held = pack{item.Revision, packed.Pack(item.Value)}
+			n.mu.Lock()
+			n.packs[item.Key] = held
+			n.mu.Unlock()
+		}
+		u.Items[i].Value = held.value
+		packs[item.Key] = true
 	}
-	n.meet(reply.Gateways...)
+	return u, packs
 }
 
 func (n *neighbours) note(address string, o *other, err error) {
@@ -280,7 +356,14 @@
 	}
 	n.adopt(request.Convictions, now)
 	n.depart(request.Departures, request.Gateway.Name, now)
-	reply.Beliefs = n.roster.beliefs.Since(request.Revision)
+	reply.Revision = n.roster.beliefs.Revision()
+	if request.Pulls {
+		reply.Beliefs = n.roster.beliefs.Since(request.Revision)
+		reply.Revision = reply.Beliefs.Revision
+	}
+	if way == roll.Far {
+		reply.Beliefs, reply.Packed = n.pack(reply.Beliefs)
+	}
 	reply.Gateways = n.unlike(request.Known, now)
 	reply.AgeMilliseconds = now.Sub(n.roster.confirmed()).Milliseconds()
 	return nil
@@ -354,11 +437,17 @@
 // may be lost, and every call is priced.
 const storeFollowers = 2
 
-// leads reports whether this gateway is one of those that follow the store.
-func (n *neighbours) leads() bool {
+// leads returns this gateway's part in following the store for all.
+func (n *neighbours) leads() duties {
 	names := []string{}
 	for _, g := range n.known(time.Now()) {
 		names = append(names, g.Name)
 	}
-	return rank.Among("store", n.own.Name, names, storeFollowers)
+	switch slices.Index(rank.First("store", names, storeFollowers), n.own.Name) {
+	case 0:
+		return first
+	case -1:
+		return none
+	}
+	return spare
 }
--- a/internal/neighbour/messages.go
+++ b/internal/neighbour/messages.go
@@ -157,7 +157,8 @@
 // ExchangeRequest is one gateway's word to another.
 type ExchangeRequest struct {
 	Gateway     Gateway
-	Revision    int64
+	Pulls       bool           // it wants what it lacks after Revision
+	Revision    int64          // of its beliefs
 	Running     map[string]int // requests of this gateway, by server
 	Loads       []Load         // of regions that the other does not hear itself
 	Agents      []Agent        // whose words are new
@@ -171,7 +172,9 @@
 
 // ExchangeReply is what the calling gateway lacks.
 type ExchangeReply struct {
-	Beliefs         belief.Update
-	Gateways        []Gateway // nil: those that it knows
-	AgeMilliseconds int64     // since its beliefs were known to be current; below 0: never
+	Beliefs         belief.Update   // empty unless the caller pulls
+	Packed          map[string]bool // keys of items whose values are compressed
+	Revision        int64           // of the beliefs of the gateway that answers
+	Gateways        []Gateway       // nil: those that it knows
+	AgeMilliseconds int64           // since its beliefs were known to be current; below 0: never
 }
