--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -119,9 +119,29 @@
 	}
 	ctx, cancel := e.bound(r.Context())
 	defer cancel()
+	e.boundWrites()
 	e.end(e.run(ctx))
 }
 
+const (
+	// bodyTime bounds the reading of a body whose caller names no deadline.
+	bodyTime = 20 * time.Second
+	// writeMargin is left of a caller's deadline's other side for what is on its
+	// way: a caller that reads nothing must not hold a connection for good.
+	writeMargin = 2 * time.Second
+)
+
+// boundWrites ends what is written to a caller who does not read some time after
+// its deadline. Before it, slow callers are waited for.
+func (e *exchange) boundWrites() {
+	if e.deadline.IsZero() {
+		return
+	}
+	if err := http.NewResponseController(e.w).SetWriteDeadline(e.deadline.Add(writeMargin)); err != nil {
+		counter.Add("WriteDeadlinesUnset", 1)
+	}
+}
+
 // accept finds the request's route and organisation and reads its body. It
 // returns the refusal and false if the request goes no further.
 func (e *exchange) accept() (outcome.Outcome, bool) {
@@ -162,7 +182,18 @@
 	if most <= 0 {
 		most = defaultBodyBytes
 	}
+	until := e.call.Deadline
+	if until.IsZero() {
+		until = e.arrivedAt.Add(bodyTime)
+	}
+	control := http.NewResponseController(e.w)
+	if err := control.SetReadDeadline(until); err != nil {
+		counter.Add("ReadDeadlinesUnset", 1)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, most))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{}) // fails like the first one, which is counted
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -41,6 +41,8 @@
 	// graceMargin is kept of the time until the platform kills the process.
 	graceMargin = 300 * time.Millisecond
 	settleTime  = 30 * time.Millisecond
+	// cutTime is what the answer to a request takes that came at the very end.
+	cutTime = 150 * time.Millisecond
 )
 
 type gateway struct {
@@ -117,8 +119,15 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes}
 }
 
-// cut ends a server at once: what is left of its requests has been drained.
-func cut(_ context.Context, s *http.Server) { _ = s.Close() }
+// cut ends a server whose requests have been drained. One that was accepted a
+// moment ago is still answered.
+func cut(ctx context.Context, s *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, cutTime)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close() // what is left holds connections without requests
+	}
+}
 
 // ready answers the platform's readiness question.
 func (g *gateway) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -32,11 +32,14 @@
 	exchangeAnswer = 400 * time.Millisecond
 )
 
-// Rates of what gateways tell each other of agents. Pieces that are held far away
-// are only fetched when nobody near has them.
-var (
-	nearRates = roll.Rates{Alive: agentTime / 2, Pieces: 140 * time.Millisecond}
-	farRates  = roll.Rates{Alive: agentTime / 2, Pieces: 500 * time.Millisecond}
+const (
+	// tellAlive is how often another gateway is told of an agent that has not
+	// changed: it takes the word for agentTime.
+	tellAlive = agentTime / 2
+	// tellPieces and tellPiecesFar are how often it is told of pieces that an
+	// agent got: far ones are only fetched when no near agent has them.
+	tellPieces    = 140 * time.Millisecond
+	tellPiecesFar = 500 * time.Millisecond
 )
 
 // neighbours is a gateway's part in what gateways and agents tell each other.
--- a/internal/hosted/roster.go
+++ b/internal/hosted/roster.go
@@ -167,10 +167,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.agents.Expire(now)
+	due := roll.Due{Alive: now.Add(-tellAlive), Pieces: now.Add(-tellPieces)}
 	if far {
-		return r.agents.News(told, now, farRates, func(w roll.Word) bool { return w.Region == region })
+		due.Pieces = now.Add(-tellPiecesFar)
+		return r.agents.News(told, now, due, func(w roll.Word) bool { return w.Region == region })
 	}
-	return r.agents.News(told, now, nearRates, func(w roll.Word) bool { return w.Way != roll.Near })
+	return r.agents.News(told, now, due, func(w roll.Word) bool { return w.Way != roll.Near })
 }
 
 // since is what an agent has not heard of the others of its service.
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -203,15 +203,15 @@
 	at           time.Time
 }
 
-// Rates of what gateways tell each other of agents.
-type Rates struct {
-	Alive  time.Duration // between two words that an unchanged agent is alive
-	Pieces time.Duration // between two words on the pieces of an agent
+// Due says what a gateway is to be told once more.
+type Due struct {
+	Alive  time.Time // agents of which it was told before then, unchanged, are alive
+	Pieces time.Time // pieces of agents of which it was told before then
 }
 
 // News returns what to tell a gateway of the agents that pick chooses: words
 // that changed, and the names of those that are alive and unchanged.
-func (r *Roll) News(told *Told, now time.Time, rates Rates, pick func(Word) bool) (words []neighbour.Agent, alive []neighbour.Seen) {
+func (r *Roll) News(told *Told, now time.Time, due Due, pick func(Word) bool) (words []neighbour.Agent, alive []neighbour.Seen) {
 	if told.agents == nil {
 		told.agents = map[string]telling{}
 	}
@@ -221,20 +221,16 @@
 		}
 		held, ok := told.agents[name]
 		age := now.Sub(e.At).Milliseconds()
-		since := now.Sub(held.at)
 		switch {
-		case !ok || held.changed != e.changed || held.got != e.got && since >= rates.Pieces:
+		case !ok || held.changed != e.changed || held.got != e.got && !held.at.After(due.Pieces):
 			word := e.Agent
 			word.AgeMilliseconds = age
 			words = append(words, word)
-		case since >= rates.Alive:
+			told.agents[name] = telling{e.changed, e.got, now}
+		case !held.at.After(due.Alive):
 			alive = append(alive, neighbour.Seen{Name: name, AgeMilliseconds: age})
 			told.agents[name] = telling{held.changed, held.got, now}
-			continue
-		default:
-			continue
 		}
-		told.agents[name] = telling{e.changed, e.got, now}
 	}
 	for name := range told.agents {
 		if _, ok := r.entries[name]; !ok {
--- a/internal/roll/roll_test.go
+++ b/internal/roll/roll_test.go
@@ -157,26 +157,26 @@
 }
 
 func TestAGatewayIsToldNewsOnceAndThatTheRestIsAlive(t *testing.T) {
-	rates := roll.Rates{Alive: 600 * time.Millisecond, Pieces: 500 * time.Millisecond}
+	due := func(ms int) roll.Due { return roll.Due{Alive: at(ms - 600), Pieces: at(ms - 500)} }
 	all := func(roll.Word) bool { return true }
 	r := fill(2)
 	var told roll.Told
-	words, alive := r.News(&told, at(0), rates, all)
+	words, alive := r.News(&told, at(0), due(0), all)
 	require.Len(t, words, 2)
 	require.Empty(t, alive)
 
 	got := agent(0)
 	got.Pieces = pieces(1, 7)
 	r.Hear(got, at(100), roll.Direct)
-	words, alive = r.News(&told, at(150), rates, all)
+	words, alive = r.News(&told, at(150), due(150), all)
 	require.Empty(t, words, "pieces wait")
 	require.Empty(t, alive)
-	words, _ = r.News(&told, at(500), rates, all)
+	words, _ = r.News(&told, at(500), due(500), all)
 	require.Len(t, words, 1)
-	_, alive = r.News(&told, at(650), rates, all)
+	_, alive = r.News(&told, at(650), due(650), all)
 	require.Equal(t, []neighbour.Seen{{Name: agent(1).Name, AgeMilliseconds: 650}}, alive)
 
-	words, _ = r.News(&roll.Told{}, at(660), rates, func(w roll.Word) bool { return w.Name == agent(1).Name })
+	words, _ = r.News(&roll.Told{}, at(660), due(660), func(w roll.Word) bool { return w.Name == agent(1).Name })
 	require.Len(t, words, 1)
 }
 
