Remember ranks while the agents that are ranked stay the same; later ranks between regions wait longer

Cause: at 120 agents three quarters of the time of choosing a piece went into hashing names for ranks that had not changed. A piece was brought into a region up to 3.5 times, as agents of later ranks stepped in after 250 ms while the first was still queueing at a far uplink.

Ranks are kept per piece for as long as the agents are the same ones; regions' later ranks step in after 500 ms; pieces of far agents are told each 200 ms.

--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -11,6 +11,7 @@
 package draw
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -24,7 +25,7 @@
 	// of the origin, so a rank that has done nothing by then has failed.
 	originStep = 1800 * time.Millisecond
 	// regionStep is the turn of each rank between regions.
-	regionStep = 250 * time.Millisecond
+	regionStep = 500 * time.Millisecond
 	// perHolder bounds pieces in flight from one holder.
 	perHolder = 1
 	// perOrigin bounds pieces in flight from the origin to one agent, once it has
@@ -83,6 +84,8 @@
 	failures     map[string]int       // in a row, by source
 	gone         map[string]time.Time // holders that failed, until when they count as gone
 	random       *rand.Rand
+	atOrigin     ranking // among all that lack the version
+	inRegion     ranking // among those of the own region
 }
 
 // NewPlan returns the plan of an agent that holds nothing of a version.
@@ -181,7 +184,7 @@
 func (p *Plan) Drawn(now time.Time, members []Member) bool {
 	v := p.look(now, members)
 	for piece := range p.pieces {
-		if !Has(p.have, piece) && p.position(strconv.Itoa(piece), v) == 0 {
+		if !Has(p.have, piece) && p.position(piece, v) == 0 {
 			return false
 		}
 	}
@@ -199,7 +202,7 @@
 	first := p.random.IntN(p.pieces)
 	for n := range p.pieces {
 		piece := (first + n) % p.pieces
-		if p.open(piece) && p.position(strconv.Itoa(piece), v) == 0 {
+		if p.open(piece) && p.position(piece, v) == 0 {
 			p.flying[piece] = Source{}
 			p.fromOrigin++
 			return Fetch{Piece: piece}, true
@@ -240,7 +243,7 @@
 // links of those few would take longer than the origin's.
 func (p *Plan) drawsScarce(now time.Time, piece int, v view) bool {
 	held := v.copies(piece) + v.farCounts[piece]
-	return held > 0 && held*scarce <= len(v.needers) && p.originFree(now) && p.position(strconv.Itoa(piece), v) == 0
+	return held > 0 && held*scarce <= len(v.needers) && p.originFree(now) && p.position(piece, v) == 0
 }
 
 // originFree reports whether this agent may ask the origin now.
@@ -302,7 +305,11 @@
 			v.nearby = append(v.nearby, m.Name)
 		}
 	}
-	v.drawers = Drawers(v.needers)
+	if p.atOrigin.renew(v.needers, p.pieces) {
+		p.atOrigin.first = Drawers(v.needers)
+	}
+	p.inRegion.renew(v.nearby, p.pieces)
+	v.drawers = p.atOrigin.first
 	v.counts, v.farCounts = p.count(v.near), p.count(v.far)
 	return v
 }
@@ -311,9 +318,11 @@
 func (p *Plan) count(members []Member) []int {
 	counts := make([]int, p.pieces)
 	for _, m := range members {
-		for piece := range p.pieces {
-			if Has(m.Have, piece) {
-				counts[piece]++
+		for n, word := range m.Have {
+			for ; word != 0; word &= word - 1 {
+				if piece := 64*n + bits.TrailingZeros64(word); piece < p.pieces {
+					counts[piece]++
+				}
 			}
 		}
 	}
@@ -331,16 +340,16 @@
 
 // source returns where a piece that no neighbour has may be fetched from now.
 func (p *Plan) source(now time.Time, piece int, v view) (Source, bool) {
-	item := strconv.Itoa(piece)
 	if v.farCounts[piece] == 0 {
-		return Source{}, p.originFree(now) && !now.Before(stripe.Turn(p.openedAt, p.position(item, v), originStep))
+		return Source{}, p.originFree(now) && !now.Before(stripe.Turn(p.openedAt, p.position(piece, v), originStep))
 	}
 	since, seen := p.farSince[piece]
 	if !seen {
 		since = now
 		p.farSince[piece] = now
 	}
-	if now.Before(stripe.Turn(since, stripe.Position(item, v.nearby, p.name), regionStep)) {
+	position := p.inRegion.position(piece, func() int { return stripe.Position(strconv.Itoa(piece), v.nearby, p.name) })
+	if now.Before(stripe.Turn(since, position, regionStep)) {
 		return Source{}, false
 	}
 	holder, found := p.holder(now, piece, v.far)
@@ -349,11 +358,14 @@
 
 // position is the number of agents that draw a piece from the origin before
 // this one does.
-func (p *Plan) position(item string, v view) int {
-	if slices.Contains(v.drawers, p.name) {
-		return stripe.Position(item, v.drawers, p.name)
-	}
-	return len(v.drawers) + stripe.Position(item, v.needers, p.name)
+func (p *Plan) position(piece int, v view) int {
+	return p.atOrigin.position(piece, func() int {
+		item := strconv.Itoa(piece)
+		if slices.Contains(v.drawers, p.name) {
+			return stripe.Position(item, v.drawers, p.name)
+		}
+		return len(v.drawers) + stripe.Position(item, v.needers, p.name)
+	})
 }
 
 // holder returns the member that has the piece and is asked least.
--- a/internal/draw/draw_test.go
+++ b/internal/draw/draw_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +19,8 @@
 	originTime = 27 * time.Millisecond
 	tick       = 7 * time.Millisecond
 	newsAge    = 200 * time.Millisecond // of what agents know of each other
+	nearAge    = 110 * time.Millisecond // where the agents of a region meet at one gateway
+	farAge     = 350 * time.Millisecond // of what they know of other regions then
 	listedTime = 2 * time.Second        // an agent that died counts as a member
 )
 
@@ -51,6 +52,8 @@
 	flights []flight
 	origin  time.Time // it sends until then
 	copies  int       // pieces out of the origin
+	nearAge time.Duration
+	farAge  time.Duration
 	downAt  time.Time // the origin is down from here
 	upAt    time.Time
 	across  map[string]int // pieces into each region
@@ -62,7 +65,7 @@
 }
 
 func newPlayIn(t *testing.T, perRegion int, regions ...string) *play {
-	p := &play{t: t, now: time.Unix(1000, 0), across: map[string]int{}, slots: 4}
+	p := &play{t: t, now: time.Unix(1000, 0), across: map[string]int{}, slots: 4, nearAge: newsAge, farAge: newsAge}
 	for _, region := range regions {
 		for n := range perRegion {
 			name := fmt.Sprintf("%s-%d", region, n)
@@ -86,7 +89,11 @@
 	var out []draw.Member
 	for _, a := range p.agents {
 		if a != of && (!a.dead || p.now.Sub(a.diedAt) < listedTime) {
-			have := a.told[0]
+			age := p.farAge
+			if a.region == of.region {
+				age = p.nearAge
+			}
+			have := a.told[max(0, len(a.told)-int(age/tick))]
 			out = append(out, draw.Member{Name: a.name, Region: a.region, Have: have, Needs: !full(have)})
 		}
 	}
@@ -111,7 +118,7 @@
 	p.flights = rest
 	for _, a := range p.agents {
 		a.told = append(a.told, a.plan.Have())
-		if keep := int(newsAge / tick); len(a.told) > keep {
+		if keep := int(farAge / tick); len(a.told) > keep {
 			a.told = a.told[len(a.told)-keep:]
 		}
 	}
@@ -219,17 +226,28 @@
 	}
 }
 
-func TestTrialFive(t *testing.T) {
-	for _, perRegion := range []int{6, 24} {
+// Pattern: all engines of five regions are empty. More of them take little
+// longer: each generation of holders doubles them within a piece's time.
+func TestMoreEnginesTakeLittleLonger(t *testing.T) {
+	took := map[int]time.Duration{}
+	for _, perRegion := range []int{4, 24} {
 		p := newPlayIn(t, perRegion, "delta", "piedmont", "gulf", "bluegrass", "ozark")
-		took := p.run(10 * time.Second)
-		var half []time.Duration
-		for _, a := range p.agents {
-			half = append(half, a.doneAt.Sub(time.Unix(1000, 0)))
+		p.nearAge, p.farAge = nearAge, farAge
+		took[perRegion] = p.run(10 * time.Second)
+		t.Logf("%d agents: %v, %d pieces out of the origin, across %v", 5*perRegion, took[perRegion], p.copies, p.across)
+		require.LessOrEqual(t, p.copies, pieces*5/4)
+		for region, count := range p.across {
+			require.LessOrEqual(t, count, 2*pieces, region)
 		}
-		slices.Sort(half)
-		t.Logf("%d agents: first %v half %v all %v, %d out of the origin, across %v", 5*perRegion, half[0], half[len(half)/2], took, p.copies, p.across)
 	}
+	require.LessOrEqual(t, float64(took[24]), 1.25*float64(took[4]))
+}
+
+// The target: all serve within a quarter more than the bound.
+func TestAllEnginesWithinAQuarterOfTheBound(t *testing.T) {
+	p := newPlay(t, 6)
+	p.nearAge, p.farAge = nearAge, farAge
+	require.LessOrEqual(t, p.run(10*time.Second), bound*5/4)
 }
 
 // Pattern: engines are added while others hold the version.
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -39,7 +39,7 @@
 	// tellPieces and tellPiecesFar are how often it is told of pieces that an
 	// agent got: far ones are only fetched when no near agent has them.
 	tellPieces    = 140 * time.Millisecond
-	tellPiecesFar = 500 * time.Millisecond
+	tellPiecesFar = 200 * time.Millisecond
 )
 
 // neighbours is a gateway's part in what gateways and agents tell each other.
