--- a/internal/hosted/knowledge.go
+++ b/internal/hosted/knowledge.go
@@ -64,16 +64,16 @@
 	returnedAt    time.Time // the store's last return
 	confirmedAt   time.Time // when the beliefs were last known to be current
 	changed       chan struct{}
-	leads         func() duties // what this process has to follow of the store for all
+	leads         func() role // what this process has to follow of the store for all
 }
 
-// duties is a process's part in following the store for all.
-type duties int
+// role is a process's part in following the store for all.
+type role int
 
 const (
-	none  duties = iota // others follow it
-	spare               // it stands in for the first
-	first
+	bystander     role = iota // others follow it
+	spareFollower             // it stands in for the first
+	firstFollower
 )
 
 // lapse is a server whose entry may come back until a moment.
@@ -87,15 +87,15 @@
 		store: store, beliefs: belief.New(), bootedAt: time.Now(),
 		versions: map[string]site.Version{}, named: naming.NewAges(versionMS),
 		servers: map[string]site.Server{}, lapsed: map[string]lapse{},
-		changed: make(chan struct{}, 1), leads: func() duties { return first },
+		changed: make(chan struct{}, 1), leads: func() role { return firstFollower },
 	}
 }
 
 // watch follows the store until ctx ends.
 func (k *knowledge) watch(ctx context.Context) error {
 	for ctx.Err() == nil {
-		duty := k.leads()
-		if duty == none && time.Since(k.confirmed()) < trustTime {
+		part := k.leads()
+		if part == bystander && time.Since(k.confirmed()) < trustTime {
 			pause.For(ctx, trustTime/4)
 			continue
 		}
@@ -103,7 +103,7 @@
 			k.setDown(err)
 			pause.For(ctx, pause.Jitter(retryPause))
 		}
-		if duty == spare {
+		if part == spareFollower {
 			pause.For(ctx, spareBatchTime)
 		} else {
 			pause.For(ctx, batchTime)
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -6,18 +6,14 @@
 	"sync"
 	"time"
 
-	"almondreel.example/almondreel/internal/belief"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/exchange"
-	"almondreel.example/almondreel/internal/naming"
 	"almondreel.example/almondreel/internal/neighbour"
-	"almondreel.example/almondreel/internal/packed"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/rank"
 	"almondreel.example/almondreel/internal/roll"
 	"almondreel.example/almondreel/internal/schedule"
-	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
 
@@ -167,79 +163,6 @@
 	}
 }
 
-// pullTime is how long one call may keep others from pulling beliefs: what
-// changed is then told once and not by every gateway that is called meanwhile.
-const pullTime = 100 * time.Millisecond
-
-// beginPull reports whether a call may pull beliefs now.
-func (n *neighbours) beginPull(now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if now.Before(n.pulls) {
-		return false
-	}
-	n.pulls = now.Add(pullTime)
-	return true
-}
-
-func (n *neighbours) endPull() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.pulls = time.Time{}
-}
-
-// pulled takes what another gateway believes.
-func (n *neighbours) pulled(reply neighbour.ExchangeReply, from string) {
-	for i, item := range reply.Beliefs.Items {
-		if !reply.Packed[item.Key] {
-			continue
-		}
-		value, err := packed.Unpack(item.Value)
-		if err != nil {
-			event.Fail(event.EntryUnreadable, err, "Key", item.Key, "Revision", item.Revision, "From", from)
-			return
-		}
-		reply.Beliefs.Items[i].Value = value
-	}
-	k := n.roster.knowledge
-	k.take(k.beliefs.Adopt(reply.Beliefs), from)
-	if reply.AgeMilliseconds >= 0 && k.beliefs.Revision() >= reply.Revision {
-		k.confirm(time.Now().Add(-time.Duration(reply.AgeMilliseconds) * time.Millisecond))
-	}
-}
-
-// pack is the compressed value of an item at a revision.
-type pack struct {
-	revision int64
-	value    []byte
-}
-
-// packFrom is the size in bytes from which values are compressed that go to
-// another region: a configuration, and not the entry of a server.
-const packFrom = 4 << 10
-
-// pack compresses large values, each once. It returns the keys of those.
-func (n *neighbours) pack(u belief.Update) (belief.Update, map[string]bool) {
-	packs := map[string]bool{}
-	for i, item := range u.Items {
-		if len(item.Value) < packFrom {
-			continue
-		}
-		n.mu.Lock()
-		held := n.packs[item.Key]
-		n.mu.Unlock()
-		if held.revision != item.Revision {
-			held = pack{item.Revision, packed.Pack(item.Value)}
-			n.mu.Lock()
-			n.packs[item.Key] = held
-			n.mu.Unlock()
-		}
-		u.Items[i].Value = held.value
-		packs[item.Key] = true
-	}
-	return u, packs
-}
-
 func (n *neighbours) note(address string, o *other, err error) {
 	if err == nil {
 		n.mu.Lock()
@@ -338,119 +261,21 @@
 	n.roster.pools.SetOthers(now, running)
 }
 
-// receiver answers the calls of gateways and agents.
-type receiver struct{ neighbours *neighbours }
-
-// Exchange takes another gateway's word and returns what it lacks.
-func (r receiver) Exchange(request neighbour.ExchangeRequest, reply *neighbour.ExchangeReply) error {
-	n, now := r.neighbours, time.Now()
-	n.mu.Lock()
-	n.table.Hear(request, now)
-	n.mu.Unlock()
-	n.meet(append(request.Gateways, request.Gateway)...)
-	way := roll.Far
-	if request.Gateway.Region == n.own.Region {
-		way = roll.Near
-	}
-	n.roster.hearAll(request.Agents, request.Alive, way, now)
-	for _, v := range request.Named {
-		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
-		n.roster.age(site.Version{Model: v.Model, Number: v.Version}, naming.Naming{At: at, Found: v.Found})
-	}
-	n.adopt(request.Convictions, now)
-	n.depart(request.Departures, request.Gateway.Name, now)
-	reply.Revision = n.roster.beliefs.Revision()
-	if request.Pulls {
-		reply.Beliefs = n.roster.beliefs.Since(request.Revision)
-		reply.Revision = reply.Beliefs.Revision
-	}
-	if way == roll.Far {
-		reply.Beliefs, reply.Packed = n.pack(reply.Beliefs)
-	}
-	reply.Gateways = n.unlike(request.Known, now)
-	reply.AgeMilliseconds = now.Sub(n.roster.confirmed()).Milliseconds()
-	return nil
-}
-
-func (n *neighbours) adopt(convictions []neighbour.Conviction, now time.Time) {
-	var entries []quarantine.Entry
-	for _, c := range convictions {
-		entries = append(entries, quarantine.Entry{
-			Fingerprint: c.Fingerprint, Server: c.Server, Convicted: c.Convicted,
-			ExpiresAt: now.Add(time.Duration(c.LeftMilliseconds) * time.Millisecond),
-		})
-	}
-	n.quarantine.Adopt(entries)
-}
-
-// Sync takes an agent's word and returns what it lacks.
-func (r receiver) Sync(request neighbour.SyncRequest, reply *neighbour.SyncReply) error {
-	n, now := r.neighbours, time.Now()
-	n.roster.hear(request.Agent, now)
-	n.awaitKnowledge()
-	now = time.Now()
-	reply.Wanted = n.roster.wanted(request.Agent.Service)
-	u := n.roster.since(request.Mark, request.Agent)
-	reply.Whole, reply.Agents, reply.Pieces, reply.Gone, reply.Mark = u.Whole, u.Agents, u.Pieces, u.Gone, u.Mark
-	reply.Gateways = n.unlike(request.Gateways, now)
-	reply.Named = n.named(now)
-	return nil
-}
-
-// knowledgeTime is how long an agent waits at a gateway that has not heard from
-// the store since its start: less than the agent waits for an answer.
-const knowledgeTime = 200 * time.Millisecond
-
-// awaitKnowledge returns once this gateway has heard from the store, or after a
-// while: agents that start with it would have to ask again and again.
-func (n *neighbours) awaitKnowledge() {
-	n.await(knowledgeTime, func() bool { return n.roster.beliefs.Revision() > 0 })
-}
-
-// await returns once what is believed of the store satisfies done, or after a time.
-func (n *neighbours) await(within time.Duration, done func() bool) {
-	timer := time.NewTimer(within)
-	defer timer.Stop()
-	for {
-		changed := n.roster.beliefs.Changed()
-		if done() {
-			return
-		}
-		select {
-		case <-changed:
-			pause.For(context.Background(), settleTime) // the view follows the items
-		case <-timer.C:
-			return
-		}
-	}
-}
-
-// Follow waits until this gateway knows of something else than the agent.
-func (r receiver) Follow(request neighbour.FollowRequest, reply *neighbour.FollowReply) error {
-	n := r.neighbours
-	n.await(min(time.Duration(request.WaitMilliseconds)*time.Millisecond, followTime), func() bool {
-		reply.Wanted = n.roster.wanted(request.Service)
-		return reply.Wanted.Revision > 0 && !reply.Wanted.Same(request.Known)
-	})
-	reply.Named = n.named(time.Now())
-	return nil
-}
-
 // storeFollowers is the number of gateways that follow the store for all: one
 // may be lost, and every call is priced.
 const storeFollowers = 2
 
 // leads returns this gateway's part in following the store for all.
-func (n *neighbours) leads() duties {
+func (n *neighbours) leads() role {
 	names := []string{}
 	for _, g := range n.known(time.Now()) {
 		names = append(names, g.Name)
 	}
 	switch slices.Index(rank.First("store", names, storeFollowers), n.own.Name) {
 	case 0:
-		return first
+		return firstFollower
 	case -1:
-		return none
+		return bystander
 	}
-	return spare
+	return spareFollower
 }
