Tell engines the expected version from two seconds before an older one ends

Cause: a gateway goes by the moment at which an agent announced that its engine would have changed over. An engine that is late then still runs requests on the older version unless it is told which one is expected, and it was told only once the older one had ended.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -150,12 +150,17 @@
 		f.Urgency = 0 // its caller waits in the middle of an answer
 	}
 	f.Deadline, _ = ctx.Deadline()
-	if e.route.Generates && e.front.View.MinVersion(e.call.Model, time.Now()) > 0 {
+	if e.route.Generates && e.front.View.MinVersion(e.call.Model, time.Now().Add(expectTime)) > 0 {
 		f.Version = s.Version
 	}
 	return f
 }
 
+// expectTime is how long before an older version ends servers are told which one
+// is expected, as one may have it for longer than its agent announced: the time
+// that requests may take to begin.
+const expectTime = 2 * time.Second
+
 // silence watches an attempt that another server could take over.
 type silence struct {
 	timer   *time.Timer
