--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -126,8 +126,8 @@
 const (
 	// bodyTime bounds the reading of a body whose caller names no deadline.
 	bodyTime = 20 * time.Second
-	// writeMargin is left of a caller's deadline's other side for what is on its
-	// way: a caller that reads nothing must not hold a connection for good.
+	// writeMargin after a caller's deadline, what it has not taken is given up: a
+	// caller that reads nothing must not hold a connection for good.
 	writeMargin = 2 * time.Second
 )
 
