Act on the newest of what the store and neighbours tell, in whatever order

Cause: beliefs are merged under one lock, and what is new is acted on under another. The watch and every exchange do both, so that the word that a server is there could be acted on after the word that it has gone. The server was then in use until its next entry, which one that has gone never writes.

Versions and configurations were guarded by their numbers already. Ruled out: acting under the lock of the beliefs (its holder would call back into them). The test lists one server before and none after.

--- a/internal/belief/belief.go
+++ b/internal/belief/belief.go
@@ -90,6 +90,23 @@
 	return out
 }
 
+// Newest returns those of items that nothing newer is known of. Several tellers
+// may hand on what is new at once, and whoever acts on it may do so in another
+// order: acting on an older item then would bring back what has gone.
+func (b *Beliefs) Newest(items []Item) []Item {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Item
+	for _, i := range items {
+		held, ok := b.items[i.Key]
+		if ok && held.Revision > i.Revision || !ok && !i.Deleted { // a forgotten deletion is newer, too
+			continue
+		}
+		out = append(out, i)
+	}
+	return out
+}
+
 // Apply takes changes that follow the revision that is known and returns the
 // items that are new.
 func (b *Beliefs) Apply(c Changes) []Item {
--- a/internal/belief/belief_test.go
+++ b/internal/belief/belief_test.go
@@ -92,3 +92,22 @@
 	b.Apply(belief.Changes{Items: []belief.Item{item("a", 4)}, Revision: 4})
 	<-changed
 }
+
+// Pattern: two neighbours tell a process of one server at once, the one that it
+// is there, the other that it has gone. Whichever is acted on last, it has gone.
+func TestAnOlderItemIsNotActedOnAfterANewerOne(t *testing.T) {
+	b := belief.New()
+	there := b.Apply(belief.Changes{Items: []belief.Item{{Key: "s", Value: []byte("ready"), Revision: 5}}, Revision: 5})
+	gone := b.Adopt(belief.Update{Items: []belief.Item{{Key: "s", Revision: 6, Deleted: true}}, Revision: 6})
+	require.Len(t, there, 1)
+	require.Len(t, gone, 1)
+	require.Equal(t, gone, b.Newest(gone))
+	require.Empty(t, b.Newest(there))
+
+	for n := range 600 { // until deletions are forgotten
+		revision := int64(10 + 2*n)
+		b.Apply(belief.Changes{Items: []belief.Item{{Key: fmt.Sprint("t", n), Value: []byte("x"), Revision: revision}}, Revision: revision})
+		b.Apply(belief.Changes{Items: []belief.Item{{Key: fmt.Sprint("t", n), Revision: revision + 1, Deleted: true}}, Revision: revision + 1})
+	}
+	require.Empty(t, b.Newest(there))
+}
--- a/internal/hosted/knowledge.go
+++ b/internal/hosted/knowledge.go
@@ -192,7 +192,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, i := range news {
+	for _, i := range k.beliefs.Newest(news) {
 		switch {
 		case platform.IsConfiguration(i.Key):
 			k.takeConfiguration(i, from)
