Read the change once more: one piece of code where there were two

- An agent's question to gateways is built once, before it goes out: the goroutines that ask read what the answer of the first one wrote (a data race; the question was only ever too old).
- What an agent hears of others is one type from the roll to the agent, where three had the same fields.
- Next and Ahead begin a fetch in one place; the condition on servers that serve a request stands once; the guard on an attempt is kept once; a gateway's word is taken under one lock; a result that nobody read is gone.

Behaviour and assertions stay.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -96,7 +96,8 @@
 	e.sentAt = now
 	silence := e.watchSilence(s, cancel)
 	defer silence.stop()
-	defer e.guardVersion(s, cancel)()
+	e.guardVersion(s, cancel)
+	defer e.endGuard()
 	response, err := e.front.client.Send(ctx, transmit.Message{
 		Method: e.r.Method, Address: s.Address, Host: e.r.Host, Path: e.r.RequestURI,
 		Header: e.front.Dialect.Forward(e.r.Header, e.forward(ctx, s), now),
@@ -197,22 +198,27 @@
 const guardMargin = 50 * time.Millisecond
 
 // guardVersion cancels an attempt whose answer has not begun when the time of the
-// server's weights ends. The function that it returns ends the guard.
-func (e *exchange) guardVersion(s schedule.Server, cancel context.CancelCauseFunc) func() {
-	e.guard = nil
+// server's weights ends.
+func (e *exchange) guardVersion(s schedule.Server, cancel context.CancelCauseFunc) {
 	if !e.route.Generates {
-		return func() {}
+		return
 	}
 	ends, ok := e.front.View.EndsAt(e.call.Model, s.Version)
 	if !ok {
-		return func() {}
+		return
 	}
-	guard := time.AfterFunc(time.Until(ends.Add(-guardMargin)), func() {
+	e.guard = time.AfterFunc(time.Until(ends.Add(-guardMargin)), func() {
 		counter.Add("AttemptsEndedWithVersion", 1)
 		cancel(errEnded)
 	})
-	e.guard = guard
-	return func() { guard.Stop() }
+}
+
+// endGuard lets the attempt go on, or notes that it is over.
+func (e *exchange) endGuard() {
+	if e.guard != nil {
+		e.guard.Stop()
+		e.guard = nil
+	}
 }
 
 // silenceStep separates looks at a request that waits.
@@ -288,9 +294,7 @@
 func (e *exchange) answeredBy(s schedule.Server) {
 	e.front.Pools.answered(e.service.Name, s.ID, float64(time.Since(e.sentAt).Milliseconds()), e.promptMS())
 	e.front.hearing.begun(s.ID, e.sentAt, time.Now())
-	if e.guard != nil {
-		e.guard.Stop()
-	}
+	e.endGuard()
 	if e.firstMS == 0 {
 		e.firstMS = time.Since(e.arrivedAt).Milliseconds()
 		counter.Observe("FirstAnswerMilliseconds."+e.route.Name, e.firstMS)
--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -170,13 +170,18 @@
 	if !ok {
 		return Fetch{}, false
 	}
+	p.begin(f)
+	return f, true
+}
+
+// begin notes a fetch that is on its way until Ended.
+func (p *Plan) begin(f Fetch) {
 	p.flying[f.Piece] = f.Source
 	if f.Source.Holder == "" {
 		p.fromOrigin++
 	} else {
 		p.fromHolder[f.Source.Holder]++
 	}
-	return f, true
 }
 
 // Drawn reports whether this agent has brought every piece that it is the first
@@ -203,9 +208,9 @@
 	for n := range p.pieces {
 		piece := (first + n) % p.pieces
 		if p.open(piece) && p.position(piece, v) == 0 {
-			p.flying[piece] = Source{}
-			p.fromOrigin++
-			return Fetch{Piece: piece}, true
+			f := Fetch{Piece: piece}
+			p.begin(f)
+			return f, true
 		}
 	}
 	return Fetch{}, false
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -64,11 +64,10 @@
 	return t
 }
 
-// Meet notes a gateway that someone named, with its age if that one heard it. It
-// reports whether it was unknown.
-func (t *Table) Meet(g neighbour.Gateway, now time.Time) bool {
+// Meet notes a gateway that someone named, with its age if that one heard it.
+func (t *Table) Meet(g neighbour.Gateway, now time.Time) {
 	if g.Address == t.own.Address || g.Address == "" {
-		return false
+		return
 	}
 	held, ok := t.gateways[g.Address]
 	if !ok {
@@ -76,12 +75,11 @@
 		t.gateways[g.Address] = held
 	}
 	if g.Name == "" {
-		return !ok
+		return
 	}
 	if seen := now.Add(-time.Duration(g.AgeMilliseconds) * time.Millisecond); seen.After(held.seenAt) {
 		held.Gateway, held.seenAt = g, seen
 	}
-	return !ok
 }
 
 // Hear takes a gateway's own word.
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -167,9 +167,10 @@
 	list := a.ranked()
 	list = list[:min(len(list), askedAtOnce)]
 	answers := make(chan answer, len(list))
+	request := a.request()
 	for _, g := range list {
 		client := a.client(g.Address)
-		go func() { answers <- a.askOne(ctx, client, g.Address) }()
+		go func() { answers <- askOne(ctx, client, g.Address, request) }()
 	}
 	best := answer{err: errNoGateway}
 	for range list {
@@ -239,19 +240,22 @@
 }
 
 func (a *agent) ask(ctx context.Context, address string) answer {
-	return a.askOne(ctx, a.client(address), address)
+	return askOne(ctx, a.client(address), address, a.request())
+}
+
+func (a *agent) request() neighbour.SyncRequest {
+	return neighbour.SyncRequest{Agent: a.reel.Say(), Mark: a.mark, Gateways: a.known}
 }
 
 // askOne asks a gateway. One that takes the connection is alive and is given
 // longer than the connection: asking it anew would only add to what slows it.
-func (a *agent) askOne(ctx context.Context, client *control.Client, address string) answer {
+func askOne(ctx context.Context, client *control.Client, address string, request neighbour.SyncRequest) answer {
 	r := answer{address: address}
 	if r.err = client.Connect(ctx, connectTime); r.err != nil {
 		return r
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncAnswer)
 	defer cancel()
-	request := neighbour.SyncRequest{Agent: a.reel.Say(), Mark: a.mark, Gateways: a.known}
 	r.err = client.Call(ctx, neighbour.MethodSync, request, &r.reply)
 	return r
 }
@@ -273,7 +277,7 @@
 	}
 	a.current, a.heardAt, a.mark = r.address, time.Now(), r.reply.Mark
 	a.reel.Adopt(r.reply.Wanted, r.reply.Named)
-	a.reel.Meet(reel.Others{Whole: r.reply.Whole, Agents: r.reply.Agents, Pieces: r.reply.Pieces, Gone: r.reply.Gone})
+	a.reel.Meet(r.reply.Others)
 	if r.reply.Gateways != nil {
 		a.learn(r.reply.Gateways)
 	}
--- a/internal/hosted/neighbours.go
+++ b/internal/hosted/neighbours.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// hear takes another gateway's word on itself and on others.
+func (n *neighbours) hear(request neighbour.ExchangeRequest, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.Hear(request, now)
+	n.begin(request.Gateway.Address)
+	for _, g := range request.Gateways {
+		n.begin(g.Address)
+	}
+}
+
 // begin has a gateway called from now on. Callers hold mu.
 func (n *neighbours) begin(address string) {
 	if _, called := n.others[address]; called || address == "" || address == n.own.Address {
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -18,10 +18,7 @@
 // Exchange takes another gateway's word and returns what it lacks.
 func (r receiver) Exchange(request neighbour.ExchangeRequest, reply *neighbour.ExchangeReply) error {
 	n, now := r.neighbours, time.Now()
-	n.mu.Lock()
-	n.table.Hear(request, now)
-	n.mu.Unlock()
-	n.meet(append(request.Gateways, request.Gateway)...)
+	n.hear(request, now)
 	way := roll.Far
 	if request.Gateway.Region == n.own.Region {
 		way = roll.Near
@@ -65,7 +62,7 @@
 	now = time.Now()
 	reply.Wanted = n.roster.wanted(request.Agent.Service)
 	u := n.roster.since(request.Mark, request.Agent)
-	reply.Whole, reply.Agents, reply.Pieces, reply.Gone, reply.Mark = u.Whole, u.Agents, u.Pieces, u.Gone, u.Mark
+	reply.Others, reply.Mark = u.Others, u.Mark
 	reply.Gateways = n.unlike(request.Gateways, now)
 	reply.Named = n.named(now)
 	return nil
--- a/internal/neighbour/messages.go
+++ b/internal/neighbour/messages.go
@@ -102,13 +102,18 @@
 	Named  []Named
 }
 
+// Others is what an agent has not heard of the other agents of its service.
+type Others struct {
+	Whole  bool     // Agents are all that the gateway knows; else those that changed
+	Agents []Agent  // without what only gateways need
+	Pieces []Holder // of agents of which nothing else changed
+	Gone   []string // agents that are no more
+}
+
 // SyncReply is what the agent may lack.
 type SyncReply struct {
 	Wanted   Wanted
-	Whole    bool     // Agents are all others of its service; else those that changed
-	Agents   []Agent  // without what only gateways need
-	Pieces   []Holder // of agents of which nothing else changed
-	Gone     []string // agents that are no more
+	Others   Others
 	Mark     Mark
 	Gateways []Gateway // nil: those that it knows
 	Named    []Named
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -178,17 +178,9 @@
 	}
 }
 
-// Others is what a gateway says of other agents.
-type Others struct {
-	Whole  bool // Agents are all that it knows
-	Agents []neighbour.Agent
-	Pieces []neighbour.Holder
-	Gone   []string
-}
-
 // Meet takes what a gateway says of other agents. Those that a gateway does not
 // know which tells everything, as it has just started, are kept for a while.
-func (a *Agent) Meet(o Others) {
+func (a *Agent) Meet(o neighbour.Others) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -337,17 +329,14 @@
 	if !held.Whole || !ok {
 		return held.Whole
 	}
-	return time.Now().Before(ends.Add(-a.hurryTime()))
+	hurry := time.Duration(hurryShare * float64(a.versionTime()))
+	return time.Now().Before(ends.Add(-hurry))
 }
 
 // hurryShare of a version's time is left when bringing it goes before answers:
 // without it there are none soon.
 const hurryShare = 0.35
 
-func (a *Agent) hurryTime() time.Duration {
-	return time.Duration(hurryShare * float64(a.VersionMS) * float64(time.Millisecond))
-}
-
 // whole reports whether there is nothing to bring.
 func (a *Agent) whole() bool {
 	a.mu.Lock()
--- a/internal/reel/agent_test.go
+++ b/internal/reel/agent_test.go
@@ -205,7 +205,7 @@
 		for n, a := range c.agents {
 			others := append(append([]neighbour.Agent(nil), words[:n]...), words[n+1:]...)
 			a.Adopt(wanted(version), []neighbour.Named{age})
-			a.Meet(reel.Others{Whole: true, Agents: others})
+			a.Meet(neighbour.Others{Whole: true, Agents: others})
 			done = done && c.engines[n].serves() == version
 		}
 		return done
@@ -349,7 +349,7 @@
 	all := neighbour.Pieces{Model: model, Version: 1, Have: []uint64{1<<pieces - 1}}
 	silent := neighbour.Agent{Name: "b", Address: "127.0.0.1:1", Region: "north", Service: "pool", Pieces: all}
 	slow := neighbour.Agent{Name: "c", Address: "127.0.0.1:1", Region: "north", Service: "pool"}
-	a.Meet(reel.Others{Whole: true, Agents: []neighbour.Agent{silent, slow}})
+	a.Meet(neighbour.Others{Whole: true, Agents: []neighbour.Agent{silent, slow}})
 	time.Sleep(200 * time.Millisecond)
 	a.Adopt(wanted(2), nil)
 	peers := reel.NewPeers(&http.Client{})
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -156,13 +156,10 @@
 	return e.Word, true
 }
 
-// Update is what an agent has not heard of the others of its service.
+// Update is what an agent has not heard, and the mark up to which it then has.
 type Update struct {
-	Whole  bool // Agents are all there are
-	Agents []neighbour.Agent
-	Pieces []neighbour.Holder // of agents that only have more pieces
-	Gone   []string
-	Mark   neighbour.Mark
+	neighbour.Others
+	Mark neighbour.Mark
 }
 
 // Since returns what changed after a mark, for the agent of that name.
--- a/internal/roll/roll_test.go
+++ b/internal/roll/roll_test.go
@@ -50,7 +50,7 @@
 }
 
 func reply(u roll.Update) neighbour.SyncReply {
-	return neighbour.SyncReply{Whole: u.Whole, Agents: u.Agents, Pieces: u.Pieces, Gone: u.Gone, Mark: u.Mark}
+	return neighbour.SyncReply{Others: u.Others, Mark: u.Mark}
 }
 
 // Pattern: a calm site. What an agent is told at a word does not grow with it.
--- a/internal/schedule/rests.go
+++ b/internal/schedule/rests.go
@@ -30,7 +30,7 @@
 func (p *Pool) returnsAt(now time.Time, a Ask) time.Time {
 	var first time.Time
 	for _, s := range p.order {
-		if !s.Ready || s.departs || s.Version < a.MinVersion {
+		if !s.serves(a) {
 			continue
 		}
 		if !s.restsUntil.After(now) {
@@ -47,7 +47,7 @@
 func (p *Pool) usable(a Ask) bool {
 	patience := p.patience(a)
 	return slices.ContainsFunc(p.order, func(s *server) bool {
-		return s.Ready && !s.departs && s.Version >= a.MinVersion && !s.restsUntil.After(patience)
+		return s.serves(a) && !s.restsUntil.After(patience)
 	})
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -524,10 +524,15 @@
 // avoidLoad makes a server that has failed the request the last choice.
 const avoidLoad = 10
 
+// serves reports whether the server could run the request, unless it rests.
+func (s *server) serves(a Ask) bool {
+	return s.Ready && !s.departs && s.Version >= a.MinVersion
+}
+
 // takes reports whether the server may get the request now. One that failed is
 // tried with a single request after its suspension.
 func (s *server) takes(now time.Time, a Ask) bool {
-	if !s.Ready || s.departs || s.Version < a.MinVersion || now.Before(s.resumesAt) || now.Before(s.restsUntil) {
+	if !s.serves(a) || now.Before(s.resumesAt) || now.Before(s.restsUntil) {
 		return false
 	}
 	return s.resumesAt.IsZero() || s.own == 0
