Bound answers that never end, in bytes and in time

Cause, each shown by a test that fails on: an event without an empty line grew without bound; of a plain body above 8 MiB the first 8 MiB passed for the whole; a stream was watched for silence until its head and from its first event on, not in between, and comments, empty lines and events that repeat their number counted as progress. io.LimitReader, which ends a long text as if it were whole, stood in eight clients.

internal/eventstream reads events, with the comments before them, up to 64 KiB; internal/bounded reads whole texts up to a bound, never a part, and bounds what all answers of a gateway hold together. Numbers in a stream must rise. On own instances a token that comes again does not renew the patience.

Ruled out: heads, chunk extensions and trailers (net/http bounds them; tests hold that), a second answer on a connection in use (each attempt has its own).

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -14,6 +14,7 @@
 	sse "github.com/tmaxmax/go-sse"
 
 	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/errs"
@@ -224,10 +225,13 @@
 		if done {
 			return &wrongAnswer{outcome.StreamCut, "token after the end of the answer"}
 		}
+		before := a.Progress.Tokens
 		if err := a.passToken(e.Data); err != nil {
 			return err
 		}
-		patience.renew()
+		if a.Progress.Tokens > before { // a token that comes again is no progress
+			patience.renew()
+		}
 	}
 	if !done {
 		return errNotWhole
@@ -264,13 +268,13 @@
 }
 
 func (a *Attempt) readAnswer(response *http.Response) error {
-	text, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	text, err := bounded.ReadAll(response.Body, MaxAnswerBytes)
+	if errors.Is(err, bounded.ErrTooLong) {
+		return &wrongAnswer{outcome.TooLarge, fmt.Sprintf("answer exceeds %d bytes", MaxAnswerBytes)}
+	}
 	if err != nil {
 		return err
 	}
-	if len(text) > MaxAnswerBytes {
-		return &wrongAnswer{outcome.TooLarge, fmt.Sprintf("answer exceeds %d bytes", MaxAnswerBytes)}
-	}
 	status, err := strconv.Atoi(response.Header.Get(agent.HeaderStatus))
 	if err != nil {
 		return &wrongAnswer{outcome.StreamCut, "answer without a status"}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 	"time"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/settings"
@@ -49,7 +50,7 @@
 	if response.StatusCode != http.StatusOK {
 		return s, errs.New("read status", base, "status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&s)
+	err = json.NewDecoder(bounded.Reader(response.Body, maxStatusBytes)).Decode(&s)
 	return s, errs.Wrap(err, "decode status", base)
 }
 
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -74,7 +73,8 @@
 	// connectWithin bounds the opening of a connection to a server that is up:
 	// some round trips between regions.
 	connectWithin = 150 * time.Millisecond
-	// maxAnswerBytes bounds an answer that is not a stream.
+	// maxAnswerBytes bounds an answer that is not a stream. Source: twice the
+	// longest body that operators' limits let callers send.
 	maxAnswerBytes = 8 << 20
 	// silenceFactor times its target is how long a request waits before it is
 	// looked at whether it hangs.
@@ -115,8 +115,7 @@
 	case reply.AttemptID != e.call.AttemptID || response.Header.Get("Content-Encoding") != "" || !reply.Signed:
 		return unusable{reason: outcome.BackendFailed, at: schedule.Broken, detail: "answer is not the server's own: " + response.Status}
 	case e.route.Kind == site.Stream && response.StatusCode == http.StatusOK:
-		silence.stop()
-		return e.stream(ctx, s, response, cancel)
+		return e.stream(ctx, s, response, silence, cancel)
 	}
 	return e.plain(ctx, s, response)
 }
@@ -263,7 +262,9 @@
 
 // plain reads an answer to its end before a byte of it is passed on.
 func (e *exchange) plain(ctx context.Context, s schedule.Server, response *http.Response) result {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	hold := e.front.Answers.Hold()
+	defer hold.Release()
+	body, err := hold.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return e.cut(ctx, err, false)
 	}
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
@@ -47,6 +48,8 @@
 	Crashes *Crashes
 	Retries Retries
 	Intake  Intake
+	// Answers is the memory that answers of backend servers may take together.
+	Answers *bounded.Memory
 }
 
 // Intake is what the gateway may take up. Its methods are safe for concurrent use.
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -1,8 +1,6 @@
 package direct
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,64 +8,54 @@
 	"strconv"
 	"time"
 
+	"almondreel.example/almondreel/internal/eventstream"
 	"almondreel.example/almondreel/internal/schedule"
 )
 
 // Streams are passed on event by event, byte for byte: an event's bytes reach
 // the caller only once they are complete. So a stream that breaks off in the
 // middle of an event can go on at another server after the last whole one, and
-// the caller sees one unbroken answer. Libraries for event streams decode
-// events and lose their bytes, so events are only told apart here.
+// the caller sees one unbroken answer.
 
-const (
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
-	streamBuffer  = 2 << 10
-	// longestPause is how long a stream may rest before another server takes
-	// over; callers leave after two seconds.
-	longestPause = time.Second
-)
+// longestPause is how long a stream may rest before another server takes over;
+// callers leave after two seconds.
+const longestPause = time.Second
 
-var (
-	errPartialEvent = errors.New("stream ends within an event")
-	errGap          = errors.New("stream does not go on after the last event")
-	errEventTooLong = errors.New("event is too long")
-	eventID         = []byte("id:")
-)
+var errGap = errors.New("stream does not go on after the last event")
 
-// stream passes a server's events on.
-func (e *exchange) stream(ctx context.Context, s schedule.Server, response *http.Response, cancel context.CancelCauseFunc) result {
+// stream passes a server's events on. Only a whole event ends the watch for
+// silence: a head, comments and single bytes may come from a server that is stuck.
+func (e *exchange) stream(ctx context.Context, s schedule.Server, response *http.Response, silence *silence, cancel context.CancelCauseFunc) result {
 	pause := &rest{cancel: cancel}
 	defer pause.stop()
-	reader := bufio.NewReaderSize(response.Body, streamBuffer)
+	hold := e.front.Answers.Hold()
+	defer hold.Release()
+	events := eventstream.NewReader(response.Body, hold)
 	begun := false
 	for {
-		block, id, err := readEvent(reader)
-		if len(block) > 0 && err == nil {
-			if e.movable() {
-				pause.begin()
-			}
-			e.front.hearing.goesOn(s.ID, time.Now())
-			if !begun {
-				begun = true
-				if !e.follows(id) {
-					return e.cut(ctx, errGap, true)
-				}
-				e.answeredBy(s)
-			}
-			e.pass(response, block, id)
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(block) == 0 {
-			if !e.begun {
-				e.pass(response, nil, "")
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if !e.begun || len(event.Bytes) > 0 {
+				e.pass(response, event)
 			}
 			return complete{}
 		}
-		if errors.Is(err, io.EOF) {
-			err = errPartialEvent
+		if err == nil && !e.follows(event.ID, !begun) {
+			err = errGap
+		}
+		if err != nil {
+			return e.cut(ctx, err, begun)
+		}
+		silence.stop()
+		if e.movable() {
+			pause.begin()
+		}
+		e.front.hearing.goesOn(s.ID, time.Now())
+		if !begun {
+			begun = true
+			e.answeredBy(s)
 		}
-		return e.cut(ctx, err, begun)
+		e.pass(response, event)
 	}
 }
 
@@ -92,9 +80,10 @@
 	}
 }
 
-// follows reports whether a stream that was taken up again begins with the
-// event after the last one.
-func (e *exchange) follows(id string) bool {
+// follows reports whether an event may come after the last one that the caller
+// was sent. In a stream of numbered events all are numbered, upwards, and one
+// that was taken up again begins with the next number.
+func (e *exchange) follows(id string, takenUp bool) bool {
 	if e.lastEvent == "" || !e.begun {
 		return true
 	}
@@ -103,22 +92,25 @@
 		return true // events are not numbered
 	}
 	next, err := strconv.ParseInt(id, 10, 64)
-	return err == nil && next == last+1
+	if takenUp {
+		return err == nil && next == last+1
+	}
+	return err == nil && next > last
 }
 
 // pass sends the caller one event, after the headers if it is the first.
-func (e *exchange) pass(response *http.Response, block []byte, id string) {
+func (e *exchange) pass(response *http.Response, event eventstream.Event) {
 	if !e.begun {
 		e.begun = true
 		e.front.Dialect.Relay(e.w.Header(), response.Header, true)
 		e.w.WriteHeader(response.StatusCode)
 	}
-	_, _ = e.w.Write(block)
+	_, _ = e.w.Write(event.Bytes)
 	if flusher, ok := e.w.(http.Flusher); ok {
 		flusher.Flush()
 	}
-	if id != "" {
-		e.lastEvent = id
+	if event.ID != "" {
+		e.lastEvent = event.ID
 	}
 	now := time.Now()
 	if pause := now.Sub(e.eventAt).Milliseconds(); !e.eventAt.IsZero() && pause > e.pauseMS {
@@ -129,28 +121,3 @@
 		e.resumeMS, e.brokenAt = now.Sub(e.brokenAt).Milliseconds(), time.Time{}
 	}
 }
-
-// readEvent reads the bytes up to and including an event's empty line and
-// returns the event's ID. At an error it returns what it has read.
-func readEvent(r *bufio.Reader) (block []byte, id string, err error) {
-	for {
-		line, err := r.ReadSlice('\n')
-		block = append(block, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(block) > maxEventBytes {
-				return block, id, errEventTooLong
-			}
-			continue
-		}
-		if err != nil {
-			return block, id, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return block, id, nil
-		}
-		if value, ok := bytes.CutPrefix(text, eventID); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-}
--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -189,6 +189,53 @@
 	}
 }
 
+// A server in trouble keeps its stream busy with what is no token, or none that
+// is new. The stream goes on at another one within its patience of a second.
+func TestATrickleWithoutANewTokenIsLeft(t *testing.T) {
+	const pause = 50 * time.Millisecond
+	for name, part := range map[string]func(a answerer){
+		"bytes":       func(a answerer) { fmt.Fprint(a.w, "x") },
+		"comments":    func(a answerer) { fmt.Fprint(a.w, ": x\n\n") },
+		"empty lines": func(a answerer) { fmt.Fprint(a.w, "\n") },
+		"old tokens":  func(a answerer) { a.tokens(1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			trickle := func(_ http.ResponseWriter, r *http.Request, a answerer) {
+				a.open()
+				a.tokens(0, 1)
+				for r.Context().Err() == nil {
+					part(a)
+					a.w.(http.Flusher).Flush()
+					time.Sleep(pause)
+				}
+			}
+			var sink kept
+			began := time.Now()
+			_, o := site(t, trickle, whole).Stream(context.Background(), question(), &sink)
+			require.Equal(t, outcome.Answered{Digest: string(digest), Tokens: 4}, o)
+			require.Equal(t, []int{0, 1, 2, 3}, sink.indices)
+			require.Less(t, time.Since(began), 2*time.Second)
+		})
+	}
+}
+
+// A stream whose tokens come every 0.7 s is sound and stays where it is.
+func TestASlowStreamStaysAtItsServer(t *testing.T) {
+	slow := func(_ http.ResponseWriter, _ *http.Request, a answerer) {
+		a.open()
+		for n := range 4 {
+			time.Sleep(700 * time.Millisecond)
+			a.tokens(n)
+		}
+		a.end(agent.EndWhole)
+	}
+	var sink kept
+	_, o := site(t, slow).Stream(context.Background(), question(), &sink)
+	require.Equal(t, outcome.Answered{Digest: string(digest), Tokens: 4}, o)
+	require.Equal(t, []int{0, 1, 2, 3}, sink.indices)
+}
+
 func posting() attempt.Request {
 	r := question()
 	r.Key = "k"
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/errs"
 )
 
@@ -36,7 +37,7 @@
 
 // NewClient returns a client of the engine at address (IP:port).
 func NewClient(address string) *Client {
-	transport := &http.Transport{IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeadBytes, IdleConnTimeout: idleTimeout}
 	return &Client{address: address, http: &http.Client{Transport: transport}}
 }
 
@@ -87,7 +88,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	body := io.LimitReader(response.Body, maxAnswerBytes)
+	body := bounded.Reader(response.Body, maxAnswerBytes)
 	if response.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(body)
 		return &StatusError{Code: response.StatusCode, Text: strings.TrimSpace(string(text))}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/duty"
@@ -103,7 +104,7 @@
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: redial.DialContext(net.Dialer{Timeout: peerDial}), DisableCompression: true,
-		MaxIdleConnsPerHost: 2, IdleConnTimeout: pieceIdle / 2,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: pieceIdle / 2, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}}
 }
 
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/direct"
@@ -83,7 +84,7 @@
 	g.neighbours = newNeighbours(g.roster, own, s.Hosting.Gateways, crashes.Table)
 	g.knowledge.leads = g.neighbours.leads
 	retries := direct.Retries{Share: s.Retries.Share, Besides: s.Retries.Besides, SpanMS: int(s.Retries.SpanSeconds * 1000), Gateways: g.neighbours.most}
-	g.front = direct.NewFront(direct.Options{View: g.roster, Dialect: platform.Dialect{}, Pools: pools, Crashes: crashes, Retries: retries, Intake: g.intake})
+	g.front = direct.NewFront(direct.Options{View: g.roster, Dialect: platform.Dialect{}, Pools: pools, Crashes: crashes, Retries: retries, Intake: g.intake, Answers: bounded.NewMemory(answersBytes(s.Hosting.MemoryMB))})
 	return g
 }
 
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -16,12 +16,21 @@
 	// collectAt grows the heap by this per cent between collections: heaps are
 	// small, and memory at its peak is dearer than processor time.
 	collectAt = 40
+	// answersShare of the process's limit may be taken by answers in progress.
+	// Their buffers double as they grow, and the collector comes late.
+	answersShare = 0.08
+	megabyte     = 1 << 20
 )
 
+// answersBytes is the memory for answers of a process with a limit of megabytes.
+func answersBytes(megabytes int) int64 {
+	return int64(answersShare * float64(megabytes) * megabyte)
+}
+
 // limitMemory keeps the process below its limit of megabytes.
 func limitMemory(megabytes int) {
 	debug.SetGCPercent(collectAt)
-	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * megabyte))
 }
 
 // reload returns the duty that reads the settings file again at SIGHUP and
--- a/internal/instances/client.go
+++ b/internal/instances/client.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
 )
@@ -24,7 +24,7 @@
 
 // NewClient returns a client of the platform's list at baseURL.
 func NewClient(baseURL string) *Client {
-	return &Client{base: baseURL, http: &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}}
+	return &Client{base: baseURL, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeadBytes, IdleConnTimeout: time.Minute}}}
 }
 
 // List reads the list.
@@ -46,7 +46,7 @@
 		counter.Add("InstanceListFailed", 1)
 		return List{}, errs.New("read instances", c.base, "status %d", response.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	text, err := bounded.ReadAll(response.Body, maxListBytes)
 	counter.Add("InstanceListReceivedBytes", int64(len(text)))
 	if err != nil {
 		return List{}, errs.Wrap(err, "read instances", c.base)
--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
 )
@@ -36,9 +36,10 @@
 func NewClient(baseURL string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}
 	return &Client{base: baseURL, purpose: purposeUnclassified, http: &http.Client{Transport: transport}}
 }
@@ -141,7 +142,7 @@
 }
 
 func (c *Client) parse(path string, response *http.Response, reply any) error {
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	text, err := bounded.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return c.failed(path, err, true)
 	}
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -4,8 +4,10 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"errors"
 	"fmt"
-	"io"
+
+	"almondreel.example/almondreel/internal/bounded"
 )
 
 // MaxBytes bounds a document after decompression.
@@ -40,12 +42,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("decompress document: %w", err)
 	}
-	text, err := io.ReadAll(io.LimitReader(r, MaxBytes+1))
+	text, err := bounded.ReadAll(r, MaxBytes)
+	if errors.Is(err, bounded.ErrTooLong) {
+		return nil, fmt.Errorf("decompress document: more than %d bytes", MaxBytes)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("decompress document: %w", err)
 	}
-	if len(text) > MaxBytes {
-		return nil, fmt.Errorf("decompress document: more than %d bytes", MaxBytes)
-	}
 	return text, nil
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/link"
@@ -47,10 +48,11 @@
 // limiter's rate (nil: unlimited).
 func NewTransport(region string, down *rate.Limiter) *Transport {
 	t := &http.Transport{
-		MaxIdleConns:        maxIdleConnections,
-		MaxIdleConnsPerHost: idlePerPeer,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      readBufferBytes,
+		MaxIdleConns:           maxIdleConnections,
+		MaxIdleConnsPerHost:    idlePerPeer,
+		IdleConnTimeout:        idleTimeout,
+		ReadBufferSize:         readBufferBytes,
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}
 	return &Transport{http: &http.Client{Transport: t}, region: region, down: down}
 }
@@ -95,7 +97,7 @@
 		return manifest.Manifest{}, errs.Wrap(err, "read manifest", c.Address())
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxManifestBytes))
+	text, err := bounded.ReadAll(response.Body, maxManifestBytes)
 	if err != nil {
 		return manifest.Manifest{}, errs.Wrap(err, "read manifest", c.Address())
 	}
--- a/internal/reel/peers.go
+++ b/internal/reel/peers.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
 )
@@ -41,7 +42,7 @@
 		return nil, have, err
 	}
 	defer body.Close()
-	data, err := io.ReadAll(io.LimitReader(body, MaxPieceBytes))
+	data, err := bounded.ReadAll(body, MaxPieceBytes)
 	return data, have, errs.Wrap(err, "read piece", address)
 }
 
@@ -55,7 +56,7 @@
 	}
 	defer body.Close()
 	var m Manifest
-	if err := gob.NewDecoder(io.LimitReader(body, MaxPieceBytes)).Decode(&m); err != nil {
+	if err := gob.NewDecoder(bounded.Reader(body, MaxPieceBytes)).Decode(&m); err != nil {
 		return Manifest{}, errs.Wrap(err, "decode manifest", address)
 	}
 	return m, m.Check()
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/link"
 	"almondreel.example/almondreel/internal/manifest"
@@ -42,7 +42,7 @@
 
 // NewClient returns a client of the source at base, a URL.
 func NewClient(kind Kind, base string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeadBytes, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout}
 	return &Client{kind: kind, base: base, http: &http.Client{Transport: transport}}
 }
 
@@ -74,7 +74,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, refused(response)
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxManifestBytes))
+	return bounded.ReadAll(response.Body, maxManifestBytes)
 }
 
 // Chunk reads one chunk's bytes by range, at the limiter's rate (nil:
--- a/internal/transmit/transmit.go
+++ b/internal/transmit/transmit.go
@@ -20,17 +20,17 @@
 	"syscall"
 	"time"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/errs"
 )
 
 const (
-	dialTimeout        = 1 * time.Second
-	idleTimeout        = 30 * time.Second
-	maxIdlePerPeer     = 64
-	maxResponseHeaders = 64 << 10
-	probeTimeout       = 300 * time.Millisecond
-	probes             = 3
-	probePause         = 20 * time.Millisecond
+	dialTimeout    = 1 * time.Second
+	idleTimeout    = 30 * time.Second
+	maxIdlePerPeer = 64
+	probeTimeout   = 300 * time.Millisecond
+	probes         = 3
+	probePause     = 20 * time.Millisecond
 	// bufferBytes of a connection each way: an event or a call's answer fits.
 	bufferBytes = 2 << 10
 )
@@ -65,7 +65,7 @@
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaders,
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 	}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	sse "github.com/tmaxmax/go-sse"
+
+	"almondreel.example/almondreel/internal/bounded"
 )
 
 const (
@@ -109,7 +111,7 @@
 	if response.Header.Get(headerOutcome) != "" {
 		return refusal(response)
 	}
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	text, err := bounded.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, fmt.Errorf("read answer of %s: %w", class, err)
 	}
--- a/test/hosting/soak_test.go
+++ b/test/hosting/soak_test.go
@@ -147,6 +147,7 @@
 		func() { s.signal(e.agent) },
 		func() { s.crash(e) },
 		func() { s.leave(e) },
+		func() { s.drown(e) },
 		func() { s.trouble(g) },
 		func() { s.breakRoute(e.route) },
 		func() { s.breakRoute(g.store) },
@@ -206,6 +207,12 @@
 	})
 }
 
+// drown makes an engine answer without end for a while.
+func (s *storm) drown(e *engine) {
+	e.SetFlood(standin.Floods[s.random.IntN(len(standin.Floods))])
+	s.until(2*time.Second, func() { e.SetFlood(nil) })
+}
+
 // leave drains an engine; its entry goes and another one takes its place.
 func (s *storm) leave(e *engine) {
 	e.List(s.store, true)
