Bring a version while the engine beside it starts, and load what was just read

An agent now brings pieces from its own region at once; the origin and other regions wait for the engine, and what lies there is taken first. After a restart what lies at an engine was read twice, 60 ms apart, before its load; read within a second, it counts as checked. Gateways are told when an engine that serves nothing will serve, as they were for those that change over.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -60,6 +60,7 @@
 	StagedUnread
 	StagedSpoilt
 	PieceUnstaged
+	StagedTaken
 )
 
 // Events of requests: 4000 to 4099.
@@ -134,6 +135,7 @@
 	StagedUnread:      "staged pieces could not be listed",
 	StagedSpoilt:      "staged pieces missing or spoilt: staged again",
 	PieceUnstaged:     "piece could not be staged",
+	StagedTaken:       "staged pieces taken from an engine that began to answer",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/reel/agent.go
+++ b/internal/reel/agent.go
@@ -66,6 +66,7 @@
 	wanted   neighbour.Wanted
 	state    site.State
 	heard    bool // the engine answered the last report
+	awaited  bool // the engine has not answered since the start of this agent
 	members  map[string]member
 	named    *naming.Ages
 	bringing *version // the version that is wanted, from the first piece on
@@ -106,6 +107,9 @@
 	staged   []bool // pieces that lie at the engine
 	from     origins
 	stagedAt int64 // start of that engine, Unix milliseconds
+	unread   bool  // what lies at the engine is still to be read, as it did not answer
+	// readAt is when reading began that found every piece at the engine; zero: none did.
+	readAt time.Time
 }
 
 // origins counts where a version's pieces came from.
@@ -113,7 +117,7 @@
 
 // NewAgent returns an agent that knows nothing yet.
 func NewAgent(o Options) *Agent {
-	return &Agent{Options: o, members: map[string]member{}, named: naming.NewAges(o.VersionMS)}
+	return &Agent{Options: o, members: map[string]member{}, named: naming.NewAges(o.VersionMS), awaited: true}
 }
 
 // Run keeps the engine's weights until ctx ends.
@@ -148,7 +152,7 @@
 		a.heard = heard
 	}
 	if err == nil {
-		a.state = state
+		a.state, a.awaited = state, false
 	}
 }
 
@@ -393,7 +397,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v = a.bringing
-	if v == nil || !a.heard {
+	if v == nil {
+		return nil, draw.Fetch{}, "", false
+	}
+	if a.awaited || v.unread {
+		f, ok = v.plan.Nearby(time.Now(), a.drawMembers(v.manifest))
+		return v, f, a.members[f.Source.Holder].Address, ok
+	}
+	if !a.heard {
 		return nil, draw.Fetch{}, "", false
 	}
 	if u, f, ok := a.nextAhead(); ok {
--- a/internal/reel/agent_test.go
+++ b/internal/reel/agent_test.go
@@ -255,7 +255,7 @@
 }
 
 // beside runs an agent beside an engine until stop is called.
-func beside(e *engine, o *origin) (a *reel.Agent, stop func()) {
+func beside(e reel.Engine, o *origin) (a *reel.Agent, stop func()) {
 	a = reel.NewAgent(reel.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, VersionMS: 8000, Engine: e, Origin: o, Peers: reel.NewPeers(&http.Client{})})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -30,12 +30,13 @@
 
 func (a *Agent) step(ctx context.Context) {
 	a.mu.Lock()
-	wanted, v, ready, heard := a.wanted, a.bringing, a.ready, a.heard
+	wanted, v, ready, idle := a.wanted, a.bringing, a.ready, !a.heard && !a.awaited
 	due := ready != nil && a.behind(ready) && !a.state.Loading
 	a.mu.Unlock()
-	if wanted.Version == 0 || wanted.Engine.Model == "" || !heard {
+	if wanted.Version == 0 || wanted.Engine.Model == "" || idle {
 		return
 	}
+	a.readOnce(ctx, v)
 	if v == nil || v.manifest.Model != wanted.Engine.Model || v.manifest.Version != wanted.Version && !a.finishing() {
 		a.open(ctx, wanted)
 	}
@@ -75,15 +76,16 @@
 		return
 	}
 	a.mu.Lock()
-	v, starts := a.upcoming, a.bringing == nil
+	v, starts, awaited := a.upcoming, a.bringing == nil, a.awaited
 	if v == nil || !v.manifest.is(m.Model, m.Version) {
 		v = a.newVersion(m)
 	}
 	a.mu.Unlock()
 	staged := 0
-	if starts { // the engine may hold what was staged before
+	if starts && !awaited { // the engine may hold what was staged before
 		staged = a.readStaged(ctx, v)
 	}
+	v.unread = starts && awaited
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.former, a.bringing, a.upcoming = a.bringing, v, nil
@@ -91,6 +93,26 @@
 	event.Log(event.TransferStarted, "Model", m.Model, "Version", m.Version, "Pieces", len(m.Digests), "Staged", staged)
 }
 
+// readOnce takes what lies at an engine that began to answer after a version was
+// begun. v is nil while none was.
+func (a *Agent) readOnce(ctx context.Context, v *version) {
+	a.mu.Lock()
+	due := v != nil && v.unread && !a.awaited
+	if due {
+		v.stagedAt = a.state.Born
+	}
+	a.mu.Unlock()
+	if !due {
+		return
+	}
+	found := a.readStaged(ctx, v)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v.unread = false
+	a.noteComplete(v)
+	event.Log(event.StagedTaken, "Model", v.manifest.Model, "Version", v.manifest.Version, "Staged", found)
+}
+
 // newVersion returns a version of which nothing is here. Callers hold mu.
 func (a *Agent) newVersion(m Manifest) *version {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -107,16 +129,21 @@
 		event.Fail(event.StagedUnread, err, "Version", v.manifest.Version)
 		return 0
 	}
-	found := 0
+	found, began := 0, time.Now()
 	for _, n := range held {
 		data, err := a.Engine.Staged(ctx, v.manifest.Model, n)
 		if err != nil || v.manifest.Verify(n, data) != nil {
 			continue // it is spoilt, or of another version
 		}
+		a.mu.Lock()
 		v.data[n], v.staged[n] = data, true
 		v.plan.Got(n)
+		a.mu.Unlock()
 		found++
 	}
+	if found == len(v.manifest.Digests) {
+		v.readAt = began
+	}
 	return found
 }
 
@@ -172,6 +199,9 @@
 		return
 	}
 	a.setSwitching(true)
+	if !serving {
+		a.announceLoad(v, time.Now())
+	}
 	invariant.Assert(v.plan.Complete(), invariant.VerifiedBeforeLoad, "version %d is incomplete", v.manifest.Version)
 	abort := a.others()
 	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", time.Since(checked).Milliseconds())
@@ -197,14 +227,25 @@
 	serving = held.Whole && ok && at.Before(ends) // later, the gateways no longer use it
 	if serving {
 		at = at.Add(switchNotice)
-		a.change = change{
-			version: v.manifest.Version, from: at.Add(-drainTime),
-			to: at.Add(loadMargin + time.Duration(a.wanted.Engine.WarmUpMilliseconds*float64(time.Millisecond))),
-		}
+		a.change = change{version: v.manifest.Version, from: at.Add(-drainTime), to: a.loadedBy(at)}
 	}
 	return at, serving
 }
 
+// announceLoad tells the gateways when an engine that serves nothing will serve,
+// so that they need not hear first that it does.
+func (a *Agent) announceLoad(v *version, orderedAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.change = change{version: v.manifest.Version, from: orderedAt, to: a.loadedBy(orderedAt)}
+}
+
+// loadedBy is when an engine serves that is ordered at a moment to load. Callers
+// hold mu.
+func (a *Agent) loadedBy(orderedAt time.Time) time.Time {
+	return orderedAt.Add(loadMargin + time.Duration(a.wanted.Engine.WarmUpMilliseconds*float64(time.Millisecond)))
+}
+
 // await returns when the engine serves the version, or does not load it.
 func (a *Agent) await(ctx context.Context, v *version) {
 	until := time.Now().Add(loadTime)
--- a/internal/reel/seek.go
+++ b/internal/reel/seek.go
@@ -79,7 +79,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w := a.wanted
-	if w.Version == 0 || w.Engine.Model == "" || !a.heard {
+	if w.Version == 0 || w.Engine.Model == "" || !a.heard && !a.awaited {
 		return w, false
 	}
 	known := a.bringing != nil && a.bringing.manifest.is(w.Engine.Model, w.Version) || a.coming != nil && a.coming.is(w.Engine.Model, w.Version)
--- a/internal/reel/stage.go
+++ b/internal/reel/stage.go
@@ -110,6 +110,9 @@
 // as it should be.
 func (a *Agent) check(ctx context.Context, v *version) bool {
 	a.overwrite(v)
+	if a.justRead(v) {
+		return true
+	}
 	for range checkRounds {
 		differs, err := a.mend(ctx, v)
 		if err != nil {
@@ -125,6 +128,18 @@
 	return false
 }
 
+// justReadTime is how long what was read back counts as checked: less than the
+// three seconds in which a piece may spoil that nobody who reads it can prevent.
+const justReadTime = time.Second
+
+// justRead reports whether every piece was found at this start of the engine a
+// moment ago: an agent that starts beside an engine reads what lies there anyway.
+func (a *Agent) justRead(v *version) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return v.stagedAt == a.state.Born && time.Since(v.readAt) < justReadTime
+}
+
 // mend reads every staged piece back and stages those again that differ. It
 // returns their number.
 func (a *Agent) mend(ctx context.Context, v *version) (int, error) {
