--- a/internal/belief/belief.go
+++ b/internal/belief/belief.go
@@ -138,6 +138,8 @@
 	}
 	news := append(b.take(gone), b.take(s.Items)...)
 	b.revision = max(b.revision, s.Revision)
+	// What was deleted before the snapshot is missing in it, and others may know it.
+	b.floor = max(b.floor, s.Revision)
 	b.announce(news)
 	return news
 }
--- a/internal/belief/belief_test.go
+++ b/internal/belief/belief_test.go
@@ -111,3 +111,27 @@
 	}
 	require.Empty(t, b.Newest(there))
 }
+
+// Pattern: gateways are replaced one after the other while a server leaves. One
+// that has just started knows from the store that the server is not there, not
+// that it was; another that was a moment behind pulls from it.
+func TestADeletionIsNotLostByAProcessThatHasJustStarted(t *testing.T) {
+	const key = "servers/a"
+	behind, started := belief.New(), belief.New()
+	behind.Replace(belief.Snapshot{Items: []belief.Item{{Key: key, Value: []byte("x"), Revision: 5}}, Revision: 8})
+	started.Replace(belief.Snapshot{Revision: 10}) // it was deleted at revision 9
+	behind.Adopt(started.Since(behind.Revision()))
+	require.EqualValues(t, 10, behind.Revision())
+	require.Empty(t, behind.Items())
+}
+
+// The same for one that was away for a while and read everything anew.
+func TestADeletionIsNotLostByAProcessThatWasAway(t *testing.T) {
+	const key = "servers/a"
+	behind, away := belief.New(), belief.New()
+	away.Replace(belief.Snapshot{Revision: 3})
+	behind.Replace(belief.Snapshot{Items: []belief.Item{{Key: key, Value: []byte("x"), Revision: 5}}, Revision: 8})
+	away.Replace(belief.Snapshot{Revision: 10})
+	behind.Adopt(away.Since(behind.Revision()))
+	require.Empty(t, behind.Items())
+}
