--- a/internal/belief/belief_test.go
+++ b/internal/belief/belief_test.go
@@ -116,7 +116,7 @@
 // that has just started knows from the store that the server is not there, not
 // that it was; another that was a moment behind pulls from it.
 func TestADeletionIsNotLostByAProcessThatHasJustStarted(t *testing.T) {
-	const key = "servers/a"
+	const key = "a"
 	behind, started := belief.New(), belief.New()
 	behind.Replace(belief.Snapshot{Items: []belief.Item{{Key: key, Value: []byte("x"), Revision: 5}}, Revision: 8})
 	started.Replace(belief.Snapshot{Revision: 10}) // it was deleted at revision 9
@@ -127,7 +127,7 @@
 
 // The same for one that was away for a while and read everything anew.
 func TestADeletionIsNotLostByAProcessThatWasAway(t *testing.T) {
-	const key = "servers/a"
+	const key = "a"
 	behind, away := belief.New(), belief.New()
 	away.Replace(belief.Snapshot{Revision: 3})
 	behind.Replace(belief.Snapshot{Items: []belief.Item{{Key: key, Value: []byte("x"), Revision: 5}}, Revision: 8})
