One reader for bounded texts, one count of a bit set

bounded.ReadAll bounded its text in another way than bounded.Reader beside it; it reads through that now. The bits of a set were counted in two places of the change and two of its tests: draw.Count. ranking.order was handed what it holds. Behaviour is as before.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -24,13 +24,10 @@
 // ReadAll reads r to its end. It returns ErrTooLong, and no bytes, if there are
 // more than most bytes.
 func ReadAll(r io.Reader, most int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r, most+1))
+	data, err := io.ReadAll(Reader(r, most))
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(data)) > most {
-		return nil, ErrTooLong
-	}
 	return data, nil
 }
 
--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -382,10 +382,7 @@
 }
 
 func (p *Plan) noteGrowth(now time.Time, m Member) {
-	pieces := 0
-	for _, word := range m.Have {
-		pieces += bits.OnesCount64(word)
-	}
+	pieces := Count(m.Have)
 	if g, ok := p.grown[m.Name]; pieces > g.pieces || !ok {
 		p.grown[m.Name] = growth{pieces, now}
 	}
@@ -399,7 +396,7 @@
 	if position == 0 {
 		return turn
 	}
-	for n, name := range p.atOrigin.order(piece, v.drawers) {
+	for n, name := range p.atOrigin.order(piece) {
 		if n >= position {
 			break
 		}
@@ -447,5 +444,14 @@
 	return best, best != ""
 }
 
+// Count returns the size of a bit set.
+func Count(set []uint64) int {
+	count := 0
+	for _, word := range set {
+		count += bits.OnesCount64(word)
+	}
+	return count
+}
+
 // Has reports whether a bit set holds n.
 func Has(set []uint64, n int) bool { return n/64 < len(set) && set[n/64]&(1<<(n%64)) != 0 }
--- a/internal/draw/ranking.go
+++ b/internal/draw/ranking.go
@@ -43,9 +43,9 @@
 }
 
 // order returns the agents that rank first in the order in which they take a piece.
-func (r *ranking) order(piece int, first []string) []string {
+func (r *ranking) order(piece int) []string {
 	if r.orders[piece] == nil {
-		r.orders[piece] = stripe.Rank(strconv.Itoa(piece), first)
+		r.orders[piece] = stripe.Rank(strconv.Itoa(piece), r.first)
 	}
 	return r.orders[piece]
 }
--- a/internal/reel/agent_test.go
+++ b/internal/reel/agent_test.go
@@ -320,16 +320,7 @@
 func TestDigestsAreReadWhileAnOlderVersionIsFinished(t *testing.T) {
 	a, address := lone(t, &origin{most: pieces * 3 / 4})
 	a.Adopt(wanted(1), nil)
-	held := func() int {
-		words := a.Say().Pieces.Have
-		count := 0
-		for n := range pieces {
-			if draw.Has(words, n) {
-				count++
-			}
-		}
-		return count
-	}
+	held := func() int { return draw.Count(a.Say().Pieces.Have) }
 	require.Eventually(t, func() bool { return held() == pieces*3/4 }, 5*time.Second, 5*time.Millisecond)
 	a.Adopt(wanted(2), nil)
 	require.Eventually(t, func() bool {
--- a/internal/reel/keep.go
+++ b/internal/reel/keep.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/bits"
 	"math/rand/v2"
 	"time"
 
@@ -61,11 +60,7 @@
 			held = union(held, m.Pieces.Have)
 		}
 	}
-	there := 0
-	for _, word := range held {
-		there += bits.OnesCount64(word)
-	}
-	return draw.Finish(time.Now(), there, len(v.manifest.Digests), ends)
+	return draw.Finish(time.Now(), draw.Count(held), len(v.manifest.Digests), ends)
 }
 
 // open begins to bring a version whose digests are known, with what is staged of
--- a/internal/reel/start_test.go
+++ b/internal/reel/start_test.go
@@ -57,16 +57,6 @@
 	return e
 }
 
-func count(have []uint64) int {
-	total := 0
-	for n := range pieces {
-		if draw.Has(have, n) {
-			total++
-		}
-	}
-	return total
-}
-
 // Pattern: engines are added under a load that the others hardly carry. An engine
 // takes a second to start, its agent does not, and brings the version meanwhile
 // from those beside it.
@@ -83,7 +73,7 @@
 	word.Name, word.Address, word.Region, word.Service = "b", address, "north", "pool"
 	a.Adopt(wanted(1), nil)
 	a.Meet(neighbour.Others{Whole: true, Agents: []neighbour.Agent{word}})
-	require.Eventually(t, func() bool { return count(a.Say().Pieces.Have) == pieces }, 2*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return draw.Count(a.Say().Pieces.Have) == pieces }, 2*time.Second, 5*time.Millisecond)
 	require.Zero(t, o.drawn, "the origin's link is for agents whose engines are up")
 	e.up.Store(true)
 	require.Eventually(t, func() bool { return e.serves() == 1 }, 2*time.Second, 5*time.Millisecond)
