Name the answers that never end in one place, and keep what the soak's seeds strike

Assertions are as before.

Floods were a thirteenth strike of the soak, drawn from the seed's own numbers, so that seeds kept as regressions struck otherwise than when they failed. Floods have numbers of their own now.

--- a/test/hosting/endless_test.go
+++ b/test/hosting/endless_test.go
@@ -11,9 +11,13 @@
 	"github.com/stretchr/testify/require"
 
 	"almondreel.example/almondreel/platform/caller"
+	"almondreel.example/almondreel/platform/flood"
 	"almondreel.example/almondreel/platform/standin"
 )
 
+// firstEvent is the first event of every engine's answer to an attempt.
+var firstEvent = "id: 1\ndata: " + standin.Word("%s", 1) + "\n\n"
+
 // residentBytes is the memory of a process.
 func residentBytes(t *testing.T, p *program) int64 {
 	t.Helper()
@@ -51,8 +55,8 @@
 		}
 		return len(s.engines[0].Runs()) > 0 && len(s.engines[1].Runs()) > 0
 	})
-	for n, flood := range standin.Floods {
-		s.engines[0].SetFlood(flood)
+	for n, f := range flood.Streams(firstEvent) {
+		s.engines[0].SetFlood(&f)
 		ended := s.burst(0, callers, fmt.Sprint("id-", n))
 		served, refused, most := 0, 0, int64(0)
 		for range callers {
@@ -71,9 +75,9 @@
 			}
 			most = max(most, residentBytes(t, s.gateways[0]))
 		}
-		t.Logf("flood %d: %d of %d served, %d refused, %d MB", n, served, callers, refused, most>>20)
+		t.Logf("%s: %d of %d served, %d refused, %d MB", f.Name, served, callers, refused, most>>20)
 		require.Positive(t, served)
-		require.Less(t, most, int64(memory), "flood %d", n)
+		require.Less(t, most, int64(memory), f.Name)
 	}
 	s.engines[0].SetFlood(nil)
 	s.serves(0, 1, 3*time.Second)
--- a/test/hosting/soak_test.go
+++ b/test/hosting/soak_test.go
@@ -16,6 +16,7 @@
 
 	"almondreel.example/almondreel/internal/standin/faultproxy"
 	"almondreel.example/almondreel/platform/caller"
+	"almondreel.example/almondreel/platform/flood"
 	"almondreel.example/almondreel/platform/standin"
 )
 
@@ -39,6 +40,10 @@
 	// startTime is what a process takes at most to its first instruction, on a
 	// machine with twice as many busy processes as processors.
 	startTime = 300 * time.Millisecond
+	// floodEach is how many strikes there are to one flood, and floodTime how long
+	// a flood lasts.
+	floodEach = 12
+	floodTime = time.Second
 	// drainTime is after what a leaving server gets nothing more.
 	drainTime = 2 * time.Second
 )
@@ -89,7 +94,7 @@
 	if seed%largeEach == 0 {
 		size = options{gateways: 6, engines: 36, firstVersion: 1}
 	}
-	s := &storm{site: startSite(t, size), random: random, named: 1, journal: newJournal()}
+	s := &storm{site: startSite(t, size), random: random, chances: rand.New(rand.NewPCG(seed, 11)), named: 1, journal: newJournal()}
 	for n := range s.gateways {
 		s.serves(n, 1, recoveryTime)
 	}
@@ -97,6 +102,7 @@
 	s.watchCallers(t)
 	for end := time.Now().Add(rageTime); time.Now().Before(end); {
 		s.strike()
+		s.drown()
 		time.Sleep(time.Duration(50+random.IntN(350)) * time.Millisecond)
 		s.heal(time.Now())
 	}
@@ -109,6 +115,7 @@
 type storm struct {
 	*site
 	random  *rand.Rand
+	chances *rand.Rand // of floods
 	named   int64
 	cures   []cure
 	journal *journal
@@ -147,7 +154,6 @@
 		func() { s.signal(e.agent) },
 		func() { s.crash(e) },
 		func() { s.leave(e) },
-		func() { s.drown(e) },
 		func() { s.trouble(g) },
 		func() { s.breakRoute(e.route) },
 		func() { s.breakRoute(g.store) },
@@ -207,10 +213,16 @@
 	})
 }
 
-// drown makes an engine answer without end for a while.
-func (s *storm) drown(e *engine) {
-	e.SetFlood(standin.Floods[s.random.IntN(len(standin.Floods))])
-	s.until(2*time.Second, func() { e.SetFlood(nil) })
+// drown now and then makes an engine answer without end for a while. Its chances
+// are its own, so that a seed strikes otherwise as it did before there were floods.
+func (s *storm) drown() {
+	if s.chances.IntN(floodEach) > 0 {
+		return
+	}
+	e := s.engines[s.chances.IntN(len(s.engines))]
+	floods := flood.Streams(firstEvent)
+	e.SetFlood(&floods[s.chances.IntN(len(floods))])
+	s.cures = append(s.cures, cure{time.Now().Add(floodTime), func() { e.SetFlood(nil) }})
 }
 
 // leave drains an engine; its entry goes and another one takes its place.
