schedule: leave an expiring version earlier at servers that start answers late

Cause: a gateway chose servers of an expiring version by the usual start latency of the service.

Change: the pool knows per server until when its version serves (ServesUntil) and the slowest recent start there. It sends a request only where the start is expected before the deadline; gateways tell each other of slow starts while a version expires. Request.MinVersion, which held one expectation for all servers, and the second check after a wait are gone: a queued request that no server can start any more is refused at once.

--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -210,6 +210,7 @@
 		})
 	}
 	request.Departures = gs.departures(now)
+	request.SlowStarts = gs.slowStarts(now)
 	return request
 }
 
@@ -234,6 +235,24 @@
 	}
 }
 
+func (gs *gossiper) slowStarts(now time.Time) []hostedrpc.SlowStart {
+	var out []hostedrpc.SlowStart
+	for service, all := range gs.servers.pools.SlowStarts(now) {
+		for _, s := range all {
+			out = append(out, hostedrpc.SlowStart{Service: service, Server: s.Server, StartMilliseconds: int64(s.Milliseconds), AgeMilliseconds: now.Sub(s.At).Milliseconds()})
+		}
+	}
+	return out
+}
+
+// applySlowStarts applies another gateway's report of responses that started late.
+func (gs *gossiper) applySlowStarts(starts []hostedrpc.SlowStart, now time.Time) {
+	for _, s := range starts {
+		at := now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
+		gs.servers.pools.RecordSlowStart(now, s.Service, schedule.SlowStart{Server: s.Server, Milliseconds: float64(s.StartMilliseconds), At: at})
+	}
+}
+
 func (gs *gossiper) versionAges(now time.Time) []hostedrpc.VersionAge {
 	var out []hostedrpc.VersionAge
 	for v, announcement := range gs.servers.announcements() {
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -30,6 +30,7 @@
 	}
 	gs.applyQuarantine(request.Convictions, now)
 	gs.applyDepartures(request.Departures, request.Gateway.Name, now)
+	gs.applySlowStarts(request.SlowStarts, now)
 	reply.Revision = gs.servers.mirror.Revision()
 	if request.Pulls {
 		reply.Beliefs = gs.servers.mirror.Since(request.Revision)
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -107,6 +107,7 @@
 		}
 	}
 	out.Version, out.Ready = served.Version, served.Whole
+	out.ServesUntil = t.servesUntil(service.Engine.Model, served.Version)
 	return out
 }
 
--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -345,10 +345,11 @@
 	return sv.rollouts.OldestAllowed(model, at)
 }
 
-// EndsAt returns the time from which no request may begin on a version of a model, and
-// false if no newer version was announced.
-func (sv *siteView) EndsAt(model string, version int64) (time.Time, bool) {
+// servesUntil returns the time from which no request may begin on a version of a
+// model; zero if no newer version was announced.
+func (sv *siteView) servesUntil(model string, version int64) time.Time {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return sv.rollouts.ServesUntil(model, version)
+	until, _ := sv.rollouts.ServesUntil(model, version)
+	return until
 }
--- a/internal/hostedrpc/messages.go
+++ b/internal/hostedrpc/messages.go
@@ -154,6 +154,14 @@
 	AgeMilliseconds int64 // since the announcement
 }
 
+// SlowStart is a response that a backend server started late.
+type SlowStart struct {
+	Service           string
+	Server            string
+	StartMilliseconds int64 // from sending the request until the response started
+	AgeMilliseconds   int64 // since the response started
+}
+
 // Load is the number of requests that a region's gateways have running.
 type Load struct {
 	Region          string
@@ -175,6 +183,7 @@
 	Named       []VersionAge
 	Convictions []QuarantineEntry
 	Departures  []Departure
+	SlowStarts  []SlowStart // of servers whose model version expires soon
 }
 
 // ExchangeReply is what the calling gateway lacks.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -209,11 +209,10 @@
 	if !e.route.Generates {
 		return
 	}
-	ends, ok := e.handler.View.EndsAt(e.info.Model, s.Version)
-	if !ok {
+	if s.ServesUntil.IsZero() {
 		return
 	}
-	e.versionTimer = time.AfterFunc(time.Until(ends.Add(-versionEndMargin)), func() {
+	e.versionTimer = time.AfterFunc(time.Until(s.ServesUntil.Add(-versionEndMargin)), func() {
 		counter.Add("AttemptsEndedWithVersion", 1)
 		cancel(errVersionEnded)
 	})
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -65,11 +65,6 @@
 		e.queueMS += time.Since(queuedAt).Milliseconds()
 		switch d := decision.(type) {
 		case schedule.Start:
-			// The server's model version may have ended while the request waited.
-			if d.Server.Version < e.minVersion() {
-				e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, e.promptMS())
-				continue
-			}
 			o, retry := e.attempt(ctx, d.Server, fingerprint, verdict)
 			if !retry {
 				return o
@@ -182,7 +177,7 @@
 		ArrivedAt:     e.arrivedAt,
 		AnswerBy:      e.firstCallAt.Add(time.Duration(e.route.TargetMilliseconds) * time.Millisecond),
 		Deadline:      e.deadline,
-		MinVersion:    e.minVersion(),
+		Generates:     e.route.Generates,
 		Avoid:         e.avoid,
 	}
 	if e.route.Generates {
@@ -191,27 +186,6 @@
 	return request
 }
 
-// minStartMS covers the network latency to an engine and one of its forward passes,
-// in milliseconds.
-const minStartMS = 250
-
-// expectedStart returns the time by which an engine has begun most of the requests
-// that are sent to it now. It grows with the engines' queueing time. Requests that
-// begin later are cancelled when the version ends (see startVersionTimer).
-func (e *exchange) expectedStart(now time.Time) time.Time {
-	within := max(minStartMS, e.handler.Pools.startLatencyMS(e.service.Name)+e.promptMS())
-	return now.Add(time.Duration(within * float64(time.Millisecond)))
-}
-
-// minVersion returns the oldest model version that may serve the request if it is
-// sent now; 0 if the route uses no model.
-func (e *exchange) minVersion() int64 {
-	if !e.route.Generates {
-		return 0
-	}
-	return e.handler.View.MinVersion(e.info.Model, e.expectedStart(time.Now()))
-}
-
 // promptMS returns how long an engine takes to process the prompt, in
 // milliseconds; 0 if the engine's speed is unknown.
 func (e *exchange) promptMS() float64 {
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -127,7 +127,7 @@
 func (p *Pools) responseBegan(service, server string, milliseconds, promptMS float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pool(service).ResponseStarted(server, milliseconds, promptMS)
+	p.pool(service).ResponseStarted(time.Now(), server, milliseconds, promptMS)
 }
 
 // release frees the server's slot and records how the attempt ended. promptMS is 0
@@ -138,14 +138,6 @@
 	p.deliver(p.pool(service).Ended(time.Now(), server, end, promptMS))
 }
 
-// startLatencyMS returns the time within which most responses of a service begin, in
-// milliseconds, without the time to process the prompt.
-func (p *Pools) startLatencyMS(service string) float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pool(service).StartLatencyMS()
-}
-
 // markBusy stops sending requests to a server until the time that it asked for.
 func (p *Pools) markBusy(service, server string, until time.Time) {
 	p.mu.Lock()
@@ -174,6 +166,27 @@
 	return out
 }
 
+// RecordSlowStart applies another gateway's report of a response that started late.
+func (p *Pools) RecordSlowStart(now time.Time, service string, start schedule.SlowStart) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(service).RecordSlowStart(now, start)
+}
+
+// SlowStarts returns the responses that started late on servers whose model version
+// expires soon, by service.
+func (p *Pools) SlowStarts(now time.Time) map[string][]schedule.SlowStart {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string][]schedule.SlowStart{}
+	for name, pool := range p.pools {
+		if starts := pool.SlowStarts(now); len(starts) > 0 {
+			out[name] = starts
+		}
+	}
+	return out
+}
+
 // refusal returns the refusal of a request that servers rejected, with a time to
 // retry.
 func (p *Pools) refusal(service string, reason outcome.Reason, request schedule.Request) outcome.Refused {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -71,9 +71,6 @@
 	// MinVersion returns the oldest version of a model that may serve a request
 	// that begins at the time at.
 	MinVersion(model string, at time.Time) int64
-	// EndsAt returns the time from which no request may begin on a version of a
-	// model, and false if no newer version has been announced.
-	EndsAt(model string, version int64) (time.Time, bool)
 }
 
 // statusCode returns the HTTP status of an outcome that the gateway, not a backend
--- a/internal/schedule/busy.go
+++ b/internal/schedule/busy.go
@@ -29,7 +29,7 @@
 func (p *Pool) availableAt(now time.Time, r Request) time.Time {
 	var first time.Time
 	for _, s := range p.order {
-		if !s.eligible(r) {
+		if !p.eligible(now, s, r) {
 			continue
 		}
 		if !s.busyUntil.After(now) {
@@ -44,10 +44,10 @@
 
 // canServe reports whether an eligible server accepts requests by the request's
 // wait deadline.
-func (p *Pool) canServe(r Request) bool {
+func (p *Pool) canServe(now time.Time, r Request) bool {
 	deadline := p.waitDeadline(r)
 	return slices.ContainsFunc(p.order, func(s *server) bool {
-		return s.eligible(r) && !s.busyUntil.After(deadline)
+		return p.eligible(now, s, r) && !s.busyUntil.After(deadline)
 	})
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -19,10 +19,11 @@
 	ID          string
 	Address     string // IP:port
 	Region      string
-	Slots       int   // requests that it runs concurrently
-	StartUnixMS int64 // time of its start; 0: unknown
-	Version     int64 // of the weights that it serves; 0 for a service without a model
-	Ready       bool  // accepts new requests
+	Slots       int       // requests that it runs concurrently
+	StartUnixMS int64     // time of its start; 0: unknown
+	Version     int64     // of the weights that it serves; 0 for a service without a model
+	ServesUntil time.Time // no request may start on Version from then on; zero: no limit
+	Ready       bool      // accepts new requests
 }
 
 // Request is a request to be scheduled on a backend server.
@@ -36,8 +37,8 @@
 	ArrivedAt     time.Time
 	AnswerBy      time.Time // latency target: the response should start by then
 	Deadline      time.Time // the caller does not wait longer
-	MinVersion    int64
-	Avoid         []string // IDs of servers on which it failed
+	Generates     bool      // runs on a model version, which may expire
+	Avoid         []string  // IDs of servers on which it failed
 }
 
 // Decision is the result of scheduling a Request: Start, Wait or Refuse.
@@ -92,6 +93,7 @@
 	pendingPromptMS float64   // milliseconds of prompts whose responses have not started
 	failures        int       // consecutive
 	backoffUntil    time.Time // zero after a response has started
+	slowStart       SlowStart // the slowest recent one
 
 	departing bool      // the server announced its shutdown
 	busyUntil time.Time // the server asked for no requests until then
@@ -212,7 +214,7 @@
 			return p.start(s, r), nil
 		}
 	}
-	if !p.canServe(r) {
+	if !p.canServe(now, r) {
 		return p.refuseNoReplica(now, r), nil
 	}
 	if d, refused := p.checkQueueWait(now, r); refused {
@@ -237,18 +239,15 @@
 
 // ResponseStarted records that the response of server id started milliseconds after
 // the request was sent. promptMS is the PromptMS of the request.
-func (p *Pool) ResponseStarted(id string, milliseconds, promptMS float64) {
+func (p *Pool) ResponseStarted(now time.Time, id string, milliseconds, promptMS float64) {
 	p.startLatency.add(milliseconds - promptMS)
 	if s, ok := p.servers[id]; ok {
+		p.mergeSlowStart(now, s, SlowStart{Server: id, Milliseconds: milliseconds - promptMS, At: now})
 		s.pendingPromptMS = max(0, s.pendingPromptMS-promptMS)
 		s.failures, s.backoffUntil = 0, time.Time{}
 	}
 }
 
-// StartLatencyMS returns the milliseconds within which most responses start,
-// excluding prompt processing.
-func (p *Pool) StartLatencyMS() float64 { return p.startLatency.upper() }
-
 // End is how an attempt at a server ended.
 type End int
 
@@ -321,15 +320,19 @@
 	s.backoffUntil = now.Add(min(backoff, maxBackoff))
 }
 
-// Tick refuses queued requests that cannot start by their wait deadline, and starts
-// those for which a slot is free.
+// Tick refuses queued requests that cannot start by their wait deadline or before the
+// model versions of the servers expire, and starts those for which a slot is free.
 func (p *Pool) Tick(now time.Time) []Resolved {
 	var out []Resolved
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
-		if now.Before(p.waitDeadline(r)) && !p.allBusy(now, r) {
+		switch {
+		case p.allExpiring(now, r):
+			out = append(out, Resolved{r.ID, p.refuseNoReplica(now, r)})
+		case !now.Before(p.waitDeadline(r)) || p.allBusy(now, r):
+			out = append(out, Resolved{r.ID, p.Refusal(now, outcome.ProjectedWaitTooLong, r)})
+		default:
 			return false
 		}
-		out = append(out, Resolved{r.ID, p.Refusal(now, outcome.ProjectedWaitTooLong, r)})
 		return true
 	})
 	return append(out, p.dispatch(now)...)
@@ -480,7 +483,7 @@
 	lowest := math.Inf(1)
 	newest := p.newestVersion()
 	for _, s := range p.order {
-		if !s.available(now, r) || p.full(now, s, r) {
+		if !p.available(now, s, r) || p.full(now, s, r) {
 			continue
 		}
 		load := p.estimateRunning(s)/float64(max(1, s.Slots)) + s.pendingPromptMS/p.share(s.Region)*promptLoadWeight
@@ -543,14 +546,14 @@
 
 // eligible reports whether the server can run the request, apart from busy times and
 // backoff.
-func (s *server) eligible(r Request) bool {
-	return s.Ready && !s.departing && s.Version >= r.MinVersion
+func (p *Pool) eligible(now time.Time, s *server, r Request) bool {
+	return s.Ready && !s.departing && p.startsInTime(now, s, r)
 }
 
 // available reports whether the server may get the request now. After a backoff a
 // server first gets a single request as a probe.
-func (s *server) available(now time.Time, r Request) bool {
-	if !s.eligible(r) || now.Before(s.backoffUntil) || now.Before(s.busyUntil) {
+func (p *Pool) available(now time.Time, s *server, r Request) bool {
+	if !p.eligible(now, s, r) || now.Before(s.backoffUntil) || now.Before(s.busyUntil) {
 		return false
 	}
 	return s.backoffUntil.IsZero() || s.ownRunning == 0
--- a/test/hosting/programs_test.go
+++ b/test/hosting/programs_test.go
@@ -157,6 +157,32 @@
 	s.waitForVersion(1, 2, 5*time.Second)
 }
 
+// An engine starts its answers late while its version expires. A gateway that sent it
+// nothing meanwhile learns of it from the other gateway, and sends it no request that
+// would begin after the deadline.
+func TestSlowEngineIsLeftEarlyByOtherGateways(t *testing.T) {
+	const slowStart = 450 * time.Millisecond // the gateway takes no data in 500 ms for a stall
+	s := startSite(t, options{gateways: 2, engines: 1, firstVersion: 1})
+	s.waitForVersion(0, 1, 10*time.Second)
+	s.waitForVersion(1, 1, 10*time.Second)
+	time.Sleep(2 * time.Second) // a version that a gateway reads sooner counts as found at its start
+	s.origin.SetFaults(standin.OriginFaults{Down: true})
+	s.engines[0].SetEventMS(int(slowStart.Milliseconds()))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.send(0, apiKey)
+	}()
+	time.Sleep(200 * time.Millisecond) // the slow answer starts after the version is named
+	s.store.SetVersion(2)
+	deadline := time.Now().Add(versionMS * time.Millisecond)
+	time.Sleep(time.Until(deadline) - slowStart)
+	before := len(s.engines[0].Runs())
+	require.Equal(t, http.StatusServiceUnavailable, s.send(1, apiKey).Status)
+	require.Len(t, s.engines[0].Runs(), before)
+	<-ended
+}
+
 // At-most-once calls each run once and are answered with their own result.
 func TestAtMostOnceCallsRunOnce(t *testing.T) {
 	s := startSite(t, options{gateways: 1, engines: 1})
