backendproxy: count the death of an engine that stops listening late

Cause: after a cut answer the agent made three connection attempts within 40 ms, and took the engine for alive if none was refused. The kernel accepts connections for a process that has cut its streams and not closed its listener yet, so its death did not count against the request, which went on to crash other engines.

Change: only an answer to a read of its state proves that the engine works. An engine that works is recognised sooner than before, at its first answer.

--- a/internal/backendproxy/forward.go
+++ b/internal/backendproxy/forward.go
@@ -197,7 +197,7 @@
 	if ctx.Err() != nil {
 		return outcome.CallerGone
 	}
-	if atmostonce.AnyProbeRefused(p.backend.Address) {
+	if p.backendEnded(ctx) {
 		return outcome.BackendDied
 	}
 	return outcome.StreamCut
--- a/internal/backendproxy/proxy.go
+++ b/internal/backendproxy/proxy.go
@@ -18,6 +18,7 @@
 	"almondreel.example/almondreel/internal/agent"
 	"almondreel.example/almondreel/internal/atmostonce"
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/outcome"
@@ -39,6 +40,7 @@
 	backend settings.Backend
 	tracker *serving.Tracker
 	client  *atmostonce.Client
+	engine  *engine.Client // reads the state of an engine
 	// cancels holds the attempts to cancel in the backend server. If it is full a
 	// cancel is dropped; the attempt's connection is closed in any case.
 	cancels chan string
@@ -56,6 +58,7 @@
 		backend: s.Backend,
 		tracker: tracker,
 		client:  atmostonce.NewClient(),
+		engine:  engine.NewClient(s.Backend.Address),
 		cancels: make(chan string, maxCancels),
 	}
 }
--- a/internal/testsite/testsite.go
+++ b/internal/testsite/testsite.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	"almondreel.example/almondreel/internal/agent"
@@ -47,10 +48,13 @@
 
 // Options configure a Site.
 type Options struct {
-	Gateways      int // 0: one gateway
-	Engines       int
-	Services      int
-	Engine        standinengine.Options // of each engine; Digest and Crash are overwritten
+	Gateways int // 0: one gateway
+	Engines  int
+	Services int
+	Engine   standinengine.Options // of each engine; Digest and Crash are overwritten
+	// LateRefusal is how long a crashed engine accepts connections after it has cut
+	// those in progress.
+	LateRefusal   time.Duration
 	Service       standinservice.Options
 	Classes       []operator.Class
 	Organisations []settings.Organisation
@@ -82,6 +86,7 @@
 	ToBackend    *faultproxy.Route // proxy between the agent and the backend server
 	backend      *httptest.Server
 	agent        *httptest.Server
+	crashed      atomic.Bool
 }
 
 // Site is a set of gateways and replicas that share a key-value service.
@@ -159,7 +164,7 @@
 		service = EngineService
 		o := s.options.Engine
 		o.Digest = Digest
-		o.Crash = func() { r.crashBackend() }
+		o.Crash = func() { r.crashBackend(s.options.LateRefusal) }
 		r.Engine = standinengine.New(o)
 		r.backend = httptest.NewServer(r.Engine)
 	} else {
@@ -193,14 +198,21 @@
 	return nil
 }
 
-// crashBackend makes the backend server unreachable and cuts its connections,
-// as a crash of its process does.
-func (r *Replica) crashBackend() {
-	_ = r.ToBackend.Set(faultproxy.Faults{Refuse: true, ToTarget: faultproxy.Cut{}, ToCaller: faultproxy.Cut{}})
+// crashBackend cuts the backend server's connections and makes it refuse new ones
+// lateRefusal later, as a crash of its process does.
+func (r *Replica) crashBackend(lateRefusal time.Duration) {
+	r.crashed.Store(true)
+	cut := faultproxy.Faults{ToTarget: faultproxy.Cut{}, ToCaller: faultproxy.Cut{}}
+	if lateRefusal > 0 {
+		_ = r.ToBackend.Set(cut)
+		time.Sleep(lateRefusal)
+	}
+	cut.Refuse = true
+	_ = r.ToBackend.Set(cut)
 }
 
 // BackendDown reports whether the backend server crashed.
-func (r *Replica) BackendDown() bool { return r.ToBackend.Faults().Refuse }
+func (r *Replica) BackendDown() bool { return r.crashed.Load() }
 
 func (s *Site) addGateway(name string) error {
 	o := s.options
--- a/test/requests/crash_test.go
+++ b/test/requests/crash_test.go
@@ -62,10 +62,20 @@
 }
 
 func TestCrashingRequestCrashesAtMostTwoServers(t *testing.T) {
+	requireTwoCrashes(t, 0)
+}
+
+// A process that ends may close its connections a while before it stops listening. Its
+// death must count against the request all the same.
+func TestCrashWithLateRefusalCountsAgainstRequest(t *testing.T) {
+	requireTwoCrashes(t, 150*time.Millisecond)
+}
+
+func requireTwoCrashes(t *testing.T, lateRefusal time.Duration) {
 	for _, concurrent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("concurrent %t", concurrent), func(t *testing.T) {
 			o := options()
-			o.Gateways, o.Engines = 3, 6
+			o.Gateways, o.Engines, o.LateRefusal = 3, 6, lateRefusal
 			s := startSite(t, o)
 			answers := sendWithCrashes(t, s, concurrent)
 			require.LessOrEqual(t, countCrashes(s), 2)
