schedule: wait for a server in its first backoff rather than run again where it failed

Cause: a request that failed on one server and could not connect to the other one within 150 ms went back to the first, as the other was in its 100 ms backoff, and spent its last allowed run there (TestEndlessPlainAnswerIsNotRelayedAsComplete, 502 in place of the whole answer; log: i-0 StreamCut, i-1 "connect deadline exceeded", i-0 again).

Change: servers that failed a request and those that rejected it are told apart. A request waits for a server in its first backoff before it runs again where it failed; it holds up no request behind it, and does not wait for a server that failed twice.

Measured, the test under the race detector, 8 at once beside six busy processes: 8 of 64 runs failed on (eight times 504, twice 502), 1 of 64 with bodies held in blocks (502, this cause), 0 of 64 now.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -38,8 +38,8 @@
 	lastServer    string      // server of the last attempt
 	serversTried  int         // servers that were sent the request
 	possibleRuns  int         // servers that may have run it
-	rejections    int         // servers that reported that they did not run it
-	avoid         []string    // servers that rejected or failed it
+	rejectedBy    []string    // servers that did not run it
+	failedBy      []string    // servers that may have run it and did not complete it
 	responseBegun bool        // the response to the caller has begun
 	lastEventID   string      // last event that was sent to the caller
 	firstMS       int64       // milliseconds from arrival until the response began
@@ -125,9 +125,8 @@
 }
 
 func (e *exchange) afterRejection(s schedule.Server, r rejected) (outcome.Outcome, bool) {
-	e.rejections++
-	e.avoid = append(e.avoid, s.ID)
-	if e.rejections >= maxRejections || !e.handler.takeRetry(e.service.Name) {
+	e.rejectedBy = append(e.rejectedBy, s.ID)
+	if len(e.rejectedBy) >= maxRejections || !e.handler.takeRetry(e.service.Name) {
 		return e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, r.reason, e.slotRequest())), false
 	}
 	counter.Add("Retried."+string(r.reason), 1)
@@ -137,7 +136,7 @@
 
 func (e *exchange) afterFailure(s schedule.Server, r failed, fingerprint string, verdict quarantine.Verdict) (outcome.Outcome, bool) {
 	e.possibleRuns++
-	e.avoid = append(e.avoid, s.ID)
+	e.failedBy = append(e.failedBy, s.ID)
 	if r.mayHaveCrashed && e.handler.CrashDetector.ReportInterrupted(fingerprint, s, verdict) == quarantine.Quarantined {
 		return outcome.Unknown{Reason: outcome.Quarantined}, false
 	}
@@ -178,7 +177,8 @@
 		AnswerBy:      e.firstCallAt.Add(time.Duration(e.route.TargetMilliseconds) * time.Millisecond),
 		Deadline:      e.deadline,
 		Generates:     e.route.Generates,
-		Avoid:         e.avoid,
+		Rejected:      e.rejectedBy,
+		Failed:        e.failedBy,
 	}
 	if e.route.Generates {
 		request.BaseLatencyMS = engineBaseLatencyMS
--- /dev/null
+++ b/internal/schedule/retry_test.go
@@ -0,0 +1,58 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/schedule"
+)
+
+// newUnreachableSoundPool returns a pool of the servers "bad" and "sound", and a
+// request that failed on "bad". The next connections to "sound" failed.
+func newUnreachableSoundPool(failures int) (*schedule.Pool, schedule.Request) {
+	p := schedule.NewPool(schedule.Options{})
+	p.SetServers(startTime, []schedule.Server{{ID: "bad", Slots: 8, Ready: true}, {ID: "sound", Slots: 8, Ready: true}})
+	r := schedule.Request{ID: 1, Retried: true, ArrivedAt: startTime, AnswerBy: startTime.Add(target), Deadline: startTime.Add(6 * time.Second), Failed: []string{"bad"}}
+	now := startTime
+	for range failures {
+		p.Submit(now, r)
+		p.Ended(now, "sound", schedule.Unreachable, 0)
+		now = now.Add(time.Second)
+	}
+	r.Rejected = []string{"sound"}
+	return p, r
+}
+
+// A request fails on one server, and one connection to the other cannot be made in
+// time. It must go to the other server after the backoff, not spend its last run on the
+// server that failed it.
+func TestFailedRequestWaitsForServerInFirstBackoff(t *testing.T) {
+	p, r := newUnreachableSoundPool(1)
+	require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(startTime, r)))
+	require.Empty(t, p.Tick(startTime.Add(90*time.Millisecond)))
+	resolved := p.Tick(startTime.Add(110 * time.Millisecond))
+	require.Len(t, resolved, 1)
+	require.Equal(t, "sound", resolved[0].Decision.(schedule.Start).Server.ID)
+}
+
+// The other server is probably gone, so the request is retried where it failed.
+func TestFailedRequestDoesNotWaitForServerThatFailsAgain(t *testing.T) {
+	p, r := newUnreachableSoundPool(2)
+	now := startTime.Add(time.Second)
+	started, ok := decisionOf(p.Submit(now, r)).(schedule.Start)
+	require.True(t, ok)
+	require.Equal(t, "bad", started.Server.ID)
+}
+
+// While a failed request waits for another server, requests behind it use the slots of
+// the server that failed it.
+func TestWaitForRecoveryDoesNotBlockOtherRequests(t *testing.T) {
+	p, r := newUnreachableSoundPool(1)
+	require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(startTime, r)))
+	other := schedule.Request{ID: 2, ArrivedAt: startTime, AnswerBy: startTime.Add(target), Deadline: startTime.Add(6 * time.Second)}
+	started, ok := decisionOf(p.Submit(startTime, other)).(schedule.Start)
+	require.True(t, ok)
+	require.Equal(t, "bad", started.Server.ID)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -38,7 +38,8 @@
 	AnswerBy      time.Time // latency target: the response should start by then
 	Deadline      time.Time // the caller does not wait longer
 	Generates     bool      // runs on a model version, which may expire
-	Avoid         []string  // IDs of servers on which it failed
+	Rejected      []string  // IDs of servers that did not run it
+	Failed        []string  // IDs of servers that may have run it and did not complete it
 }
 
 // Decision is the result of scheduling a Request: Start, Wait or Refuse.
@@ -416,7 +417,8 @@
 
 // dispatch starts queued requests while slots are free. A request past its target
 // that cannot start does not block those behind it: they may use slots that are
-// reserved for requests that can still meet their target.
+// reserved for requests that can still meet their target. Neither does one that waits
+// for a server in backoff.
 func (p *Pool) dispatch(now time.Time) []Resolved {
 	if len(p.queue) == 0 {
 		return nil
@@ -430,7 +432,7 @@
 		}
 		s := p.chooseServer(now, r)
 		if s == nil {
-			blocked = !r.pastTarget(now)
+			blocked = !r.pastTarget(now) && !p.waitsForRecovery(now, r)
 			return false
 		}
 		out = append(out, Resolved{r.ID, p.start(s, r)})
@@ -493,16 +495,31 @@
 		if r.Resumed && s.Version < newest {
 			load += oldVersionPenalty
 		}
-		if slices.Contains(r.Avoid, s.ID) {
-			load += avoidPenalty
+		switch {
+		case slices.Contains(r.Failed, s.ID):
+			load += failedPenalty
+		case slices.Contains(r.Rejected, s.ID):
+			load += rejectedPenalty
 		}
 		if load < lowest {
 			best, lowest = s, load
 		}
 	}
+	if best != nil && slices.Contains(r.Failed, best.ID) && p.waitsForRecovery(now, r) {
+		return nil
+	}
 	return best
 }
 
+// waitsForRecovery reports whether a request that failed on some servers should wait for
+// another one, which is in its first backoff. That backoff is short, and few runs of a
+// request are allowed.
+func (p *Pool) waitsForRecovery(now time.Time, r Request) bool {
+	return len(r.Failed) > 0 && slices.ContainsFunc(p.order, func(s *server) bool {
+		return s.failures == 1 && now.Before(s.backoffUntil) && p.eligible(now, s, r) && !slices.Contains(r.Failed, s.ID)
+	})
+}
+
 // full reports whether a server has no slot for the request now, or this gateway
 // already has its share of the slots there plus one. The share never blocks the
 // gateway's first request on a server.
@@ -540,9 +557,12 @@
 	return version
 }
 
-// avoidPenalty is added to the load of a server on which the request failed, which
-// makes it the last choice.
-const avoidPenalty = 10
+// The penalties are added to the load of servers that rejected or failed the request,
+// which makes them the last choice, those that failed it after the others.
+const (
+	rejectedPenalty = 10
+	failedPenalty   = 20
+)
 
 // eligible reports whether the server can run the request, apart from busy times and
 // backoff.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -192,7 +192,7 @@
 
 func (sim *simulation) retryElsewhere(gateway int, r *request, s schedule.Server) {
 	sim.resolve(gateway, sim.pools[gateway].Ended(sim.now, s.ID, schedule.Unreachable, r.request.PromptMS))
-	r.request.Avoid = append(r.request.Avoid, s.ID)
+	r.request.Rejected = append(r.request.Rejected, s.ID)
 	sim.submit(r)
 }
 
