piecesched: divide the turns again when a version arrives late

Cause: each engine's turn to switch is a share of the rollout period. An engine that got the version after its turn switched at once, and so did all others whose turns had passed; their streams had no engine to go on at. Log of TestSuccessiveVersionsAreLoadedInOrder: complete 190 ms after the naming, first two turns at -75 and 100 ms, both orders within 3 ms, the third 40 ms later.

Change: the turns of an engine that can switch only after the first turn are divided over the time from then until the last one.

--- a/internal/piecesched/scheduler_test.go
+++ b/internal/piecesched/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -399,10 +400,33 @@
 	}
 	times := map[time.Time]bool{}
 	for _, name := range names {
-		at := piecesched.SwitchTime(name, 2, names, announced, deadline)
+		at := piecesched.SwitchTime(name, 2, names, announced, deadline, announced)
 		require.False(t, at.Before(announced))
 		require.True(t, at.Before(deadline.Add(-500*time.Millisecond)), "time for the load remains")
 		require.False(t, times[at], "no two engines switch at once")
 		times[at] = true
 	}
 }
+
+// A version arrives at all engines when most turns have passed, for instance because
+// the origin was slow. The engines must not switch at once, as nothing would serve
+// meanwhile.
+func TestEnginesWithLateVersionSwitchAtDistinctTimes(t *testing.T) {
+	announced := time.Unix(1000, 0)
+	deadline := announced.Add(8 * time.Second)
+	earliest := announced.Add(6 * time.Second)
+	names := []string{"a", "b", "c", "d", "e"}
+	var times []time.Time
+	for _, name := range names {
+		at := piecesched.SwitchTime(name, 2, names, announced, deadline, earliest)
+		require.False(t, at.Before(earliest))
+		require.True(t, at.Before(deadline.Add(-500*time.Millisecond)), "time for the load remains")
+		times = append(times, at)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	for n := range times[1:] {
+		require.GreaterOrEqual(t, times[n+1].Sub(times[n]), 200*time.Millisecond)
+	}
+	late := deadline.Add(-100 * time.Millisecond)
+	require.Equal(t, late, piecesched.SwitchTime("a", 2, names, announced, deadline, late), "no time is left to divide")
+}
--- a/internal/piecesched/switch.go
+++ b/internal/piecesched/switch.go
@@ -22,8 +22,17 @@
 // deadline. Engines switch one after the other, in an order that each agent
 // computes from the names alone. Agents cannot coordinate by their reports,
 // because a switch takes less time than its report needs to reach them all.
-func SwitchTime(name string, version int64, engines []string, announcedAt, deadline time.Time) time.Time {
+//
+// The engine can switch from earliest on. If the version arrived late, engines whose
+// turns have passed would all switch at once, so the rest of the time is divided again.
+func SwitchTime(name string, version int64, engines []string, announcedAt, deadline, earliest time.Time) time.Time {
+	period := float64(deadline.Sub(announcedAt))
+	first := announcedAt.Add(time.Duration(firstSwitchShare * period))
+	last := announcedAt.Add(time.Duration(lastSwitchShare * period))
+	if earliest.After(first) {
+		first = earliest
+	}
 	position := max(0, slices.Index(takeover.Rank(strconv.FormatInt(version, 10), engines), name))
-	share := firstSwitchShare + (lastSwitchShare-firstSwitchShare)*float64(position)/float64(max(1, len(engines)))
-	return announcedAt.Add(time.Duration(share * float64(deadline.Sub(announcedAt))))
+	share := float64(position) / float64(max(1, len(engines)))
+	return first.Add(time.Duration(share * float64(max(0, last.Sub(first)))))
 }
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -112,8 +112,9 @@
 	data         [][]byte
 	staged       []bool // pieces staged at the engine
 	sources      sourceCounts
-	engineStart  int64 // start of the engine that the pieces are staged at, Unix milliseconds
-	stagedUnread bool  // the engine has not answered yet, so its staged pieces are still to be read
+	completeAt   time.Time // when all pieces were held; zero before
+	engineStart  int64     // start of the engine that the pieces are staged at, Unix milliseconds
+	stagedUnread bool      // the engine has not answered yet, so its staged pieces are still to be read
 	// stagedReadAt is the start of the read that found every piece staged at
 	// the engine; zero if none did.
 	stagedReadAt time.Time
@@ -456,7 +457,7 @@
 	if !v.scheduler.Complete() || a.ready != nil && a.ready.manifest.Version >= v.manifest.Version {
 		return
 	}
-	a.ready = v
+	a.ready, v.completeAt = v, time.Now()
 	event.Log(event.TransferVerified, "Model", v.manifest.Model, "Version", v.manifest.Version,
 		"FromOrigin", v.sources.origin, "FromRegion", v.sources.region, "FromElsewhere", v.sources.elsewhere)
 }
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -40,7 +40,7 @@
 	if v == nil || v.manifest.Model != wanted.Engine.Model || v.manifest.Version != wanted.Version && !a.shouldFinish() {
 		a.startVersion(ctx, wanted)
 	}
-	if loadDue && a.maySwitch(ready.manifest.Version) {
+	if loadDue && a.maySwitch(ready) {
 		a.load(ctx, ready)
 	}
 }
@@ -144,13 +144,13 @@
 	return found
 }
 
-// maySwitch reports whether the engine may switch to a version now. An engine
-// that serves nothing may always switch.
-func (a *Agent) maySwitch(version int64) bool {
+// maySwitch reports whether the engine may switch to a complete version now. An
+// engine that serves nothing may always switch.
+func (a *Agent) maySwitch(v *version) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	served := a.state.Served(a.wanted.Engine.Layers)
-	if !served.Whole || served.Version == version {
+	if !served.Whole || served.Version == v.manifest.Version {
 		return true
 	}
 	engines := []string{a.Name}
@@ -163,7 +163,8 @@
 	if !ok {
 		return true
 	}
-	switchAt := piecesched.SwitchTime(a.Name, version, engines, endsAt.Add(-a.rolloutPeriod()), endsAt)
+	announcedAt, earliest := endsAt.Add(-a.rolloutPeriod()), v.completeAt.Add(switchNotice)
+	switchAt := piecesched.SwitchTime(a.Name, v.manifest.Version, engines, announcedAt, endsAt, earliest)
 	return !time.Now().Before(switchAt.Add(-switchNotice))
 }
 
