--- a/internal/standin/faultproxy/copy.go
+++ b/internal/standin/faultproxy/copy.go
@@ -139,6 +139,10 @@
 			return w.write(c.data)
 		case CutAfter:
 			return w.cutAfter(f, c.data)
+		case Flood:
+			if err := w.flood(ctx, f, s.changed); err != nil {
+				return err
+			}
 		default:
 			return w.write(c.data)
 		}
@@ -156,6 +160,25 @@
 	return errCut
 }
 
+// flood writes until the connection ends. After a change of the faults it returns
+// errCut, since the peer cannot tell the flood from what follows.
+func (w *writer) flood(ctx context.Context, f Flood, changed <-chan struct{}) error {
+	part := []byte(f.Part)
+	for next := []byte(f.Head); ; next = part {
+		if err := w.write(next); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+			return errCut
+		default:
+		}
+		if err := await(ctx, changed, time.Duration(f.Milliseconds)*time.Millisecond); err != nil {
+			return err
+		}
+	}
+}
+
 func (w *writer) write(data []byte) error {
 	n, err := w.to.Write(data)
 	w.forwarded += int64(n)
--- a/internal/standin/faultproxy/fault.go
+++ b/internal/standin/faultproxy/fault.go
@@ -3,7 +3,7 @@
 import "fmt"
 
 // Fault is the fault applied to the bytes of one direction: one of Pass, Delay,
-// Rate, Stall, CutAfter, Cut and Blackhole.
+// Rate, Stall, CutAfter, Cut, Blackhole and Flood.
 type Fault interface{ fault() }
 
 // Pass forwards bytes unchanged and without delay.
@@ -29,6 +29,13 @@
 // Blackhole reads and discards bytes and does not forward the end of the stream.
 type Blackhole struct{}
 
+// Flood replaces the bytes of each connection, from the first on, by Head and then by
+// Part over and over, this many milliseconds after each other, without end.
+type Flood struct {
+	Head, Part   string
+	Milliseconds int
+}
+
 func (Pass) fault()      {}
 func (Delay) fault()     {}
 func (Rate) fault()      {}
@@ -36,6 +43,7 @@
 func (CutAfter) fault()  {}
 func (Cut) fault()       {}
 func (Blackhole) fault() {}
+func (Flood) fault()     {}
 
 // Faults are the faults of a route. A nil Fault means Pass.
 type Faults struct {
@@ -53,14 +61,17 @@
 	NameCutAfter  = "CutAfter"
 	NameCut       = "Cut"
 	NameBlackhole = "Blackhole"
+	NameFlood     = "Flood"
 )
 
 // FaultSpec is the JSON form of a Fault. An empty Fault means Pass.
 type FaultSpec struct {
 	Fault          string `json:"Fault"`
-	Milliseconds   int    `json:"Milliseconds,omitempty"`   // of Delay
+	Milliseconds   int    `json:"Milliseconds,omitempty"`   // of Delay and Flood
 	BytesPerSecond int64  `json:"BytesPerSecond,omitempty"` // of Rate
 	Bytes          int64  `json:"Bytes,omitempty"`          // of CutAfter
+	Head           string `json:"Head,omitempty"`           // of Flood
+	Part           string `json:"Part,omitempty"`           // of Flood
 }
 
 // NewFaultSpec returns the JSON form of f.
@@ -78,12 +89,14 @@
 		return FaultSpec{Fault: NameCut}
 	case Blackhole:
 		return FaultSpec{Fault: NameBlackhole}
+	case Flood:
+		return FaultSpec{Fault: NameFlood, Head: f.Head, Part: f.Part, Milliseconds: f.Milliseconds}
 	}
 	return FaultSpec{Fault: NamePass}
 }
 
 // Decode returns the fault that s describes. It returns an error for an unknown
-// name and for a Rate of 0 or less.
+// name, a Rate of 0 or less and a Flood without Part.
 func (s FaultSpec) Decode() (Fault, error) {
 	switch s.Fault {
 	case "", NamePass:
@@ -103,6 +116,11 @@
 		return Cut{}, nil
 	case NameBlackhole:
 		return Blackhole{}, nil
+	case NameFlood:
+		if s.Part == "" {
+			return nil, fmt.Errorf("fault %s requires Part", s.Fault)
+		}
+		return Flood{Head: s.Head, Part: s.Part, Milliseconds: s.Milliseconds}, nil
 	}
 	return nil, fmt.Errorf("unknown fault %q", s.Fault)
 }
--- a/test/hosting/endless_test.go
+++ b/test/hosting/endless_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/internal/standin/faultproxy"
 	"almondreel.example/almondreel/platform/caller"
 	"almondreel.example/almondreel/platform/endless"
 	"almondreel.example/almondreel/platform/standin"
@@ -83,3 +85,49 @@
 	s.engines[0].SetEndlessResponse(nil)
 	s.waitForVersion(0, 1, 3*time.Second)
 }
+
+// agentFloods are answers without end to an agent's calls: a head or a body, as fast as
+// the connection takes them or slow enough that it never becomes idle.
+var agentFloods = []faultproxy.Flood{
+	{Head: "HTTP/1.1 200 OK\r\nX-Long: ", Part: strings.Repeat("x", 4096)},
+	{Head: "HTTP/1.1 200 OK\r\nX-Long: ", Part: "x", Milliseconds: 30},
+	{Head: "HTTP/1.1 200 OK\r\n\r\n", Part: strings.Repeat("x", 64<<10)},
+	{Head: "HTTP/1.1 200 OK\r\n\r\n{\"entries\":[", Part: " ", Milliseconds: 30},
+}
+
+// The origin, an engine or the store answers the agents without end while a version is
+// named. Agents must stay small, load nothing that is incomplete, and bring the version
+// once the answers end again.
+func TestAgentsRecoverFromEndlessAnswers(t *testing.T) {
+	const memory, floodTime = 64 << 20, 500 * time.Millisecond
+	s := startSite(t, options{gateways: 1, engines: 2, firstVersion: 1})
+	s.waitForVersion(0, 1, 10*time.Second)
+	peers := map[string][]*faultproxy.Route{
+		"origin": {s.originRoute},
+		"engine": {s.engines[0].route},
+		"store":  {s.engines[0].agent.storeRoute, s.engines[1].agent.storeRoute},
+	}
+	version := int64(1)
+	for name, routes := range peers {
+		for n, flood := range agentFloods {
+			version++
+			for _, r := range routes {
+				require.NoError(t, r.Set(faultproxy.Faults{ToCaller: flood}))
+			}
+			s.store.SetVersion(version)
+			peak := int64(0)
+			for until := time.Now().Add(floodTime); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+				peak = max(peak, residentBytes(t, s.engines[0].agent), residentBytes(t, s.engines[1].agent))
+			}
+			for _, r := range routes {
+				require.NoError(t, r.Set(faultproxy.Faults{}))
+			}
+			t.Logf("%s, flood %d: %d MB", name, n, peak>>20)
+			require.Less(t, peak, int64(memory))
+			s.waitForVersion(0, version, 10*time.Second)
+			s.eventually(10*time.Second, "both engines have the version", func() bool {
+				return s.engines[0].Version() == version && s.engines[1].Version() == version
+			})
+		}
+	}
+}
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -100,6 +100,7 @@
 	ports                *process.Ports
 	store                *standin.Store
 	origin               *standin.Origin
+	originRoute          *faultproxy.Route
 	originAddress        string
 	ledger               *standin.Service
 	gateways             []*daemon
@@ -125,7 +126,8 @@
 	s.store, s.origin = standin.NewStore(), standin.NewOrigin()
 	origin := httptest.NewServer(s.origin)
 	t.Cleanup(origin.Close)
-	s.originAddress = origin.Listener.Addr().String()
+	s.originRoute = s.proxy(origin.Listener.Addr().String())
+	s.originAddress = s.originRoute.Address()
 	s.configure(apiKey)
 	s.startLedger()
 	var controlAddresses []string
@@ -184,7 +186,8 @@
 	e.Register(s.store, false)
 	e.agent = &daemon{name: fmt.Sprint("agent-", n), program: "almondreel-agent", log: &log{}}
 	s.engines = append(s.engines, e)
-	s.startDaemon(e.agent, s.listen(httptest.NewUnstartedServer(s.store.NewEndpoint())), controlAddresses, agentSettings(s.ports.Next(), e.route.Address()))
+	e.agent.storeRoute = s.proxy(s.listen(httptest.NewUnstartedServer(s.store.NewEndpoint())))
+	s.startDaemon(e.agent, e.agent.storeRoute.Address(), controlAddresses, agentSettings(s.ports.Next(), e.route.Address()))
 }
 
 // restartAfterCrash simulates a crash of the engine: it refuses connections for
