quarantine, limit: expired suspicions and requests that never ran count for nothing

Cause: RecordCrash and Merge looked at entries that had expired, so that a request that ran at two crashes hours apart was refused for an hour, and one whose quarantine was over was refused again after one crash. A request that was refused or withdrawn while it waited kept its cost with its organisation: after an overload, that organisation's next request stood behind the whole backlog of others.

Change: only entries that have not expired count. A waiter that gets no permit gives its cost back; those behind it in its organisation move up.

--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -179,7 +179,7 @@
 	if last == nil || !w.before(last) {
 		return false
 	}
-	q.remove(last)
+	q.drop(last)
 	last.refused <- q.newRefusal(QueueFull, q.projectedWait(q.waiting), now)
 	return true
 }
@@ -263,19 +263,35 @@
 	default:
 	}
 	wait := q.projectedWait(q.countAhead(w))
-	q.remove(w)
+	q.drop(w)
 	return nil, q.newRefusal(c, wait, time.Now())
 }
 
-func (q *Queue) remove(w *waiter) {
+// remove removes w from the queue and returns the waiters of its flow that were behind
+// it.
+func (q *Queue) remove(w *waiter) []*waiter {
 	flow := q.level(w.request.Priority).flow(w.request.Organisation)
 	for i, other := range flow.waiters {
 		if other == w {
 			flow.waiters = append(flow.waiters[:i], flow.waiters[i+1:]...)
 			q.waiting--
-			return
+			return flow.waiters[i:]
 		}
 	}
+	return nil
+}
+
+// drop removes a waiter that gets no permit and gives its cost back to its
+// organisation, so that requests that never ran do not delay later ones.
+func (q *Queue) drop(w *waiter) {
+	cost := w.request.Cost / w.request.Weight
+	earliest := w.startTag
+	for _, behind := range q.remove(w) {
+		behind.startTag = max(earliest, behind.startTag-cost)
+		earliest = behind.startTag + behind.request.Cost/behind.request.Weight
+	}
+	flow := q.level(w.request.Priority).flow(w.request.Organisation)
+	flow.finishTag = max(earliest, flow.finishTag-cost)
 }
 
 // dispatch grants permits in queue order up to the limit. It refuses requests whose
@@ -283,12 +299,13 @@
 func (q *Queue) dispatch(now time.Time) {
 	for q.waiting > 0 && !q.full() {
 		w := q.next()
-		q.remove(w)
-		q.level(w.request.Priority).virtualTime = w.startTag
 		if now.After(w.request.StartBy) {
+			q.drop(w)
 			w.refused <- q.newRefusal(WaitTooLong, q.projectedWait(q.waiting), now)
 			continue
 		}
+		q.remove(w)
+		q.level(w.request.Priority).virtualTime = w.startTag
 		q.running++
 		close(w.granted)
 	}
--- a/pkg/limit/queue_test.go
+++ b/pkg/limit/queue_test.go
@@ -136,3 +136,44 @@
 	require.EqualValues(t, 10000, requests)
 	require.LessOrEqual(t, retries, int64(1000+32))
 }
+
+// Requests of an organisation wait in an overload and are refused, or their callers
+// leave. What never ran must not delay the organisation's next request behind the
+// backlog of another one.
+func TestRequestsThatNeverRanCostTheirOrganisationNothing(t *testing.T) {
+	q := limit.NewQueue(limit.Options{Ceiling: 1, MaxWaiting: 30})
+	permit, err := q.Acquire(context.Background(), newRequest("other", time.Second))
+	require.NoError(t, err)
+	left, leave := context.WithCancel(context.Background())
+	var refused sync.WaitGroup
+	for n := range 20 {
+		refused.Go(func() {
+			ctx, wait := left, 10*time.Second
+			if n%2 == 0 {
+				ctx, wait = context.Background(), 30*time.Millisecond
+			}
+			_, err := q.Acquire(ctx, newRequest("a", wait))
+			require.Error(t, err)
+		})
+	}
+	require.Eventually(t, func() bool { return q.State().Waiting == 20 }, time.Second, time.Millisecond)
+	leave()
+	refused.Wait()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var order []string
+	for n, organisation := range []string{"b", "b", "b", "b", "a"} {
+		group.Go(func() {
+			p, err := q.Acquire(context.Background(), newRequest(organisation, 10*time.Second))
+			require.NoError(t, err)
+			mu.Lock()
+			order = append(order, organisation)
+			mu.Unlock()
+			p.Release()
+		})
+		require.Eventually(t, func() bool { return q.State().Waiting == n+1 }, time.Second, time.Millisecond)
+	}
+	permit.Release()
+	group.Wait()
+	require.Contains(t, order[:2], "a", "%v", order)
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -67,9 +67,9 @@
 }
 
 func (t *Table) verdict(fingerprint string, now time.Time) Verdict {
-	e, ok := t.entries[fingerprint]
+	e, ok := t.current(fingerprint, now)
 	switch {
-	case !ok || !now.Before(e.ExpiresAt):
+	case !ok:
 		return Clear
 	case e.Convicted:
 		return Quarantined
@@ -91,7 +91,7 @@
 func (t *Table) RecordCrash(fingerprint, server string, ranAsSuspect bool, expiresAt time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	existing, ok := t.entries[fingerprint]
+	existing, ok := t.current(fingerprint, time.Now())
 	if ok && existing.Convicted {
 		return Quarantined
 	}
@@ -104,6 +104,12 @@
 	return Suspect
 }
 
+// current returns the entry of a fingerprint unless it has expired.
+func (t *Table) current(fingerprint string, now time.Time) (Entry, bool) {
+	e, ok := t.entries[fingerprint]
+	return e, ok && now.Before(e.ExpiresAt)
+}
+
 // RecordCompletion records that a request completed. It clears a suspect, but
 // not a quarantined fingerprint.
 func (t *Table) RecordCompletion(fingerprint string) {
@@ -168,17 +174,19 @@
 
 // Merge merges entries from another table. A quarantined entry replaces a
 // suspect, and suspects with different crashed servers become quarantined as in
-// RecordCrash.
+// RecordCrash. Entries that have expired, here or there, count for nothing.
 func (t *Table) Merge(entries []Entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	for _, e := range entries {
-		existing, ok := t.entries[e.Fingerprint]
+		existing, ok := t.current(e.Fingerprint, now)
 		switch {
+		case !now.Before(e.ExpiresAt):
 		case !ok || e.Convicted && !existing.Convicted:
 			t.put(e)
 		case existing.Convicted && !e.Convicted:
-		case !existing.Convicted && e.Server != existing.Server && !time.Now().Before(t.completedUntil[e.Fingerprint]):
+		case !existing.Convicted && e.Server != existing.Server && !now.Before(t.completedUntil[e.Fingerprint]):
 			e.Convicted = true
 			t.put(e)
 		case e.ExpiresAt.After(existing.ExpiresAt):
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -66,3 +66,27 @@
 	require.LessOrEqual(t, remaining, 8192)
 	require.NotZero(t, remaining)
 }
+
+// A popular request was running at two crashes that have nothing to do with each other,
+// hours apart. The first suspicion has expired and must not count.
+func TestExpiredSuspicionDoesNotCount(t *testing.T) {
+	past, later := time.Now().Add(-time.Second), time.Now().Add(time.Minute)
+	table := quarantine.NewTable()
+	table.RecordCrash("popular", "a", false, past)
+	require.Equal(t, quarantine.Suspect, table.RecordCrash("popular", "b", false, later))
+	table = quarantine.NewTable()
+	table.RecordCrash("popular", "a", false, past)
+	table.Merge([]quarantine.Entry{{Fingerprint: "popular", Server: "b", ExpiresAt: later}})
+	require.Equal(t, quarantine.Suspect, table.Verdict("popular", time.Now()))
+	table.Merge([]quarantine.Entry{{Fingerprint: "popular", Server: "c", ExpiresAt: past}})
+	require.Equal(t, quarantine.Suspect, table.Verdict("popular", time.Now()), "the report has expired")
+}
+
+// A request was quarantined hours ago, and one server crashes while it runs.
+func TestExpiredQuarantineDoesNotReturnAfterOneCrash(t *testing.T) {
+	table := quarantine.NewTable()
+	table.Merge([]quarantine.Entry{{Fingerprint: "mended", Server: "a", Convicted: true, ExpiresAt: time.Now().Add(20 * time.Millisecond)}})
+	require.Equal(t, quarantine.Quarantined, table.Verdict("mended", time.Now()))
+	time.Sleep(25 * time.Millisecond)
+	require.Equal(t, quarantine.Suspect, table.RecordCrash("mended", "b", false, time.Now().Add(time.Minute)))
+}
