--- a/test/configuration/suspended_test.go
+++ b/test/configuration/suspended_test.go
@@ -103,20 +103,19 @@
 			}
 		}
 		eventually(t, 10*time.Second, "the resumed gateway has the newest placement", func() (bool, string) {
-			s := statusOf(ctx, f, suspended)
-			return s.Placement == before.Revision, fmt.Sprint(s.Placement, before.Revision)
+			s, err := statusOf(ctx, f, suspended)
+			return s.Placement == before.Revision, fmt.Sprint(s.Placement, before.Revision, err)
 		})
 	}
 }
 
-func statusOf(ctx context.Context, f *fleet.Fleet, name string) status.Status {
-	var s status.Status
+func statusOf(ctx context.Context, f *fleet.Fleet, name string) (s status.Status, err error) {
 	for _, g := range f.Gateways {
 		if g.Name == name {
-			_ = fleet.GetJSON(ctx, "http://"+g.ControlAddress+status.Path, &s)
+			err = fleet.GetJSON(ctx, "http://"+g.ControlAddress+status.Path, &s)
 		}
 	}
-	return s
+	return s, err
 }
 
 // TestLostDataCentreOfProcessesIsReplaced kills all processes of a data centre and
