--- a/internal/testsite/testsite.go
+++ b/internal/testsite/testsite.go
@@ -52,13 +52,13 @@
 	Engines  int
 	Services int
 	Engine   standinengine.Options // of each engine; Digest and Crash are overwritten
-	// LateRefusal is how long a crashed engine accepts connections after it has cut
-	// those in progress.
-	LateRefusal   time.Duration
-	Service       standinservice.Options
-	Classes       []operator.Class
-	Organisations []settings.Organisation
-	MaxBodyBytes  int64
+	// LateRefusalMilliseconds is how long a crashed engine accepts connections after
+	// it has cut those in progress.
+	LateRefusalMilliseconds int
+	Service                 standinservice.Options
+	Classes                 []operator.Class
+	Organisations           []settings.Organisation
+	MaxBodyBytes            int64
 }
 
 // Gateway is the part of a gateway that handles requests.
@@ -164,7 +164,7 @@
 		service = EngineService
 		o := s.options.Engine
 		o.Digest = Digest
-		o.Crash = func() { r.crashBackend(s.options.LateRefusal) }
+		o.Crash = func() { r.crashBackend(time.Duration(s.options.LateRefusalMilliseconds) * time.Millisecond) }
 		r.Engine = standinengine.New(o)
 		r.backend = httptest.NewServer(r.Engine)
 	} else {
--- a/test/requests/crash_test.go
+++ b/test/requests/crash_test.go
@@ -68,14 +68,14 @@
 // A process that ends may close its connections a while before it stops listening. Its
 // death must count against the request all the same.
 func TestCrashWithLateRefusalCountsAgainstRequest(t *testing.T) {
-	requireTwoCrashes(t, 150*time.Millisecond)
+	requireTwoCrashes(t, 150)
 }
 
-func requireTwoCrashes(t *testing.T, lateRefusal time.Duration) {
+func requireTwoCrashes(t *testing.T, lateRefusalMilliseconds int) {
 	for _, concurrent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("concurrent %t", concurrent), func(t *testing.T) {
 			o := options()
-			o.Gateways, o.Engines, o.LateRefusal = 3, 6, lateRefusal
+			o.Gateways, o.Engines, o.LateRefusalMilliseconds = 3, 6, lateRefusalMilliseconds
 			s := startSite(t, o)
 			answers := sendWithCrashes(t, s, concurrent)
 			require.LessOrEqual(t, countCrashes(s), 2)
