proxy: log the shared prompt parts of ended and interrupted requests

The logs could not tell whether requests that crash engines have something in common. Events 4013 and 4006 name the parts of the prompt that other requests may share, and 4006 whether the answer had begun.

--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,7 +59,10 @@
 
 // interruptedResponse is a response that ended before it was complete.
 type interruptedResponse struct {
+	attemptID   string
 	fingerprint string
+	parts       []string // shared parts of the prompt
+	began       bool     // the server had begun to answer
 	server      schedule.Server
 	verdict     quarantine.Verdict
 }
@@ -66,15 +70,14 @@
 // ReportInterrupted reports an interrupted response and returns the new verdict on
 // its request. If the request is not yet a suspect, the server is checked in the
 // background so that the retry is not delayed.
-func (c *CrashDetector) ReportInterrupted(fingerprint string, s schedule.Server, before quarantine.Verdict) quarantine.Verdict {
-	response := interruptedResponse{fingerprint, s, before}
-	if before == quarantine.Clear {
+func (c *CrashDetector) ReportInterrupted(response interruptedResponse) quarantine.Verdict {
+	if response.verdict == quarantine.Clear {
 		select {
 		case c.pending <- response:
 		default:
 			counter.Add("BreaksOverlooked", 1)
 		}
-		return before
+		return response.verdict
 	}
 	return c.checkServer(response)
 }
@@ -98,7 +101,7 @@
 		return response.verdict
 	}
 	counter.Add("BackendsDied", 1)
-	event.Log(event.BackendDied, "Server", response.server.ID, "Fingerprint", response.fingerprint)
+	event.Log(event.BackendDied, "Server", response.server.ID, "Request", response.attemptID, "Fingerprint", response.fingerprint, "Parts", strings.Join(response.parts, ","), "Began", response.began)
 	if c.recordCrash(response.server.ID) {
 		return response.verdict
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -137,7 +137,8 @@
 func (e *exchange) afterFailure(s schedule.Server, r failed, fingerprint string, verdict quarantine.Verdict) (outcome.Outcome, bool) {
 	e.possibleRuns++
 	e.failedBy = append(e.failedBy, s.ID)
-	if r.mayHaveCrashed && e.handler.CrashDetector.ReportInterrupted(fingerprint, s, verdict) == quarantine.Quarantined {
+	interrupted := interruptedResponse{e.info.AttemptID, fingerprint, e.info.SharedParts, r.responseBegun, s, verdict}
+	if r.mayHaveCrashed && e.handler.CrashDetector.ReportInterrupted(interrupted) == quarantine.Quarantined {
 		return outcome.Unknown{Reason: outcome.Quarantined}, false
 	}
 	unknown := outcome.Unknown{Reason: r.reason}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,7 +18,8 @@
 	Credential   string
 	Model        string
 	PromptTokens int
-	AfterEvent   string // resume the stream after this event ID; empty: from the start
+	SharedParts  []string // IDs of the parts of the prompt that other requests may share, in order
+	AfterEvent   string   // resume the stream after this event ID; empty: from the start
 }
 
 // ForwardInfo is the information that a backend server gets in addition to the caller's
