--- a/test/hosting/programs_test.go
+++ b/test/hosting/programs_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -217,15 +215,7 @@
 		require.NotEqual(t, http.StatusOK, o.Status)
 		time.Sleep(300 * time.Millisecond)
 	}
-	var runs []standin.Run
-	for _, e := range s.engines {
-		for _, r := range e.Runs() {
-			if strings.HasPrefix(r.Attempt, "crash-") {
-				runs = append(runs, r)
-			}
-		}
-	}
-	slices.SortFunc(runs, func(a, b standin.Run) int { return a.At.Compare(b.At) })
+	runs := s.runsOf("crash-")
 	require.GreaterOrEqual(t, len(runs), 2, "too few engines ran the crashing request")
 	for _, r := range runs[min(maxCrashes, len(runs)):] {
 		require.WithinDuration(t, runs[maxCrashes-1].At, r.At, crashReportTime, "%s ran after the third crash", r.Attempt)
--- a/test/requests/crash_test.go
+++ b/test/requests/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -91,3 +92,28 @@
 		})
 	}
 }
+
+// Requests that share only the beginning of their prompts, which crashes every backend
+// server, must not crash one server after the other. Requests that share less of it must be
+// answered.
+func TestSharedPromptBeginningCrashesFewServers(t *testing.T) {
+	const (
+		// maxSharedCrashes is the number of crashes after which the beginning is quarantined,
+		// and maxLateCrashes how many may follow.
+		maxSharedCrashes = 5
+		maxLateCrashes   = 3
+	)
+	o := options()
+	o.Gateways, o.Engines = 3, 12
+	s := startSite(t, o)
+	system := strings.Repeat("You answer questions on lots. ", 10)
+	document := strings.Repeat("The lot has twelve head. ", 12) + crashMarker + strings.Repeat(" Prices are in dollars.", 12)
+	for n := range 18 {
+		g := s.Gateways[n%len(s.Gateways)]
+		a := sendCompletion(t, g, fmt.Sprint(system, document, " Question ", n), 4)
+		require.NotEqual(t, "Answered", a.Record.Outcome)
+		prompt := fmt.Sprint(system, "Another lot. Question ", n)
+		requireCompleteAnswer(t, sendCompletion(t, s.Gateways[(n+1)%len(s.Gateways)], prompt, 10), prompt, 10)
+	}
+	require.LessOrEqual(t, countCrashes(s), maxSharedCrashes+maxLateCrashes)
+}
