quarantine: find the prompt part that crashes servers

Cause: a request that crashes servers was recognised by its whole content, path and organisation, so that each new one that shared only the crashing part could crash two servers.

Change: crashes count against the shared parts of the prompts that were running and not answered yet, and answers clear parts. Gateways exchange crashes and answers to suspected parts.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -80,6 +80,7 @@
 	LedgerNotHandedOver
 	RequestEnded
 	ServerLeaving
+	PartQuarantined
 )
 
 var texts = map[Number]string{
@@ -152,4 +153,5 @@
 	LedgerNotHandedOver: "outcome records could not be handed to another gateway",
 	RequestEnded:        "request ended",
 	ServerLeaving:       "backend server is about to stop: no new requests",
+	PartQuarantined:     "prompt part quarantined: it crashes backend servers",
 }
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -85,7 +85,7 @@
 	g := &gateway{settings: s, connLimiter: connlimit.New(s.Files), view: newSiteView(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
 	g.servers = newServerTable(g.view, s.Hosting, pools)
 	own := hostedrpc.Gateway{Name: s.Name, Address: s.NeighbourListen, Region: s.Region}
-	g.gossip = newGossiper(g.servers, own, s.Hosting.Gateways, crashes.Table)
+	g.gossip = newGossiper(g.servers, own, s.Hosting.Gateways, crashes)
 	g.view.storeRole = g.gossip.storeRole
 	retries := proxy.RetryBudget{Ratio: s.Retries.Share, Base: s.Retries.Besides, WindowMS: int(s.Retries.SpanSeconds * 1000), Gateways: g.gossip.peakGateways}
 	g.handler = proxy.NewHandler(proxy.Options{View: g.servers, HeaderCodec: platform.HeaderCodec{}, Pools: pools, CrashDetector: crashes, RetryBudget: retries, Admission: g.connLimiter, ResponseMemory: bounded.NewMemoryBudget(responseMemoryBytes(s.Hosting.MemoryMB))})
--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -11,10 +11,10 @@
 	"almondreel.example/almondreel/internal/gossip"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/pause"
+	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/internal/registry"
 	"almondreel.example/almondreel/internal/rendezvous"
 	"almondreel.example/almondreel/internal/schedule"
-	"almondreel.example/almondreel/pkg/quarantine"
 )
 
 const (
@@ -42,9 +42,9 @@
 // gossiper exchanges state with the other gateways and holds the state that receiver
 // serves to gateways and agents.
 type gossiper struct {
-	servers    *serverTable
-	own        hostedrpc.Gateway
-	quarantine *quarantine.Table
+	servers *serverTable
+	own     hostedrpc.Gateway
+	crashes *proxy.CrashDetector
 
 	mu           sync.Mutex
 	table        *gossip.Table
@@ -62,9 +62,9 @@
 	sent   registry.Sent
 }
 
-func newGossiper(servers *serverTable, own hostedrpc.Gateway, seeds []string, q *quarantine.Table) *gossiper {
+func newGossiper(servers *serverTable, own hostedrpc.Gateway, seeds []string, c *proxy.CrashDetector) *gossiper {
 	gs := &gossiper{
-		servers: servers, own: own, quarantine: q, table: gossip.New(own, seeds, time.Now()),
+		servers: servers, own: own, crashes: c, table: gossip.New(own, seeds, time.Now()),
 		peers: map[string]*peer{}, newAddresses: make(chan string, 64), compressed: map[string]compressedValue{},
 	}
 	for _, s := range seeds {
@@ -204,11 +204,8 @@
 	request.Revision = gs.servers.mirror.Revision()
 	request.Named = gs.versionAges(now)
 	request.Agents, request.Alive = gs.servers.reportsFor(&p.sent, now, gs.own.Region, remote)
-	for _, e := range gs.quarantine.Quarantined(now) {
-		request.Convictions = append(request.Convictions, hostedrpc.QuarantineEntry{
-			Fingerprint: e.Fingerprint, Server: e.Server, Convicted: e.Convicted, LeftMilliseconds: e.ExpiresAt.Sub(now).Milliseconds(),
-		})
-	}
+	request.Convictions = gs.convictions(now)
+	request.PartCrashes, request.PartAnswers = gs.partReports(now)
 	request.Departures = gs.departures(now)
 	request.SlowStarts = gs.slowStarts(now)
 	return request
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -9,7 +9,6 @@
 	"almondreel.example/almondreel/internal/registry"
 	"almondreel.example/almondreel/internal/rollout"
 	"almondreel.example/almondreel/internal/site"
-	"almondreel.example/almondreel/pkg/quarantine"
 )
 
 // receiver serves the net/rpc calls of gateways and agents.
@@ -28,7 +27,8 @@
 		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
 		gs.servers.recordAnnouncement(site.Version{Model: v.Model, Number: v.Version}, rollout.Announcement{At: at, FoundAtStart: v.Found})
 	}
-	gs.applyQuarantine(request.Convictions, now)
+	gs.applyConvictions(request.Convictions, now)
+	gs.applyPartReports(request, now)
 	gs.applyDepartures(request.Departures, request.Gateway.Name, now)
 	gs.applySlowStarts(request.SlowStarts, now)
 	reply.Revision = gs.servers.mirror.Revision()
@@ -44,17 +44,6 @@
 	return nil
 }
 
-func (gs *gossiper) applyQuarantine(convictions []hostedrpc.QuarantineEntry, now time.Time) {
-	var entries []quarantine.Entry
-	for _, c := range convictions {
-		entries = append(entries, quarantine.Entry{
-			Fingerprint: c.Fingerprint, Server: c.Server, Convicted: c.Convicted,
-			ExpiresAt: now.Add(time.Duration(c.LeftMilliseconds) * time.Millisecond),
-		})
-	}
-	gs.quarantine.Merge(entries)
-}
-
 // Sync applies an agent's report and returns what the agent lacks.
 func (r receiver) Sync(request hostedrpc.SyncRequest, reply *hostedrpc.SyncReply) error {
 	gs, now := r.gossip, time.Now()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -37,6 +37,7 @@
 	endState       schedule.End
 	responseBegun  bool
 	mayHaveCrashed bool
+	survived       bool              // the server had answered for provenAnswerTime
 	errorResponse  *bufferedResponse // the server's own 5xx response; nil if it sent none
 	detail         string
 }
@@ -276,20 +277,21 @@
 	defer memory.Release()
 	body, err := memory.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
-		return e.interrupted(ctx, err, false)
+		return e.interrupted(ctx, err, false, false)
 	}
 	e.recordFirstByte(s)
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, signed: true, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, responseBegun: true, errorResponse: buffered, detail: response.Status}
 	}
+	e.handler.CrashDetector.Survived(e.suspect)
 	e.writeBuffered(buffered)
 	return complete{}
 }
 
 // interrupted returns the result of an attempt whose response ended with err before
 // it was complete.
-func (e *exchange) interrupted(ctx context.Context, err error, began bool) result {
+func (e *exchange) interrupted(ctx context.Context, err error, began, survived bool) result {
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, errVersionEnded):
@@ -299,7 +301,7 @@
 	case ctx.Err() != nil:
 		return cancelled{responseBegun: began}
 	}
-	return failed{reason: outcome.StreamCut, endState: schedule.Incomplete, responseBegun: began, mayHaveCrashed: true, detail: err.Error()}
+	return failed{reason: outcome.StreamCut, endState: schedule.Incomplete, responseBegun: began, mayHaveCrashed: true, survived: survived, detail: err.Error()}
 }
 
 // recordFirstByte records when the response began.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -32,6 +32,7 @@
 	priority      int
 	configVersion int64
 	body          []byte
+	suspect       suspectRequest
 
 	sentAt        time.Time   // when the last attempt was sent
 	versionTimer  *time.Timer // cancels the attempt when the server's model version ends
@@ -54,18 +55,22 @@
 // tried.
 func (e *exchange) run(ctx context.Context) outcome.Outcome {
 	e.handler.retryWindow(e.service.Name).CountRequest(e.arrivedAt)
-	fingerprint := e.fingerprint()
+	e.suspect = suspectRequest{e.info.AttemptID, e.fingerprint(), e.info.SharedParts}
 	for {
-		verdict := e.handler.CrashDetector.Verdict(fingerprint)
-		if verdict == quarantine.Quarantined {
-			return e.refusedOrUnknown(outcome.Refused{Reason: outcome.Quarantined, RetryAt: time.Now().Add(quarantineRetryDelay)})
+		if e.handler.CrashDetector.Verdict(e.suspect) == quarantine.Quarantined {
+			return e.quarantined()
 		}
 		queuedAt := time.Now()
 		decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slotRequest())
 		e.queueMS += time.Since(queuedAt).Milliseconds()
 		switch d := decision.(type) {
 		case schedule.Start:
-			o, retry := e.attempt(ctx, d.Server, fingerprint, verdict)
+			verdict := e.handler.CrashDetector.Verdict(e.suspect)
+			if verdict == quarantine.Quarantined {
+				e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, 0)
+				return e.quarantined()
+			}
+			o, retry := e.attempt(ctx, d.Server, verdict)
 			if !retry {
 				return o
 			}
@@ -77,6 +82,10 @@
 	}
 }
 
+func (e *exchange) quarantined() outcome.Outcome {
+	return e.refusedOrUnknown(outcome.Refused{Reason: outcome.Quarantined, RetryAt: time.Now().Add(quarantineRetryDelay)})
+}
+
 // refusedOrUnknown returns r if no server can have run the request, and
 // outcome.Unknown otherwise.
 func (e *exchange) refusedOrUnknown(r outcome.Refused) outcome.Outcome {
@@ -97,19 +106,19 @@
 
 // attempt sends the request to a server. It returns the outcome and false, or
 // true if the request is to be retried.
-func (e *exchange) attempt(ctx context.Context, s schedule.Server, fingerprint string, verdict quarantine.Verdict) (outcome.Outcome, bool) {
+func (e *exchange) attempt(ctx context.Context, s schedule.Server, verdict quarantine.Verdict) (outcome.Outcome, bool) {
 	e.lastServer = s.ID
 	e.serversTried++
 	result := e.send(ctx, s)
 	e.handler.Pools.release(e.service.Name, s.ID, result.schedulerEnd(), e.pendingPromptMS(result))
 	switch r := result.(type) {
 	case complete:
-		e.handler.CrashDetector.Completed(fingerprint)
+		e.handler.CrashDetector.Completed(e.suspect.fingerprint)
 		return outcome.Answered{}, false
 	case rejected:
 		return e.afterRejection(s, r)
 	case failed:
-		return e.afterFailure(s, r, fingerprint, verdict)
+		return e.afterFailure(s, r, verdict)
 	}
 	e.possibleRuns++
 	return e.timedOut(), false
@@ -134,10 +143,10 @@
 	return nil, true
 }
 
-func (e *exchange) afterFailure(s schedule.Server, r failed, fingerprint string, verdict quarantine.Verdict) (outcome.Outcome, bool) {
+func (e *exchange) afterFailure(s schedule.Server, r failed, verdict quarantine.Verdict) (outcome.Outcome, bool) {
 	e.possibleRuns++
 	e.failedBy = append(e.failedBy, s.ID)
-	interrupted := interruptedResponse{e.info.AttemptID, fingerprint, e.info.SharedParts, r.responseBegun, s, verdict}
+	interrupted := interruptedResponse{e.suspect, time.Now(), r.survived, s, verdict}
 	if r.mayHaveCrashed && e.handler.CrashDetector.ReportInterrupted(interrupted) == quarantine.Quarantined {
 		return outcome.Unknown{Reason: outcome.Quarantined}, false
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -32,10 +32,14 @@
 	memory := e.handler.ResponseMemory.NewReservation()
 	defer memory.Release()
 	events := eventstream.NewReader(response.Body, memory)
-	began := false
+	began, survived := false, false
+	var firstEventAt time.Time
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if began && !survived {
+				e.handler.CrashDetector.Survived(e.suspect)
+			}
 			if !e.responseBegun || len(event.Bytes) > 0 {
 				e.sendEvent(response, event)
 			}
@@ -45,17 +49,22 @@
 			err = errGap
 		}
 		if err != nil {
-			return e.interrupted(ctx, err, began)
+			return e.interrupted(ctx, err, began, survived)
 		}
 		watchdog.stop()
 		if e.canFailOver() {
 			pauseTimer.restart()
 		}
-		e.handler.activity.received(s.ID, time.Now())
+		now := time.Now()
+		e.handler.activity.received(s.ID, now)
 		if !began {
-			began = true
+			began, firstEventAt = true, now
 			e.recordFirstByte(s)
 		}
+		if !survived && now.Sub(firstEventAt) >= provenAnswerTime {
+			survived = true
+			e.handler.CrashDetector.Survived(e.suspect)
+		}
 		e.sendEvent(response, event)
 	}
 }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -6,6 +6,8 @@
 // refused from then on. Requests are identified by a fingerprint, so retries
 // are recognised. A fingerprint that was running when two different servers
 // crashed is also quarantined, unless a request with it completed recently.
+//
+// Parts does the same for parts that different requests share.
 package quarantine
 
 import (
