hosted: agents hold what is quarantined, so that gateways learn it after a restart

After a restart of all gateways the same prompt part crashed four to six engines once more: what is quarantined was known to gateways only. Agents hold it too now; digests tell which side lacks something.

Measured: TestQuarantinedPartIsKnownAfterAllGatewaysRestart failed before (two engines for each request).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -30,6 +30,7 @@
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/internal/supervisor"
 	"almondreel.example/almondreel/internal/weightsync"
+	"almondreel.example/almondreel/pkg/quarantine"
 	"almondreel.example/almondreel/platform"
 )
 
@@ -73,7 +74,11 @@
 	currentAddress string                         // address of that gateway; empty if none answers
 	cursor         hostedrpc.Cursor               // up to which the gateway has sent changes of other agents
 	gatewaysDigest uint64                         // digest of the gateway list last received
-	lastContactAt  time.Time                      // a gateway answered, or the store was read
+	// quarantine is what gateways quarantined. A gateway that starts again learns it from
+	// the agents.
+	quarantine        *quarantine.Table
+	gatewayQuarantine uint64    // digest of what the gateway that answers has quarantined
+	lastContactAt     time.Time // a gateway answered, or the store was read
 	// deprioritisedUntil is, by address, until when a gateway that did not answer
 	// is tried after the others.
 	deprioritisedUntil map[string]time.Time
@@ -84,7 +89,7 @@
 func RunAgent(s settings.HostedAgent, file string, hangups <-chan os.Signal) error {
 	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
-	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}, deprioritisedUntil: map[string]time.Time{}}
+	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}, deprioritisedUntil: map[string]time.Time{}, quarantine: quarantine.NewTable()}
 	a.weights = weightsync.NewAgent(weightsync.Options{
 		Name: s.Name, Address: s.PieceListen, Region: s.Region, Service: s.Backend.Service,
 		EngineAddress: s.Backend.Address, RolloutMilliseconds: s.Hosting.VersionMS, LinkMegabits: s.LinkMegabits,
@@ -259,7 +264,12 @@
 }
 
 func (a *agent) syncRequest() hostedrpc.SyncRequest {
-	return hostedrpc.SyncRequest{Agent: a.weights.State(), Mark: a.cursor, Gateways: a.gatewaysDigest}
+	convictions := convictionsOf(a.quarantine, time.Now())
+	request := hostedrpc.SyncRequest{Agent: a.weights.State(), Mark: a.cursor, Gateways: a.gatewaysDigest, Quarantine: digestOf(convictions)}
+	if request.Quarantine != a.gatewayQuarantine {
+		request.Convictions = convictions
+	}
+	return request
 }
 
 // callSync calls Sync on a gateway. A gateway that accepts the connection is alive
@@ -283,6 +293,7 @@
 			event.Fail(event.GatewayDown, r.err, "Address", r.address)
 			a.currentAddress = ""
 			a.currentClient.Store(nil)
+			a.gatewayQuarantine = 0
 		}
 		return false
 	}
@@ -293,6 +304,8 @@
 	a.currentAddress, a.lastContactAt, a.cursor = r.address, time.Now(), r.reply.Mark
 	a.weights.SetWanted(r.reply.Wanted, r.reply.Named)
 	a.weights.UpdateMembers(r.reply.Others)
+	a.gatewayQuarantine = r.reply.Quarantine
+	mergeConvictions(a.quarantine, r.reply.Convictions, time.Now())
 	if r.reply.Gateways != nil {
 		a.setGateways(r.reply.Gateways)
 	}
--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -204,7 +204,7 @@
 	request.Revision = gs.servers.mirror.Revision()
 	request.Named = gs.versionAges(now)
 	request.Agents, request.Alive = gs.servers.reportsFor(&p.sent, now, gs.own.Region, remote)
-	request.Convictions = gs.convictions(now)
+	request.Convictions = convictionsOf(gs.crashes.Table, now)
 	request.PartCrashes, request.PartAnswers = gs.partReports(now)
 	request.Departures = gs.departures(now)
 	request.SlowStarts = gs.slowStarts(now)
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -27,7 +27,7 @@
 		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
 		gs.servers.recordAnnouncement(site.Version{Model: v.Model, Number: v.Version}, rollout.Announcement{At: at, FoundAtStart: v.Found})
 	}
-	gs.applyConvictions(request.Convictions, now)
+	mergeConvictions(gs.crashes.Table, request.Convictions, now)
 	gs.applyPartReports(request, now)
 	gs.applyDepartures(request.Departures, request.Gateway.Name, now)
 	gs.applySlowStarts(request.SlowStarts, now)
@@ -55,6 +55,11 @@
 	reply.Others, reply.Mark = delta.AgentChanges, delta.Cursor
 	reply.Gateways = gs.gatewaysIfChanged(request.Gateways, now)
 	reply.Named = gs.versionAges(now)
+	mergeConvictions(gs.crashes.Table, request.Convictions, now)
+	convictions := convictionsOf(gs.crashes.Table, now)
+	if reply.Quarantine = digestOf(convictions); reply.Quarantine != request.Quarantine {
+		reply.Convictions = convictions
+	}
 	return nil
 }
 
--- a/internal/hostedrpc/messages.go
+++ b/internal/hostedrpc/messages.go
@@ -88,6 +88,10 @@
 	Agent    Agent
 	Mark     Cursor // position up to which the agent has received changes
 	Gateways uint64 // digest of the agent's list of gateways
+	// Quarantine is the digest of what the agent knows to be quarantined. Convictions
+	// are that, if the gateway's last digest differed.
+	Quarantine  uint64
+	Convictions []QuarantineEntry
 }
 
 // FollowRequest is a long poll that returns once the desired state differs from Known.
@@ -118,6 +122,10 @@
 	Mark     Cursor
 	Gateways []Gateway // nil if the agent's list is current
 	Named    []VersionAge
+	// Quarantine is the digest of what the gateway knows to be quarantined. Convictions
+	// are that, if the agent's digest differed.
+	Quarantine  uint64
+	Convictions []QuarantineEntry
 }
 
 // Gateway is the address at which a gateway serves these calls.
--- a/test/hosting/crashpart_test.go
+++ b/test/hosting/crashpart_test.go
@@ -30,16 +30,11 @@
 	s := startSite(t, options{gateways: 2, engines: 6, firstVersion: 1})
 	s.waitForVersion(0, 1, 10*time.Second)
 	s.waitForVersion(1, 1, 10*time.Second)
-	send := func(n int, name, body string, parts ...string) caller.Outcome {
-		c := caller.New(s.gateways[n%len(s.gateways)].callerAddress)
-		defer c.Close()
-		return c.WithBody(body).WithParts(parts...).Send(t.Context(), standin.StreamPath+"x", name, apiKey, time.Now().Add(requestTimeout))
-	}
 	start, served, late := time.Now(), 0, 0
 	for n := 0; time.Since(start) < 8*time.Second; n++ {
-		o := send(n, fmt.Sprint("crash-", n), fmt.Sprint("body ", n), "shared", standin.CrashPart, fmt.Sprint("own", n))
+		o := s.sendParts(n, fmt.Sprint("crash-", n), "shared", standin.CrashPart, fmt.Sprint("own", n))
 		require.Error(t, o.CheckStream())
-		o = send(n+1, fmt.Sprint("sound-", n), fmt.Sprint("sound body ", n), "shared", "subject", fmt.Sprint("other", n))
+		o = s.sendParts(n+1, fmt.Sprint("sound-", n), "shared", "subject", fmt.Sprint("other", n))
 		if time.Since(start) > 2*partCrashReportTime {
 			late++
 			if o.Status == http.StatusOK && o.CheckStream() == nil {
@@ -59,6 +54,41 @@
 	require.Equal(t, late, served, "requests with other parts were not served")
 }
 
+// All gateways are killed and start again. They must not learn anew which part crashes
+// engines by crashing them.
+func TestQuarantinedPartIsKnownAfterAllGatewaysRestart(t *testing.T) {
+	s := startSite(t, options{gateways: 2, engines: 6, firstVersion: 1})
+	s.waitForVersion(0, 1, 10*time.Second)
+	s.waitForVersion(1, 1, 10*time.Second)
+	for n := range 10 {
+		require.Error(t, s.sendParts(n, fmt.Sprint("crash-", n), "shared", standin.CrashPart, fmt.Sprint("own", n)).CheckStream())
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(exchangeTime)
+	for _, g := range s.gateways {
+		g.kill()
+	}
+	for _, g := range s.gateways {
+		g.start(t)
+	}
+	s.waitForVersion(0, 1, 10*time.Second)
+	s.waitForVersion(1, 1, 10*time.Second)
+	time.Sleep(exchangeTime)
+	for n := range 10 {
+		require.Error(t, s.sendParts(n, fmt.Sprint("again-", n), "shared", standin.CrashPart, fmt.Sprint("own", n+20)).CheckStream())
+	}
+	require.NotEmpty(t, s.runsOf("crash-"))
+	require.Empty(t, s.runsOf("again-"))
+}
+
+// sendParts sends a stream request whose prompt has these parts, with a body of its own,
+// through gateway n modulo their number.
+func (s *site) sendParts(n int, attempt string, parts ...string) caller.Outcome {
+	c := caller.New(s.gateways[n%len(s.gateways)].callerAddress)
+	defer c.Close()
+	return c.WithBody("body of "+attempt).WithParts(parts...).Send(s.t.Context(), standin.StreamPath+"x", attempt, apiKey, time.Now().Add(requestTimeout))
+}
+
 // runsOf returns the runs of all engines whose attempts have the prefix, by time.
 func (s *site) runsOf(prefix string) []standin.Run {
 	var runs []standin.Run
