dispatch: quarantine shared beginnings of prompts that crash backend servers

The same cause in the form on own instances: callers got "Refused" once requests whose prompts share a beginning had crashed all 12 servers, two for each request, since a request was recognised by its whole body only.

Change: crashes count against the beginnings of the prompt in steps of 256 bytes. Gateways tell each other of such crashes and reply with their answers to the same beginnings. Convictions take the way of those of whole requests (key-value service, exchange). The messages of both forms stand in internal/crashreport.

--- a/internal/attempt/request.go
+++ b/internal/attempt/request.go
@@ -8,14 +8,21 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/operator"
 )
 
-const affinityBytes = 256 // length of the prompt's prefix that determines the affinity
+const (
+	affinityBytes  = 256 // length of the prompt's prefix that determines the affinity
+	partBytes      = 256 // by which the prefixes that PromptParts returns grow
+	maxPromptParts = 64
+)
 
 // Request is a validated request of a caller.
 type Request struct {
@@ -50,6 +57,19 @@
 	return r.Class.Service + "\x00" + prefix
 }
 
+// PromptParts returns digests of the service with each prefix of the prompt, shortest first,
+// that other requests may share. The prefixes are shorter than the prompt.
+func (r Request) PromptParts() []string {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Class.Service + "\x00")
+	var parts []string
+	for rest := r.Prompt; len(rest) > partBytes && len(parts) < maxPromptParts; rest = rest[partBytes:] {
+		_, _ = h.WriteString(rest[:partBytes])
+		parts = append(parts, strconv.FormatUint(h.Sum64(), 16))
+	}
+	return parts
+}
+
 // Sink receives a completion's tokens in order.
 type Sink interface {
 	// Token passes one token to the caller. An error means that the caller has
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -89,10 +89,11 @@
 		quarantine: quarantine.NewTable(),
 	}
 	store := kv.NewClient(s.KeyValue)
+	parts := quarantine.NewParts(d.quarantine, dispatch.QuarantineTTL)
 	d.ready = &readiness{desired: d.desired}
 	d.stateSync = statesync.New(s, d.desired, d.members, store, d.listQuarantined, d.mergeQuarantined)
 	d.planner = planner.New(s, d.desired, d.members, store)
-	d.quarantineSync = quarantinesync.New(s.Name, d.quarantine, d.otherGateways, store)
+	d.quarantineSync = quarantinesync.New(s.Name, d.quarantine, parts, d.otherGateways, store)
 	d.claims = claims.New(s.Name, func() int { return len(d.liveGateways()) }, store)
 	d.ledger = ledger.New(s.Name, store)
 	dispatcher := dispatch.New(dispatch.Options{
@@ -101,7 +102,9 @@
 		Members:       d.members,
 		Gateways:      d.liveGateways,
 		Quarantine:    d.quarantine,
+		Parts:         parts,
 		ReportSuspect: d.quarantineSync.Broadcast,
+		ReportCrash:   d.quarantineSync.BroadcastCrash,
 		Claims:        d.claims,
 	})
 	d.callerHandler = callerapi.NewHandler(callerapi.Options{
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,8 +41,11 @@
 	Members       *membership.Table
 	Gateways      func() []string                         // names of all gateways; nil: only this one
 	Quarantine    *quarantine.Table                       // nil: a new, empty table
+	Parts         *quarantine.Parts                       // that adds to Quarantine; nil: a new one
 	ReportSuspect func(context.Context, quarantine.Entry) // sends the entry to the other gateways; may be nil
-	Claims        Claims                                  // nil: non-idempotent requests are refused
+	// ReportCrash sends a crash to the other gateways and merges their answers; may be nil.
+	ReportCrash func(context.Context, quarantine.PartCrash)
+	Claims      Claims // nil: non-idempotent requests are refused
 }
 
 // Dispatcher sends requests to agents. It is safe for concurrent use.
@@ -63,6 +66,15 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewTable()
 	}
+	if o.Parts == nil {
+		o.Parts = quarantine.NewParts(o.Quarantine, QuarantineTTL)
+	}
+	if o.ReportSuspect == nil {
+		o.ReportSuspect = func(context.Context, quarantine.Entry) {}
+	}
+	if o.ReportCrash == nil {
+		o.ReportCrash = func(context.Context, quarantine.PartCrash) {}
+	}
 	if o.Gateways == nil {
 		o.Gateways = func() []string { return []string{o.Gateway} }
 	}
@@ -92,7 +104,7 @@
 	lifecycle := newRequestLifecycle()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	f := &inflight{dispatcher: d, request: r, sink: sink, lifecycle: lifecycle, tried: map[string]bool{}, lastReason: outcome.NoReplicaServing, budget: d.budget(r.Class.Name)}
+	f := &inflight{dispatcher: d, request: r, sink: sink, lifecycle: lifecycle, parts: r.PromptParts(), tried: map[string]bool{}, lastReason: outcome.NoReplicaServing, budget: d.budget(r.Class.Name)}
 	result := f.admitAndRun(ctx)
 	return f.progress.Answer, lifecycle.finish(r.ID, result)
 }
@@ -100,7 +112,7 @@
 // admitAndRun waits in the service's queue for a permit, then runs the request.
 func (f *inflight) admitAndRun(ctx context.Context) outcome.Outcome {
 	d, r := f.dispatcher, f.request
-	if d.options.Quarantine.Verdict(r.Fingerprint, time.Now()) == quarantine.Quarantined {
+	if f.verdict() == quarantine.Quarantined {
 		return outcome.Refused{Reason: outcome.Quarantined}
 	}
 	if !f.pinVersion() {
@@ -211,9 +223,11 @@
 	budget           *limit.RetryBudget
 	progress         attempt.Progress
 	tried            map[string]bool
-	mayHaveRun       bool // an attempt was interrupted and may have run
-	accepted         bool // an agent accepted an attempt and passed it to its backend server
+	mayHaveRun       bool     // an attempt was interrupted and may have run
+	accepted         bool     // an agent accepted an attempt and passed it to its backend server
+	parts            []string // of the prompt
 	attemptStartedAt time.Time
+	tokensBefore     int            // tokens passed to the caller before the last attempt
 	lastReason       outcome.Reason // why the last attempt failed
 	lastTried        string         // agent of the last attempt
 	suspect          bool           // the last attempt ran as a suspect
@@ -362,7 +376,7 @@
 	}
 	f.tried[m.Name] = true
 	f.lastTried, f.suspect = m.Name, suspect
-	f.attemptStartedAt = time.Now()
+	f.attemptStartedAt, f.tokensBefore = time.Now(), f.progress.Tokens
 	invariant.Assert(f.request.Class.Idempotent || !f.mayHaveRun, invariant.OneDispatchOfClaim, "request %s is not idempotent and is dispatched again", f.request.ID)
 	f.lifecycle.fire("Dispatch")
 	a := &attempt.Attempt{
@@ -393,6 +407,8 @@
 // limit with an attempt's result.
 func (f *inflight) recordResult(r attempt.Result, m gateway.Member, suspect bool) {
 	switch r := r.(type) {
+	case attempt.Completed:
+		f.dispatcher.options.Parts.RecordAnswer(f.parts, time.Now())
 	case attempt.NotRun:
 		f.lifecycle.fire("Decline")
 		counter.Add("Declined."+string(r.Reason), 1)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -16,14 +16,28 @@
 
 const (
 	suspicionTTL     = time.Minute            // of a fingerprint that ran when a backend server died
-	quarantineTTL    = time.Hour              // of a quarantined fingerprint
 	reportTimeout    = 250 * time.Millisecond // of a report to the other gateways
+	provenAnswerTime = 250 * time.Millisecond // for which an answer goes on if its backend server survives it
 	suspectDelay     = 20 * time.Millisecond  // between a suspect's attempts to reserve an agent
 	unreachableDelay = 200 * time.Millisecond // before the retry of an unproven request after an unreachable agent
 	busyDelay        = 10 * time.Millisecond  // before the retry of an unproven request after a busy agent
 	deathReportDelay = 100 * time.Millisecond // wait for other gateways' reports of deaths
 )
 
+// QuarantineTTL is how long a request, or a prompt part, that crashed backend servers is
+// refused.
+const QuarantineTTL = time.Hour
+
+// verdict returns the verdict on the request, which is refused if it or a part of its
+// prompt is quarantined.
+func (f *inflight) verdict() quarantine.Verdict {
+	now := time.Now()
+	if _, ok := f.dispatcher.options.Parts.Quarantined(f.parts, now); ok {
+		return quarantine.Quarantined
+	}
+	return f.dispatcher.options.Quarantine.Verdict(f.request.Fingerprint, now)
+}
+
 // chooseAgent returns the agent for the next attempt, whether the request runs
 // there as a suspect, and whether there is an agent. The caller must call Finish
 // on the router and, for a suspect, EndSuspect on the quarantine table.
@@ -32,8 +46,9 @@
 	for {
 		changed := table.Changed()
 		members := f.members(time.Now())
-		switch table.Verdict(f.request.Fingerprint, time.Now()) {
+		switch f.verdict() {
 		case quarantine.Quarantined:
+			f.lastReason = outcome.Quarantined
 			return gateway.Member{}, false, false
 		case quarantine.Clear:
 			m, ok := f.dispatcher.router.Pick(members, f.criteria())
@@ -147,24 +162,49 @@
 	counter.Add("BackendDeaths", 1)
 	event.Fail(event.BackendDied, r.Cause, "Request", f.request.ID, "Peer", m.Name)
 	if verdict == quarantine.Quarantined {
-		table.Merge([]quarantine.Entry{{Fingerprint: f.request.Fingerprint, Server: m.Name, Convicted: true, ExpiresAt: now.Add(quarantineTTL)}})
+		table.Merge([]quarantine.Entry{{Fingerprint: f.request.Fingerprint, Server: m.Name, Convicted: true, ExpiresAt: now.Add(QuarantineTTL)}})
 		event.Log(event.RequestQuarantined, "Request", f.request.ID, "Organisation", f.request.Organisation, "Class", f.request.Class.Name)
 		counter.Add("Convicted", 1)
 	}
 }
 
+// recordPartCrash records the death of a backend server that had not answered the request
+// for provenAnswerTime against the parts of its prompt. Other gateways are told first,
+// and tell when they last answered requests with these parts.
+func (f *inflight) recordPartCrash(ctx context.Context, r attempt.Interrupted) {
+	now := time.Now()
+	survived := f.progress.Tokens > f.tokensBefore && now.Sub(f.attemptStartedAt) >= provenAnswerTime
+	if !r.Died || survived || len(f.parts) == 0 {
+		return
+	}
+	options := f.dispatcher.options
+	crash := quarantine.PartCrash{Server: f.lastTried, Request: f.request.Fingerprint, Parts: f.parts, At: now}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+	defer cancel()
+	options.ReportCrash(ctx, crash)
+	part, ok := options.Parts.RecordCrash(crash, time.Now())
+	if !ok {
+		return
+	}
+	counter.Add("PartsQuarantined", 1)
+	event.Log(event.PartQuarantined, "Request", f.request.ID, "Organisation", f.request.Organisation, "Class", f.request.Class.Name, "Part", part)
+	if e, ok := options.Quarantine.Find(quarantine.PartFingerprint(part), time.Now()); ok {
+		options.ReportSuspect(ctx, e)
+	}
+}
+
 // syncQuarantine reports the death of a backend server to the other gateways
 // before the request is retried or ended, waits for their reports, and returns
 // whether the request is quarantined.
 func (f *inflight) syncQuarantine(ctx context.Context, r attempt.Interrupted) bool {
+	f.recordPartCrash(ctx, r)
 	table := f.dispatcher.options.Quarantine
 	e, ok := table.Find(f.request.Fingerprint, time.Now())
-	if r.Died && ok && f.dispatcher.options.ReportSuspect != nil {
+	if r.Died && ok {
 		reportCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 		defer cancel()
 		f.dispatcher.options.ReportSuspect(reportCtx, e)
 		f.waitJittered(ctx, deathReportDelay)
-		e, ok = table.Find(f.request.Fingerprint, time.Now())
 	}
-	return ok && e.Convicted
+	return f.verdict() == quarantine.Quarantined
 }
--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/control"
+	"almondreel.example/almondreel/internal/crashreport"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gossip"
 	"almondreel.example/almondreel/internal/hostedrpc"
@@ -205,7 +206,8 @@
 	request.Named = gs.versionAges(now)
 	request.Agents, request.Alive = gs.servers.reportsFor(&p.sent, now, gs.own.Region, remote)
 	request.Convictions = convictionsOf(gs.crashes.Table, now)
-	request.PartCrashes, request.PartAnswers = gs.partReports(now)
+	crashes, answers := gs.crashes.Parts.Report(now)
+	request.PartCrashes, request.PartAnswers = crashreport.Encode(crashes, answers, now)
 	request.Departures = gs.departures(now)
 	request.SlowStarts = gs.slowStarts(now)
 	return request
--- a/internal/hosted/quarantine.go
+++ b/internal/hosted/quarantine.go
@@ -6,7 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"almondreel.example/almondreel/internal/hostedrpc"
-	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
 
@@ -46,31 +45,3 @@
 	}
 	return sum
 }
-
-// partReports returns recent crashes with the prompt parts that ran, and answers to
-// parts that are suspected.
-func (gs *gossiper) partReports(now time.Time) ([]hostedrpc.PartCrash, []hostedrpc.PartAnswer) {
-	crashes, answers := gs.crashes.Parts.Report(now)
-	var outCrashes []hostedrpc.PartCrash
-	for _, c := range crashes {
-		outCrashes = append(outCrashes, hostedrpc.PartCrash{Server: c.Server, Request: c.Request, Parts: c.Parts, AgeMilliseconds: now.Sub(c.At).Milliseconds()})
-	}
-	var outAnswers []hostedrpc.PartAnswer
-	for _, a := range answers {
-		outAnswers = append(outAnswers, hostedrpc.PartAnswer{Part: a.Part, AgeMilliseconds: now.Sub(a.At).Milliseconds()})
-	}
-	return outCrashes, outAnswers
-}
-
-func (gs *gossiper) applyPartReports(request hostedrpc.ExchangeRequest, now time.Time) {
-	var crashes []quarantine.PartCrash
-	for _, c := range request.PartCrashes {
-		at := now.Add(-time.Duration(c.AgeMilliseconds) * time.Millisecond)
-		crashes = append(crashes, quarantine.PartCrash{Server: c.Server, Request: c.Request, Parts: c.Parts, At: at})
-	}
-	var answers []quarantine.PartAnswer
-	for _, a := range request.PartAnswers {
-		answers = append(answers, quarantine.PartAnswer{Part: a.Part, At: now.Add(-time.Duration(a.AgeMilliseconds) * time.Millisecond)})
-	}
-	proxy.LogQuarantinedParts(gs.crashes.Parts.Merge(crashes, answers, now), request.Gateway.Name)
-}
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"almondreel.example/almondreel/internal/crashreport"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/pause"
+	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/internal/registry"
 	"almondreel.example/almondreel/internal/rollout"
 	"almondreel.example/almondreel/internal/site"
@@ -28,7 +30,7 @@
 		gs.servers.recordAnnouncement(site.Version{Model: v.Model, Number: v.Version}, rollout.Announcement{At: at, FoundAtStart: v.Found})
 	}
 	mergeConvictions(gs.crashes.Table, request.Convictions, now)
-	gs.applyPartReports(request, now)
+	proxy.LogQuarantinedParts(crashreport.Merge(gs.crashes.Parts, request.PartCrashes, request.PartAnswers, now), request.Gateway.Name)
 	gs.applyDepartures(request.Departures, request.Gateway.Name, now)
 	gs.applySlowStarts(request.SlowStarts, now)
 	reply.Revision = gs.servers.mirror.Revision()
--- a/internal/hostedrpc/messages.go
+++ b/internal/hostedrpc/messages.go
@@ -5,6 +5,7 @@
 package hostedrpc
 
 import (
+	"almondreel.example/almondreel/internal/crashreport"
 	"almondreel.example/almondreel/internal/mirror"
 	"almondreel.example/almondreel/internal/site"
 )
@@ -154,21 +155,6 @@
 	LeftMilliseconds int64
 }
 
-// PartCrash is a server's crash while a request with these prompt parts ran whose
-// answer had at most just begun.
-type PartCrash struct {
-	Server          string // one start of it
-	Request         string // fingerprint
-	Parts           []string
-	AgeMilliseconds int64
-}
-
-// PartAnswer is how long ago a request with a prompt part was last answered.
-type PartAnswer struct {
-	Part            string
-	AgeMilliseconds int64
-}
-
 // Departure is a backend server that announced that it is about to shut down.
 type Departure struct {
 	Service         string
@@ -205,8 +191,8 @@
 	Known       uint64    // digest of the sender's list of gateways
 	Named       []VersionAge
 	Convictions []QuarantineEntry
-	PartCrashes []PartCrash
-	PartAnswers []PartAnswer // to parts that are suspected
+	PartCrashes []crashreport.PartCrash
+	PartAnswers []crashreport.PartAnswer // to parts that are suspected
 	Departures  []Departure
 	SlowStarts  []SlowStart // of servers whose model version expires soon
 }
--- a/internal/quarantinesync/quarantinesync.go
+++ b/internal/quarantinesync/quarantinesync.go
@@ -17,6 +17,8 @@
 
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/crashreport"
+	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/pkg/condwrite"
@@ -37,14 +39,19 @@
 	maxUnsaved    = 256 // convicted entries that wait to be stored; further ones are only broadcast
 )
 
-// TellRequest carries entries from one gateway to another.
+// TellRequest carries entries and crashes from one gateway to another.
 type TellRequest struct {
 	From    string
 	Entries []quarantine.Entry
+	Crashes []crashreport.PartCrash
 }
 
-// TellReply holds the number of entries that were received.
-type TellReply struct{ Entries int }
+// TellReply holds the number of entries that were received, and when requests with the
+// parts of the crashes were last answered.
+type TellReply struct {
+	Entries int
+	Answers []crashreport.PartAnswer
+}
 
 // document is the value of Key: it maps fingerprints to their expiry in Unix
 // milliseconds.
@@ -56,6 +63,7 @@
 type Syncer struct {
 	self    string
 	table   *quarantine.Table
+	parts   *quarantine.Parts
 	peers   func() []gateway.Peer // the other gateways
 	store   condwrite.Store
 	unsaved chan quarantine.Entry
@@ -65,10 +73,11 @@
 }
 
 // New returns the syncer of the gateway called self. peers returns the other gateways.
-func New(self string, t *quarantine.Table, peers func() []gateway.Peer, k *kv.Client) *Syncer {
+func New(self string, t *quarantine.Table, parts *quarantine.Parts, peers func() []gateway.Peer, k *kv.Client) *Syncer {
 	return &Syncer{
 		self:    self,
 		table:   t,
+		parts:   parts,
 		peers:   peers,
 		store:   kv.Key{Client: k.WithPurpose("Quarantine"), Name: Key},
 		unsaved: make(chan quarantine.Entry, maxUnsaved),
@@ -84,8 +93,17 @@
 
 // Tell merges the entries of another gateway into the table.
 func (r *Receiver) Tell(request TellRequest, reply *TellReply) error {
-	r.syncer.table.Merge(request.Entries)
+	s, now := r.syncer, time.Now()
+	s.table.Merge(request.Entries)
 	reply.Entries = len(request.Entries)
+	for _, c := range request.Crashes {
+		_, answers := crashreport.Encode(nil, s.parts.AnswersTo(c.Parts), now)
+		reply.Answers = append(reply.Answers, answers...)
+	}
+	for _, part := range crashreport.Merge(s.parts, request.Crashes, nil, now) {
+		counter.Add("PartsQuarantined", 1)
+		event.Log(event.PartQuarantined, "Part", part, "From", request.From)
+	}
 	return nil
 }
 
@@ -100,20 +118,46 @@
 			counter.Add("ConvictionsNotKept", 1)
 		}
 	}
+	s.tellAll(ctx, TellRequest{From: s.self, Entries: []quarantine.Entry{e}})
+}
+
+// BroadcastCrash sends c to all other gateways, and merges when these last answered
+// requests with its parts. It returns as Broadcast does.
+func (s *Syncer) BroadcastCrash(ctx context.Context, c quarantine.PartCrash) {
+	now := time.Now()
+	crashes, _ := crashreport.Encode([]quarantine.PartCrash{c}, nil, now)
+	for _, reply := range s.tellAll(ctx, TellRequest{From: s.self, Crashes: crashes}) {
+		_ = crashreport.Merge(s.parts, nil, reply.Answers, time.Now())
+	}
+}
+
+// tellAll calls Tell on all other gateways and returns the replies of those that
+// answered.
+func (s *Syncer) tellAll(ctx context.Context, request TellRequest) []TellReply {
+	type result struct {
+		reply TellReply
+		err   error
+	}
 	peers := s.peers()
-	done := make(chan error, len(peers))
+	done := make(chan result, len(peers))
 	for _, p := range peers {
 		client := s.client(p.Address)
 		go func() {
-			request := TellRequest{From: s.self, Entries: []quarantine.Entry{e}}
-			done <- client.Call(ctx, methodTell, request, &TellReply{})
+			var r result
+			r.err = client.Call(ctx, methodTell, request, &r.reply)
+			done <- r
 		}()
 	}
+	var replies []TellReply
 	for range peers {
-		if err := <-done; err != nil {
+		r := <-done
+		if r.err != nil {
 			counter.Add("SuspicionsNotTold", 1)
+			continue
 		}
+		replies = append(replies, r.reply)
 	}
+	return replies
 }
 
 func (s *Syncer) client(address string) *control.Client {
--- a/internal/testsite/testsite.go
+++ b/internal/testsite/testsite.go
@@ -222,12 +222,13 @@
 		return err
 	}
 	store := kv.NewClient(s.kvURL)
-	syncer := quarantinesync.New(name, g.Quarantine, func() []gateway.Peer { return s.peers(name) }, store)
+	parts := quarantine.NewParts(g.Quarantine, dispatch.QuarantineTTL)
+	syncer := quarantinesync.New(name, g.Quarantine, parts, func() []gateway.Peer { return s.peers(name) }, store)
 	g.Claims = claims.New(name, func() int { return max(1, o.Gateways) }, store)
 	g.Ledger = ledger.New(name, store)
 	g.Dispatcher = dispatch.New(dispatch.Options{
 		Gateway: name, Desired: d, Members: g.Members, Gateways: s.gatewayNames,
-		Quarantine: g.Quarantine, ReportSuspect: syncer.Broadcast, Claims: g.Claims,
+		Quarantine: g.Quarantine, Parts: parts, ReportSuspect: syncer.Broadcast, ReportCrash: syncer.BroadcastCrash, Claims: g.Claims,
 	})
 	g.CallerHandler = callerapi.NewHandler(callerapi.Options{
 		Settings: settings.Gateway{Organisations: o.Organisations, MaxBodyBytes: o.MaxBodyBytes},
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -75,13 +75,13 @@
 	return &Parts{table: table, ttl: ttl, answeredAt: map[string]time.Time{}, suspended: map[string]bool{}}
 }
 
-// partPrefix begins the fingerprints of parts in a Table.
-const partPrefix = "part/"
+// PartFingerprint returns the fingerprint of a part in a Table.
+func PartFingerprint(part string) string { return "part/" + part }
 
 // Quarantined returns the first quarantined part, or false if there is none.
 func (p *Parts) Quarantined(parts []string, now time.Time) (string, bool) {
 	for _, part := range parts {
-		if p.table.Verdict(partPrefix+part, now) == Quarantined {
+		if p.table.Verdict(PartFingerprint(part), now) == Quarantined {
 			return part, true
 		}
 	}
@@ -228,7 +228,7 @@
 			clear(p.suspended)
 		}
 		p.suspended[part] = true
-		p.table.Merge([]Entry{{Fingerprint: partPrefix + part, Convicted: true, ExpiresAt: now.Add(p.ttl)}})
+		p.table.Merge([]Entry{{Fingerprint: PartFingerprint(part), Convicted: true, ExpiresAt: now.Add(p.ttl)}})
 		return part, true
 	}
 	return "", false
