proxy: read and log the rate limit that a backend server names

Gateways ignored the header Server-Limit, so logs could not tell what a server had named. Event 4016 and the counter RateLimitsChanged say it. Nothing is decided by it yet.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -81,6 +81,7 @@
 	RequestEnded
 	ServerLeaving
 	PartQuarantined
+	RateLimitChanged
 )
 
 var texts = map[Number]string{
@@ -154,4 +155,5 @@
 	RequestEnded:        "request ended",
 	ServerLeaving:       "backend server is about to stop: no new requests",
 	PartQuarantined:     "prompt part quarantined: it crashes backend servers",
+	RateLimitChanged:    "rate limit of a backend server changed",
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -112,6 +112,9 @@
 	defer response.Body.Close()
 	info := e.handler.HeaderCodec.ParseResponse(response.StatusCode, response.Header, time.Now())
 	e.recordServerState(s, info)
+	if response.StatusCode != http.StatusMisdirectedRequest { // another server may run at the address
+		e.recordRateLimit(s, info)
+	}
 	switch {
 	case info.NotRun:
 		return rejected{reason: outcome.BackendRefused, endState: rejectionEnd(response.StatusCode), detail: response.Status}
@@ -136,6 +139,15 @@
 	}
 }
 
+// recordRateLimit applies the rate limit that a response states, or the end of one.
+func (e *exchange) recordRateLimit(s schedule.Server, r ResponseInfo) {
+	limit := schedule.RateLimit{Server: s.ID, StartUnixMS: s.StartUnixMS, Limited: r.RateLimited, PerSecond: r.RequestsPerSecond, At: time.Now()}
+	if e.handler.Pools.RecordRateLimit(e.service.Name, limit, e.sentAt) {
+		counter.Add("RateLimitsChanged", 1)
+		event.Log(event.RateLimitChanged, "Server", s.ID, "Address", s.Address, "Service", e.service.Name, "Limited", r.RateLimited, "PerSecond", r.RequestsPerSecond, "From", "server")
+	}
+}
+
 // rejectionEnd returns how the scheduler records a rejection. Status 421 means
 // that another server runs at the address or that it serves another version; any
 // other status means that the server is full.
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -166,6 +166,14 @@
 	return out
 }
 
+// RecordRateLimit applies what a server, or another gateway about it, states of its
+// rate limit. It reports whether the rate changed.
+func (p *Pools) RecordRateLimit(service string, l schedule.RateLimit, sentAt time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool(service).RecordRateLimit(l, sentAt)
+}
+
 // RecordSlowStart applies another gateway's report of a response that started late.
 func (p *Pools) RecordSlowStart(now time.Time, service string, start schedule.SlowStart) {
 	p.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -39,6 +39,10 @@
 	Signed    bool // the response carries the server's signature
 	NotRun    bool // the request did not run and will not
 	Departing bool // the server is about to shut down
+	// RateLimited says that the server accepts only RequestsPerSecond from all gateways
+	// together.
+	RateLimited       bool
+	RequestsPerSecond float64
 	// BusyUntil is the time until which a server that rejected the request is to
 	// receive no others; zero: the response gives none.
 	BusyUntil time.Time
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -98,6 +98,9 @@
 
 	departing bool      // the server announced its shutdown
 	busyUntil time.Time // the server asked for no requests until then
+
+	rateLimit    RateLimit
+	limitedSince time.Time // when the server first stated a rate limit
 }
 
 // NewPool returns a pool without servers.
@@ -120,7 +123,7 @@
 			existing.failures, existing.backoffUntil = 0, time.Time{}
 		}
 		if s.StartUnixMS > existing.StartUnixMS {
-			existing.busyUntil = time.Time{}
+			existing.busyUntil, existing.rateLimit = time.Time{}, RateLimit{}
 		}
 		existing.Server = s
 		existing.departing = p.departing.covers(s)
