schedule: keep the rate limit that a backend server names

Cause: gateways did not read the statement. Keeping it at each gateway alone would have let four times the limit through.

Change: what a server states is told to the other gateways, and each gateway paces its requests at its part of the limit. Other servers are taken meanwhile; a request that cannot wait for its turn is refused with the time of it. A response without a limit ends it, unless its request was sent before the limit was known.

--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -210,6 +210,7 @@
 	request.PartCrashes, request.PartAnswers = crashreport.Encode(crashes, answers, now)
 	request.Departures = gs.departures(now)
 	request.SlowStarts = gs.slowStarts(now)
+	request.RateLimits = gs.rateLimits(now)
 	return request
 }
 
@@ -269,6 +270,15 @@
 	return gs.table.Alive(now)
 }
 
+// liveNames returns the names of the gateways that are alive, this one included.
+func (gs *gossiper) liveNames(now time.Time) []string {
+	names := []string{}
+	for _, g := range gs.liveGateways(now) {
+		names = append(names, g.Name)
+	}
+	return names
+}
+
 // gatewaysIfChanged returns the gateways that are alive, or nil if their digest equals
 // digest.
 func (gs *gossiper) gatewaysIfChanged(digest uint64, now time.Time) []hostedrpc.Gateway {
@@ -293,6 +303,7 @@
 	running := gs.table.OtherLoad(now)
 	gs.mu.Unlock()
 	gs.servers.pools.SetOtherLoad(now, running)
+	gs.servers.pools.SetGateways(gs.own.Name, gs.liveNames(now))
 }
 
 // storeFollowers is the number of gateways that follow the store on behalf of all:
@@ -301,11 +312,7 @@
 
 // storeRole returns this gateway's role in following the store on behalf of all.
 func (gs *gossiper) storeRole() followerRole {
-	names := []string{}
-	for _, g := range gs.liveGateways(time.Now()) {
-		names = append(names, g.Name)
-	}
-	switch slices.Index(rendezvous.Top("store", names, storeFollowers), gs.own.Name) {
+	switch slices.Index(rendezvous.Top("store", gs.liveNames(time.Now()), storeFollowers), gs.own.Name) {
 	case 0:
 		return primaryFollower
 	case -1:
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -33,6 +33,7 @@
 	proxy.LogQuarantinedParts(crashreport.Merge(gs.crashes.Parts, request.PartCrashes, request.PartAnswers, now), request.Gateway.Name)
 	gs.applyDepartures(request.Departures, request.Gateway.Name, now)
 	gs.applySlowStarts(request.SlowStarts, now)
+	gs.applyRateLimits(request.RateLimits, request.Gateway.Name, now)
 	reply.Revision = gs.servers.mirror.Revision()
 	if request.Pulls {
 		reply.Beliefs = gs.servers.mirror.Since(request.Revision)
--- a/internal/hostedrpc/messages.go
+++ b/internal/hostedrpc/messages.go
@@ -171,6 +171,17 @@
 	AgeMilliseconds   int64 // since the response started
 }
 
+// RateLimit is the rate of requests that a backend server stated that it accepts from all
+// gateways together; not Limited: it states none any more.
+type RateLimit struct {
+	Service         string
+	Server          string
+	Born            int64 // Unix milliseconds of the server's start
+	Limited         bool
+	PerSecond       float64
+	AgeMilliseconds int64 // since the statement
+}
+
 // Load is the number of requests that a region's gateways have running.
 type Load struct {
 	Region          string
@@ -195,6 +206,7 @@
 	PartAnswers []crashreport.PartAnswer // to parts that are suspected
 	Departures  []Departure
 	SlowStarts  []SlowStart // of servers whose model version expires soon
+	RateLimits  []RateLimit // stated lately
 }
 
 // ExchangeReply is what the calling gateway lacks.
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -24,6 +24,9 @@
 	pools   map[string]*schedule.Pool
 	waiters map[int64]chan schedule.Decision
 	lastID  atomic.Int64
+	// ownName and gateways are the gateways that share rate limits.
+	ownName  string
+	gateways []string
 }
 
 // NewPools returns an empty set of pools. Each pool is created with o.
@@ -171,7 +174,30 @@
 func (p *Pools) RecordRateLimit(service string, l schedule.RateLimit, sentAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pool(service).RecordRateLimit(l, sentAt)
+	return p.pool(service).RecordRateLimit(time.Now(), l, sentAt)
+}
+
+// RateLimits returns what servers stated lately of their rate limits, by service.
+func (p *Pools) RateLimits(now time.Time) map[string][]schedule.RateLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string][]schedule.RateLimit{}
+	for name, pool := range p.pools {
+		if limits := pool.RateLimits(now); len(limits) > 0 {
+			out[name] = limits
+		}
+	}
+	return out
+}
+
+// SetGateways sets the gateways that share rate limits, and which of them this one is.
+func (p *Pools) SetGateways(own string, all []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ownName, p.gateways = own, all
+	for _, pool := range p.pools {
+		pool.SetGateways(own, all)
+	}
 }
 
 // RecordSlowStart applies another gateway's report of a response that started late.
@@ -209,6 +235,7 @@
 	pool, ok := p.pools[service]
 	if !ok {
 		pool = schedule.NewPool(p.options)
+		pool.SetGateways(p.ownName, p.gateways)
 		p.pools[service] = pool
 	}
 	return pool
--- a/internal/schedule/busy.go
+++ b/internal/schedule/busy.go
@@ -32,11 +32,12 @@
 		if !p.eligible(now, s, r) {
 			continue
 		}
-		if !s.busyUntil.After(now) {
+		until := s.restsUntil(now)
+		if !until.After(now) {
 			return now
 		}
-		if first.IsZero() || s.busyUntil.Before(first) {
-			first = s.busyUntil
+		if first.IsZero() || until.Before(first) {
+			first = until
 		}
 	}
 	return first
@@ -47,7 +48,7 @@
 func (p *Pool) canServe(now time.Time, r Request) bool {
 	deadline := p.waitDeadline(r)
 	return slices.ContainsFunc(p.order, func(s *server) bool {
-		return p.eligible(now, s, r) && !s.busyUntil.After(deadline)
+		return p.eligible(now, s, r) && !s.restsUntil(now).After(deadline)
 	})
 }
 
--- a/internal/schedule/ratelimit.go
+++ b/internal/schedule/ratelimit.go
@@ -1,6 +1,11 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"almondreel.example/almondreel/internal/rendezvous"
+)
 
 // RateLimit is the rate of requests that a server accepts from all gateways together. It
 // applies to one start of the server.
@@ -12,21 +17,110 @@
 	At          time.Time // when the server stated it
 }
 
+const (
+	// minPerSecond is the least rate at which a limited server gets requests. Their
+	// responses show when the limit ends.
+	minPerSecond = 0.05
+	// rateLimitTTL is how long a limit holds without another response that states it.
+	rateLimitTTL = time.Minute
+	// rateLimitReportTTL is how long a statement is reported to other gateways.
+	rateLimitReportTTL = 2 * time.Second
+	// sameStatement is the time within which equal statements count as one. Reports make
+	// the time of a statement a little later each time.
+	sameStatement = 250 * time.Millisecond
+	// sendTolerance is how much earlier than its share allows a gateway may send, so that
+	// requests that arrive together need not wait.
+	sendTolerance = 250 * time.Millisecond
+	// At most minLimitSharers plus limitSharersPerRate times the limit of the gateways send
+	// requests to a limited server. After a pause all of them may send one at the same
+	// time, which must not exceed the limit by much.
+	minLimitSharers     = 3
+	limitSharersPerRate = 1.5
+)
+
+// SetGateways sets the gateways that share the rate limits of servers, and which of them
+// has this pool.
+func (p *Pool) SetGateways(own string, all []string) { p.ownName, p.gateways = own, all }
+
 // RecordRateLimit records what a server, or another gateway about it, states at l.At.
 // sentAt is when the request was sent whose response states it. It reports whether the
-// rate changed.
-func (p *Pool) RecordRateLimit(l RateLimit, sentAt time.Time) bool {
+// limit changed.
+func (p *Pool) RecordRateLimit(now time.Time, l RateLimit, sentAt time.Time) bool {
 	s, ok := p.servers[l.Server]
 	if !ok || l.StartUnixMS != s.StartUnixMS || !l.At.After(s.rateLimit.At) {
 		return false
 	}
 	old := s.rateLimit
+	changed := l.Limited != old.Limited || l.PerSecond != old.PerSecond
+	if !changed && l.At.Sub(old.At) < sameStatement {
+		return false
+	}
 	if !l.Limited && (!old.Limited || sentAt.Before(s.limitedSince)) {
 		return false // responses may overtake each other
 	}
 	s.rateLimit = l
-	if !old.Limited {
+	if l.Limited && !old.Limited {
 		s.limitedSince = l.At
+		s.nextSendAt = now.Add(sendTolerance + p.limitShare(s).wait)
+	}
+	return changed
+}
+
+// RateLimits returns what servers stated lately, to be sent to other gateways.
+func (p *Pool) RateLimits(now time.Time) []RateLimit {
+	var out []RateLimit
+	for _, s := range p.order {
+		if now.Sub(s.rateLimit.At) < rateLimitReportTTL {
+			out = append(out, s.rateLimit)
+		}
+	}
+	return out
+}
+
+// limited reports whether a rate limit of the server holds.
+func (s *server) limited(now time.Time) bool {
+	return s.rateLimit.Limited && now.Sub(s.rateLimit.At) < rateLimitTTL
+}
+
+// limitShare is a gateway's share of a server's rate limit.
+type limitShare struct {
+	interval time.Duration // between two requests; 0: the gateway may send none
+	wait     time.Duration // before the first one, so that the gateways take turns
+}
+
+func (p *Pool) limitShare(s *server) limitShare {
+	perSecond := max(minPerSecond, s.rateLimit.PerSecond)
+	sharers := int(min(float64(max(1, len(p.gateways))), minLimitSharers+limitSharersPerRate*perSecond))
+	turn := slices.Index(rendezvous.Top(s.ID, p.gateways, sharers), p.ownName)
+	if turn < 0 && len(p.gateways) > 0 {
+		return limitShare{}
+	}
+	step := time.Duration(float64(time.Second) / perSecond)
+	return limitShare{interval: time.Duration(sharers) * step, wait: time.Duration(max(0, turn)) * step}
+}
+
+// mayShare reports whether this gateway may send requests to a server, as far as its rate
+// limit is concerned.
+func (p *Pool) mayShare(now time.Time, s *server) bool {
+	return !s.limited(now) || p.limitShare(s).interval > 0
+}
+
+// restsUntil returns the time until which a server is to get no requests from this
+// gateway, because it asked for that or because of its rate limit.
+func (s *server) restsUntil(now time.Time) time.Time {
+	if sendAt := s.nextSendAt.Add(-sendTolerance); s.limited(now) && sendAt.After(s.busyUntil) {
+		return sendAt
+	}
+	return s.busyUntil
+}
+
+// countSend takes a request from this gateway's share of a server's rate.
+func (p *Pool) countSend(now time.Time, s *server) {
+	if !s.limited(now) {
+		return
+	}
+	if s.nextSendAt.Before(now) {
+		s.nextSendAt = now
 	}
-	return l.Limited != old.Limited || l.PerSecond != old.PerSecond
+	s.nextSendAt = s.nextSendAt.Add(p.limitShare(s).interval)
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -85,6 +85,8 @@
 	startLatency latencyEstimate
 	shares       map[string]float64 // by region: fraction of the running requests that this gateway sent
 	departing    departures
+	ownName      string   // of this gateway
+	gateways     []string // that share rate limits
 }
 
 type server struct {
@@ -101,6 +103,7 @@
 
 	rateLimit    RateLimit
 	limitedSince time.Time // when the server first stated a rate limit
+	nextSendAt   time.Time // when its rate limit allows this gateway's next request, on average
 }
 
 // NewPool returns a pool without servers.
@@ -215,7 +218,7 @@
 func (p *Pool) Submit(now time.Time, r Request) (Decision, []Resolved) {
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
-			return p.start(s, r), nil
+			return p.start(now, s, r), nil
 		}
 	}
 	if !p.canServe(now, r) {
@@ -438,7 +441,7 @@
 			blocked = !r.pastTarget(now) && !p.waitsForRecovery(now, r)
 			return false
 		}
-		out = append(out, Resolved{r.ID, p.start(s, r)})
+		out = append(out, Resolved{r.ID, p.start(now, s, r)})
 		return true
 	})
 	return out
@@ -471,7 +474,8 @@
 		cmp.Compare(late(a), late(b)), a.AnswerBy.Compare(b.AnswerBy), cmp.Compare(a.ID, b.ID))
 }
 
-func (p *Pool) start(s *server, r Request) Start {
+func (p *Pool) start(now time.Time, s *server, r Request) Start {
+	p.countSend(now, s)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
 	return Start{Server: s.Server}
@@ -567,16 +571,16 @@
 	failedPenalty   = 20
 )
 
-// eligible reports whether the server can run the request, apart from busy times and
-// backoff.
+// eligible reports whether the server can run the request, apart from busy times, the
+// pace of a rate limit and backoff.
 func (p *Pool) eligible(now time.Time, s *server, r Request) bool {
-	return s.Ready && !s.departing && p.startsInTime(now, s, r)
+	return s.Ready && !s.departing && p.mayShare(now, s) && p.startsInTime(now, s, r)
 }
 
 // available reports whether the server may get the request now. After a backoff a
 // server first gets a single request as a probe.
 func (p *Pool) available(now time.Time, s *server, r Request) bool {
-	if !p.eligible(now, s, r) || now.Before(s.backoffUntil) || now.Before(s.busyUntil) {
+	if !p.eligible(now, s, r) || now.Before(s.backoffUntil) || now.Before(s.restsUntil(now)) {
 		return false
 	}
 	return s.backoffUntil.IsZero() || s.ownRunning == 0
