schedule: compute shares of rate limits once; very high limits

A share is computed when a limit or the gateways change, not for each request and server that are compared. A limit so high that the time between requests is 0 made its server unusable (test added, failed before), and a raised limit counted only after the turn by the former one.

--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -276,6 +276,7 @@
 	for _, g := range gs.liveGateways(now) {
 		names = append(names, g.Name)
 	}
+	slices.Sort(names)
 	return names
 }
 
--- a/internal/schedule/ratelimit.go
+++ b/internal/schedule/ratelimit.go
@@ -40,7 +40,15 @@
 
 // SetGateways sets the gateways that share the rate limits of servers, and which of them
 // has this pool.
-func (p *Pool) SetGateways(own string, all []string) { p.ownName, p.gateways = own, all }
+func (p *Pool) SetGateways(own string, all []string) {
+	if own == p.ownName && slices.Equal(all, p.gateways) {
+		return
+	}
+	p.ownName, p.gateways = own, all
+	for _, s := range p.servers {
+		s.share = p.shareOf(s.rateLimit)
+	}
+}
 
 // RecordRateLimit records what a server, or another gateway about it, states at l.At.
 // sentAt is when the request was sent whose response states it. It reports whether the
@@ -58,10 +66,13 @@
 	if !l.Limited && (!old.Limited || sentAt.Before(s.limitedSince)) {
 		return false // responses may overtake each other
 	}
-	s.rateLimit = l
-	if l.Limited && !old.Limited {
+	s.rateLimit, s.share = l, p.shareOf(l)
+	switch latest := now.Add(sendTolerance + s.share.interval); {
+	case l.Limited && !old.Limited:
 		s.limitedSince = l.At
-		s.nextSendAt = now.Add(sendTolerance + p.limitShare(s).wait)
+		s.nextSendAt = now.Add(sendTolerance + s.share.wait)
+	case s.nextSendAt.After(latest): // the limit was lower
+		s.nextSendAt = latest
 	}
 	return changed
 }
@@ -84,26 +95,28 @@
 
 // limitShare is a gateway's share of a server's rate limit.
 type limitShare struct {
-	interval time.Duration // between two requests; 0: the gateway may send none
+	sends    bool          // the gateway is one of those that share the limit
+	interval time.Duration // between two requests
 	wait     time.Duration // before the first one, so that the gateways take turns
 }
 
-func (p *Pool) limitShare(s *server) limitShare {
-	perSecond := max(minPerSecond, s.rateLimit.PerSecond)
+func (p *Pool) shareOf(l RateLimit) limitShare {
+	if !l.Limited {
+		return limitShare{}
+	}
+	perSecond := max(minPerSecond, l.PerSecond)
 	sharers := int(min(float64(max(1, len(p.gateways))), minLimitSharers+limitSharersPerRate*perSecond))
-	turn := slices.Index(rendezvous.Top(s.ID, p.gateways, sharers), p.ownName)
+	turn := slices.Index(rendezvous.Top(l.Server, p.gateways, sharers), p.ownName)
 	if turn < 0 && len(p.gateways) > 0 {
 		return limitShare{}
 	}
 	step := time.Duration(float64(time.Second) / perSecond)
-	return limitShare{interval: time.Duration(sharers) * step, wait: time.Duration(max(0, turn)) * step}
+	return limitShare{sends: true, interval: time.Duration(sharers) * step, wait: time.Duration(max(0, turn)) * step}
 }
 
-// mayShare reports whether this gateway may send requests to a server, as far as its rate
+// hasShare reports whether this gateway may send requests to a server, as far as its rate
 // limit is concerned.
-func (p *Pool) mayShare(now time.Time, s *server) bool {
-	return !s.limited(now) || p.limitShare(s).interval > 0
-}
+func (s *server) hasShare(now time.Time) bool { return !s.limited(now) || s.share.sends }
 
 // restsUntil returns the time until which a server is to get no requests from this
 // gateway, because it asked for that or because of its rate limit.
@@ -115,12 +128,12 @@
 }
 
 // countSend takes a request from this gateway's share of a server's rate.
-func (p *Pool) countSend(now time.Time, s *server) {
+func (s *server) countSend(now time.Time) {
 	if !s.limited(now) {
 		return
 	}
 	if s.nextSendAt.Before(now) {
 		s.nextSendAt = now
 	}
-	s.nextSendAt = s.nextSendAt.Add(p.limitShare(s).interval)
+	s.nextSendAt = s.nextSendAt.Add(s.share.interval)
 }
--- a/internal/schedule/ratelimit_test.go
+++ b/internal/schedule/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -105,7 +106,9 @@
 
 func TestRateLimitEnds(t *testing.T) {
 	began := startTime
-	free := func(p *schedule.Pool, now time.Time) bool { return submit(p, now, 1) && submit(p, now, 2) && submit(p, now, 3) }
+	free := func(p *schedule.Pool, now time.Time) bool {
+		return submit(p, now, 1) && submit(p, now, 2) && submit(p, now, 3)
+	}
 	limited := func(t *testing.T) *schedule.Pool {
 		p := newSharingPools(began, 1)[0]
 		require.True(t, p.RecordRateLimit(began, limitOf(0.5, began), began))
@@ -125,6 +128,13 @@
 		require.False(t, p.RecordRateLimit(now, unlimited, began.Add(-time.Millisecond)))
 		require.False(t, free(p, now))
 	})
+	t.Run("raised, to infinity too", func(t *testing.T) {
+		p := limited(t)
+		require.True(t, p.RecordRateLimit(now, limitOf(1000, now), now))
+		require.True(t, submit(p, now.Add(10*time.Millisecond), 1))
+		require.True(t, p.RecordRateLimit(now, limitOf(math.Inf(1), now.Add(time.Millisecond)), now))
+		require.True(t, free(p, now.Add(10*time.Millisecond)))
+	})
 	t.Run("new start", func(t *testing.T) {
 		p := limited(t)
 		_ = p.SetServers(now, []schedule.Server{{ID: "limited", Slots: 1000, StartUnixMS: 2, Ready: true}})
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -102,6 +102,7 @@
 	busyUntil time.Time // the server asked for no requests until then
 
 	rateLimit    RateLimit
+	share        limitShare
 	limitedSince time.Time // when the server first stated a rate limit
 	nextSendAt   time.Time // when its rate limit allows this gateway's next request, on average
 }
@@ -475,7 +476,7 @@
 }
 
 func (p *Pool) start(now time.Time, s *server, r Request) Start {
-	p.countSend(now, s)
+	s.countSend(now)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
 	return Start{Server: s.Server}
@@ -574,7 +575,7 @@
 // eligible reports whether the server can run the request, apart from busy times, the
 // pace of a rate limit and backoff.
 func (p *Pool) eligible(now time.Time, s *server, r Request) bool {
-	return s.Ready && !s.departing && p.mayShare(now, s) && p.startsInTime(now, s, r)
+	return s.Ready && !s.departing && s.hasShare(now) && p.startsInTime(now, s, r)
 }
 
 // available reports whether the server may get the request now. After a backoff a
