dispatch: rank the agents for a suspect without regard to which are unreachable

A request that crashes backend servers crashed three in place of two, beside load, when its caller repeated it through several gateways at once.

Cause, from the logs of one failed run each of: one gateway had found the crashed server unreachable and left it out before it ranked the agents, so that its first choice was another one than that of the gateways that had tried the server. Both sent the request at once.

Change: all agents are ranked; those that were tried or are unreachable are then passed over.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -258,9 +258,14 @@
 // members returns the agents that may run the request: those of the subset that
 // serve the pinned version (any for a plain service), without the unreachable.
 func (f *inflight) members(now time.Time) []gateway.Member {
+	return f.dispatcher.unreachable.Filter(f.serving(now), now)
+}
+
+// serving returns the agents that may run the request, unreachable ones included.
+func (f *inflight) serving(now time.Time) []gateway.Member {
 	subset := f.subset(now)
 	if f.request.Class.Kind != operator.Model {
-		return f.dispatcher.unreachable.Filter(subset, now)
+		return subset
 	}
 	var out []gateway.Member
 	for _, m := range subset {
@@ -268,7 +273,7 @@
 			out = append(out, m)
 		}
 	}
-	return f.dispatcher.unreachable.Filter(out, now)
+	return out
 }
 
 // runIdempotent retries an idempotent request until an attempt completes the
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -97,12 +97,18 @@
 			}, time.Now())
 		}
 	}
+	return dispatch.New(dispatch.Options{Gateway: "g", Desired: placedState(t), Members: table, Claims: grantAllClaims{}})
+}
+
+// placedState returns a state in which the classes are placed.
+func placedState(t *testing.T) *desired.State {
+	t.Helper()
 	d := desired.NewState()
 	placed, err := json.Marshal(placement.Placement{Assignments: []placement.Assignment{
 		{Class: "questions", Service: "assistant", Digest: digest}, {Class: "lookups", Service: "ledger"}}})
 	require.NoError(t, err)
 	require.NoError(t, d.AdoptPlacement(gateway.Versioned{Value: placed, Revision: 1}, "test"))
-	return dispatch.New(dispatch.Options{Gateway: "g", Desired: d, Members: table, Claims: grantAllClaims{}})
+	return d
 }
 
 // grantAllClaims grants every claim.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -54,7 +54,7 @@
 			m, ok := f.dispatcher.router.Pick(members, f.criteria())
 			return m, false, ok
 		}
-		m, ok := f.reserveForSuspect(members)
+		m, ok := f.reserveForSuspect(f.serving(time.Now()), members)
 		if ok {
 			f.dispatcher.router.Start(m)
 			return m, true, true
@@ -79,17 +79,22 @@
 	return c
 }
 
-// reserveForSuspect reserves an untried agent that runs no suspect. It tries the
-// first agent by the prompt's rank, then the others by the fingerprint's rank.
-// All gateways compute the same ranks, so repeats of a suspect use the same agents.
-func (f *inflight) reserveForSuspect(members []gateway.Member) (gateway.Member, bool) {
-	ranked := append([]gateway.Member(nil), members...)
+// reserveForSuspect reserves an untried and reachable agent that runs no suspect. It
+// tries the first agent by the prompt's rank, then the others by the fingerprint's rank.
+// Gateways find different agents unreachable. All compute the ranks of all agents, so
+// that repeats of a suspect use the same ones.
+func (f *inflight) reserveForSuspect(serving, reachable []gateway.Member) (gateway.Member, bool) {
+	names := map[string]bool{}
+	for _, m := range reachable {
+		names[m.Name] = true
+	}
+	ranked := append([]gateway.Member(nil), serving...)
 	route.Rank(ranked, f.request.Affinity())
 	if len(ranked) > 1 {
 		route.Rank(ranked[1:], f.request.Fingerprint)
 	}
 	for _, m := range ranked {
-		if !f.tried[m.Name] && f.dispatcher.options.Quarantine.StartSuspect(f.request.Fingerprint, m.Name) {
+		if names[m.Name] && !f.tried[m.Name] && f.dispatcher.options.Quarantine.StartSuspect(f.request.Fingerprint, m.Name) {
 			return m, true
 		}
 	}
