proxy: give back the prompt time of a request that is quarantined while queued

Its place was released without it, so that the server would have counted as loaded by a prompt that it never got.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -67,7 +67,7 @@
 		case schedule.Start:
 			verdict := e.handler.CrashDetector.Verdict(e.suspect)
 			if verdict == quarantine.Quarantined {
-				e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, 0)
+				e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, e.promptMS())
 				return e.quarantined()
 			}
 			o, retry := e.attempt(ctx, d.Server, verdict)
