quarantine, schedule: store rates and expiries, no durations

The house style. One time of quarantine for parts in both forms: five minutes, after which one crash renews it; on own instances it was an hour. A share of a rate limit is kept as a rate.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -89,7 +89,7 @@
 		quarantine: quarantine.NewTable(),
 	}
 	store := kv.NewClient(s.KeyValue)
-	parts := quarantine.NewParts(d.quarantine, dispatch.QuarantineTTL)
+	parts := quarantine.NewParts(d.quarantine)
 	d.ready = &readiness{desired: d.desired}
 	d.stateSync = statesync.New(s, d.desired, d.members, store, d.listQuarantined, d.mergeQuarantined)
 	d.planner = planner.New(s, d.desired, d.members, store)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,7 +67,7 @@
 		o.Quarantine = quarantine.NewTable()
 	}
 	if o.Parts == nil {
-		o.Parts = quarantine.NewParts(o.Quarantine, QuarantineTTL)
+		o.Parts = quarantine.NewParts(o.Quarantine)
 	}
 	if o.ReportSuspect == nil {
 		o.ReportSuspect = func(context.Context, quarantine.Entry) {}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -16,6 +16,7 @@
 
 const (
 	suspicionTTL     = time.Minute            // of a fingerprint that ran when a backend server died
+	quarantineTTL    = time.Hour              // of a quarantined fingerprint
 	reportTimeout    = 250 * time.Millisecond // of a report to the other gateways
 	provenAnswerTime = 250 * time.Millisecond // for which an answer goes on if its backend server survives it
 	suspectDelay     = 20 * time.Millisecond  // between a suspect's attempts to reserve an agent
@@ -24,10 +25,6 @@
 	deathReportDelay = 100 * time.Millisecond // wait for other gateways' reports of deaths
 )
 
-// QuarantineTTL is how long a request, or a prompt part, that crashed backend servers is
-// refused.
-const QuarantineTTL = time.Hour
-
 // verdict returns the verdict on the request, which is refused if it or a part of its
 // prompt is quarantined.
 func (f *inflight) verdict() quarantine.Verdict {
@@ -167,7 +164,7 @@
 	counter.Add("BackendDeaths", 1)
 	event.Fail(event.BackendDied, r.Cause, "Request", f.request.ID, "Peer", m.Name)
 	if verdict == quarantine.Quarantined {
-		table.Merge([]quarantine.Entry{{Fingerprint: f.request.Fingerprint, Server: m.Name, Convicted: true, ExpiresAt: now.Add(QuarantineTTL)}})
+		table.Merge([]quarantine.Entry{{Fingerprint: f.request.Fingerprint, Server: m.Name, Convicted: true, ExpiresAt: now.Add(quarantineTTL)}})
 		event.Log(event.RequestQuarantined, "Request", f.request.ID, "Organisation", f.request.Organisation, "Class", f.request.Class.Name)
 		counter.Add("Convicted", 1)
 	}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -25,9 +25,6 @@
 	// taken to be an outage, and no request is quarantined for it.
 	outageWindow  = 1500 * time.Millisecond
 	outageCrashes = 3
-	// partQuarantineTTL is how long requests with a prompt part that crashed servers are
-	// refused.
-	partQuarantineTTL = 5 * time.Minute
 	// provenAnswerTime is how long an answer must go on for its server to have survived
 	// the request.
 	provenAnswerTime = 250 * time.Millisecond
@@ -59,7 +56,7 @@
 func NewCrashDetector() *CrashDetector {
 	table := quarantine.NewTable()
 	return &CrashDetector{
-		Table: table, Parts: quarantine.NewParts(table, partQuarantineTTL),
+		Table: table, Parts: quarantine.NewParts(table),
 		pending: make(chan interruptedResponse, maxPendingChecks), crashedAt: map[string]time.Time{},
 	}
 }
--- a/internal/quarantinesync/quarantinesync_test.go
+++ b/internal/quarantinesync/quarantinesync_test.go
@@ -28,7 +28,7 @@
 	ended := make(chan error, 2)
 	start := func(name string) (*quarantinesync.Syncer, *quarantine.Table) {
 		table := quarantine.NewTable()
-		s := quarantinesync.New(name, table, quarantine.NewParts(table, time.Hour), noPeers, kv.NewClient(server.URL))
+		s := quarantinesync.New(name, table, quarantine.NewParts(table), noPeers, kv.NewClient(server.URL))
 		go func() { ended <- s.Run(ctx) }()
 		return s, table
 	}
--- a/internal/schedule/ratelimit.go
+++ b/internal/schedule/ratelimit.go
@@ -67,16 +67,28 @@
 		return false // responses may overtake each other
 	}
 	s.rateLimit, s.share = l, p.shareOf(l)
-	switch latest := now.Add(sendTolerance + s.share.interval); {
-	case l.Limited && !old.Limited:
-		s.limitedSince = l.At
-		s.nextSendAt = now.Add(sendTolerance + s.share.wait)
-	case s.nextSendAt.After(latest): // the limit was lower
-		s.nextSendAt = latest
+	if l.Limited && !old.Limited {
+		s.limitedSince, s.nextSendAt = l.At, time.Time{}
 	}
+	s.pace(now)
 	return changed
 }
 
+// pace sets when a limited server may get the next request, at the latest one turn
+// from now: its limit may have been lower before.
+func (s *server) pace(now time.Time) {
+	if s.share.perSecond == 0 {
+		return
+	}
+	latest := now.Add(sendTolerance + s.share.interval())
+	switch {
+	case s.nextSendAt.IsZero():
+		s.nextSendAt = now.Add(sendTolerance + s.share.firstWait())
+	case s.nextSendAt.After(latest):
+		s.nextSendAt = latest
+	}
+}
+
 // RateLimits returns what servers stated lately, to be sent to other gateways.
 func (p *Pool) RateLimits(now time.Time) []RateLimit {
 	var out []RateLimit
@@ -95,9 +107,9 @@
 
 // limitShare is a gateway's share of a server's rate limit.
 type limitShare struct {
-	sends    bool          // the gateway is one of those that share the limit
-	interval time.Duration // between two requests
-	wait     time.Duration // before the first one, so that the gateways take turns
+	perSecond float64 // requests of this gateway; 0: it sends none
+	turn      int     // among the gateways that share the limit, from 0
+	sharers   int
 }
 
 func (p *Pool) shareOf(l RateLimit) limitShare {
@@ -110,13 +122,22 @@
 	if turn < 0 && len(p.gateways) > 0 {
 		return limitShare{}
 	}
-	step := time.Duration(float64(time.Second) / perSecond)
-	return limitShare{sends: true, interval: time.Duration(sharers) * step, wait: time.Duration(max(0, turn)) * step}
+	return limitShare{perSecond: perSecond / float64(sharers), turn: max(0, turn), sharers: sharers}
+}
+
+// interval returns the time between two requests of this gateway.
+func (l limitShare) interval() time.Duration {
+	return time.Duration(float64(time.Second) / l.perSecond)
+}
+
+// firstWait returns the time before its first request, so that the gateways take turns.
+func (l limitShare) firstWait() time.Duration {
+	return l.interval() * time.Duration(l.turn) / time.Duration(l.sharers)
 }
 
 // hasShare reports whether this gateway may send requests to a server, as far as its rate
 // limit is concerned.
-func (s *server) hasShare(now time.Time) bool { return !s.limited(now) || s.share.sends }
+func (s *server) hasShare(now time.Time) bool { return !s.limited(now) || s.share.perSecond > 0 }
 
 // restsUntil returns the time until which a server is to get no requests from this
 // gateway, because it asked for that or because of its rate limit.
@@ -129,11 +150,11 @@
 
 // countSend takes a request from this gateway's share of a server's rate.
 func (s *server) countSend(now time.Time) {
-	if !s.limited(now) {
+	if !s.limited(now) || s.share.perSecond == 0 {
 		return
 	}
 	if s.nextSendAt.Before(now) {
 		s.nextSendAt = now
 	}
-	s.nextSendAt = s.nextSendAt.Add(s.share.interval)
+	s.nextSendAt = s.nextSendAt.Add(s.share.interval())
 }
--- a/internal/testsite/testsite.go
+++ b/internal/testsite/testsite.go
@@ -222,7 +222,7 @@
 		return err
 	}
 	store := kv.NewClient(s.kvURL)
-	parts := quarantine.NewParts(g.Quarantine, dispatch.QuarantineTTL)
+	parts := quarantine.NewParts(g.Quarantine)
 	syncer := quarantinesync.New(name, g.Quarantine, parts, func() []gateway.Peer { return s.peers(name) }, store)
 	g.Claims = claims.New(name, func() int { return max(1, o.Gateways) }, store)
 	g.Ledger = ledger.New(name, store)
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -13,6 +13,8 @@
 	// crashTTL is how long a crash counts against the parts of the requests that were
 	// running.
 	crashTTL = 30 * time.Second
+	// partQuarantineTTL is how long a part is quarantined. New weights may end the cause.
+	partQuarantineTTL = 5 * time.Minute
 	// minPartRequests is the number of different requests that must have run when servers
 	// crashed. A single request is quarantined by its own fingerprint.
 	minPartRequests = 2
@@ -57,7 +59,6 @@
 // wrong, crashes go on without it and count against the parts before it.
 type Parts struct {
 	table *Table
-	ttl   time.Duration
 
 	mu         sync.Mutex
 	crashes    []knownCrash
@@ -70,9 +71,9 @@
 	learnedAt time.Time
 }
 
-// NewParts returns an empty Parts that adds quarantined parts to table for ttl.
-func NewParts(table *Table, ttl time.Duration) *Parts {
-	return &Parts{table: table, ttl: ttl, answeredAt: map[string]time.Time{}, suspended: map[string]bool{}}
+// NewParts returns an empty Parts that adds quarantined parts to table.
+func NewParts(table *Table) *Parts {
+	return &Parts{table: table, answeredAt: map[string]time.Time{}, suspended: map[string]bool{}}
 }
 
 // PartFingerprint returns the fingerprint of a part in a Table.
@@ -228,7 +229,7 @@
 			clear(p.suspended)
 		}
 		p.suspended[part] = true
-		p.table.Merge([]Entry{{Fingerprint: PartFingerprint(part), Convicted: true, ExpiresAt: now.Add(p.ttl)}})
+		p.table.Merge([]Entry{{Fingerprint: PartFingerprint(part), Convicted: true, ExpiresAt: now.Add(partQuarantineTTL)}})
 		return part, true
 	}
 	return "", false
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -10,9 +10,10 @@
 	"almondreel.example/almondreel/pkg/quarantine"
 )
 
-const partTTL = time.Minute
+// partTTL is how long a part is quarantined.
+const partTTL = 5 * time.Minute
 
-func newParts() *quarantine.Parts { return quarantine.NewParts(quarantine.NewTable(), partTTL) }
+func newParts() *quarantine.Parts { return quarantine.NewParts(quarantine.NewTable()) }
 
 // crash returns the crash of a server while a request ran.
 func crash(server, request int, at time.Time, parts ...string) quarantine.PartCrash {
