--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 # Unit tests, then end-to-end tests on the real programs. The tool's cache of
 # results does not know the programs, so the latter always run.
 test: build
-	@grep -E '^(test|day):' KNOWN-RED.txt || true
+	@grep -E '^(test|day|run):' KNOWN-RED.txt || true
 	go test $(SKIP) ./bench/... ./charts/... ./docs/... ./internal/... ./pkg/... $(PROGRAM_DIRS)
 	go test $(SKIP) -count 1 -p 3 ./platform/... ./test/...
 
