--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -179,6 +179,13 @@
 	return l.activeRequests > l.maxRequests
 }
 
+// Active returns the number of connections whose request is being read or answered.
+func (l *Limiter) Active() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.activeRequests
+}
+
 // NearLimit reports whether the number of connections is near the limit, so that
 // refused callers should be told to close theirs.
 func (l *Limiter) NearLimit() bool {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -148,7 +148,7 @@
 	BackendDied:         "backend server died",
 	LedgerDelayed:       "outcome records wait for the key-value service",
 	DrainStarted:        "drain started: no new work",
-	DrainEnded:          "drain ended: no request in progress",
+	DrainEnded:          "drain ended",
 	ClaimUpdateFailed:   "claim could not be updated: retries get an unknown outcome",
 	LedgerKeyConflict:   "ledger key holds another batch: this batch is not in the ledger",
 	LedgerNotHandedOver: "outcome records could not be handed to another gateway",
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -156,5 +156,5 @@
 	for g.handler.Running() > 0 && time.Now().Before(until) {
 		pause.For(ctx, settleDelay)
 	}
-	event.Log(event.DrainEnded, "Running", g.handler.Running(), "MS", time.Since(began).Milliseconds())
+	event.Log(event.DrainEnded, "Running", g.handler.Running(), "Active", g.connLimiter.Active(), "MS", time.Since(began).Milliseconds())
 }
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"almondreel.example/almondreel/internal/counter"
 )
 
 const (
@@ -68,13 +70,19 @@
 	}
 }
 
-// write writes a line, after a line with the number of dropped ones, if any. Errors
-// are ignored, since there is no other place to log them.
+// write writes a line, after a line with the number of dropped ones, if any. Failed
+// writes are counted, since there is no other place to log them.
 func (s *Sink) write(line []byte) {
 	if n := s.dropped.Swap(0); n > 0 {
-		_, _ = fmt.Fprintf(s.out, "%d log lines dropped: buffer full\n", n)
+		s.count(fmt.Fprintf(s.out, "%d log lines dropped: buffer full\n", n))
+	}
+	s.count(s.out.Write(line))
+}
+
+func (s *Sink) count(_ int, err error) {
+	if err != nil {
+		counter.Add("LogWritesFailed", 1)
 	}
-	_, _ = s.out.Write(line)
 }
 
 // Start redirects klog's output through a sink to out. The returned function writes
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -80,7 +80,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group.Add(
 		func() error { return tree.Run(ctx) },
-		func(error) {
+		func(err error) {
+			event.Log(event.Stopping, "Program", program, "Cause", fmt.Sprint(err))
 			if drain != nil {
 				drain(ctx)
 			}
