--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	defer file.Close()
-	cmd := exec.Command(p.path, p.args...)
+	cmd := p.Command()
 	cmd.Stdout, cmd.Stderr = file, file
 	// The kernel kills the child if the demo or test exits before it stops the site.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -59,6 +59,10 @@
 	return nil
 }
 
+// Command returns a command that runs the program with the process's arguments, for a
+// caller that connects its output itself.
+func (p *Process) Command() *exec.Cmd { return exec.Command(p.path, p.args...) }
+
 // Signal sends a signal to the process, if it has been started. Errors, as for a process
 // that has exited, are ignored.
 func (p *Process) Signal(s syscall.Signal) {
