signals: handle signals from start to end, so that none ends a drain

Callers saw streams cut at once around SIGTERM. Cause: the run group's handler took the first SIGTERM or SIGINT and then gave the signals back their default action, so a second one ended the process in the middle of its drain. On own instances SIGHUP was never handled, and on the hosting platform SIGTERM had its default action until the run group started, while callers could already connect.

A daemon now takes all of them over once, before it reads its settings, until it ends. A signal to stop that arrives during the drain is logged (1005) and changes nothing.

--- a/cmd/almondreel-agent/main.go
+++ b/cmd/almondreel-agent/main.go
@@ -3,12 +3,11 @@
 package main
 
 import (
-	"os"
-
 	"almondreel.example/almondreel/internal/daemon"
 	"almondreel.example/almondreel/internal/hosted"
 	"almondreel.example/almondreel/internal/launcher"
 	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/signals"
 )
 
 func main() {
@@ -16,20 +15,19 @@
 }
 
 // run runs the agent in self-hosted form, on one of the operators' own instances.
-func run(file string) error {
+func run(file string, received *signals.Signals) error {
 	s, err := settings.LoadAgent(file)
 	if err != nil {
 		return launcher.NewUsageError(err)
 	}
-	return daemon.RunAgent(s)
+	return daemon.RunAgent(s, received)
 }
 
-// runHosted runs the agent on the hosting platform, which sends SIGHUP to have the
-// settings read again. hangups receives these signals.
-func runHosted(file string, hangups <-chan os.Signal) error {
+// runHosted runs the agent on the hosting platform.
+func runHosted(file string, received *signals.Signals) error {
 	s, err := settings.LoadHostedAgent(file)
 	if err != nil {
 		return launcher.NewUsageError(err)
 	}
-	return hosted.RunAgent(s, file, hangups)
+	return hosted.RunAgent(s, file, received)
 }
--- a/cmd/almondreel-gateway/main.go
+++ b/cmd/almondreel-gateway/main.go
@@ -3,12 +3,11 @@
 package main
 
 import (
-	"os"
-
 	"almondreel.example/almondreel/internal/daemon"
 	"almondreel.example/almondreel/internal/hosted"
 	"almondreel.example/almondreel/internal/launcher"
 	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/signals"
 )
 
 func main() {
@@ -16,20 +15,19 @@
 }
 
 // run runs the gateway in self-hosted form, on one of the operators' own instances.
-func run(file string) error {
+func run(file string, received *signals.Signals) error {
 	s, err := settings.LoadGateway(file)
 	if err != nil {
 		return launcher.NewUsageError(err)
 	}
-	return daemon.RunGateway(s)
+	return daemon.RunGateway(s, received)
 }
 
-// runHosted runs the gateway on the hosting platform, which sends SIGHUP to have the
-// settings read again. hangups receives these signals.
-func runHosted(file string, hangups <-chan os.Signal) error {
+// runHosted runs the gateway on the hosting platform.
+func runHosted(file string, received *signals.Signals) error {
 	s, err := settings.LoadHostedGateway(file)
 	if err != nil {
 		return launcher.NewUsageError(err)
 	}
-	return hosted.RunGateway(s, file, hangups)
+	return hosted.RunGateway(s, file, received)
 }
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -19,6 +19,7 @@
 	"almondreel.example/almondreel/internal/replica"
 	"almondreel.example/almondreel/internal/serving"
 	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/signals"
 	"almondreel.example/almondreel/internal/supervisor"
 	"almondreel.example/almondreel/internal/weights"
 )
@@ -34,9 +35,10 @@
 	agentStopTimeout  = 5 * time.Second
 )
 
-// RunAgent runs an agent until SIGINT or SIGTERM, then drains it: it reports to the
-// gateways that it is leaving, refuses new requests and completes those in progress.
-func RunAgent(s settings.Agent) error {
+// RunAgent runs an agent until a signal to stop is received, then drains it: it reports
+// to the gateways that it is leaving, refuses new requests and completes those in
+// progress.
+func RunAgent(s settings.Agent, received *signals.Signals) error {
 	a := newAgent(s)
 	server, err := a.newHTTPServer()
 	if err != nil {
@@ -58,7 +60,7 @@
 			supervisor.Exit("almondreel-agent", err, 1)
 		}
 	}()
-	err = supervisor.Main("almondreel-agent", tree, func(ctx context.Context) { a.drain(ctx, server) })
+	err = supervisor.Main("almondreel-agent", received, tree, func(ctx context.Context) { a.drain(ctx, server) })
 	<-stopped
 	return err
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -21,6 +21,7 @@
 	"almondreel.example/almondreel/internal/planner"
 	"almondreel.example/almondreel/internal/quarantinesync"
 	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/signals"
 	"almondreel.example/almondreel/internal/statesync"
 	"almondreel.example/almondreel/internal/status"
 	"almondreel.example/almondreel/internal/supervisor"
@@ -52,9 +53,9 @@
 	ready          *readiness
 }
 
-// RunGateway runs the gateway with settings s until SIGINT or SIGTERM. Then it refuses
-// new requests, completes those in progress and stops.
-func RunGateway(s settings.Gateway) error {
+// RunGateway runs the gateway with settings s until a signal to stop is received. Then it
+// refuses new requests, completes those in progress and stops.
+func RunGateway(s settings.Gateway, received *signals.Signals) error {
 	callerListener, err := net.Listen("tcp", s.CallerListen)
 	if err != nil {
 		return errs.Wrap(err, "listen for callers", s.CallerListen)
@@ -78,7 +79,7 @@
 	tree.Add("suspicion", g.quarantineSync.Run)
 	tree.Add("claims", g.claims.Run)
 	tree.Add("ledger", g.ledger.Run)
-	return supervisor.Main("almondreel-gateway", tree, g.drain)
+	return supervisor.Main("almondreel-gateway", received, tree, g.drain)
 }
 
 func newGateway(s settings.Gateway) *gatewayDaemon {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -7,6 +7,7 @@
 	Stopped
 	TaskFailed
 	InvariantBroken
+	StopRepeated
 )
 
 // Events of configuration, placement and membership: 2000 to 2099.
@@ -90,6 +91,7 @@
 	Stopped:         "program stopped",
 	TaskFailed:      "background task failed and is restarted",
 	InvariantBroken: "invariant violated: please report it",
+	StopRepeated:    "signal to stop ignored: the program is stopping",
 
 	ConfigurationAdopted:  "configuration revision adopted",
 	ConfigurationOlder:    "older configuration revision offered and ignored",
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -28,6 +28,7 @@
 	"almondreel.example/almondreel/internal/redial"
 	"almondreel.example/almondreel/internal/rendezvous"
 	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/signals"
 	"almondreel.example/almondreel/internal/supervisor"
 	"almondreel.example/almondreel/internal/weightsync"
 	"almondreel.example/almondreel/pkg/quarantine"
@@ -84,9 +85,9 @@
 	deprioritisedUntil map[string]time.Time
 }
 
-// RunAgent runs an agent until SIGINT or SIGTERM. Each signal on hangups checks the
+// RunAgent runs an agent until a signal to stop is received. Each hangup checks the
 // settings file again. It returns an error if the agent cannot listen.
-func RunAgent(s settings.HostedAgent, file string, hangups <-chan os.Signal) error {
+func RunAgent(s settings.HostedAgent, file string, received *signals.Signals) error {
 	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
 	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}, deprioritisedUntil: map[string]time.Time{}, quarantine: quarantine.NewTable()}
@@ -111,8 +112,8 @@
 	tree.Add("gateways", func(ctx context.Context) error {
 		return supervisor.RunAll(ctx, func(ctx context.Context) { _ = a.syncLoop(ctx) }, a.followLoop)
 	})
-	tree.Add("settings", reload(file, hangups))
-	return supervisor.Main(string(settings.ProgramAgent), tree, nil)
+	tree.Add("settings", reload(file, received.Hangups()))
+	return supervisor.Main(string(settings.ProgramAgent), received, tree, nil)
 }
 
 func newPeerClient() *http.Client {
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -20,6 +20,7 @@
 	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/signals"
 	"almondreel.example/almondreel/internal/supervisor"
 	"almondreel.example/almondreel/platform"
 )
@@ -59,10 +60,10 @@
 	connLimiter  *connlimit.Limiter
 }
 
-// RunGateway runs a gateway until SIGINT or SIGTERM, then drains it. Each signal on
-// hangups checks the settings file again. It returns an error if the gateway cannot
+// RunGateway runs a gateway until a signal to stop is received, then drains it. Each
+// hangup checks the settings file again. It returns an error if the gateway cannot
 // listen.
-func RunGateway(s settings.HostedGateway, file string, hangups <-chan os.Signal) error {
+func RunGateway(s settings.HostedGateway, file string, received *signals.Signals) error {
 	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
 	g := newGateway(s)
@@ -75,8 +76,8 @@
 	tree.Add("neighbours", g.gossip.run)
 	tree.Add("pools", g.servers.pools.Run)
 	tree.Add("crashes", g.handler.CrashDetector.Run)
-	tree.Add("settings", reload(file, hangups))
-	return supervisor.Main(string(settings.ProgramGateway), tree, g.drain)
+	tree.Add("settings", reload(file, received.Hangups()))
+	return supervisor.Main(string(settings.ProgramGateway), received, tree, g.drain)
 }
 
 func newGateway(s settings.HostedGateway) *gateway {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -6,13 +6,11 @@
 import (
 	"errors"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
 	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/signals"
 	"almondreel.example/almondreel/internal/supervisor"
 )
 
@@ -27,10 +25,9 @@
 type Daemon struct {
 	Name string
 	// SelfHosted runs the daemon on the operators' own instances.
-	SelfHosted func(file string) error
-	// Hosted runs the daemon on a hosting platform, which sends SIGHUP to have the
-	// settings read again. hangups receives these signals.
-	Hosted func(file string, hangups <-chan os.Signal) error
+	SelfHosted func(file string, s *signals.Signals) error
+	// Hosted runs the daemon on a hosting platform.
+	Hosted func(file string, s *signals.Signals) error
 }
 
 // UsageError is an error in the command line or the settings file. Main exits with
@@ -47,10 +44,7 @@
 // Main parses the command line and runs the daemon. It exits the process with a
 // non-zero code if that fails.
 func Main(d Daemon) {
-	// By default SIGHUP ends the process, and it may arrive right after the start, so
-	// it is caught before the settings are read.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+	s := signals.Catch()
 	var o options
 	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
 		var flagsErr *flags.Error
@@ -60,7 +54,7 @@
 		}
 		supervisor.Exit(d.Name, err, exitUsage)
 	}
-	if err := d.run(o.Settings, hangups); err != nil {
+	if err := d.run(o.Settings, s); err != nil {
 		code := exitFailure
 		if errors.As(err, new(UsageError)) {
 			code = exitUsage
@@ -70,14 +64,13 @@
 }
 
 // run starts the daemon in the form that its settings file is for.
-func (d Daemon) run(file string, hangups chan os.Signal) error {
+func (d Daemon) run(file string, s *signals.Signals) error {
 	hosting, err := settings.IsHosted(file)
 	if err != nil {
 		return NewUsageError(err)
 	}
 	if hosting {
-		return d.Hosted(file, hangups)
+		return d.Hosted(file, s)
 	}
-	signal.Stop(hangups)
-	return d.SelfHosted(file)
+	return d.SelfHosted(file, s)
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -1,18 +1,17 @@
 // Package supervisor runs a daemon's background tasks under a supervision tree, restarts
-// tasks that fail, and stops all of them on SIGINT or SIGTERM.
+// tasks that fail, and stops all of them on a signal.
 package supervisor
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
-	"syscall"
 
 	"github.com/oklog/run"
 	"github.com/thejerf/suture/v4"
 
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/signals"
 )
 
 // Task is a background task. It runs until its context ends.
@@ -72,33 +71,68 @@
 	return ctx.Err()
 }
 
-// Main runs the tree until SIGINT or SIGTERM, then calls drain, which may be nil, and
-// stops the tree. It returns nil after a signal.
-func Main(program string, tree *Tree, drain func(context.Context)) error {
+// Main runs the tree until a signal to stop, then calls drain, which may be nil, and
+// stops the tree. Further signals do not shorten the drain. Main returns nil after a
+// signal.
+func Main(program string, s *signals.Signals, tree *Tree, drain func(context.Context)) error {
 	var group run.Group
-	group.Add(signalActor())
+	group.Add(stopActor(s))
 	ctx, cancel := context.WithCancel(context.Background())
 	group.Add(
 		func() error { return tree.Run(ctx) },
 		func(err error) {
 			event.Log(event.Stopping, "Program", program, "Cause", fmt.Sprint(err))
 			if drain != nil {
-				drain(ctx)
+				ignoreStops(ctx, s, func() { drain(ctx) })
 			}
 			cancel()
 		})
 	event.Log(event.Started, "Program", program)
 	err := group.Run()
 	event.Log(event.Stopped, "Program", program)
-	if errors.Is(err, run.ErrSignal) {
+	if _, ok := err.(stopSignal); ok {
 		return nil
 	}
 	return err
 }
 
-// signalActor returns the actor that ends the run group on SIGINT or SIGTERM.
-func signalActor() (func() error, func(error)) {
-	return run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM)
+// stopSignal is the reason for a stop that was asked for by a signal.
+type stopSignal struct{ os.Signal }
+
+// Error returns the signal's name.
+func (s stopSignal) Error() string { return s.String() }
+
+// stopActor returns the actor that ends the run group on the first signal to stop.
+func stopActor(s *signals.Signals) (func() error, func(error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return func() error {
+		select {
+		case received := <-s.Stops():
+			return stopSignal{received}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}, func(error) { cancel() }
+}
+
+// ignoreStops runs drain and logs the signals to stop that arrive meanwhile.
+func ignoreStops(ctx context.Context, s *signals.Signals, drain func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case received := <-s.Stops():
+				event.Log(event.StopRepeated, "Signal", received.String())
+			}
+		}
+	}()
+	drain()
+	cancel()
+	<-done
 }
 
 // Exit prints err to standard error and exits with code.
