signals: ignore SIGPIPE, so that a lost log reader does not end a daemon

Callers saw all streams of a gateway cut without a SIGTERM, or just after one, when the reader of its log had gone. Cause: the Go runtime ends a process whose write to standard output or standard error fails for want of a reader, unless SIGPIPE is handled or ignored. What stops a daemon may stop its log collector as well, and the first thing a drain does is to write a log line.

--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -21,6 +21,8 @@
 	s := &Signals{stops: make(chan os.Signal, 1), hangups: make(chan os.Signal, 1)}
 	signal.Notify(s.stops, os.Interrupt, syscall.SIGTERM)
 	signal.Notify(s.hangups, syscall.SIGHUP)
+	// Otherwise a log line that nobody reads any more ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
