logsink: own instances log through it too; a stalled log reader does not delay the end

When the reader of a log stalls, its pipe fills. On own instances each goroutine that logs then blocked for good, so the gateway stopped answering and could not drain. On the hosting platform the gateway served and drained, but waited at its end for the log line that was being written, until it was killed.

All daemons now log through the sink, which drops and counts lines beyond its buffer, and its stop gives up after flushTimeout.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"almondreel.example/almondreel/internal/agent"
@@ -16,6 +17,7 @@
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/heartbeat"
+	"almondreel.example/almondreel/internal/logsink"
 	"almondreel.example/almondreel/internal/replica"
 	"almondreel.example/almondreel/internal/serving"
 	"almondreel.example/almondreel/internal/settings"
@@ -39,6 +41,7 @@
 // to the gateways that it is leaving, refuses new requests and completes those in
 // progress.
 func RunAgent(s settings.Agent, received *signals.Signals) error {
+	defer logsink.Start(os.Stderr)()
 	a := newAgent(s)
 	server, err := a.newHTTPServer()
 	if err != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"almondreel.example/almondreel/internal/callerapi"
@@ -17,6 +18,7 @@
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/kv"
 	"almondreel.example/almondreel/internal/ledger"
+	"almondreel.example/almondreel/internal/logsink"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/planner"
 	"almondreel.example/almondreel/internal/quarantinesync"
@@ -56,6 +58,7 @@
 // RunGateway runs the gateway with settings s until a signal to stop is received. Then it
 // refuses new requests, completes those in progress and stops.
 func RunGateway(s settings.Gateway, received *signals.Signals) error {
+	defer logsink.Start(os.Stderr)()
 	callerListener, err := net.Listen("tcp", s.CallerListen)
 	if err != nil {
 		return errs.Wrap(err, "listen for callers", s.CallerListen)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -19,7 +19,8 @@
 const (
 	// maxLines is the size of the buffer: some seconds of a busy gateway's lines.
 	maxLines = 2048
-	// flushTimeout bounds the time to write the buffered lines when the program ends.
+	// flushTimeout bounds the time to write the buffered lines when the program ends,
+	// also if the reader of the log has stalled.
 	flushTimeout = 200 * time.Millisecond
 )
 
@@ -86,7 +87,8 @@
 }
 
 // Start redirects klog's output through a sink to out. The returned function writes
-// the buffered lines and stops the sink. Start panics if klog lacks a flag it needs.
+// the buffered lines and stops the sink, both within flushTimeout. Start panics if klog
+// lacks a flag it needs.
 func Start(out io.Writer) (stop func()) {
 	s := New(out)
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
@@ -106,6 +108,9 @@
 	return func() {
 		klog.Flush()
 		cancel()
-		<-done
+		select {
+		case <-done:
+		case <-time.After(flushTimeout):
+		}
 	}
 }
