hosted: a drain ends when all answers are written, not when their handlers have returned

A caller that read slowly lost the end of its answer. Requests in progress were counted until their handler returned, but its last bytes may wait in the server's buffer for room in the connection; the connection was closed 150 ms later. The drain now waits for the connections whose answer is not written, within the grace period.

--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -42,7 +42,7 @@
 	drainAcceptTime = 2800 * time.Millisecond
 	// graceMargin is how long before the platform kills the process draining ends.
 	graceMargin = 300 * time.Millisecond
-	// settleDelay is the polling interval for the end of requests in progress, and
+	// settleDelay is the polling interval for the end of answers in progress, and
 	// the time for the view to be updated after the mirror changed.
 	settleDelay = 30 * time.Millisecond
 	// shutdownTimeout lets a request that arrived at the very end be answered.
@@ -145,7 +145,7 @@
 }
 
 // drain fails the readiness probe, serves new requests until the platform stops
-// sending them, and waits for requests in progress within the grace period.
+// sending them, and waits within the grace period until all answers are written.
 func (g *gateway) drain(ctx context.Context) {
 	began := time.Now()
 	g.draining.Store(true)
@@ -154,7 +154,8 @@
 	pause.For(ctx, drainAcceptTime)
 	g.handler.Drain()
 	until := began.Add(time.Duration(g.settings.GraceSeconds*float64(time.Second)) - graceMargin)
-	for g.handler.Running() > 0 && time.Now().Before(until) {
+	// The end of an answer may still be written after its handler has returned.
+	for g.connLimiter.Active() > 0 && time.Now().Before(until) {
 		pause.For(ctx, settleDelay)
 	}
 	event.Log(event.DrainEnded, "Running", g.handler.Running(), "Active", g.connLimiter.Active(), "MS", time.Since(began).Milliseconds())
