hosted: close kept connections of a draining gateway only once it refuses requests

Callers on kept connections lost answers around SIGTERM. At its start the drain closed idle connections; net/http counts a connection as idle until a request has been read from it and parsed, so some requests were read, at times passed on, and their connection was closed.

While it takes requests, a draining gateway now answers with Connection: close. It closes idle connections once it refuses requests, so none that is cut then is passed on.

--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -102,7 +102,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(control.Path, calls)
 	mux.Handle("GET /metrics", counter.Handler())
-	g.callerServer = newServer(g.handler)
+	g.callerServer = newServer(http.HandlerFunc(g.serveCaller))
 	g.callerServer.ConnState = g.connLimiter.Track
 	for _, l := range []struct {
 		name, address string
@@ -135,6 +135,15 @@
 	}
 }
 
+// serveCaller handles a caller's request. Callers of a draining gateway are told to send
+// the next one elsewhere.
+func (g *gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	g.handler.ServeHTTP(w, r)
+}
+
 // ready answers the platform's readiness probe.
 func (g *gateway) ready(w http.ResponseWriter, _ *http.Request) {
 	if g.draining.Load() || g.view.Configuration() == nil {
@@ -150,9 +159,11 @@
 	began := time.Now()
 	g.draining.Store(true)
 	event.Log(event.DrainStarted, "Running", g.handler.Running())
-	g.callerServer.SetKeepAlivesEnabled(false)
 	pause.For(ctx, drainAcceptTime)
 	g.handler.Drain()
+	// This closes idle connections, also one from which a request has just been read. So
+	// it must not be done while requests are accepted.
+	g.callerServer.SetKeepAlivesEnabled(false)
 	until := began.Add(time.Duration(g.settings.GraceSeconds*float64(time.Second)) - graceMargin)
 	// The end of an answer may still be written after its handler has returned.
 	for g.connLimiter.Active() > 0 && time.Now().Before(until) {
--- /dev/null
+++ b/test/hosting/stop_kept_test.go
@@ -0,0 +1,88 @@
+package hosting_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/platform/caller"
+	"almondreel.example/almondreel/platform/standin"
+)
+
+// callOnKeptConnection sends calls over one connection, with random pauses of at most
+// maxPause between them, until the gateway closes it. It returns the number of answered
+// calls, and the attempt that got no whole answer, "" if there is none.
+func callOnKeptConnection(address, prefix string, maxPause time.Duration) (answered int, unanswered string) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, ""
+	}
+	defer conn.Close()
+	c, answers := caller.New(address), bufio.NewReader(conn)
+	for ; ; answered++ {
+		attempt := fmt.Sprint(prefix, "-", answered)
+		if c.Write(conn, standin.OncePath+"x", attempt, apiKey, time.Now().Add(requestTimeout)) != nil {
+			return answered, attempt
+		}
+		response, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return answered, attempt
+		}
+		if _, err := io.ReadAll(response.Body); err != nil {
+			return answered, attempt
+		}
+		if response.Close {
+			return answered + 1, ""
+		}
+		time.Sleep(rand.N(maxPause))
+	}
+}
+
+// At SIGTERM the gateway closed kept connections as idle although the next request had
+// just been read from them. The request was passed on and its answer was lost.
+func TestStopsCutNoRequestOnKeptConnection(t *testing.T) {
+	const stops, callers = 20, 80
+	s := startSite(t, options{gateways: 1, engines: 1})
+	g := s.gateways[0]
+	type result struct {
+		answered   int
+		unanswered string
+	}
+	for stop := range stops {
+		s.waitForVersion(0, 1, 10*time.Second)
+		results := make(chan result, callers)
+		for n := range callers {
+			go func() {
+				answered, unanswered := callOnKeptConnection(g.callerAddress, fmt.Sprint("kept-", stop, "-", n), time.Duration(1+n)*50*time.Microsecond)
+				results <- result{answered, unanswered}
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(t, g.command.Process.Signal(syscall.SIGTERM))
+		answered := 0
+		var unanswered []string
+		for range callers {
+			r := <-results
+			answered += r.answered
+			if r.unanswered != "" {
+				unanswered = append(unanswered, r.unanswered)
+			}
+		}
+		require.Greater(t, answered, callers)
+		for _, r := range s.ledger.Runs() {
+			require.NotContains(t, unanswered, r.Attempt, "ran and got no answer")
+		}
+		require.NotContains(t, g.log.String(), string(outcome.CallerGone), "the gateway had read a request and closed its connection")
+		g.kill() // no request is in progress
+		g.start(t)
+	}
+}
