eventstream: text after the last event makes a stream incomplete

A server whose answer has no length may end it after the first line of an event, for example the line that names a new version, or after text that is no event. Callers got the stream as complete, with that text at its end.

Cause: only an id or data field, or a line without its end, made the stream incomplete; other lines counted as comments.

Now only comments and empty lines may follow the last event.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -21,7 +21,7 @@
 
 // Errors of an incomplete stream.
 var (
-	ErrPartial = errors.New("stream ends within an event")
+	ErrPartial = errors.New("stream ends within an event or with text that is no event")
 	ErrTooLong = errors.New("event is too long")
 )
 
@@ -55,18 +55,22 @@
 // ErrTooLong or bounded.ErrNoMemory, means that the stream is incomplete.
 func (r *Reader) Next() (Event, error) {
 	var e Event
-	hasField := false // an id or data field was read
+	hasField := false    // an id or data field was read
+	onlyComments := true // all lines so far are comments or empty
 	for {
 		start := len(e.Bytes)
 		complete, err := r.readLine(&e.Bytes)
 		line := e.Bytes[start:]
 		if !complete {
-			if errors.Is(err, io.EOF) && (hasField || len(line) > 0) {
+			if errors.Is(err, io.EOF) && (!onlyComments || len(line) > 0) {
 				err = ErrPartial
 			}
 			return e, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
+		if len(text) > 0 && text[0] != ':' {
+			onlyComments = false
+		}
 		switch {
 		case len(text) == 0 && hasField:
 			return e, nil
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -30,6 +30,8 @@
 	}
 }
 
+// Guards against events that are changed on the way, and against streams that end after
+// the first lines of an event or with other text and are taken as complete.
 func TestNextPreservesEventBytes(t *testing.T) {
 	long := strings.Repeat("x", 5000)
 	// The reader's buffer ends just before the end of the line.
@@ -45,6 +47,9 @@
 		"edge":     {edge, []eventstream.Event{{Bytes: []byte(edge), ID: "9"}, {}}, io.EOF},
 		"partial":  {"id: 1\ndata: a\n\nid: 2\n", []eventstream.Event{{Bytes: []byte("id: 1\ndata: a\n\n"), ID: "1"}}, eventstream.ErrPartial},
 		"half":     {"id: 1\ndata: a\n\nid", []eventstream.Event{{Bytes: []byte("id: 1\ndata: a\n\n"), ID: "1"}}, eventstream.ErrPartial},
+		"field":    {"id: 1\ndata: a\n\nversion: 2\n", []eventstream.Event{{Bytes: []byte("id: 1\ndata: a\n\n"), ID: "1"}}, eventstream.ErrPartial},
+		"text":     {"id: 1\ndata: a\n\nout of memory\n\n", []eventstream.Event{{Bytes: []byte("id: 1\ndata: a\n\n"), ID: "1"}}, eventstream.ErrPartial},
+		"fields":   {"version: 2\nid: 1\ndata: a\n\n", []eventstream.Event{{Bytes: []byte("version: 2\nid: 1\ndata: a\n\n"), ID: "1"}, {}}, io.EOF},
 		"empty":    {"", []eventstream.Event{{}}, io.EOF},
 	} {
 		t.Run(name, func(t *testing.T) {
