proxy: no empty 200 for a 408 or 429 that is not marked as not run

Callers of a request that may run at most once got an unsigned 200 with an empty body when the server answered 408 or 429, signed, without saying that the request has not run; the outcome was recorded as Answered.

Cause: writeBuffered wrote nothing for these statuses, since they tell callers that the request has not run, and forwardPlain ignored that it had not.

Now such a response is a failed attempt: the caller gets 502, as it does for 503.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -297,6 +297,9 @@
 		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, responseBegun: true, errorResponse: buffered, detail: response.Status}
 	}
 	e.handler.CrashDetector.Survived(e.suspect)
+	if !e.mayWrite(buffered) {
+		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, responseBegun: true, detail: response.Status + " is not marked as not run"}
+	}
 	e.writeBuffered(buffered)
 	return complete{}
 }
@@ -327,18 +330,18 @@
 	}
 }
 
-// writeBuffered sends the caller a server's response unchanged. If the request may
-// run at most once and the status would tell the caller that it has not run, it
-// writes nothing and returns outcome.Unknown.
-func (e *exchange) writeBuffered(b *bufferedResponse) outcome.Outcome {
-	if !e.route.Repeatable() && impliesNotRun(b.status) {
-		return outcome.Unknown{Reason: outcome.BackendFailed}
-	}
+// mayWrite reports whether the caller may receive a server's response. Of a request that
+// may run at most once, it must not receive a status which says that it has not run.
+func (e *exchange) mayWrite(b *bufferedResponse) bool {
+	return e.route.Repeatable() || !impliesNotRun(b.status)
+}
+
+// writeBuffered sends the caller a server's response unchanged.
+func (e *exchange) writeBuffered(b *bufferedResponse) {
 	e.responseBegun = true
 	e.handler.HeaderCodec.CopyResponseHeader(e.w.Header(), b.header, b.signed)
 	e.w.WriteHeader(b.status)
 	_, _ = b.body.WriteTo(e.w)
-	return outcome.Answered{}
 }
 
 // impliesNotRun reports whether callers take a status to mean that the request has
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -156,8 +156,9 @@
 	}
 	repeatable := e.route.Repeatable() && (!e.responseBegun || e.lastEventID != "")
 	if !repeatable || e.possibleRuns >= e.route.MaxAttempts || !e.handler.takeRetry(e.service.Name) {
-		if r.errorResponse != nil {
-			return e.writeBuffered(r.errorResponse), false
+		if r.errorResponse != nil && e.mayWrite(r.errorResponse) {
+			e.writeBuffered(r.errorResponse)
+			return outcome.Answered{}, false
 		}
 		return unknown, false
 	}
