proxy: only events in sequence follow a stream that has begun

A stream broke off after its third event and the next server answered with an error, a redirect, another type, or a 200 without an event whose connection ended. Callers got the three events followed by that answer's text, or a stream that ended as if it were complete; the outcome was recorded as Answered.

Cause: whether the response had begun was a flag that each place had to check before it wrote, and forwardPlain and afterFailure did not.

Now callerResponse alone holds the writer and knows what was written. Once begun, it accepts only events in sequence of a 200 of the same type, and it closes the connection unless it was completed, whatever the outcome. A write to the caller that fails ends the attempt instead of being recorded as Answered. An empty continuation completes the stream only if the body's length or last chunk says that nothing follows.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -120,7 +120,7 @@
 		return rejected{reason: outcome.BackendRefused, endState: rejectionEnd(response.StatusCode), detail: response.Status}
 	case info.AttemptID != e.info.AttemptID || response.Header.Get("Content-Encoding") != "" || !info.Signed:
 		return failed{reason: outcome.BackendFailed, endState: schedule.Incomplete, detail: "response is encoded, unsigned or for another attempt: " + response.Status}
-	case e.route.Kind == site.Stream && response.StatusCode == http.StatusOK:
+	case e.response.begun() || e.route.Kind == site.Stream && response.StatusCode == http.StatusOK:
 		return e.forwardStream(ctx, s, response, watchdog, cancel)
 	}
 	return e.forwardPlain(ctx, s, response)
@@ -162,8 +162,8 @@
 const urgencyUnset = -1
 
 func (e *exchange) forwardInfo(ctx context.Context, s schedule.Server) ForwardInfo {
-	f := ForwardInfo{Server: s.ID, Organisation: e.organisation, AfterEvent: e.lastEventID, Urgency: urgencyUnset}
-	if e.responseBegun {
+	f := ForwardInfo{Server: s.ID, Organisation: e.organisation, AfterEvent: e.response.lastEventID, Urgency: urgencyUnset}
+	if e.response.begun() {
 		f.Urgency = 0 // the caller has received part of the response
 	}
 	f.Deadline, _ = ctx.Deadline()
@@ -300,7 +300,9 @@
 	if !e.mayWrite(buffered) {
 		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, responseBegun: true, detail: response.Status + " is not marked as not run"}
 	}
-	e.writeBuffered(buffered)
+	if err := e.response.writeWhole(buffered); err != nil {
+		return cancelled{responseBegun: true} // the connection to the caller has failed
+	}
 	return complete{}
 }
 
@@ -336,12 +338,13 @@
 	return e.route.Repeatable() || !impliesNotRun(b.status)
 }
 
-// writeBuffered sends the caller a server's response unchanged.
-func (e *exchange) writeBuffered(b *bufferedResponse) {
-	e.responseBegun = true
-	e.handler.HeaderCodec.CopyResponseHeader(e.w.Header(), b.header, b.signed)
-	e.w.WriteHeader(b.status)
-	_, _ = b.body.WriteTo(e.w)
+// writeErrorResponse sends the caller the error response of a server that failed, if
+// it may receive that, and returns the outcome.
+func (e *exchange) writeErrorResponse(r failed) outcome.Outcome {
+	if !e.mayWrite(r.errorResponse) || e.response.writeWhole(r.errorResponse) != nil {
+		return outcome.Unknown{Reason: r.reason}
+	}
+	return outcome.Answered{}
 }
 
 // impliesNotRun reports whether callers take a status to mean that the request has
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -20,7 +20,7 @@
 // exchange is one caller's request and its response in progress.
 type exchange struct {
 	handler       *Handler
-	w             http.ResponseWriter
+	response      callerResponse
 	r             *http.Request
 	arrivedAt     time.Time
 	firstCallAt   time.Time // estimated time of the caller's first attempt; arrivedAt if unknown
@@ -41,8 +41,6 @@
 	possibleRuns  int         // servers that may have run it
 	rejectedBy    []string    // servers that did not run it
 	failedBy      []string    // servers that may have run it and did not complete it
-	responseBegun bool        // the response to the caller has begun
-	lastEventID   string      // last event that was sent to the caller
 	firstMS       int64       // milliseconds from arrival until the response began
 	lastEventAt   time.Time   // when the last event was sent to the caller
 	maxPauseMS    int64       // longest pause between events, in milliseconds
@@ -154,17 +152,16 @@
 	if e.r.Context().Err() != nil {
 		return outcome.Cancelled{}, false
 	}
-	repeatable := e.route.Repeatable() && (!e.responseBegun || e.lastEventID != "")
+	repeatable := e.route.Repeatable() && e.response.resumable()
 	if !repeatable || e.possibleRuns >= e.route.MaxAttempts || !e.handler.takeRetry(e.service.Name) {
-		if r.errorResponse != nil && e.mayWrite(r.errorResponse) {
-			e.writeBuffered(r.errorResponse)
-			return outcome.Answered{}, false
+		if r.errorResponse != nil {
+			return e.writeErrorResponse(r), false
 		}
 		return unknown, false
 	}
 	e.interruptedAt = time.Now()
 	counter.Add("Retried."+string(r.reason), 1)
-	event.Log(event.RequestRetried, "Request", e.info.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail, "AfterEvent", e.lastEventID)
+	event.Log(event.RequestRetried, "Request", e.info.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail, "AfterEvent", e.response.lastEventID)
 	return nil, true
 }
 
@@ -180,7 +177,7 @@
 func (e *exchange) slotRequest() schedule.Request {
 	request := schedule.Request{
 		Priority:      e.priority,
-		Resumed:       e.responseBegun,
+		Resumed:       e.response.begun(),
 		Retried:       e.serversTried > 0,
 		PromptMS:      e.promptMS(),
 		BaseLatencyMS: plainBaseLatencyMS,
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -116,17 +116,17 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	e := &exchange{handler: h, w: w, r: r, arrivedAt: time.Now()}
+	e := &exchange{handler: h, response: callerResponse{w: w, codec: h.HeaderCodec}, r: r, arrivedAt: time.Now()}
 	e.firstCallAt = e.arrivedAt
 	e.info = h.HeaderCodec.ParseRequest(r.Header, e.arrivedAt)
-	refused, ok := e.admit()
+	refused, ok := e.admit(w)
 	if !ok {
 		e.finish(refused)
 		return
 	}
 	ctx, cancel := e.withDeadline(r.Context())
 	defer cancel()
-	e.setWriteDeadline()
+	e.setWriteDeadline(w)
 	e.finish(e.run(ctx))
 }
 
@@ -140,18 +140,18 @@
 
 // setWriteDeadline bounds writes to a caller that reads slowly or not at all:
 // they fail once writeGrace has passed after the request's deadline.
-func (e *exchange) setWriteDeadline() {
+func (e *exchange) setWriteDeadline(w http.ResponseWriter) {
 	if e.deadline.IsZero() {
 		return
 	}
-	if err := http.NewResponseController(e.w).SetWriteDeadline(e.deadline.Add(writeGrace)); err != nil {
+	if err := http.NewResponseController(w).SetWriteDeadline(e.deadline.Add(writeGrace)); err != nil {
 		counter.Add("WriteDeadlinesUnset", 1)
 	}
 }
 
 // admit finds the request's route and organisation and reads its body. It
 // returns an outcome and false if the request is not forwarded.
-func (e *exchange) admit() (outcome.Outcome, bool) {
+func (e *exchange) admit(w http.ResponseWriter) (outcome.Outcome, bool) {
 	if e.handler.draining.Load() {
 		return e.refuseNotReady(outcome.ShuttingDown), false
 	}
@@ -181,10 +181,10 @@
 		e.priority = organisation.Priority
 	}
 	e.service = configuration.Services[pickTarget(route.Targets)]
-	return e.readBody(configuration.Limits)
+	return e.readBody(w, configuration.Limits)
 }
 
-func (e *exchange) readBody(limits site.Limits) (outcome.Outcome, bool) {
+func (e *exchange) readBody(w http.ResponseWriter, limits site.Limits) (outcome.Outcome, bool) {
 	maxBytes := limits.BodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
@@ -193,11 +193,11 @@
 	if deadline.IsZero() {
 		deadline = e.arrivedAt.Add(bodyReadTimeout)
 	}
-	controller := http.NewResponseController(e.w)
+	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		counter.Add("ReadDeadlinesUnset", 1)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, maxBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, e.r.Body, maxBytes))
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{}) // an error was counted at the first call
 	}
@@ -243,28 +243,23 @@
 	return context.WithDeadline(ctx, e.deadline)
 }
 
-// finish records the outcome and reports it to the caller, unless the response
-// already did.
+// finish records the outcome and reports it to the caller, unless the response has
+// begun or the caller has gone.
 func (e *exchange) finish(o outcome.Outcome) {
 	record := outcome.NewRecord(o)
 	e.record(record)
-	switch o := o.(type) {
-	case outcome.Answered:
-		return
-	case outcome.Cancelled:
-		panic(http.ErrAbortHandler)
-	case outcome.Refused:
-		e.handler.HeaderCodec.SetRefusalHeader(e.w.Header(), o.RetryAt, time.Now())
-		if e.handler.Admission.NearLimit() {
-			e.w.Header().Set("Connection", "close")
+	if _, gone := o.(outcome.Cancelled); !gone && !e.response.begun() {
+		header := http.Header{}
+		if refused, ok := o.(outcome.Refused); ok {
+			e.handler.HeaderCodec.SetRefusalHeader(header, refused.RetryAt, time.Now())
+			if e.handler.Admission.NearLimit() {
+				header.Set("Connection", "close")
+			}
 		}
+		// After an error, close cuts the connection.
+		_ = e.response.writeOwn(statusCode(o), header, string(record.Reason)+"\n")
 	}
-	if e.responseBegun {
-		panic(http.ErrAbortHandler) // a truncated response must not look complete
-	}
-	e.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	e.w.WriteHeader(statusCode(o))
-	_, _ = io.WriteString(e.w, string(record.Reason)+"\n")
+	e.response.close()
 }
 
 // record logs the request's end and counts its outcome.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -5,10 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"almondreel.example/almondreel/internal/eventstream"
+	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/schedule"
 )
 
@@ -21,12 +21,15 @@
 // to another server. Callers disconnect after two seconds.
 const maxStreamPause = time.Second
 
-var errGap = errors.New("event does not follow the last one of the stream")
+var errNoEvent = errors.New("connection closed before the first event")
 
 // forwardStream forwards a server's events to the caller. Only a complete event
 // stops the watchdog: a stalled server may still send headers, comments and single
 // bytes.
 func (e *exchange) forwardStream(ctx context.Context, s schedule.Server, response *http.Response, watchdog *stallWatchdog, cancel context.CancelCauseFunc) result {
+	if err := e.response.checkStream(response); err != nil {
+		return failed{reason: outcome.BackendFailed, endState: continuationEnd(response.StatusCode), responseBegun: true, detail: err.Error() + ": " + response.Status}
+	}
 	pauseTimer := &streamPauseTimer{cancel: cancel}
 	defer pauseTimer.stop()
 	memory := e.handler.ResponseMemory.NewReservation()
@@ -36,17 +39,20 @@
 	var firstEventAt time.Time
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && !began && !hasLength(response) {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			if began && !survived {
 				e.handler.CrashDetector.Survived(e.suspect)
 			}
-			if !e.responseBegun || len(event.Bytes) > 0 {
-				e.sendEvent(response, event)
+			if err := e.response.endStream(response, event.Bytes); err != nil {
+				return cancelled{responseBegun: began} // the connection to the caller has failed
 			}
 			return complete{}
 		}
-		if err == nil && !e.inSequence(event.ID, !began) {
-			err = errGap
+		if err == nil {
+			err = e.response.checkEvent(event, !began)
 		}
 		if err != nil {
 			return e.interrupted(ctx, err, began, survived)
@@ -65,10 +71,19 @@
 			survived = true
 			e.handler.CrashDetector.Survived(e.suspect)
 		}
-		e.sendEvent(response, event)
+		if err := e.response.writeEvent(response, event); err != nil {
+			return cancelled{responseBegun: true} // the connection to the caller has failed
+		}
+		e.recordEvent(time.Now())
 	}
 }
 
+// hasLength reports whether a response states where its body ends. A body that ends with
+// its connection may have been cut off before its first event.
+func hasLength(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // streamPauseTimer cancels an attempt whose stream pauses for too long.
 type streamPauseTimer struct {
 	timer  *time.Timer // nil before the first event
@@ -90,40 +105,17 @@
 	}
 }
 
-// inSequence reports whether the event with this ID may follow the last one that
-// was sent to the caller. If event IDs are numbers, they must increase, and the
-// first event of a resumed stream must have the next number.
-func (e *exchange) inSequence(id string, resumed bool) bool {
-	if e.lastEventID == "" || !e.responseBegun {
-		return true
+// continuationEnd returns how the scheduler records a response with this status that
+// does not continue a stream. A server that answered with an error has finished.
+func continuationEnd(status int) schedule.End {
+	if status >= http.StatusBadRequest {
+		return schedule.Finished
 	}
-	last, err := strconv.ParseInt(e.lastEventID, 10, 64)
-	if err != nil {
-		return true // events are not numbered
-	}
-	next, err := strconv.ParseInt(id, 10, 64)
-	if resumed {
-		return err == nil && next == last+1
-	}
-	return err == nil && next > last
+	return schedule.Incomplete
 }
 
-// sendEvent writes one event to the caller, preceded by the headers if the response
-// has not begun.
-func (e *exchange) sendEvent(response *http.Response, event eventstream.Event) {
-	if !e.responseBegun {
-		e.responseBegun = true
-		e.handler.HeaderCodec.CopyResponseHeader(e.w.Header(), response.Header, true)
-		e.w.WriteHeader(response.StatusCode)
-	}
-	_, _ = e.w.Write(event.Bytes)
-	if flusher, ok := e.w.(http.Flusher); ok {
-		flusher.Flush()
-	}
-	if event.ID != "" {
-		e.lastEventID = event.ID
-	}
-	now := time.Now()
+// recordEvent records when an event was sent to the caller.
+func (e *exchange) recordEvent(now time.Time) {
 	if pause := now.Sub(e.lastEventAt).Milliseconds(); !e.lastEventAt.IsZero() && pause > e.maxPauseMS {
 		e.maxPauseMS = pause
 	}
