backendproxy: a connection for each request to a backend server

Callers of model classes were told that a request was not run although the engine ran it, or it ran at a second engine too, at-most-once classes included: an engine that wrote an earlier refusal once more on a kept connection answered the next request with it, and the agent passed that on as its own refusal.

Completions reused connections to the engine; only calls of plain services had new ones. Now every request to a backend server has a connection of its own, so nothing that was sent for an earlier request can answer it. The connection is on the same instance.

--- a/internal/backendproxy/forward.go
+++ b/internal/backendproxy/forward.go
@@ -79,9 +79,7 @@
 	header := http.Header{"Content-Type": {"application/json"}}
 	header.Set(service.HeaderRequestID, req.requestID)
 	header.Set(service.HeaderClass, req.class)
-	backendRequest := p.backendRequest(service.CallsPath, header, req.body)
-	backendRequest.NewConn = true
-	response, err := p.client.Send(ctx, backendRequest)
+	response, err := p.client.Send(ctx, p.backendRequest(service.CallsPath, header, req.body))
 	if p.refuseUnsent(w, req, err) {
 		return
 	}
@@ -97,8 +95,11 @@
 	p.finishAnswer(ctx, w, req, err)
 }
 
+// backendRequest returns a request on a connection of its own. On a reused one, a
+// response that the backend server sends twice would answer the next request, and a
+// refusal says that its request was not run.
 func (p *Proxy) backendRequest(path string, header http.Header, body []byte) atmostonce.Request {
-	return atmostonce.Request{Address: p.backend.Address, Path: path, Header: header, Body: body}
+	return atmostonce.Request{Address: p.backend.Address, Path: path, Header: header, Body: body, NewConn: true}
 }
 
 // refuseUnsent refuses the dispatch and reports true if err proves that no byte of
