attempt: close a connection that brought another attempt's answer

Callers of idempotent classes met interrupted attempts in a row: after an agent's refusal had come twice on a kept connection, each later request there got the answer to the one before it. None was taken for "not run", since the attempt's identity is compared, but each cost a retry.

The answer to another attempt left the connection in the pool. Now atmostonce.CloseConn closes it. A request that the pool hands this connection in the same moment has not written a byte, and is sent on a new connection.

--- a/internal/atmostonce/atmostonce.go
+++ b/internal/atmostonce/atmostonce.go
@@ -96,7 +96,7 @@
 	if method := r.Method; method != "" && method != http.MethodPost {
 		r.NewConn = true
 	}
-	recorder := &connRecorder{}
+	parent, recorder := ctx, &connRecorder{}
 	if !r.ConnectBy.IsZero() {
 		connectCtx, cancel := context.WithCancelCause(ctx)
 		timer := time.AfterFunc(time.Until(r.ConnectBy), func() { recorder.cancelUnlessConnected(cancel) })
@@ -113,16 +113,36 @@
 	}
 	response, err := client.Do(request)
 	if err == nil {
+		response.Body = &responseBody{ReadCloser: response.Body, recorder: recorder}
 		return response, nil
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errConnectTimeout) {
 		err = cause
 	}
 	err = errs.Wrap(err, "send", r.Address)
-	if recorder.sealUnwritten() {
-		return nil, &NotSentError{Cause: err}
+	switch {
+	case !recorder.sealUnwritten():
+		return nil, err
+	case recorder.anyDiscarded() && !r.NewConn:
+		r.NewConn = true
+		return c.Send(parent, r)
+	}
+	return nil, &NotSentError{Cause: err}
+}
+
+// responseBody is the body of a response to a request that Send sent.
+type responseBody struct {
+	io.ReadCloser
+	recorder *connRecorder
+}
+
+// CloseConn closes the connection on which Send received the response, so that no later
+// request uses it. It must be called if the response is not one to the request that was
+// sent: all later ones on the connection might be one request behind.
+func CloseConn(response *http.Response) {
+	if body, ok := response.Body.(*responseBody); ok {
+		body.recorder.discardConns()
 	}
-	return nil, err
 }
 
 // Close closes idle connections.
@@ -205,6 +225,29 @@
 	return clean
 }
 
+func (rec *connRecorder) discardConns() {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	for _, c := range rec.conns {
+		if c.conn != nil {
+			c.conn.discard()
+		}
+	}
+}
+
+// anyDiscarded reports whether CloseConn closed a connection of the request. The pool
+// may hand out such a connection for a moment.
+func (rec *connRecorder) anyDiscarded() bool {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	for _, c := range rec.conns {
+		if c.conn != nil && c.conn.isDiscarded() {
+			return true
+		}
+	}
+	return false
+}
+
 // countingConn counts the bytes passed to the kernel. Once sealed, it rejects
 // writes.
 type countingConn struct {
@@ -212,6 +255,8 @@
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	// discarded is set if the connection was closed by CloseConn.
+	discarded bool
 }
 
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -249,6 +294,20 @@
 	return c.written
 }
 
+// discard seals the connection and closes it.
+func (c *countingConn) discard() {
+	c.mu.Lock()
+	c.sealed, c.discarded = true, true
+	c.mu.Unlock()
+	_ = c.Close() // nothing more is expected from the connection
+}
+
+func (c *countingConn) isDiscarded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.discarded
+}
+
 // ProbeRefused makes one connection attempt and reports whether it was refused.
 func ProbeRefused(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, probeTimeout)
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -114,6 +114,7 @@
 		return refusal
 	}
 	if response.StatusCode != http.StatusOK || response.Header.Get(agent.HeaderAttempt) != a.id {
+		atmostonce.CloseConn(response)
 		cause := errs.New("dispatch", a.Member.Address, "status %d for attempt %q", response.StatusCode, response.Header.Get(agent.HeaderAttempt))
 		return Interrupted{Reason: outcome.StreamCut, Cause: cause}
 	}
