--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"log"
 	"sync/atomic"
 	"time"
 
@@ -86,9 +87,9 @@
 	}
 }
 
-// Start redirects klog's output through a sink to out. The returned function writes
-// the buffered lines and stops the sink, both within flushTimeout. Start panics if klog
-// lacks a flag it needs.
+// Start redirects the output of klog and of the standard log package, which net/http and
+// net/rpc use, through a sink to out. The returned function writes the buffered lines and
+// stops the sink, both within flushTimeout. Start panics if klog lacks a flag it needs.
 func Start(out io.Writer) (stop func()) {
 	s := New(out)
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
@@ -99,6 +100,7 @@
 		}
 	}
 	klog.SetOutput(s)
+	log.SetOutput(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
