proxy: give up a silent server only once another one can go on

Callers got a 200 and then a closed connection, with the server named, when engines were silent for a second or more. Cause: the proxy gave up the running attempt first and asked for a slot at another server then; if there was none, the request ended.

An attempt at a silent server is now given up only once a slot at another server and a retry are reserved for the request; otherwise the proxy goes on waiting and asks again every 100 ms. This holds before the first event as well. A caller that reads slowly is no longer taken for a pause of the server.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -97,6 +97,7 @@
 	defer cancel(nil)
 	now := time.Now()
 	e.sentAt = now
+	e.failover.begin(e.slotRequest(), s.ID)
 	watchdog := e.watchForStall(s, cancel)
 	defer watchdog.stop()
 	e.startVersionTimer(s, cancel)
@@ -188,7 +189,8 @@
 }
 
 // watchForStall starts a watchdog that cancels the attempt if its response does
-// not begin. The watchdog is disabled if no other server may be tried.
+// not begin, once another server can take the request. The watchdog is disabled if no
+// other server may be tried.
 func (e *exchange) watchForStall(s schedule.Server, cancel context.CancelCauseFunc) *stallWatchdog {
 	w := &stallWatchdog{}
 	if !e.canFailOver() {
@@ -204,8 +206,7 @@
 		defer w.mu.Unlock()
 		switch {
 		case w.disabled:
-		case e.handler.activity.stalled(s.ID, sent, time.Now()):
-			cancel(errStalled)
+		case e.handler.activity.stalled(s.ID, sent, time.Now()) && e.giveUpStalled(cancel):
 		default:
 			w.timer.Reset(stallCheckInterval)
 		}
@@ -213,6 +214,16 @@
 	return w
 }
 
+// giveUpStalled cancels the attempt if another server can go on with the request, and
+// reports whether it did.
+func (e *exchange) giveUpStalled(cancel context.CancelCauseFunc) bool {
+	if !e.failover.reserve() {
+		return false
+	}
+	cancel(errStalled)
+	return true
+}
+
 // versionEndMargin is how long before a version ends the attempt is cancelled, so
 // that the cancellation reaches the server in time.
 const versionEndMargin = 50 * time.Millisecond
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -33,6 +33,7 @@
 	configVersion int64
 	body          []byte
 	suspect       suspectRequest
+	failover      failover
 
 	sentAt        time.Time   // when the last attempt was sent
 	versionTimer  *time.Timer // cancels the attempt when the server's model version ends
@@ -54,14 +55,14 @@
 func (e *exchange) run(ctx context.Context) outcome.Outcome {
 	e.handler.retryWindow(e.service.Name).CountRequest(e.arrivedAt)
 	e.suspect = suspectRequest{e.info.AttemptID, e.fingerprint(), e.info.SharedParts}
+	e.failover.pools, e.failover.service, e.failover.promptMS = e.handler.Pools, e.service.Name, e.promptMS()
+	e.failover.takeRetry = func() bool { return e.handler.takeRetry(e.service.Name) }
+	defer e.failover.release()
 	for {
 		if e.handler.CrashDetector.Verdict(e.suspect) == quarantine.Quarantined {
 			return e.quarantined()
 		}
-		queuedAt := time.Now()
-		decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slotRequest())
-		e.queueMS += time.Since(queuedAt).Milliseconds()
-		switch d := decision.(type) {
+		switch d := e.acquireSlot(ctx).(type) {
 		case schedule.Start:
 			verdict := e.handler.CrashDetector.Verdict(e.suspect)
 			if verdict == quarantine.Quarantined {
@@ -80,6 +81,18 @@
 	}
 }
 
+// acquireSlot returns the slot that was reserved while the last attempt ran, or waits for
+// one as Pools.acquire does.
+func (e *exchange) acquireSlot(ctx context.Context) schedule.Decision {
+	if start := e.failover.take(); start != nil {
+		return *start
+	}
+	queuedAt := time.Now()
+	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slotRequest())
+	e.queueMS += time.Since(queuedAt).Milliseconds()
+	return decision
+}
+
 func (e *exchange) quarantined() outcome.Outcome {
 	return e.refusedOrUnknown(outcome.Refused{Reason: outcome.Quarantined, RetryAt: time.Now().Add(quarantineRetryDelay)})
 }
@@ -108,6 +121,7 @@
 	e.lastServer = s.ID
 	e.serversTried++
 	result := e.send(ctx, s)
+	reserved := e.failover.end()
 	e.handler.Pools.release(e.service.Name, s.ID, result.schedulerEnd(), e.pendingPromptMS(result))
 	switch r := result.(type) {
 	case complete:
@@ -116,7 +130,7 @@
 	case rejected:
 		return e.afterRejection(s, r)
 	case failed:
-		return e.afterFailure(s, r, verdict)
+		return e.afterFailure(s, r, verdict, reserved)
 	}
 	e.possibleRuns++
 	return e.timedOut(), false
@@ -141,7 +155,9 @@
 	return nil, true
 }
 
-func (e *exchange) afterFailure(s schedule.Server, r failed, verdict quarantine.Verdict) (outcome.Outcome, bool) {
+// afterFailure returns the outcome and false, or true if the request is to be retried.
+// reserved says that there is a slot for the retry, which the budget allows.
+func (e *exchange) afterFailure(s schedule.Server, r failed, verdict quarantine.Verdict, reserved bool) (outcome.Outcome, bool) {
 	e.possibleRuns++
 	e.failedBy = append(e.failedBy, s.ID)
 	interrupted := interruptedResponse{e.suspect, time.Now(), r.survived, s, verdict}
@@ -153,7 +169,7 @@
 		return outcome.Cancelled{}, false
 	}
 	repeatable := e.route.Repeatable() && e.response.resumable()
-	if !repeatable || e.possibleRuns >= e.route.MaxAttempts || !e.handler.takeRetry(e.service.Name) {
+	if !repeatable || e.possibleRuns >= e.route.MaxAttempts || !reserved && !e.handler.takeRetry(e.service.Name) {
 		if r.errorResponse != nil {
 			return e.writeErrorResponse(r), false
 		}
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -108,6 +108,14 @@
 	return p.cancelWait(service, request.ID, waiter)
 }
 
+// startElsewhere takes a slot for a request at once, at a server that did not fail it. It
+// reports false if there is none.
+func (p *Pools) startElsewhere(service string, request schedule.Request) (schedule.Start, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool(service).StartElsewhere(time.Now(), request)
+}
+
 // cancelWait removes a request from the queue. A slot that it was given in the
 // meantime is released.
 func (p *Pools) cancelWait(service string, id int64, waiter chan schedule.Decision) schedule.Decision {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -18,7 +18,7 @@
 // uninterrupted response.
 
 // maxStreamPause is the longest time without an event before the stream fails over
-// to another server. Callers disconnect after two seconds.
+// to another server, if one can take it. Callers disconnect after two seconds.
 const maxStreamPause = time.Second
 
 var errNoEvent = errors.New("connection closed before the first event")
@@ -30,7 +30,7 @@
 	if err := e.response.checkStream(response); err != nil {
 		return failed{reason: outcome.BackendFailed, endState: continuationEnd(response.StatusCode), responseBegun: true, detail: err.Error() + ": " + response.Status}
 	}
-	pauseTimer := &streamPauseTimer{cancel: cancel}
+	pauseTimer := &streamPauseTimer{giveUp: func() bool { return e.giveUpStalled(cancel) }}
 	defer pauseTimer.stop()
 	memory := e.handler.ResponseMemory.NewReservation()
 	defer memory.Release()
@@ -58,9 +58,7 @@
 			return e.interrupted(ctx, err, began, survived)
 		}
 		watchdog.stop()
-		if e.canFailOver() {
-			pauseTimer.restart()
-		}
+		pauseTimer.stop() // a caller that reads slowly is no pause of the server
 		now := time.Now()
 		e.handler.activity.received(s.ID, now)
 		if !began {
@@ -75,6 +73,9 @@
 			return cancelled{responseBegun: true} // the connection to the caller has failed
 		}
 		e.recordEvent(time.Now())
+		if e.canFailOver() {
+			pauseTimer.restart()
+		}
 	}
 }
 
@@ -84,27 +85,6 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// streamPauseTimer cancels an attempt whose stream pauses for too long.
-type streamPauseTimer struct {
-	timer  *time.Timer // nil before the first event
-	cancel context.CancelCauseFunc
-}
-
-// restart cancels the attempt unless the next event arrives within maxStreamPause.
-func (t *streamPauseTimer) restart() {
-	if t.timer == nil {
-		t.timer = time.AfterFunc(maxStreamPause, func() { t.cancel(errStalled) })
-		return
-	}
-	t.timer.Reset(maxStreamPause)
-}
-
-func (t *streamPauseTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
 // continuationEnd returns how the scheduler records a response with this status that
 // does not continue a stream. A server that answered with an error has finished.
 func continuationEnd(status int) schedule.End {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -482,6 +482,16 @@
 	return Start{Server: s.Server}
 }
 
+// StartElsewhere starts a request at once at a server that did not fail it, before those
+// in the queue. It reports false if no such server has a free slot.
+func (p *Pool) StartElsewhere(now time.Time, r Request) (Start, bool) {
+	s := p.chooseServer(now, r)
+	if s == nil || slices.Contains(r.Failed, s.ID) {
+		return Start{}, false
+	}
+	return p.start(now, s, r), true
+}
+
 // promptLoadWeight converts pending prompt milliseconds to load, a fraction of a
 // server's slots.
 const promptLoadWeight = 1.0 / 400
