proxy: a refusal of another attempt does not say that this one has not run

An engine that writes an earlier refusal once more made the gateway answer 503, not run, for a request that the engine may run, or send it to a second engine. Cause: whether a response says "not run" was read before the attempt that it names was compared. Refusals without an identity still count, since each attempt has a connection of its own.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -116,8 +116,9 @@
 	if response.StatusCode != http.StatusMisdirectedRequest { // another server may run at the address
 		e.recordRateLimit(s, info)
 	}
+	foreign := info.AttemptID != "" && info.AttemptID != e.info.AttemptID
 	switch {
-	case info.NotRun:
+	case info.NotRun && !foreign:
 		return rejected{reason: outcome.BackendRefused, endState: rejectionEnd(response.StatusCode), detail: response.Status}
 	case info.AttemptID != e.info.AttemptID || response.Header.Get("Content-Encoding") != "" || !info.Signed:
 		return failed{reason: outcome.BackendFailed, endState: schedule.Incomplete, detail: "response is encoded, unsigned or for another attempt: " + response.Status}
