backendproxy, attempt: a completion is whole only if its last token came

Callers got Answered with 0 tokens when an engine answered 200 with the end event alone, or with HTML or a response head that the end event followed. Agent and gateway took the end event for the end of a whole answer without a last token before it.

The fake agents of ./internal/dispatch now mark the last token of an answer, as engines do; without that their whole answers are incomplete ones. Their checks stay.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -241,7 +241,7 @@
 			timer.reset()
 		}
 	}
-	if !done {
+	if !done || !a.Progress.Finished {
 		return errIncomplete
 	}
 	return nil
--- a/internal/backendproxy/forward.go
+++ b/internal/backendproxy/forward.go
@@ -126,23 +126,30 @@
 }
 
 // forwardEvents forwards token events up to the engine's event that ends the
-// answer. A stream that ends without that event is an error.
+// answer. A stream that ends without that event, or in which it does not follow the
+// last token, is an error.
 func (p *Proxy) forwardEvents(w http.ResponseWriter, req dispatchRequest, response *http.Response) error {
 	if response.StatusCode != http.StatusOK {
 		return &interruptedError{outcome.BackendFailed, fmt.Errorf("engine returned status %d", response.StatusCode)}
 	}
 	flusher := http.NewResponseController(w)
+	finished := false
 	for e, err := range sse.Read(response.Body, nil) {
 		if err != nil {
 			return err
 		}
+		if e.Data == engine.Done && !finished {
+			return &interruptedError{outcome.StreamCut, errors.New("end of the answer without its last token")}
+		}
 		if e.Data == engine.Done {
 			_, err := io.WriteString(w, "data: "+engine.Done+"\n\n")
 			return err
 		}
-		if err := checkToken(req, e.Data); err != nil {
+		t, err := parseToken(req, e.Data)
+		if err != nil {
 			return err
 		}
+		finished = t.Finish != ""
 		if _, err := io.WriteString(w, "data: "+e.Data+"\n\n"); err != nil {
 			return &interruptedError{outcome.CallerGone, err}
 		}
@@ -153,20 +160,20 @@
 	return io.ErrUnexpectedEOF
 }
 
-// checkToken returns an *interruptedError if the token is not of this attempt and
+// parseToken returns an *interruptedError if the token is not of this attempt and
 // version.
-func checkToken(req dispatchRequest, data string) error {
+func parseToken(req dispatchRequest, data string) (engine.Token, error) {
 	var t engine.Token
 	if err := json.Unmarshal([]byte(data), &t); err != nil {
-		return &interruptedError{outcome.StreamCut, errs.Wrap(err, "token", "")}
+		return t, &interruptedError{outcome.StreamCut, errs.Wrap(err, "token", "")}
 	}
 	if t.RequestID != req.attempt {
-		return &interruptedError{outcome.StreamCut, fmt.Errorf("token belongs to attempt %q", t.RequestID)}
+		return t, &interruptedError{outcome.StreamCut, fmt.Errorf("token belongs to attempt %q", t.RequestID)}
 	}
 	if t.Digest != req.digest {
-		return &interruptedError{outcome.ReplicaServesOtherVersion, fmt.Errorf("token is from version %s, expected %s", t.Digest, req.digest)}
+		return t, &interruptedError{outcome.ReplicaServesOtherVersion, fmt.Errorf("token is from version %s, expected %s", t.Digest, req.digest)}
 	}
-	return nil
+	return t, nil
 }
 
 // finishAnswer sets the trailer that says how the answer ended. An interrupted
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -27,6 +27,9 @@
 
 const digest = manifest.Digest("sha256:aa")
 
+// lastToken is the index of the last token of each answer.
+const lastToken = 3
+
 // script is how a fake agent answers one dispatch.
 type script func(w http.ResponseWriter, r *http.Request, a answerWriter)
 
@@ -44,7 +47,11 @@
 
 func (a answerWriter) tokens(indices ...int) {
 	for _, i := range indices {
-		a.token(engine.Token{RequestID: a.attempt, Digest: digest, Index: i, Text: strconv.Itoa(i)})
+		token := engine.Token{RequestID: a.attempt, Digest: digest, Index: i, Text: strconv.Itoa(i)}
+		if i == lastToken {
+			token.Finish = "length"
+		}
+		a.token(token)
 	}
 }
 
@@ -62,14 +69,14 @@
 	a.w.Header().Set(agent.TrailerEnd, trailer)
 }
 
-// completeAnswer streams the tokens up to 3 from the index that was asked for.
+// completeAnswer streams the tokens up to lastToken from the index that was asked for.
 func completeAnswer(_ http.ResponseWriter, r *http.Request, a answerWriter) {
 	from, err := strconv.Atoi(r.Header.Get(agent.HeaderResumeFrom))
 	if err != nil {
 		panic(err)
 	}
 	a.start()
-	for i := from; i < 4; i++ {
+	for i := from; i <= lastToken; i++ {
 		a.tokens(i)
 	}
 	a.end(agent.EndWhole)
