--- a/internal/plannedstop/output.go
+++ b/internal/plannedstop/output.go
@@ -37,6 +37,7 @@
 	t.write([]byte(time.Now().Format(timeLayout) + " " + fmt.Sprintf(format, args...) + "\n"))
 }
 
+// String returns the output so far.
 func (t *text) String() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/test/requests/stopsoak_test.go
+++ b/test/requests/stopsoak_test.go
@@ -55,7 +55,9 @@
 )
 
 // plannedRegressionSeeds are seeds whose runs have failed, each with the cause.
-var plannedRegressionSeeds = []uint64{}
+var plannedRegressionSeeds = []uint64{
+	2, // hangups and second signals to stop ended gateways and agents in the middle of their answers
+}
 
 // TestSoakOfPlannedStops runs one fixed seed. SOAK=1 runs fifty random seeds and the
 // regression seeds, one after another; SEED=n runs seed n.
