proxy: prepare a failover only for attempts that may fail over; derive its prompt time

Each attempt worked out its slot request a second time and copied the servers that had failed it, also where no other server may be tried. Both now happen only where they are used. The prompt time stands in the request already. No change of behaviour.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -97,7 +97,9 @@
 	defer cancel(nil)
 	now := time.Now()
 	e.sentAt = now
-	e.failover.begin(e.slotRequest(), s.ID)
+	if e.canFailOver() {
+		e.failover.begin(e.slotRequest(), s.ID)
+	}
 	watchdog := e.watchForStall(s, cancel)
 	defer watchdog.stop()
 	e.startVersionTimer(s, cancel)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -55,7 +55,7 @@
 func (e *exchange) run(ctx context.Context) outcome.Outcome {
 	e.handler.retryWindow(e.service.Name).CountRequest(e.arrivedAt)
 	e.suspect = suspectRequest{e.info.AttemptID, e.fingerprint(), e.info.SharedParts}
-	e.failover.pools, e.failover.service, e.failover.promptMS = e.handler.Pools, e.service.Name, e.promptMS()
+	e.failover.pools, e.failover.service = e.handler.Pools, e.service.Name
 	e.failover.takeRetry = func() bool { return e.handler.takeRetry(e.service.Name) }
 	defer e.failover.release()
 	for {
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -12,15 +12,15 @@
 // attempt is given up. An attempt whose server is silent is given up only once there is
 // such a slot, since the server may still answer. It is safe for concurrent use.
 type failover struct {
-	pools    *Pools
-	service  string
-	promptMS float64
+	pools   *Pools
+	service string
 	// takeRetry takes a retry from the budget, or reports that none is left.
 	takeRetry func() bool
 
 	mu       sync.Mutex
-	request  schedule.Request
-	open     bool // the attempt is running
+	request  schedule.Request // of the attempt
+	server   string           // of the attempt
+	open     bool             // the attempt is running
 	reserved *schedule.Start
 }
 
@@ -28,9 +28,7 @@
 func (f *failover) begin(request schedule.Request, server string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	request.Resumed, request.Retried = true, true
-	request.Failed = append(slices.Clone(request.Failed), server)
-	f.request, f.open = request, true
+	f.request, f.server, f.open = request, server, true
 }
 
 // reserve takes a slot at another server and a retry for it. It reports whether the
@@ -41,12 +39,15 @@
 	if !f.open || f.reserved != nil {
 		return false
 	}
-	start, ok := f.pools.startElsewhere(f.service, f.request)
+	request := f.request
+	request.Resumed, request.Retried = true, true
+	request.Failed = append(slices.Clone(request.Failed), f.server)
+	start, ok := f.pools.startElsewhere(f.service, request)
 	if !ok {
 		return false
 	}
 	if !f.takeRetry() {
-		f.pools.release(f.service, start.Server.ID, schedule.Abandoned, f.promptMS)
+		f.free(start)
 		return false
 	}
 	f.reserved = &start
@@ -73,10 +74,14 @@
 // release frees the slot of a request that ended without it.
 func (f *failover) release() {
 	if start := f.take(); start != nil {
-		f.pools.release(f.service, start.Server.ID, schedule.Abandoned, f.promptMS)
+		f.free(*start)
 	}
 }
 
+func (f *failover) free(start schedule.Start) {
+	f.pools.release(f.service, start.Server.ID, schedule.Abandoned, f.request.PromptMS)
+}
+
 // streamPauseTimer gives up an attempt whose stream pauses for longer than maxStreamPause,
 // once another server can go on with it.
 type streamPauseTimer struct {
