--- a/internal/plannedstop/program.go
+++ b/internal/plannedstop/program.go
@@ -143,63 +143,90 @@
 	early := time.Since(p.startedAt) < startTime
 	p.output.set(s.Reader)
 	p.stops++
+	end := p.ended
 	p.mu.Unlock()
-	end, last, killAt := p.end(), make(chan struct{}), make(chan time.Time, 1)
+	p.text.note("%s: stop %+v", p.Name, s.Steps)
 	ctx, cancel := context.WithCancel(context.Background())
+	sent, killAt := p.send(ctx, s.Steps)
 	defer func() {
 		cancel()
-		<-last // no signal after it
+		<-sent // no signal after it
 	}()
-	p.text.note("%s: stop %+v", p.Name, s.Steps)
+	switch {
+	case s.ends():
+		if !p.waitForEnd(end, killAt) {
+			return true
+		}
+	default:
+		select {
+		case <-sent:
+		case <-end:
+		}
+		time.Sleep(startTime) // a hangup takes effect meanwhile
+	}
+	select {
+	case <-end:
+	default:
+		return false
+	}
+	if !early { // a signal before the first instruction ends a program
+		p.checkExit(s)
+	}
+	return true
+}
+
+// send sends the signals of the steps until ctx ends. The first channel is closed when it
+// has ended, the second holds the time at which the grace period ends, once it has begun.
+func (p *Program) send(ctx context.Context, steps []Step) (<-chan struct{}, <-chan time.Time) {
+	sent, killAt := make(chan struct{}), make(chan time.Time, 1)
 	go func() {
-		defer close(last)
-		for _, step := range s.Steps {
+		defer close(sent)
+		stopping := false
+		for _, step := range steps {
 			pause.For(ctx, step.Pause)
 			if ctx.Err() != nil {
 				return
 			}
 			p.signal(step.Signal)
-			if step.Signal != syscall.SIGHUP && len(killAt) == 0 {
+			if step.Signal != syscall.SIGHUP && !stopping {
+				stopping = true
 				killAt <- time.Now().Add(p.grace)
 			}
 		}
 	}()
-	if !s.ends() {
-		select {
-		case <-last:
-		case <-end:
-		}
-		time.Sleep(startTime) // a hangup takes effect meanwhile
-	} else {
+	return sent, killAt
+}
+
+// waitForEnd waits until the program ends by itself. It kills the program at the end of
+// its grace period, and reports false then.
+func (p *Program) waitForEnd(end <-chan struct{}, killAt <-chan time.Time) bool {
+	select {
+	case <-end:
+		return true
+	case at := <-killAt:
 		select {
-		case at := <-killAt:
-			killAt <- at
-			select {
-			case <-end:
-			case <-time.After(time.Until(at)):
-				p.addProblem("did not end within %v of the first signal to stop", p.grace)
-				p.Kill()
-				return true
-			}
 		case <-end:
+			return true
+		case <-time.After(time.Until(at)):
 		}
 	}
-	select {
-	case <-end:
-	default:
-		return false
-	}
+	p.addProblem("did not end within %v of the first signal to stop", p.grace)
+	p.Kill()
+	return false
+}
+
+// checkExit adds a problem if the program, which s has ended, ended otherwise than by its
+// own exit with status 0, or without a signal to stop.
+func (p *Program) checkExit(s Stop) {
 	p.mu.Lock()
 	exit := p.exit
 	p.mu.Unlock()
 	switch {
-	case early: // a signal before the first instruction
 	case !s.ends():
 		p.addProblem("was ended by a hangup: %v", exit)
 	case exit != nil:
 		p.addProblem("was ended by a signal: %v", exit)
 	}
-	return true
 }
 
 func (p *Program) addProblem(format string, args ...any) {
--- a/test/hosting/soak_test.go
+++ b/test/hosting/soak_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -14,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/internal/soakseeds"
 	"almondreel.example/almondreel/internal/standin/faultproxy"
 	"almondreel.example/almondreel/platform/caller"
 	"almondreel.example/almondreel/platform/endless"
@@ -49,13 +48,6 @@
 	drainNoticeTime = 2 * time.Second
 )
 
-const (
-	// defaultSeed is the seed of a run with neither SEED nor SOAK set.
-	defaultSeed = 1
-	// seedsPerLargeSite selects the large site for every seed that it divides.
-	seedsPerLargeSite = 10
-)
-
 // regressionSeeds are seeds whose runs have failed, each with the cause.
 var regressionSeeds = []uint64{
 	13753197886634950628, // SIGHUP within milliseconds of its start terminated a gateway
@@ -70,21 +62,10 @@
 	runSeeds(t, regressionSeeds, soak)
 }
 
-// runSeeds runs one fixed seed, with SEED=n seed n, and with SOAK=1 the regression seeds
-// and fifty random ones.
+// runSeeds runs the seeds that soakseeds.Choose chooses, several at the same time.
 func runSeeds(t *testing.T, regressionSeeds []uint64, run func(*testing.T, uint64)) {
-	seeds := []uint64{defaultSeed}
-	switch text := os.Getenv("SEED"); {
-	case text != "":
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		seeds = []uint64{seed}
-	case os.Getenv("SOAK") != "":
-		seeds = regressionSeeds
-		for len(seeds) < 50+len(regressionSeeds) {
-			seeds = append(seeds, rand.Uint64())
-		}
-	}
+	seeds, err := soakseeds.Choose(regressionSeeds)
+	require.NoError(t, err)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("SEED=", seed), func(t *testing.T) {
 			if len(seeds) > 1 {
@@ -98,7 +79,7 @@
 func soak(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	size := options{gateways: 3, engines: 4, firstVersion: 1}
-	if seed%seedsPerLargeSite == 0 {
+	if soakseeds.Large(seed) {
 		size = options{gateways: 6, engines: 36, firstVersion: 1}
 	}
 	s := &soakRun{site: startSite(t, size), rng: rng, endlessRand: rand.New(rand.NewPCG(seed, 11)), version: 1, journal: newJournal()}
--- a/test/hosting/stop_silence_test.go
+++ b/test/hosting/stop_silence_test.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sys/unix"
 
 	"almondreel.example/almondreel/internal/standin/faultproxy"
-	"almondreel.example/almondreel/platform/caller"
 )
 
 // silence is how long engines pause in the middle of their answers.
@@ -21,6 +20,7 @@
 // Streams whose engines were silent for longer than a second were ended by the gateway
 // if no other engine could go on with them.
 func TestSilentEnginesKeepTheirStreams(t *testing.T) {
+	const streams = 6
 	for _, c := range []struct {
 		engines int
 		stop    bool
@@ -29,8 +29,8 @@
 			s := startSite(t, options{gateways: 1, engines: c.engines})
 			s.waitForVersion(0, 1, 10*time.Second)
 			s.eventually(10*time.Second, "all engines serve", func() bool {
-				outcomes := s.sendMany(6)
-				for range 6 {
+				outcomes := s.sendMany(0, streams)
+				for range streams {
 					<-outcomes
 				}
 				for _, e := range s.engines {
@@ -43,8 +43,7 @@
 			for _, e := range s.engines {
 				e.SetEventMS(slowEventMS)
 			}
-			const streams = 6
-			outcomes := s.sendMany(streams)
+			outcomes := s.sendMany(0, streams)
 			time.Sleep(400 * time.Millisecond)
 			if c.stop {
 				require.NoError(t, s.gateways[0].command.Process.Signal(syscall.SIGTERM))
@@ -110,12 +109,3 @@
 	limit.Cur = files
 	require.NoError(t, unix.Prlimit(g.command.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
 }
-
-// sendMany sends n stream requests at once and returns their outcomes.
-func (s *site) sendMany(n int) <-chan caller.Outcome {
-	outcomes := make(chan caller.Outcome, n)
-	for range n {
-		go func() { outcomes <- s.send(0, apiKey) }()
-	}
-	return outcomes
-}
--- a/test/hosting/stop_slow_test.go
+++ b/test/hosting/stop_slow_test.go
@@ -55,18 +55,6 @@
 	return c
 }
 
-// slowReader reads at most bytes at once, with a pause before each read.
-type slowReader struct {
-	io.Reader
-	bytes int
-	pause time.Duration
-}
-
-func (r slowReader) Read(p []byte) (int, error) {
-	time.Sleep(r.pause)
-	return r.Reader.Read(p[:min(len(p), r.bytes)])
-}
-
 // readWholeBody returns an error unless a whole response with status 200 and a body of
 // size bytes is read.
 func readWholeBody(r io.Reader, size int) error {
@@ -158,7 +146,7 @@
 	for _, c := range calls {
 		go func() {
 			time.Sleep(3200 * time.Millisecond)
-			failures <- readWholeBody(slowReader{c, 64 << 10, 10 * time.Millisecond}, c.size)
+			failures <- readWholeBody(caller.SlowReader{Reader: c, Bytes: 64 << 10, Pause: 10 * time.Millisecond}, c.size)
 		}()
 	}
 	require.NoError(t, g.command.Process.Signal(syscall.SIGTERM))
--- a/test/hosting/stop_test.go
+++ b/test/hosting/stop_test.go
@@ -24,6 +24,15 @@
 	graceTime = 8 * time.Second
 )
 
+// sendMany sends n stream requests to a gateway at once and returns their outcomes.
+func (s *site) sendMany(gateway, n int) <-chan caller.Outcome {
+	outcomes := make(chan caller.Outcome, n)
+	for range n {
+		go func() { outcomes <- s.send(gateway, apiKey) }()
+	}
+	return outcomes
+}
+
 // startStreams sends n stream requests to a gateway, and returns their outcomes on a
 // channel once they are in progress.
 func (s *site) startStreams(gateway, n int) <-chan caller.Outcome {
@@ -32,10 +41,7 @@
 		e.SetEventMS(slowEventMS)
 	}
 	before := len(s.engines[0].Runs())
-	outcomes := make(chan caller.Outcome, n)
-	for range n {
-		go func() { outcomes <- s.send(gateway, apiKey) }()
-	}
+	outcomes := s.sendMany(gateway, n)
 	s.eventually(time.Second, "the engine runs the streams", func() bool { return len(s.engines[0].Runs()) == before+n })
 	return outcomes
 }
--- a/test/hosting/stopsoak_test.go
+++ b/test/hosting/stopsoak_test.go
@@ -14,6 +14,7 @@
 
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/plannedstop"
+	"almondreel.example/almondreel/internal/soakseeds"
 	"almondreel.example/almondreel/platform/caller"
 	"almondreel.example/almondreel/platform/standin"
 )
@@ -55,7 +56,7 @@
 
 func soakPlannedStops(t *testing.T, seed uint64) {
 	size := options{gateways: 4, engines: 6, firstVersion: 1}
-	if seed%seedsPerLargeSite == 0 {
+	if soakseeds.Large(seed) {
 		size = options{gateways: 24, engines: 96, firstVersion: 1}
 	}
 	s := &plannedSoak{site: startSite(t, size), seed: seed, version: 1}
--- a/test/requests/stopsoak_test.go
+++ b/test/requests/stopsoak_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"testing"
@@ -21,6 +20,7 @@
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/plannedstop"
 	"almondreel.example/almondreel/internal/process"
+	"almondreel.example/almondreel/internal/soakseeds"
 	"almondreel.example/almondreel/pkg/client"
 )
 
@@ -46,10 +46,6 @@
 	leaveTime = 5 * time.Second
 	// callerKinds is the number of callers of each gateway.
 	callerKinds = 5
-	// defaultPlannedSeed is the seed of a run with neither SEED nor SOAK set.
-	defaultPlannedSeed = 1
-	// seedsPerLargeSite selects the large site for every seed that it divides.
-	seedsPerLargeSite = 10
 	// maxShownProblems is the number of problems that a failed run prints.
 	maxShownProblems = 30
 )
@@ -62,18 +58,8 @@
 // TestSoakOfPlannedStops runs one fixed seed. SOAK=1 runs fifty random seeds and the
 // regression seeds, one after another; SEED=n runs seed n.
 func TestSoakOfPlannedStops(t *testing.T) {
-	seeds := []uint64{defaultPlannedSeed}
-	switch text := os.Getenv("SEED"); {
-	case text != "":
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		seeds = []uint64{seed}
-	case os.Getenv("SOAK") != "":
-		seeds = plannedRegressionSeeds
-		for len(seeds) < 50+len(plannedRegressionSeeds) {
-			seeds = append(seeds, rand.Uint64())
-		}
-	}
+	seeds, err := soakseeds.Choose(plannedRegressionSeeds)
+	require.NoError(t, err)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("SEED=", seed), func(t *testing.T) { soakPlannedStops(t, seed) })
 	}
@@ -93,7 +79,7 @@
 
 func soakPlannedStops(t *testing.T, seed uint64) {
 	gateways, engines, limit := 1, 4, time.Minute
-	if seed%seedsPerLargeSite == 0 {
+	if soakseeds.Large(seed) {
 		gateways, engines, limit = 3, 40, 3*time.Minute
 	}
 	f, ctx := startSizedProcesses(t, gateways, engines, limit)
