Tests: addresses that refuse connections come from reserved ports

Traced in its log: the address that the test had freed refused two attempts, and 211 ms later a process of another test package answered there. A freed ephemeral port may be taken at any time; ports of process.Reserve are not.

--- a/internal/atmostonce/atmostonce_test.go
+++ b/internal/atmostonce/atmostonce_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondreel.example/almondreel/internal/atmostonce"
+	"almondreel.example/almondreel/internal/process"
 )
 
 // newClosingServer starts a server that responds to the first request on each
@@ -96,7 +97,10 @@
 
 // Guards against reporting a request as not sent although the peer may have read it.
 func TestNotSentErrorOnlyIfNoByteWasWritten(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := process.Reserve(1)
+	require.NoError(t, err)
+	defer ports.Release()
+	l, err := ports.Listen()
 	require.NoError(t, err)
 	address := l.Addr().String()
 	c := atmostonce.NewClient()
--- a/internal/process/ports.go
+++ b/internal/process/ports.go
@@ -48,6 +48,10 @@
 	return address
 }
 
+// Listen listens on the next address. Until Release nothing else takes its port, also once
+// the listener is closed.
+func (p *Ports) Listen() (net.Listener, error) { return net.Listen("tcp", p.Next()) }
+
 // Release ends the reservation.
 func (p *Ports) Release() { _ = p.blockListener.Close() }
 
--- a/internal/redial/redial_test.go
+++ b/internal/redial/redial_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/internal/process"
 	"almondreel.example/almondreel/internal/redial"
 )
 
@@ -65,10 +66,9 @@
 }
 
 func TestDialDoesNotRetryRefusedConnection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := process.Reserve(1)
 	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
-	_, err = redial.Dial(context.Background(), net.Dialer{Timeout: 5 * time.Second}, address)
+	defer ports.Release()
+	_, err = redial.Dial(context.Background(), net.Dialer{Timeout: 5 * time.Second}, ports.Next())
 	require.ErrorIs(t, err, syscall.ECONNREFUSED)
 }
