Test of stops on kept connections: stop once connections are used again

Traced: the signal came 100 ms after the callers were started, and the gateway had read no call yet (Running=0 at its drain). The test waits now until more calls than connections are answered, and signals after that.

--- a/test/hosting/stop_kept_test.go
+++ b/test/hosting/stop_kept_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,29 +20,30 @@
 )
 
 // callOnKeptConnection sends calls over one connection, with random pauses of at most
-// maxPause between them, until the gateway closes it. It returns the number of answered
-// calls, and the attempt that got no whole answer, "" if there is none.
-func callOnKeptConnection(address, prefix string, maxPause time.Duration) (answered int, unanswered string) {
+// maxPause between them, until the gateway closes it. It counts the answered calls, and
+// returns the attempt that got no whole answer, "" if there is none.
+func callOnKeptConnection(address, prefix string, maxPause time.Duration, answered *atomic.Int64) (unanswered string) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
-		return 0, ""
+		return ""
 	}
 	defer conn.Close()
 	c, answers := caller.New(address), bufio.NewReader(conn)
-	for ; ; answered++ {
-		attempt := fmt.Sprint(prefix, "-", answered)
+	for n := 0; ; n++ {
+		attempt := fmt.Sprint(prefix, "-", n)
 		if c.Write(conn, standin.OncePath+"x", attempt, apiKey, time.Now().Add(requestTimeout)) != nil {
-			return answered, attempt
+			return attempt
 		}
 		response, err := http.ReadResponse(answers, nil)
 		if err != nil {
-			return answered, attempt
+			return attempt
 		}
 		if _, err := io.ReadAll(response.Body); err != nil {
-			return answered, attempt
+			return attempt
 		}
+		answered.Add(1)
 		if response.Close {
-			return answered + 1, ""
+			return ""
 		}
 		time.Sleep(rand.N(maxPause))
 	}
@@ -53,31 +55,24 @@
 	const stops, callers = 20, 80
 	s := startSite(t, options{gateways: 1, engines: 1})
 	g := s.gateways[0]
-	type result struct {
-		answered   int
-		unanswered string
-	}
 	for stop := range stops {
 		s.waitForVersion(0, 1, 10*time.Second)
-		results := make(chan result, callers)
+		var answered atomic.Int64
+		results := make(chan string, callers)
 		for n := range callers {
 			go func() {
-				answered, unanswered := callOnKeptConnection(g.callerAddress, fmt.Sprint("kept-", stop, "-", n), time.Duration(1+n)*50*time.Microsecond)
-				results <- result{answered, unanswered}
+				results <- callOnKeptConnection(g.callerAddress, fmt.Sprint("kept-", stop, "-", n), time.Duration(1+n)*50*time.Microsecond, &answered)
 			}()
 		}
+		s.eventually(5*time.Second, "connections are used again", func() bool { return answered.Load() > callers })
 		time.Sleep(100 * time.Millisecond)
 		require.NoError(t, g.command.Process.Signal(syscall.SIGTERM))
-		answered := 0
 		var unanswered []string
 		for range callers {
-			r := <-results
-			answered += r.answered
-			if r.unanswered != "" {
-				unanswered = append(unanswered, r.unanswered)
+			if attempt := <-results; attempt != "" {
+				unanswered = append(unanswered, attempt)
 			}
 		}
-		require.Greater(t, answered, callers)
 		for _, r := range s.ledger.Runs() {
 			require.NotContains(t, unanswered, r.Attempt, "ran and got no answer")
 		}
