Log and counters tell how a caller's connection ended

An operator saw Outcome="Cancelled" Reason="CallerGone" for a caller that left, one that closed its sending side only, a read or write deadline that the gateway had set itself, a body that broke off and a connection that the gateway closed; on own instances Cancelled was not logged at all. net/http ends a request's context without a reason, so internal/callerconn records the errors of the caller's connection. Line 4013 and counters "Ended.Cancelled..." and "Cancelled...." name one of seven reasons; on own instances line 4017 is new.

TestStopsCutNoRequestOnKeptConnection looked for CallerGone; it now refuses every cancelled request and every reason that begins with Caller or Gateway.

--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -208,7 +208,9 @@
 		number = event.RequestFailed
 	case outcome.NameUnknown:
 		number = event.RequestUnknown
-	case outcome.NameAnswered, outcome.NameCancelled:
+	case outcome.NameCancelled:
+		number = event.RequestCancelled
+	case outcome.NameAnswered:
 		return
 	}
 	event.Log(number, "Request", r.RequestID, "Organisation", r.Organisation, "Class", r.Class, "Reason", string(r.Reason))
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/callerapi"
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/claims"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
@@ -75,7 +76,7 @@
 	tree := supervisor.NewTree(s.Name)
 	// Task names appear in the log. The task "spread" distributes state to other
 	// gateways and agents, and "suspicion" replicates the quarantine table.
-	tree.Add("callers", supervisor.Serve(callerListener, newServer(g.callerHandler), shutDown))
+	tree.Add("callers", supervisor.Serve(callerconn.Listener{Listener: callerListener}, newCallerServer(g.callerHandler), shutDown))
 	tree.Add("control", supervisor.Serve(controlListener, newServer(handler), shutDown))
 	tree.Add("spread", g.stateSync.Run)
 	tree.Add("planner", g.planner.Run)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/desired"
 )
 
@@ -17,6 +18,12 @@
 	}
 }
 
+func newCallerServer(h http.Handler) *http.Server {
+	s := newServer(h)
+	s.ConnContext = callerconn.Context
+	return s
+}
+
 // shutDown shuts the server down and closes it if requests still run after stopTimeout.
 func shutDown(ctx context.Context, s *http.Server) {
 	stopCtx, cancel := context.WithTimeout(ctx, stopTimeout)
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"almondreel.example/almondreel/internal/attempt"
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/outcome"
 )
 
@@ -77,7 +78,7 @@
 		case attempt.Completed:
 			return outcome.Answered{Digest: string(f.progress.Digest), Tokens: f.progress.Tokens}
 		case attempt.CallerGone:
-			return outcome.Unknown{Reason: outcome.CallerGone}
+			return outcome.Unknown{Reason: callerconn.EndReason(ctx)}
 		case attempt.Interrupted:
 			f.syncQuarantine(ctx, r)
 			return outcome.Unknown{Reason: r.Reason}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 
 	"almondreel.example/almondreel/internal/atmostonce"
 	"almondreel.example/almondreel/internal/attempt"
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/event"
@@ -143,7 +144,7 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return outcome.Refused{Reason: outcome.DeadlinePassed}
 		}
-		return outcome.Cancelled{}
+		return outcome.Cancelled{Reason: callerconn.EndReason(ctx)}
 	}
 	return outcome.Refused{Reason: outcome.ProjectedWaitTooLong, RetryAt: r.RetryAt}
 }
@@ -292,7 +293,7 @@
 			f.dispatcher.options.Quarantine.RecordCompletion(f.request.Fingerprint)
 			return outcome.Answered{Digest: string(f.progress.Digest), Tokens: f.progress.Tokens}
 		case attempt.CallerGone:
-			return outcome.Cancelled{Tokens: f.progress.Tokens}
+			return f.cancelled(ctx)
 		case attempt.Interrupted:
 			if f.syncQuarantine(ctx, r) {
 				return outcome.Failed{Reason: outcome.Quarantined, Tokens: f.progress.Tokens}
@@ -349,7 +350,7 @@
 // giveUp returns the outcome of a request that gets no further attempt.
 func (f *inflight) giveUp(ctx context.Context, reason outcome.Reason) outcome.Outcome {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return outcome.Cancelled{Tokens: f.progress.Tokens}
+		return f.cancelled(ctx)
 	}
 	if f.accepted {
 		return outcome.Failed{Reason: reason, Tokens: f.progress.Tokens}
@@ -360,6 +361,10 @@
 	return outcome.Refused{Reason: reason, RetryAt: f.retryAt()}
 }
 
+func (f *inflight) cancelled(ctx context.Context) outcome.Outcome {
+	return outcome.Cancelled{Reason: callerconn.EndReason(ctx), Tokens: f.progress.Tokens}
+}
+
 // retryAt returns when the caller of a refused request should retry.
 func (f *inflight) retryAt() time.Time {
 	if f.queue == nil {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -83,6 +83,8 @@
 	ServerLeaving
 	PartQuarantined
 	RateLimitChanged
+	RequestCancelled
+	HandlerPanicked
 )
 
 var texts = map[Number]string{
@@ -158,4 +160,6 @@
 	ServerLeaving:       "backend server is about to stop: no new requests",
 	PartQuarantined:     "prompt part quarantined: it crashes backend servers",
 	RateLimitChanged:    "rate limit of a backend server changed",
+	RequestCancelled:    "request cancelled: the caller's connection ended",
+	HandlerPanicked:     "request handler panicked",
 }
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/bounded"
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/connlimit"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
@@ -104,6 +105,7 @@
 	mux.Handle("GET /metrics", counter.Handler())
 	g.callerServer = newServer(http.HandlerFunc(g.serveCaller))
 	g.callerServer.ConnState = g.connLimiter.Track
+	g.callerServer.ConnContext = callerconn.Context
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
@@ -116,6 +118,9 @@
 		if err != nil {
 			return errs.Wrap(err, "listen for "+l.name, l.address)
 		}
+		if l.server == g.callerServer {
+			listener = callerconn.Listener{Listener: listener}
+		}
 		tree.Add(l.name, supervisor.Serve(listener, l.server, shutdown))
 	}
 	return nil
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -32,8 +32,11 @@
 	RetryAt time.Time // when the outcome may be known; zero: it stays unknown
 }
 
-// Cancelled means that the caller disconnected after Tokens tokens.
-type Cancelled struct{ Tokens int }
+// Cancelled means that the caller's connection ended after Tokens tokens.
+type Cancelled struct {
+	Reason Reason
+	Tokens int
+}
 
 func (Answered) outcome()  {}
 func (Refused) outcome()   {}
@@ -72,7 +75,16 @@
 	KeyValueUnavailable       Reason = "KeyValueUnavailable"
 	RetryBudgetSpent          Reason = "RetryBudgetSpent"
 	ShuttingDown              Reason = "ShuttingDown"
-	CallerGone                Reason = "CallerGone"
+	InternalError             Reason = "InternalError" // a defect of the gateway
+	// Why a caller's connection ended.
+	CallerGone           Reason = "CallerGone"           // not known
+	CallerClosed         Reason = "CallerClosed"         // the caller closed it, or its sending side
+	CallerReset          Reason = "CallerReset"          // reading from it failed
+	CallerReadTimedOut   Reason = "CallerReadTimedOut"   // a read deadline of the gateway passed
+	CallerWriteFailed    Reason = "CallerWriteFailed"    // writing to it failed
+	CallerWriteTimedOut  Reason = "CallerWriteTimedOut"  // a write deadline of the gateway passed
+	CallerBodyIncomplete Reason = "CallerBodyIncomplete" // it ended within the request's body
+	GatewayClosed        Reason = "GatewayClosed"        // the gateway closed it
 )
 
 // Names of the outcomes in a Record.
@@ -109,7 +121,7 @@
 	case NameFailed:
 		return Failed{Reason: r.Reason, Tokens: r.Tokens}
 	case NameCancelled:
-		return Cancelled{Tokens: r.Tokens}
+		return Cancelled{Reason: r.Reason, Tokens: r.Tokens}
 	}
 	return Unknown{Reason: r.Reason, RetryAt: r.RetryAt}
 }
@@ -127,7 +139,7 @@
 	case Unknown:
 		return Record{Outcome: NameUnknown, Reason: o.Reason, RetryAt: o.RetryAt}
 	case Cancelled:
-		return Record{Outcome: NameCancelled, Reason: CallerGone, Tokens: o.Tokens}
+		return Record{Outcome: NameCancelled, Reason: o.Reason, Tokens: o.Tokens}
 	}
 	panic("outcome: unknown outcome type")
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
@@ -110,11 +111,15 @@
 // deadline passed before the response was complete.
 func (e *exchange) timedOut() outcome.Outcome {
 	if e.r.Context().Err() != nil {
-		return outcome.Cancelled{}
+		return e.callerGone()
 	}
 	return e.refusedOrUnknown(outcome.Refused{Reason: outcome.DeadlinePassed, RetryAt: time.Now().Add(notReadyRetryDelay)})
 }
 
+func (e *exchange) callerGone() outcome.Outcome {
+	return outcome.Cancelled{Reason: callerconn.EndReason(e.r.Context())}
+}
+
 // attempt sends the request to a server. It returns the outcome and false, or
 // true if the request is to be retried.
 func (e *exchange) attempt(ctx context.Context, s schedule.Server, verdict quarantine.Verdict) (outcome.Outcome, bool) {
@@ -166,7 +171,7 @@
 	}
 	unknown := outcome.Unknown{Reason: r.reason}
 	if e.r.Context().Err() != nil {
-		return outcome.Cancelled{}, false
+		return e.callerGone(), false
 	}
 	repeatable := e.route.Repeatable() && e.response.resumable()
 	if !repeatable || e.possibleRuns >= e.route.MaxAttempts || !reserved && !e.handler.takeRetry(e.service.Name) {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -16,6 +16,7 @@
 
 	"almondreel.example/almondreel/internal/atmostonce"
 	"almondreel.example/almondreel/internal/bounded"
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
@@ -205,8 +206,10 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return outcome.Refused{Reason: outcome.TooLarge}, false
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return outcome.Cancelled{Reason: outcome.CallerBodyIncomplete}, false
 	case err != nil:
-		return outcome.Cancelled{}, false
+		return outcome.Cancelled{Reason: callerconn.ReadReason(err)}, false
 	}
 	e.body = body
 	return nil, true
--- a/internal/testsite/testsite.go
+++ b/internal/testsite/testsite.go
@@ -15,6 +15,7 @@
 	"almondreel.example/almondreel/internal/agent"
 	"almondreel.example/almondreel/internal/backendproxy"
 	"almondreel.example/almondreel/internal/callerapi"
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/claims"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/desired"
@@ -238,7 +239,10 @@
 	if err != nil {
 		return err
 	}
-	callerServer := httptest.NewServer(g.CallerHandler)
+	callerServer := httptest.NewUnstartedServer(g.CallerHandler)
+	callerServer.Listener = callerconn.Listener{Listener: callerServer.Listener}
+	callerServer.Config.ConnContext = callerconn.Context
+	callerServer.Start()
 	controlServer := httptest.NewServer(controlHandler)
 	s.closers = append(s.closers, callerServer.Close, controlServer.Close)
 	g.URL, g.control = callerServer.URL, controlServer.Listener.Addr().String()
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -258,3 +259,11 @@
 		require.Empty(s.t, e.WrongPieceLoads())
 	}
 }
+
+// ran reports whether the plain service ran an attempt.
+func (s *site) ran(attempt string) bool {
+	return slices.ContainsFunc(s.ledger.Runs(), func(r standin.Run) bool { return r.Attempt == attempt })
+}
+
+// logged reports whether the first gateway's log contains text.
+func (s *site) logged(text string) bool { return strings.Contains(s.gateways[0].log.String(), text) }
--- a/test/hosting/stop_kept_test.go
+++ b/test/hosting/stop_kept_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/platform/caller"
 	"almondreel.example/almondreel/platform/standin"
 )
@@ -76,7 +75,7 @@
 		for _, r := range s.ledger.Runs() {
 			require.NotContains(t, unanswered, r.Attempt, "ran and got no answer")
 		}
-		require.NotContains(t, g.log.String(), string(outcome.CallerGone), "the gateway had read a request and closed its connection")
+		require.NotRegexp(t, `Outcome="Cancelled"|Reason="(Caller|Gateway)`, g.log.String(), "the gateway had read a request and closed its connection")
 		g.kill() // no request is in progress
 		g.start(t)
 	}
--- /dev/null
+++ b/test/requests/callerends_test.go
@@ -0,0 +1,63 @@
+package requests_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/callerapi"
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/testsite"
+)
+
+// dialGateway returns a connection to a gateway's listener for callers that is closed when
+// the test ends.
+func dialGateway(t *testing.T, g *testsite.Gateway) *net.TCPConn {
+	t.Helper()
+	address, err := url.Parse(g.URL)
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", address.Host)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn.(*net.TCPConn)
+}
+
+// writeRequest writes a whole request with these additional header lines.
+func writeRequest(t *testing.T, w io.Writer, path, header, body string) {
+	t.Helper()
+	_, err := fmt.Fprintf(w, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-north\r\nContent-Length: %d\r\n%s\r\n%s", path, len(body), header, body)
+	require.NoError(t, err)
+}
+
+// Requests that ended with their caller's connection left no line in the log and no reason
+// in the counters.
+func TestCountersTellHowACallersConnectionEnded(t *testing.T) {
+	s := startSite(t, options())
+	for reason, end := range map[outcome.Reason]func(*net.TCPConn) error{
+		outcome.CallerClosed: (*net.TCPConn).CloseWrite,
+		outcome.CallerReset: func(conn *net.TCPConn) error {
+			require.NoError(t, conn.SetLinger(0))
+			return conn.Close()
+		},
+	} {
+		before := counter.Value("Cancelled." + string(reason))
+		conn := dialGateway(t, s.Gateways[0])
+		writeRequest(t, conn, callerapi.CompletionsPath, "", `{"model": "questions", "prompt": "lot 14", "max_tokens": 1000}`)
+		_, err := io.ReadFull(conn, make([]byte, 1)) // the completion runs
+		require.NoError(t, err)
+		require.NoError(t, end(conn))
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		for counter.Value("Cancelled."+string(reason)) == before {
+			require.NoError(t, ctx.Err(), "not counted: %s", reason)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
