proxy, dispatch: answer half-closed callers truthfully

A caller that had sent a whole request and closed its sending side got neither an answer nor a refusal in the hosted form: net/http ends the context of a request when reading from its connection ends, and a cancelled request's connection was closed without a byte. On own instances it got 502 "Cancelled" also for a request that had not run.

The work still ends, since such a caller cannot be told from one that left. But the response is now written: 503 with Retry-After if no server can have run the request, else 502. A body that breaks off or is malformed is refused with 400.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -144,7 +144,7 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return outcome.Refused{Reason: outcome.DeadlinePassed}
 		}
-		return outcome.Cancelled{Reason: callerconn.EndReason(ctx)}
+		return outcome.Refused{Reason: callerconn.EndReason(ctx), RetryAt: limit.Jittered(time.Now(), unqueuedRetryDelay)}
 	}
 	return outcome.Refused{Reason: outcome.ProjectedWaitTooLong, RetryAt: r.RetryAt}
 }
@@ -350,7 +350,10 @@
 // giveUp returns the outcome of a request that gets no further attempt.
 func (f *inflight) giveUp(ctx context.Context, reason outcome.Reason) outcome.Outcome {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return f.cancelled(ctx)
+		if f.accepted || f.mayHaveRun {
+			return f.cancelled(ctx)
+		}
+		reason = callerconn.EndReason(ctx)
 	}
 	if f.accepted {
 		return outcome.Failed{Reason: reason, Tokens: f.progress.Tokens}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -60,6 +60,9 @@
 	e.failover.takeRetry = func() bool { return e.handler.takeRetry(e.service.Name) }
 	defer e.failover.release()
 	for {
+		if ctx.Err() != nil {
+			return e.timedOut()
+		}
 		if e.handler.CrashDetector.Verdict(e.suspect) == quarantine.Quarantined {
 			return e.quarantined()
 		}
@@ -116,8 +119,14 @@
 	return e.refusedOrUnknown(outcome.Refused{Reason: outcome.DeadlinePassed, RetryAt: time.Now().Add(notReadyRetryDelay)})
 }
 
+// callerGone returns the outcome of a request whose caller's connection ended. A caller
+// that has closed only its sending side still reads the response.
 func (e *exchange) callerGone() outcome.Outcome {
-	return outcome.Cancelled{Reason: callerconn.EndReason(e.r.Context())}
+	reason := callerconn.EndReason(e.r.Context())
+	if e.possibleRuns == 0 {
+		return outcome.Refused{Reason: reason, RetryAt: time.Now().Add(notReadyRetryDelay)}
+	}
+	return outcome.Cancelled{Reason: reason}
 }
 
 // attempt sends the request to a server. It returns the outcome and false, or
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -202,17 +202,26 @@
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{}) // an error was counted at the first call
 	}
+	if err != nil {
+		return outcome.Refused{Reason: bodyErrorReason(err)}, false
+	}
+	e.body = body
+	return nil, true
+}
+
+// bodyErrorReason returns why a request is refused whose body could not be read.
+func bodyErrorReason(err error) outcome.Reason {
 	var tooLarge *http.MaxBytesError
+	var netError net.Error
 	switch {
 	case errors.As(err, &tooLarge):
-		return outcome.Refused{Reason: outcome.TooLarge}, false
+		return outcome.TooLarge
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		return outcome.Cancelled{Reason: outcome.CallerBodyIncomplete}, false
-	case err != nil:
-		return outcome.Cancelled{Reason: callerconn.ReadReason(err)}, false
+		return outcome.CallerBodyIncomplete
+	case errors.As(err, &netError):
+		return callerconn.ReadReason(err)
 	}
-	e.body = body
-	return nil, true
+	return outcome.Malformed // of a body in chunks
 }
 
 // refuseMissing refuses a request whose route or credential is not in the
@@ -247,11 +256,11 @@
 }
 
 // finish records the outcome and reports it to the caller, unless the response has
-// begun or the caller has gone.
+// begun.
 func (e *exchange) finish(o outcome.Outcome) {
 	record := outcome.NewRecord(o)
 	e.record(record)
-	if _, gone := o.(outcome.Cancelled); !gone && !e.response.begun() {
+	if !e.response.begun() {
 		header := http.Header{}
 		if refused, ok := o.(outcome.Refused); ok {
 			e.handler.HeaderCodec.SetRefusalHeader(header, refused.RetryAt, time.Now())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -100,7 +100,7 @@
 		return http.StatusNotFound
 	case outcome.TooLarge:
 		return http.StatusRequestEntityTooLarge
-	case outcome.Malformed:
+	case outcome.Malformed, outcome.CallerBodyIncomplete:
 		return http.StatusBadRequest
 	}
 	return http.StatusServiceUnavailable
--- a/test/requests/callerends_test.go
+++ b/test/requests/callerends_test.go
@@ -1,10 +1,13 @@
 package requests_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/url"
 	"testing"
 	"time"
@@ -61,3 +64,42 @@
 		}
 	}
 }
+
+// readRecord reads the answer to one request and returns its status and outcome.
+func readRecord(t *testing.T, conn *net.TCPConn) (int, outcome.Record) {
+	t.Helper()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err, "no answer and no refusal")
+	var r outcome.Record
+	require.NoError(t, json.Unmarshal([]byte(response.Header.Get(callerapi.HeaderOutcome)), &r))
+	return response.StatusCode, r
+}
+
+// A caller that closed its sending side after a whole request was not told that the
+// request had not run.
+func TestHalfClosedCallerGetsATruthfulAnswer(t *testing.T) {
+	o := options()
+	o.Engines, o.Engine.Slots, o.Engine.FirstTokenMilliseconds = 1, 1, 300
+	s := startSite(t, o)
+	const body = `{"model": "questions", "prompt": "lot 14", "max_tokens": 2}`
+
+	running := dialGateway(t, s.Gateways[0])
+	writeRequest(t, running, callerapi.CompletionsPath, "", body)
+	require.Eventually(t, func() bool { return s.Replicas[0].Status.Status().Running == 1 }, 5*time.Second, time.Millisecond)
+	waiting := dialGateway(t, s.Gateways[0])
+	writeRequest(t, waiting, callerapi.CompletionsPath, "", body)
+	time.Sleep(20 * time.Millisecond)
+	require.NoError(t, waiting.CloseWrite())
+	status, r := readRecord(t, waiting)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.True(t, r.NotRun)
+	require.Equal(t, outcome.CallerClosed, r.Reason)
+	require.False(t, r.RetryAt.IsZero())
+
+	require.NoError(t, running.CloseWrite())
+	status, r = readRecord(t, running)
+	require.Equal(t, http.StatusBadGateway, status)
+	require.False(t, r.NotRun)
+	require.Equal(t, outcome.CallerClosed, r.Reason)
+}
