--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -175,6 +176,9 @@
 	}
 	e.organisation = organisation.Name
 	if !e.info.Deadline.IsZero() {
+		if !e.arrivedAt.Before(e.info.Deadline) {
+			return e.refuseNotReady(outcome.DeadlinePassed), false
+		}
 		e.firstCallAt = e.handler.arrivalEstimator.FirstCall(route.Name, e.arrivedAt, e.info.Deadline)
 	}
 	e.priority = route.Priority
@@ -186,6 +190,9 @@
 }
 
 func (e *exchange) readBody(w http.ResponseWriter, limits site.Limits) (outcome.Outcome, bool) {
+	if e.r.Body == http.NoBody {
+		return nil, true
+	}
 	maxBytes := limits.BodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
@@ -202,6 +209,9 @@
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{}) // an error was counted at the first call
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return e.refuseNotReady(outcome.DeadlinePassed), false
+	}
 	if err != nil {
 		return outcome.Refused{Reason: bodyErrorReason(err)}, false
 	}
@@ -236,7 +246,7 @@
 
 // refuseNotReady refuses a request for a temporary reason.
 func (e *exchange) refuseNotReady(reason outcome.Reason) outcome.Outcome {
-	return outcome.Refused{Reason: reason, RetryAt: e.arrivedAt.Add(notReadyRetryDelay)}
+	return outcome.Refused{Reason: reason, RetryAt: time.Now().Add(notReadyRetryDelay)}
 }
 
 // withDeadline sets the request's deadline to the earlier of its route's timeout
