proxy: a caller that leaves during a connection attempt is no failure of the server

Callers were refused ("ProjectedWaitTooLong") at an idle service. If a request's caller left, or its deadline passed, while the gateway connected to a server, the attempt ended as "not sent", which counted as an unreachable server: the scheduler sent nothing there for 100 ms, doubled by each further one up to 1.5 s. A few callers that leave took sound servers from all others.

Such an attempt now ends as abandoned. So does one whose model version ends while the gateway connects.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -43,7 +43,10 @@
 }
 
 // cancelled means that the caller disconnected or the deadline passed.
-type cancelled struct{ responseBegun bool }
+type cancelled struct {
+	notRun        bool // nothing was sent to the server
+	responseBegun bool
+}
 
 func (complete) schedulerEnd() schedule.End   { return schedule.Finished }
 func (r rejected) schedulerEnd() schedule.End { return r.endState }
@@ -276,14 +279,17 @@
 func (e *exchange) sendFailed(ctx context.Context, err error) result {
 	var notSentError *atmostonce.NotSentError
 	notSent := errors.As(err, &notSentError)
+	versionOver, stalled := errors.Is(context.Cause(ctx), errVersionEnded), errors.Is(context.Cause(ctx), errStalled)
 	switch {
-	case errors.Is(context.Cause(ctx), errVersionEnded) && !notSent:
+	case versionOver && notSent:
+		return rejected{reason: outcome.BackendUnreachable, endState: schedule.Abandoned, detail: errVersionEnded.Error()}
+	case versionOver:
 		return versionEnded()
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) && !notSent:
-		return cancelled{}
+	case ctx.Err() != nil && !stalled:
+		return cancelled{notRun: notSent}
 	case notSent:
 		return rejected{reason: outcome.BackendUnreachable, endState: schedule.Unreachable, detail: err.Error()}
-	case errors.Is(context.Cause(ctx), errStalled):
+	case stalled:
 		return failed{reason: outcome.BackendFailed, endState: schedule.TimedOut, detail: errStalled.Error()}
 	}
 	return failed{reason: outcome.BackendDied, endState: schedule.Incomplete, mayHaveCrashed: true, detail: err.Error()}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -145,8 +145,11 @@
 		return e.afterRejection(s, r)
 	case failed:
 		return e.afterFailure(s, r, verdict, reserved)
+	case cancelled:
+		if !r.notRun {
+			e.possibleRuns++
+		}
 	}
-	e.possibleRuns++
 	return e.timedOut(), false
 }
 
