schedule: one caller's time budget does not make repeats of other calls

After one call with a time budget of 10^20 ms, first calls of its route with usual budgets were refused ("ProjectedWaitTooLong") at a service with free places, for 10 to 20 s. The estimator of first calls compared the time left with the longest of the route, so it took them for repeats that had waited for years, which may use three quarters of the places and wait 60 ms.

The usual timeout is now the longest of the last 128 calls but for a tenth of them, of ten calls at least, and a call with less than 15 % of it left counts as one with another timeout.

--- a/internal/schedule/arrival.go
+++ b/internal/schedule/arrival.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -11,46 +12,83 @@
 // likely a retry. An ArrivalEstimator is safe for concurrent use.
 type ArrivalEstimator struct {
 	mu     sync.Mutex
-	routes map[string]routeMax
+	routes map[string]*routeCalls
 }
 
-// routeMax is the longest remaining time of recent calls on a route.
-type routeMax struct {
-	openedAt   time.Time // start of the current period
-	previousMS int64     // of the previous period
-	ms         int64     // of the current period
+// routeCalls holds the last calls on a route.
+type routeCalls struct {
+	calls [maxRouteCalls]routeCall
+	next  int // index of the next call
+}
+
+type routeCall struct {
+	at     time.Time // zero: there was no such call
+	leftMS int64
 }
 
 // NewArrivalEstimator returns an estimator without recorded calls.
-func NewArrivalEstimator() *ArrivalEstimator { return &ArrivalEstimator{routes: map[string]routeMax{}} }
+func NewArrivalEstimator() *ArrivalEstimator {
+	return &ArrivalEstimator{routes: map[string]*routeCalls{}}
+}
 
 const (
-	// firstCallShare is the least share of the longest remaining time on a route
-	// that a first call has: callers' timeouts vary by 15% on both users' sites.
+	// firstCallShare is the least share of the usual timeout of a route that a first
+	// call has left: callers' timeouts vary by 15% on both users' sites.
 	firstCallShare = 0.85
-	// routeSpan is the length of the period over which a maximum is taken, longer
-	// than a caller waits. A maximum is used for one to two periods.
-	routeSpan = 10 * time.Second
+	// minRetryShare is the least share that a retry has left. Callers retry a few times,
+	// so a call with less comes from a caller with another timeout.
+	minRetryShare = 0.15
+	// longTimeoutShare is the share of a route's calls whose timeouts may be longer
+	// than the usual one.
+	longTimeoutShare = 0.1
+	// minRouteCalls is the number of calls without which no timeout is usual.
+	minRouteCalls = 10
+	// maxRouteCalls bounds the calls that are kept of a route.
+	maxRouteCalls = 128
+	// routeSpan is how long a call is used, longer than a caller waits.
+	routeSpan = 20 * time.Second
 )
 
 // FirstCall returns the estimated time of the first attempt for a call that
 // arrives at now: now, or an earlier time if the call has much less time left than
 // other recent calls on the route.
 func (e *ArrivalEstimator) FirstCall(route string, now, deadline time.Time) time.Time {
-	left := deadline.Sub(now).Milliseconds()
+	leftMS := deadline.Sub(now).Milliseconds()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	window := e.routes[route]
-	if elapsed := now.Sub(window.openedAt); elapsed >= 2*routeSpan {
-		window = routeMax{openedAt: now}
-	} else if elapsed >= routeSpan {
-		window = routeMax{openedAt: now, previousMS: window.ms}
+	calls, ok := e.routes[route]
+	if !ok {
+		calls = &routeCalls{}
+		e.routes[route] = calls
 	}
-	window.ms = max(window.ms, left)
-	e.routes[route] = window
-	longest := max(window.previousMS, window.ms)
-	if float64(left) >= firstCallShare*float64(longest) {
+	calls.add(routeCall{now, leftMS})
+	usualMS := calls.usualMS(now)
+	share := float64(leftMS) / float64(max(1, usualMS))
+	if share < minRetryShare || share >= firstCallShare {
 		return now
 	}
-	return now.Add(-time.Duration(longest-left) * time.Millisecond)
+	return now.Add(-time.Duration(usualMS-leftMS) * time.Millisecond)
+}
+
+func (c *routeCalls) add(call routeCall) {
+	c.calls[c.next] = call
+	c.next = (c.next + 1) % maxRouteCalls
+}
+
+// usualMS returns the usual timeout of first calls: the longest remaining time of recent
+// calls but for the longTimeoutShare longest ones, so that few callers with long timeouts
+// do not make retries of all others. It returns 0 if there are too few calls.
+func (c *routeCalls) usualMS(now time.Time) int64 {
+	left := make([]int64, 0, maxRouteCalls)
+	for _, call := range c.calls {
+		if !call.at.IsZero() && now.Sub(call.at) < routeSpan {
+			left = append(left, call.leftMS)
+		}
+	}
+	if len(left) < minRouteCalls {
+		return 0
+	}
+	slices.Sort(left)
+	ignored := max(1, int(longTimeoutShare*float64(len(left))))
+	return left[len(left)-1-ignored]
 }
--- a/test/hosting/oddvalues_test.go
+++ b/test/hosting/oddvalues_test.go
@@ -1,6 +1,7 @@
 package hosting_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/platform/caller"
 	"almondreel.example/almondreel/platform/standin"
 )
 
@@ -63,3 +65,26 @@
 	_, err = io.ReadFull(conn, make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF, "the rest of the body could be taken for a request")
 }
+
+// After one call with a time budget of 10^20 ms, calls with usual ones were refused at a
+// service that had free places: the gateway took them for late repeats.
+func TestLongTimeBudgetOfOneCallerRefusesNoOthers(t *testing.T) {
+	s := startSite(t, options{gateways: 1, engines: 1, firstVersion: 1})
+	s.waitForVersion(0, 1, 10*time.Second)
+	require.Equal(t, 200, sendWithHeader(t, s, "long", "X-Deadline-Ms: 1e20", "{}"))
+	s.ledger.SetDelayMS(300)
+	const calls = 8 // the places of the service
+	outcomes := make(chan caller.Outcome, calls)
+	for n := range calls {
+		go func() {
+			c := caller.New(s.gateways[0].callerAddress)
+			defer c.Close()
+			outcomes <- c.Send(context.Background(), standin.OncePath+"x", fmt.Sprint("usual-", n), apiKey, time.Now().Add(requestTimeout))
+		}()
+	}
+	for range calls {
+		o := <-outcomes
+		require.NoError(t, o.Err)
+		require.Equal(t, 200, o.Status, o.Body)
+	}
+}
