schedule: an overstated prompt length does not refuse others

After one request that stated a far longer prompt than it had, callers that had to wait for a place were refused after 60 ms ("ProjectedWaitTooLong") for up to hundreds of responses. The estimate of how long responses take to start subtracts the stated prompt's time from the measured one; it learned a large negative time, and with it a large deviation. A negative length made its server seem idle.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -248,7 +248,7 @@
 // ResponseStarted records that the response of server id started milliseconds after
 // the request was sent. promptMS is the PromptMS of the request.
 func (p *Pool) ResponseStarted(now time.Time, id string, milliseconds, promptMS float64) {
-	p.startLatency.add(milliseconds - promptMS)
+	p.startLatency.add(max(0, milliseconds-promptMS)) // the caller may have overstated the prompt
 	if s, ok := p.servers[id]; ok {
 		p.mergeSlowStart(now, s, SlowStart{Server: id, Milliseconds: milliseconds - promptMS, At: now})
 		s.pendingPromptMS = max(0, s.pendingPromptMS-promptMS)
