proxy, atmostonce: forward the request target unchanged, also in absolute form

A call with a target in absolute form ("POST http://host/path") was refused with 503, and each server that it was tried at got no other requests for 100 ms to 1.5 s: the URL could not be parsed, which counted as a connection that failed. A target with "#" lost what follows, and one with characters such as a quote reached the server escaped.

The target is handed to net/http as an opaque URL, which it writes unchanged, and the absolute form is cut to its path and query.

--- a/internal/atmostonce/atmostonce.go
+++ b/internal/atmostonce/atmostonce.go
@@ -16,6 +16,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -160,10 +162,15 @@
 	if len(r.Body) > 0 {
 		body = io.NopCloser(bytes.NewReader(r.Body))
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.Address+r.Path, body)
+	target, err := requestURL(r.Address, r.Path)
 	if err != nil {
 		return nil, err
 	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.Address, body)
+	if err != nil {
+		return nil, err
+	}
+	request.URL = target
 	request.Host = r.Host
 	request.ContentLength = int64(len(r.Body))
 	if r.Header != nil {
@@ -176,6 +183,15 @@
 	return request, nil
 }
 
+// requestURL returns a URL for which net/http writes path to the request line unchanged.
+// An opaque URL does, but for one that begins with two slashes.
+func requestURL(address, path string) (*url.URL, error) {
+	if strings.HasPrefix(path, "//") {
+		return url.Parse("http://" + address + path)
+	}
+	return &url.URL{Scheme: "http", Host: address, Opaque: path}, nil
+}
+
 // connRecorder records the connections that the transport used for a request.
 type connRecorder struct {
 	mu    sync.Mutex
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -108,7 +109,7 @@
 	e.startVersionTimer(s, cancel)
 	defer e.stopVersionTimer()
 	response, err := e.handler.client.Send(ctx, atmostonce.Request{
-		Method: e.r.Method, Address: s.Address, Host: e.r.Host, Path: e.r.RequestURI,
+		Method: e.r.Method, Address: s.Address, Host: e.r.Host, Path: originForm(e.r.RequestURI),
 		Header: e.handler.HeaderCodec.BackendHeader(e.r.Header, e.forwardInfo(ctx, s), now),
 		Body:   e.body, NewConn: true, ConnectBy: now.Add(connectTimeout),
 	})
@@ -133,6 +134,19 @@
 	return e.forwardPlain(ctx, s, response)
 }
 
+// originForm returns the path and query of a request target, which may have the absolute
+// form.
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, _ := strings.Cut(target, "://")
+	if path := strings.Index(rest, "/"); path >= 0 {
+		return rest[path:]
+	}
+	return "/"
+}
+
 // recordServerState applies what a response's headers say about the server's own
 // state: that it is about to shut down, or that it is to receive no requests for a time.
 func (e *exchange) recordServerState(s schedule.Server, r ResponseInfo) {
