proxy: a request that a server refuses as malformed is not sent to others

A request without an identifier, which servers refuse with 400 as not run, was sent to up to three servers, and each got no other requests for 40 ms and more, as if it were full. The caller was told 503 with a time to come back. It is now refused with 400 after the first server, which stays in use.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -28,6 +28,7 @@
 type rejected struct {
 	reason   outcome.Reason
 	endState schedule.End
+	final    bool // no other server would run it either
 	detail   string
 }
 
@@ -124,6 +125,8 @@
 	}
 	foreign := info.AttemptID != "" && info.AttemptID != e.info.AttemptID
 	switch {
+	case info.NotRun && !foreign && response.StatusCode == http.StatusBadRequest:
+		return rejected{reason: outcome.Malformed, endState: schedule.Finished, final: true, detail: response.Status}
 	case info.NotRun && !foreign:
 		return rejected{reason: outcome.BackendRefused, endState: rejectionEnd(response.StatusCode), detail: response.Status}
 	case info.AttemptID != e.info.AttemptID || response.Header.Get("Content-Encoding") != "" || !info.Signed:
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -163,6 +163,9 @@
 }
 
 func (e *exchange) afterRejection(s schedule.Server, r rejected) (outcome.Outcome, bool) {
+	if r.final && e.possibleRuns == 0 {
+		return outcome.Refused{Reason: r.reason}, false
+	}
 	e.rejectedBy = append(e.rejectedBy, s.ID)
 	if len(e.rejectedBy) >= maxRejections || !e.handler.takeRetry(e.service.Name) {
 		return e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, r.reason, e.slotRequest())), false
