Hosted gateway: final answers before the end of the grace period

A request that still ran at the end of a gateway's grace period was cut without an answer, and with a grace period under 3 s the gateway was killed in the middle of all requests.

The drain waited for answers until 0.3 s before the kill and then closed the connections. It took new requests for 2.8 s in any case, so with a grace period of 1 s or less it was still at that when it was killed.

The steps of a stop now have times that are derived from the grace period. Before the end each request in progress is ended by a cause on its context and gets its answer: refused as not run if no server can have run it, else unknown (502). A stream that has begun is cut so that it does not look complete. What follows (writing, closing, the log) ends before the kill with any grace period; the log's flush may get a deadline for this.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -41,7 +41,7 @@
 // to the gateways that it is leaving, refuses new requests and completes those in
 // progress.
 func RunAgent(s settings.Agent, received *signals.Signals) error {
-	defer logsink.Start(os.Stderr)()
+	defer logsink.Start(os.Stderr).Stop()
 	a := newAgent(s)
 	server, err := a.newHTTPServer()
 	if err != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -59,7 +59,7 @@
 // RunGateway runs the gateway with settings s until a signal to stop is received. Then it
 // refuses new requests, completes those in progress and stops.
 func RunGateway(s settings.Gateway, received *signals.Signals) error {
-	defer logsink.Start(os.Stderr)()
+	defer logsink.Start(os.Stderr).Stop()
 	callerListener, err := net.Listen("tcp", s.CallerListen)
 	if err != nil {
 		return errs.Wrap(err, "listen for callers", s.CallerListen)
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -88,7 +88,7 @@
 // RunAgent runs an agent until a signal to stop is received. Each hangup checks the
 // settings file again. It returns an error if the agent cannot listen.
 func RunAgent(s settings.HostedAgent, file string, received *signals.Signals) error {
-	defer logsink.Start(os.Stdout)()
+	defer logsink.Start(os.Stdout).Stop()
 	limitMemory(s.Hosting.MemoryMB)
 	a := &agent{settings: s, store: platform.NewStore(s.Hosting.Store), clients: map[string]*control.Client{}, deprioritisedUntil: map[string]time.Time{}, quarantine: quarantine.NewTable()}
 	a.weights = weightsync.NewAgent(weightsync.Options{
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -38,11 +38,6 @@
 	// remotePenalty is added to the load of servers in other regions when servers are
 	// compared, as a share of their slots.
 	remotePenalty = 0.15
-	// drainAcceptTime is how long a draining gateway still takes new requests: the
-	// platform probes readiness every second and stops sending after two failures.
-	drainAcceptTime = 2800 * time.Millisecond
-	// graceMargin is how long before the platform kills the process draining ends.
-	graceMargin = 300 * time.Millisecond
 	// settleDelay is the polling interval for the end of answers in progress, and
 	// the time for the view to be updated after the mirror changed.
 	settleDelay = 30 * time.Millisecond
@@ -57,6 +52,7 @@
 	gossip       *gossiper
 	handler      *proxy.Handler
 	draining     atomic.Bool
+	stopTimes    atomic.Pointer[stopTimes] // nil before the drain
 	callerServer *http.Server
 	connLimiter  *connlimit.Limiter
 }
@@ -65,9 +61,10 @@
 // hangup checks the settings file again. It returns an error if the gateway cannot
 // listen.
 func RunGateway(s settings.HostedGateway, file string, received *signals.Signals) error {
-	defer logsink.Start(os.Stdout)()
 	limitMemory(s.Hosting.MemoryMB)
 	g := newGateway(s)
+	sink := logsink.Start(os.Stdout)
+	defer func() { sink.StopBy(earlier(time.Now().Add(logsink.FlushTimeout), g.times().flush)) }()
 	tree := supervisor.NewTree(s.Name)
 	if err := g.addListeners(tree); err != nil {
 		return err
@@ -121,7 +118,7 @@
 		if l.server == g.callerServer {
 			listener = callerconn.Listener{Listener: listener}
 		}
-		tree.Add(l.name, supervisor.Serve(listener, l.server, shutdown))
+		tree.Add(l.name, supervisor.Serve(listener, l.server, g.shutdown))
 	}
 	return nil
 }
@@ -140,6 +137,24 @@
 	}
 }
 
+// shutdown is shutdown within the time that the gateway's stop has for it.
+func (g *gateway) shutdown(ctx context.Context, s *http.Server) {
+	if until := g.times().close; !until.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, until)
+		defer cancel()
+	}
+	shutdown(ctx, s)
+}
+
+// times returns the times of the gateway's stop; zero before it has begun.
+func (g *gateway) times() stopTimes {
+	if times := g.stopTimes.Load(); times != nil {
+		return *times
+	}
+	return stopTimes{}
+}
+
 // serveCaller handles a caller's request. Callers of a draining gateway are told to send
 // the next one elsewhere.
 func (g *gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
@@ -158,21 +173,38 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// drain fails the readiness probe, serves new requests until the platform stops
-// sending them, and waits within the grace period until all answers are written.
+// drain fails the readiness probe, serves new requests until the platform stops sending
+// them, and waits until all answers are written. Requests that are still in progress near its end get a final answer.
 func (g *gateway) drain(ctx context.Context) {
 	began := time.Now()
+	times := newStopTimes(began, time.Duration(g.settings.GraceSeconds*float64(time.Second)))
+	g.stopTimes.Store(&times)
 	g.draining.Store(true)
 	event.Log(event.DrainStarted, "Running", g.handler.Running())
-	pause.For(ctx, drainAcceptTime)
+	pause.For(ctx, time.Until(times.accept))
 	g.handler.Drain()
 	// This closes idle connections, also one from which a request has just been read. So
 	// it must not be done while requests are accepted.
 	g.callerServer.SetKeepAlivesEnabled(false)
-	until := began.Add(time.Duration(g.settings.GraceSeconds*float64(time.Second)) - graceMargin)
-	// The end of an answer may still be written after its handler has returned.
+	g.waitForAnswers(ctx, times.answer)
+	cut := g.handler.Running()
+	g.handler.End()
+	g.waitForAnswers(ctx, times.write)
+	event.Log(event.DrainEnded, "Cut", cut, "Running", g.handler.Running(), "Active", g.connLimiter.Active(), "MS", time.Since(began).Milliseconds())
+}
+
+// waitForAnswers waits until all answers are written, at the latest until a time. The end
+// of an answer may still be written after its handler has returned.
+func (g *gateway) waitForAnswers(ctx context.Context, until time.Time) {
 	for g.connLimiter.Active() > 0 && time.Now().Before(until) {
-		pause.For(ctx, settleDelay)
+		pause.For(ctx, min(settleDelay, time.Until(until)))
+	}
+}
+
+// earlier returns the earlier one of two times. A zero limit is none.
+func earlier(at, limit time.Time) time.Time {
+	if limit.IsZero() || at.Before(limit) {
+		return at
 	}
-	event.Log(event.DrainEnded, "Running", g.handler.Running(), "Active", g.connLimiter.Active(), "MS", time.Since(began).Milliseconds())
+	return limit
 }
--- a/internal/logsink/bench_test.go
+++ b/internal/logsink/bench_test.go
@@ -21,7 +21,7 @@
 		n, _ := io.Copy(io.Discard, reader)
 		read <- n
 	}()
-	stop := logsink.Start(writer)
+	sink := logsink.Start(writer)
 	b.ReportAllocs()
 	for b.Loop() {
 		event.Log(event.RequestEnded,
@@ -29,7 +29,7 @@
 			"Outcome", "Answered", "Reason", "", "Server", "i-5840f93bc3", "Version", 24,
 			"Sent", 1, "Runs", 0, "FirstMS", 93, "PauseMS", 91, "QueueMS", 0, "ResumeMS", 0, "MS", 320, "Prompt", 709, "WaitedMS", 0)
 	}
-	stop()
+	sink.Stop()
 	require.NoError(b, writer.Close())
 	b.ReportMetric(float64(<-read)/float64(b.N), "bytes/line")
 }
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -20,9 +20,9 @@
 const (
 	// maxLines is the size of the buffer: some seconds of a busy gateway's lines.
 	maxLines = 2048
-	// flushTimeout bounds the time to write the buffered lines when the program ends,
+	// FlushTimeout bounds the time to write the buffered lines when the program ends,
 	// also if the reader of the log has stalled.
-	flushTimeout = 200 * time.Millisecond
+	FlushTimeout = 200 * time.Millisecond
 )
 
 // Sink is a log writer that never blocks. It is safe for concurrent use.
@@ -48,14 +48,14 @@
 	return len(line), nil
 }
 
-// Run writes lines until ctx ends, then the buffered ones within flushTimeout.
+// Run writes lines until ctx ends, then the buffered ones within FlushTimeout.
 func (s *Sink) Run(ctx context.Context) {
 	for {
 		select {
 		case line := <-s.lines:
 			s.write(line)
 		case <-ctx.Done():
-			s.flush(time.Now().Add(flushTimeout))
+			s.flush(time.Now().Add(FlushTimeout))
 			return
 		}
 	}
@@ -87,10 +87,16 @@
 	}
 }
 
+// Running is a sink that a goroutine writes.
+type Running struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
 // Start redirects the output of klog and of the standard log package, which net/http and
-// net/rpc use, through a sink to out. The returned function writes the buffered lines and
-// stops the sink, both within flushTimeout. Start panics if klog lacks a flag it needs.
-func Start(out io.Writer) (stop func()) {
+// net/rpc use, through a sink to out, until it is stopped. It panics if klog lacks a flag
+// it needs.
+func Start(out io.Writer) Running {
 	s := New(out)
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
@@ -102,17 +108,23 @@
 	klog.SetOutput(s)
 	log.SetOutput(s)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
+	r := Running{cancel, make(chan struct{})}
 	go func() {
-		defer close(done)
+		defer close(r.done)
 		s.Run(ctx)
 	}()
-	return func() {
-		klog.Flush()
-		cancel()
-		select {
-		case <-done:
-		case <-time.After(flushTimeout):
-		}
+	return r
+}
+
+// Stop writes the buffered lines and stops the sink, both within FlushTimeout.
+func (r Running) Stop() { r.StopBy(time.Now().Add(FlushTimeout)) }
+
+// StopBy is Stop with an earlier deadline.
+func (r Running) StopBy(deadline time.Time) {
+	klog.Flush()
+	r.cancel()
+	select {
+	case <-r.done:
+	case <-time.After(time.Until(deadline)):
 	}
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -61,7 +62,7 @@
 	defer e.failover.release()
 	for {
 		if ctx.Err() != nil {
-			return e.timedOut()
+			return e.timedOut(ctx)
 		}
 		if e.handler.CrashDetector.Verdict(e.suspect) == quarantine.Quarantined {
 			return e.quarantined()
@@ -80,7 +81,7 @@
 		case schedule.Refuse:
 			return e.refusedOrUnknown(outcome.Refused{Reason: d.Reason, RetryAt: d.RetryAt})
 		default:
-			return e.timedOut()
+			return e.timedOut(ctx)
 		}
 	}
 }
@@ -110,12 +111,15 @@
 	return outcome.Unknown{Reason: r.Reason}
 }
 
-// timedOut returns the outcome of a request whose caller disconnected or whose
-// deadline passed before the response was complete.
-func (e *exchange) timedOut() outcome.Outcome {
+// timedOut returns the outcome of a request whose caller disconnected, or whose
+// deadline passed or whose gateway ended before the response was complete.
+func (e *exchange) timedOut(ctx context.Context) outcome.Outcome {
 	if e.r.Context().Err() != nil {
 		return e.callerGone()
 	}
+	if errors.Is(context.Cause(ctx), errGatewayEnds) {
+		return e.refusedOrUnknown(outcome.Refused{Reason: outcome.ShuttingDown, RetryAt: time.Now().Add(notReadyRetryDelay)})
+	}
 	return e.refusedOrUnknown(outcome.Refused{Reason: outcome.DeadlinePassed, RetryAt: time.Now().Add(notReadyRetryDelay)})
 }
 
@@ -150,7 +154,7 @@
 			e.possibleRuns++
 		}
 	}
-	return e.timedOut(), false
+	return e.timedOut(ctx), false
 }
 
 // pendingPromptMS returns the prompt processing time that the scheduler still counts
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -83,6 +83,7 @@
 	retryWindows     sync.Map // service to *limit.RetryWindow
 	activity         activityTracker
 	arrivalEstimator *schedule.ArrivalEstimator
+	ending           ending
 	logLimiter       *rate.Limiter // for the log lines of ended requests
 	running          atomic.Int64
 	draining         atomic.Bool
@@ -90,7 +91,7 @@
 
 // NewHandler returns a handler without requests.
 func NewHandler(o Options) *Handler {
-	return &Handler{Options: o, client: atmostonce.NewClient(), logLimiter: rate.NewLimiter(maxLogLinesPerSecond, maxLogLinesPerSecond), activity: activityTracker{servers: map[string]serverActivity{}}, arrivalEstimator: schedule.NewArrivalEstimator()}
+	return &Handler{Options: o, client: atmostonce.NewClient(), logLimiter: rate.NewLimiter(maxLogLinesPerSecond, maxLogLinesPerSecond), activity: activityTracker{servers: map[string]serverActivity{}}, arrivalEstimator: schedule.NewArrivalEstimator(), ending: newEnding()}
 }
 
 // retryWindow returns the window that counts a service's requests and retries.
@@ -128,6 +129,8 @@
 	}
 	ctx, cancel := e.withDeadline(r.Context())
 	defer cancel()
+	ctx, release := e.handler.ending.bind(ctx)
+	defer release()
 	e.setWriteDeadline(w)
 	e.finish(e.run(ctx))
 }
