Hosted gateway: requests that a stop would cut are refused, not passed on

Requests that came late in the grace period of a gateway were passed on to servers and cut at its end, among them calls that may run only once.

A draining gateway took new requests for 2.8 s whatever its grace period was, and passed on requests from its queue at any time, without regard to how long their answers take.

A pool of a gateway that is stopping knows when the gateway ends, and a request brings how long answers of its route take at most: the longest of the last half minute, plus time for a silent server. A request is sent to a server only if it is answered by then, or its own deadline passes before. The check is part of choosing a server, so it covers new and queued requests, retries and failovers. The others are refused at once as not run.

--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -173,13 +173,15 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// drain fails the readiness probe, serves new requests until the platform stops sending
-// them, and waits until all answers are written. Requests that are still in progress near its end get a final answer.
+// drain fails the readiness probe, serves new requests that can be answered within the
+// grace period until the platform stops sending them, and waits until all answers are
+// written. Requests that are still in progress near its end get a final answer.
 func (g *gateway) drain(ctx context.Context) {
 	began := time.Now()
 	times := newStopTimes(began, time.Duration(g.settings.GraceSeconds*float64(time.Second)))
 	g.stopTimes.Store(&times)
 	g.draining.Store(true)
+	g.handler.EndBy(times.answer)
 	event.Log(event.DrainStarted, "Running", g.handler.Running())
 	pause.For(ctx, time.Until(times.accept))
 	g.handler.Drain()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -144,6 +144,7 @@
 	switch r := result.(type) {
 	case complete:
 		e.handler.CrashDetector.Completed(e.suspect.fingerprint)
+		e.handler.answerTimes.Record(e.route.Name, time.Now(), time.Since(e.sentAt).Milliseconds())
 		return outcome.Answered{}, false
 	case rejected:
 		return e.afterRejection(s, r)
@@ -231,6 +232,9 @@
 	if e.route.Generates {
 		request.BaseLatencyMS = engineBaseLatencyMS
 	}
+	if !e.response.begun() {
+		request.AnswerMS = e.handler.answerTimes.LongestMS(e.route.Name, time.Now())
+	}
 	return request
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -83,6 +83,7 @@
 	retryWindows     sync.Map // service to *limit.RetryWindow
 	activity         activityTracker
 	arrivalEstimator *schedule.ArrivalEstimator
+	answerTimes      *schedule.AnswerTimes
 	ending           ending
 	logLimiter       *rate.Limiter // for the log lines of ended requests
 	running          atomic.Int64
@@ -91,7 +92,7 @@
 
 // NewHandler returns a handler without requests.
 func NewHandler(o Options) *Handler {
-	return &Handler{Options: o, client: atmostonce.NewClient(), logLimiter: rate.NewLimiter(maxLogLinesPerSecond, maxLogLinesPerSecond), activity: activityTracker{servers: map[string]serverActivity{}}, arrivalEstimator: schedule.NewArrivalEstimator(), ending: newEnding()}
+	return &Handler{Options: o, client: atmostonce.NewClient(), logLimiter: rate.NewLimiter(maxLogLinesPerSecond, maxLogLinesPerSecond), activity: activityTracker{servers: map[string]serverActivity{}}, arrivalEstimator: schedule.NewArrivalEstimator(), answerTimes: schedule.NewAnswerTimes(), ending: newEnding()}
 }
 
 // retryWindow returns the window that counts a service's requests and retries.
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -24,6 +24,7 @@
 	pools   map[string]*schedule.Pool
 	waiters map[int64]chan schedule.Decision
 	lastID  atomic.Int64
+	endsAt  time.Time // when this gateway ends what still runs; zero: it is not stopping
 	// ownName and gateways are the gateways that share rate limits.
 	ownName  string
 	gateways []string
@@ -244,6 +245,9 @@
 	if !ok {
 		pool = schedule.NewPool(p.options)
 		pool.SetGateways(p.ownName, p.gateways)
+		if !p.endsAt.IsZero() {
+			pool.Stop(time.Now(), p.endsAt) // nothing is queued in a new pool
+		}
 		p.pools[service] = pool
 	}
 	return pool
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -37,6 +37,7 @@
 	ArrivedAt     time.Time
 	AnswerBy      time.Time // latency target: the response should start by then
 	Deadline      time.Time // the caller does not wait longer
+	AnswerMS      float64   // milliseconds until its response is complete, at the most; 0: part was sent already
 	Generates     bool      // runs on a model version, which may expire
 	Rejected      []string  // IDs of servers that did not run it
 	Failed        []string  // IDs of servers that may have run it and did not complete it
@@ -85,8 +86,9 @@
 	startLatency latencyEstimate
 	shares       map[string]float64 // by region: fraction of the running requests that this gateway sent
 	departing    departures
-	ownName      string   // of this gateway
-	gateways     []string // that share rate limits
+	endsAt       time.Time // when this gateway ends what still runs; zero: it is not stopping
+	ownName      string    // of this gateway
+	gateways     []string  // that share rate limits
 }
 
 type server struct {
@@ -217,6 +219,9 @@
 // returns the decision on the request and on queued requests that can start now,
 // for instance because a backoff has ended since the last call.
 func (p *Pool) Submit(now time.Time, r Request) (Decision, []Resolved) {
+	if p.endsBeforeAnswer(now, r) {
+		return refuseStopping(now), nil
+	}
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
 			return p.start(now, s, r), nil
@@ -328,12 +333,15 @@
 	s.backoffUntil = now.Add(min(backoff, maxBackoff))
 }
 
-// Tick refuses queued requests that cannot start by their wait deadline or before the
-// model versions of the servers expire, and starts those for which a slot is free.
+// Tick refuses queued requests that cannot start by their wait deadline, before the
+// model versions of the servers expire or in time for this gateway's end, and starts
+// those for which a slot is free.
 func (p *Pool) Tick(now time.Time) []Resolved {
 	var out []Resolved
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
 		switch {
+		case p.endsBeforeAnswer(now, r):
+			out = append(out, Resolved{r.ID, refuseStopping(now)})
 		case p.allExpiring(now, r):
 			out = append(out, Resolved{r.ID, p.refuseNoReplica(now, r)})
 		case !now.Before(p.waitDeadline(r)) || p.allBusy(now, r):
@@ -499,6 +507,9 @@
 // chooseServer returns the available server with the lowest load, or nil if there is
 // none.
 func (p *Pool) chooseServer(now time.Time, r Request) *server {
+	if p.endsBeforeAnswer(now, r) {
+		return nil
+	}
 	var best *server
 	lowest := math.Inf(1)
 	newest := p.newestVersion()
