--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -196,13 +196,8 @@
 type EngineState struct {
 	Born    int64 // Unix milliseconds of its start
 	Model   string
-	Version int64
 	Loaded  LayerRange
-	Loading bool  // a load order is in progress
-	Orders  int64 // load orders accepted; in the platform's list, the number of writes of the entry
-	Queued  int
-	Running int
-	Pace    float64 // slowdown factor; above 1 the engine is slow
+	Loading bool // a load order is in progress
 }
 
 // LayerRange is a contiguous range of layers of one version.
--- a/internal/weightsync/agent_test.go
+++ b/internal/weightsync/agent_test.go
@@ -48,7 +48,7 @@
 	defer e.mu.Unlock()
 	s := site.EngineState{Born: e.born, Model: model}
 	if e.servedVersion > 0 {
-		s.Version, s.Loaded = e.servedVersion, site.LayerRange{To: layers, Version: e.servedVersion}
+		s.Loaded = site.LayerRange{To: layers, Version: e.servedVersion}
 	}
 	return s, nil
 }
