--- a/test/hosting/oddvalues_test.go
+++ b/test/hosting/oddvalues_test.go
@@ -14,16 +14,14 @@
 	"almondreel.example/almondreel/platform/standin"
 )
 
-// sendWithHeader sends a call with an additional header, and its body later than its head.
-// It returns the status of the answer.
-func sendWithHeader(t *testing.T, s *site, attempt, header, body string) int {
+// sendWithBudget sends a call with this text as its time budget, and its body later than
+// its head. It returns the status of the answer.
+func sendWithBudget(t *testing.T, s *site, attempt, budget, body string) int {
 	t.Helper()
 	conn := dialGateway(t, s)
-	_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n%s\r\n\r\n",
-		standin.OncePath, standin.Host, attempt, apiKey, len(body), header)
-	require.NoError(t, err)
+	require.NoError(t, caller.WriteHead(conn, standin.OncePath+"x", attempt, apiKey, budget, len(body)))
 	time.Sleep(5 * time.Millisecond)
-	_, err = io.WriteString(conn, body)
+	_, err := io.WriteString(conn, body)
 	require.NoError(t, err)
 	return readFinalAnswer(t, conn).StatusCode
 }
@@ -44,7 +42,7 @@
 			if budget == "1" && body == "" { // nothing of the request is late
 				continue
 			}
-			require.Equal(t, status, sendWithHeader(t, s, attempt, "X-Deadline-Ms: "+budget, body), "budget %s, body %q", budget, body)
+			require.Equal(t, status, sendWithBudget(t, s, attempt, budget, body), "budget %s, body %q", budget, body)
 			require.Equal(t, status == 200, s.ran(attempt))
 		}
 	}
@@ -55,7 +53,8 @@
 	s := startSite(t, options{gateways: 1, engines: 1, firstVersion: 1})
 	s.waitForVersion(0, 1, 10*time.Second)
 	conn := dialGateway(t, s)
-	_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: late\r\nAuthorization: Token %s\r\nContent-Length: 2\r\nX-Deadline-Ms: 200\r\n\r\n{", standin.OncePath, standin.Host, apiKey)
+	require.NoError(t, caller.WriteHead(conn, standin.OncePath+"x", "late", apiKey, "200", 2))
+	_, err := io.WriteString(conn, "{")
 	require.NoError(t, err)
 	began := time.Now()
 	response := readFinalAnswer(t, conn)
@@ -71,7 +70,7 @@
 func TestLongTimeBudgetOfOneCallerRefusesNoOthers(t *testing.T) {
 	s := startSite(t, options{gateways: 1, engines: 1, firstVersion: 1})
 	s.waitForVersion(0, 1, 10*time.Second)
-	require.Equal(t, 200, sendWithHeader(t, s, "long", "X-Deadline-Ms: 1e20", "{}"))
+	require.Equal(t, 200, sendWithBudget(t, s, "long", "1e20", "{}"))
 	s.ledger.SetDelayMS(300)
 	const calls = 8 // the places of the service
 	outcomes := make(chan caller.Outcome, calls)
