proxy, callerapi: answer the caller of a request whose handler panicked

A defect in a request's handler closed the caller's connection without an answer in both forms, left no line that names the request, and in the hosted form left its slot at the server taken until the process ended.

The panic is now logged (4018, with the stack) and counted (HandlerPanics), the slot is released, and the caller is told 503 with Retry-After if nothing was sent to a server, else 502. A response that has begun is still cut. Tests that start gateways in their own process check that no handler panicked, as the panics of invariants would otherwise look like unknown outcomes.

--- a/internal/callerapi/fuzz_test.go
+++ b/internal/callerapi/fuzz_test.go
@@ -26,11 +26,11 @@
 	maxFuzzBody = 4096
 )
 
-// newFuzzHandler returns a handler without any agent, so that every request is
+// newTestHandler returns a handler without any agent, so that every request is
 // refused.
-func newFuzzHandler(f *testing.F, record callerapi.Recorder) *callerapi.Handler {
+func newTestHandler(t testing.TB, record callerapi.Recorder) *callerapi.Handler {
 	desiredState := desired.NewState()
-	require.NoError(f, desiredState.AdoptConfiguration(gateway.Versioned{Value: []byte(fuzzClasses), Revision: 1}, "test"))
+	require.NoError(t, desiredState.AdoptConfiguration(gateway.Versioned{Value: []byte(fuzzClasses), Revision: 1}, "test"))
 	dispatcher := dispatch.New(dispatch.Options{Gateway: "g", Desired: desiredState, Members: membership.NewTable()})
 	return callerapi.NewHandler(callerapi.Options{
 		Settings: settings.Gateway{
@@ -61,7 +61,7 @@
 	f.Add(false, "settlement-postings", bearer, "k\x00y", "9999-12-31T23:59:59Z", []byte(``))
 	f.Add(false, "..", "", "", "", []byte(`{`))
 	var records []outcome.Record
-	handler := newFuzzHandler(f, func(r outcome.Record) { records = append(records, r) })
+	handler := newTestHandler(f, func(r outcome.Record) { records = append(records, r) })
 	f.Fuzz(func(t *testing.T, completion bool, class, authorization, key, deadline string, body []byte) {
 		records = nil
 		r := httptest.NewRequest(http.MethodPost, callerapi.CompletionsPath, bytes.NewReader(body))
--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/dispatch"
+	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
@@ -180,6 +182,22 @@
 	organisation string
 	class        string
 	repeat       bool // the outcome is that of an earlier request
+	begun        bool // part of the response was written
+}
+
+// recoverPanic ends a request whose handler panicked. net/http would close the caller's
+// connection without an answer.
+func (resp *responder) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	counter.Add("HandlerPanics", 1)
+	event.Fail(event.HandlerPanicked, errs.New("handle request", resp.organisation, "%v", cause), "Request", resp.id, "Class", resp.class, "Stack", string(debug.Stack()))
+	if resp.begun {
+		panic(http.ErrAbortHandler) // a response that ends early must not look whole
+	}
+	resp.writeOutcome(outcome.Unknown{Reason: outcome.InternalError})
 }
 
 // record counts and logs the request's outcome, and passes it to the Recorder.
--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -47,6 +47,7 @@
 // admit checks the credential, headers and body, and passes the request to handle.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, handle func(*admittedRequest)) {
 	a := &admittedRequest{responder: responder{handler: h, writer: w, id: uuid.NewString()}}
+	defer a.recoverPanic()
 	organisation, ok := h.authenticate(r)
 	if !ok {
 		a.refuse(outcome.Refused{Reason: outcome.Unauthorised})
@@ -240,6 +241,7 @@
 // handleOutcome responds with the outcome of the organisation's earlier request.
 func (h *Handler) handleOutcome(w http.ResponseWriter, r *http.Request) {
 	a := &admittedRequest{responder: responder{handler: h, writer: w, id: uuid.NewString()}}
+	defer a.recoverPanic()
 	organisation, ok := h.authenticate(r)
 	if !ok {
 		a.refuse(outcome.Refused{Reason: outcome.Unauthorised})
--- a/internal/callerapi/response.go
+++ b/internal/callerapi/response.go
@@ -47,6 +47,7 @@
 	}
 	h.Set(HeaderOutcome, string(text))
 	h.Set("Content-Type", "application/json")
+	resp.begun = true
 	resp.writer.WriteHeader(status)
 	_, _ = resp.writer.Write(text)
 }
@@ -69,7 +70,7 @@
 
 func (s *tokenStream) writeEvent(event string) error {
 	if !s.started {
-		s.started = true
+		s.started, s.responder.begun = true, true
 		h := s.responder.writer.Header()
 		h.Set("Content-Type", "text/event-stream")
 		h.Set("Cache-Control", "no-store")
@@ -132,6 +133,7 @@
 	h.Set("Content-Type", a.ContentType)
 	h.Set("Trailer", HeaderOutcome)
 	_ = http.NewResponseController(resp.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
+	resp.begun = true
 	resp.writer.WriteHeader(a.Status)
 	_, _ = resp.writer.Write(a.Body)
 	h.Set(HeaderOutcome, string(encodeRecord(resp.record(o))))
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -138,9 +138,7 @@
 func (e *exchange) attempt(ctx context.Context, s schedule.Server, verdict quarantine.Verdict) (outcome.Outcome, bool) {
 	e.lastServer = s.ID
 	e.serversTried++
-	result := e.send(ctx, s)
-	reserved := e.failover.end()
-	e.handler.Pools.release(e.service.Name, s.ID, result.schedulerEnd(), e.pendingPromptMS(result))
+	result, reserved := e.sendAndRelease(ctx, s)
 	switch r := result.(type) {
 	case complete:
 		e.handler.CrashDetector.Completed(e.suspect.fingerprint)
@@ -158,6 +156,18 @@
 	return e.timedOut(ctx), false
 }
 
+// sendAndRelease sends the request to a server and releases the slot, also after a panic.
+// reserved says that there is a slot for a retry.
+func (e *exchange) sendAndRelease(ctx context.Context, s schedule.Server) (r result, reserved bool) {
+	r = cancelled{}
+	defer func() {
+		reserved = e.failover.end()
+		e.handler.Pools.release(e.service.Name, s.ID, r.schedulerEnd(), e.pendingPromptMS(r))
+	}()
+	r = e.send(ctx, s)
+	return r, reserved
+}
+
 // pendingPromptMS returns the prompt processing time that the scheduler still counts
 // as the server's load: 0 once the response has begun.
 func (e *exchange) pendingPromptMS(result result) float64 {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/pause"
@@ -121,6 +123,7 @@
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	e := &exchange{handler: h, response: callerResponse{w: w, codec: h.HeaderCodec}, r: r, arrivedAt: time.Now()}
+	defer e.recoverPanic()
 	e.firstCallAt = e.arrivedAt
 	e.info = h.HeaderCodec.ParseRequest(r.Header, e.arrivedAt)
 	refused, ok := e.admit(w)
@@ -136,6 +139,25 @@
 	e.finish(e.run(ctx))
 }
 
+// recoverPanic ends a request whose handler panicked. net/http would close the caller's
+// connection without an answer.
+func (e *exchange) recoverPanic() {
+	cause := recover()
+	switch {
+	case cause == nil:
+		return
+	case cause == http.ErrAbortHandler: // by callerResponse.close
+		panic(cause)
+	}
+	counter.Add("HandlerPanics", 1)
+	event.Fail(event.HandlerPanicked, errs.New("handle request", e.r.RemoteAddr, "%v", cause), "Request", e.info.AttemptID, "Route", e.route.Name, "Stack", string(debug.Stack()))
+	if e.serversTried == 0 {
+		e.finish(e.refuseNotReady(outcome.InternalError))
+		return
+	}
+	e.finish(outcome.Unknown{Reason: outcome.InternalError})
+}
+
 const (
 	// bodyReadTimeout bounds reading the body of a request without a deadline.
 	bodyReadTimeout = 20 * time.Second
--- a/test/requests/requests_test.go
+++ b/test/requests/requests_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/settings"
 	standinengine "almondreel.example/almondreel/internal/standin/engine"
@@ -41,6 +42,8 @@
 
 func startSite(t testing.TB, o testsite.Options) *testsite.Site {
 	t.Helper()
+	panics := counter.Value("HandlerPanics")
+	t.Cleanup(func() { require.Equal(t, panics, counter.Value("HandlerPanics")) })
 	s, err := testsite.Start(o)
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
