schedule: an entry supersedes another at its address only until its server refutes it

Callers saw 503 from a service whose only server was sound: another writer had left an entry with that server's address and a later start (by reading, also a draining one, or one of a service that nobody configured). The later start at an address hid the earlier one, whatever the entry was, and as no request was sent to it, nothing showed that it was wrong.

Now the pool decides, by evidence. A later start supersedes another only while it is ready for requests of the same service and until the server at the address answers that it is another one (421). A refuted entry backs off up to 12 s. If an engine's agent has reported lately, entries of any other start are not taken to have weights, so an entry at the address of such an engine gets no request at all. Entries of versions newer than the named one have none either.

--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -60,11 +60,9 @@
 	}
 	services := map[string][]schedule.Server{}
 	count := 0
-	listed := t.siteView.listedServers(now)
-	newest := latestStarts(listed)
-	for _, s := range listed {
+	for _, s := range t.siteView.listedServers(now) {
 		service, ok := c.Services[s.Service]
-		if !ok || s.Draining || s.State.Born < newest[s.Address] {
+		if !ok || s.Draining {
 			continue
 		}
 		count++
@@ -77,17 +75,6 @@
 	}
 }
 
-// latestStarts returns the latest start of a server at each address, in Unix
-// milliseconds. The entry of a server that ended stays for some seconds, during which
-// another server may have its address.
-func latestStarts(listed map[string]site.Server) map[string]int64 {
-	newest := map[string]int64{}
-	for _, s := range listed {
-		newest[s.Address] = max(newest[s.Address], s.State.Born)
-	}
-	return newest
-}
-
 // scheduledServer returns a listed server for the scheduler. What an engine has loaded
 // is taken from the report of its agent if there is a recent one, since the engine's
 // entry lags.
@@ -100,11 +87,13 @@
 		return out
 	}
 	served := s.State.Served(service.Engine.Layers)
-	if a, ok := t.agentReport(s.Address); ok && now.Sub(a.At) < agentReportTTL && a.Born >= s.State.Born {
+	served.Whole = served.Whole && served.Version <= t.namedVersion(service.Engine.Model)
+	if a, ok := t.agentReport(s.Address); ok && now.Sub(a.At) < agentReportTTL && a.Born != 0 {
 		served = servedNow(a, now)
-		if a.Born > s.State.Born { // the entry describes the previous start, perhaps under another ID
-			served.Whole = false
-		}
+		// An entry of another start is the previous one, perhaps under another ID, or it is
+		// not the engine's. An engine that has just started, of which its agent has not
+		// reported yet, has no weights.
+		served.Whole = served.Whole && a.Born == s.State.Born
 	}
 	out.Version, out.Ready = served.Version, served.Whole
 	out.ServesUntil = t.servesUntil(service.Engine.Model, served.Version)
--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -319,11 +319,22 @@
 	}
 	w := hostedrpc.Wanted{Revision: revision, Engine: c.Services[service].Engine, Origin: c.Origin().Address, Movable: c.ServiceRepeatable(service)}
 	if w.Engine.Model != "" {
-		w.Version = max(1, sv.versions[w.Engine.Model].Number)
+		w.Version = sv.newestVersion(w.Engine.Model)
 	}
 	return w
 }
 
+// namedVersion returns the version of a model that is to serve.
+func (sv *siteView) namedVersion(model string) int64 {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.newestVersion(model)
+}
+
+// newestVersion is namedVersion for callers that hold mu. Engines may hold version 1
+// before operators announce any.
+func (sv *siteView) newestVersion(model string) int64 { return max(1, sv.versions[model].Number) }
+
 // recordAnnouncement records when a version was announced, as another process reports.
 func (sv *siteView) recordAnnouncement(v site.Version, announcement rollout.Announcement) {
 	sv.mu.Lock()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -177,7 +177,7 @@
 // other status means that the server is full.
 func rejectionEnd(status int) schedule.End {
 	if status == http.StatusMisdirectedRequest {
-		return schedule.Unreachable
+		return schedule.Misdirected
 	}
 	return schedule.Rejected
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -100,8 +100,10 @@
 	backoffUntil    time.Time // zero after a response has started
 	slowStart       SlowStart // the slowest recent one
 
-	departing bool      // the server announced its shutdown
-	busyUntil time.Time // the server asked for no requests until then
+	departing   bool      // the server announced its shutdown
+	misdirected bool      // another server answered at its address
+	superseded  bool      // a later start has its address
+	busyUntil   time.Time // the server asked for no requests until then
 
 	rateLimit    RateLimit
 	share        limitShare
@@ -131,6 +133,9 @@
 		if s.StartUnixMS > existing.StartUnixMS {
 			existing.busyUntil, existing.rateLimit = time.Time{}, RateLimit{}
 		}
+		if s.StartUnixMS != existing.StartUnixMS || s.Address != existing.Address {
+			existing.failures, existing.backoffUntil, existing.misdirected = 0, time.Time{}, false
+		}
 		existing.Server = s
 		existing.departing = p.departing.covers(s)
 	}
@@ -144,6 +149,7 @@
 		}
 	}
 	p.sortServers()
+	p.markSuperseded()
 	return p.dispatch(now)
 }
 
@@ -258,6 +264,7 @@
 		p.mergeSlowStart(now, s, SlowStart{Server: id, Milliseconds: milliseconds - promptMS, At: now})
 		s.pendingPromptMS = max(0, s.pendingPromptMS-promptMS)
 		s.failures, s.backoffUntil = 0, time.Time{}
+		p.setMisdirected(s, false)
 	}
 }
 
@@ -272,6 +279,7 @@
 	Rejected        // the server reported that it did not run the request
 	Incomplete      // the response ended before it was complete
 	TimedOut        // no response in time
+	Misdirected     // another server answered at the address, or one that serves another version
 )
 
 // Ended records that an attempt at server id ended. promptMS is the PromptMS of the
@@ -288,6 +296,9 @@
 		p.completions.add(now)
 	case Unreachable, Rejected, Incomplete, TimedOut:
 		s.backOff(now, end)
+	case Misdirected:
+		s.backOff(now, end)
+		p.setMisdirected(s, true)
 	}
 	if s.ownRunning == 0 && !s.Ready {
 		p.removeIfNoSlots(id)
@@ -311,6 +322,12 @@
 	// maxBackoff limits how long a recovered server stays idle.
 	maxBackoff    = 1500 * time.Millisecond
 	rejectBackoff = 40 * time.Millisecond
+	// misdirectedMaxBackoff is longer: the server named is not there.
+	misdirectedMaxBackoff = 12 * time.Second
+	// maxDoublings bounds how often a backoff doubles, misdirectedMaxDoublings that of a
+	// server that is not there.
+	maxDoublings            = 5
+	misdirectedMaxDoublings = 7
 	// incompleteThreshold is the number of consecutive failures from which incomplete
 	// responses cause a backoff. Below it the server may still complete others.
 	incompleteThreshold = 2
@@ -318,19 +335,21 @@
 
 func (s *server) backOff(now time.Time, end End) {
 	s.failures++
-	backoff := baseBackoff
+	backoff, longest, doublings := baseBackoff, maxBackoff, maxDoublings
 	switch end {
 	case Rejected:
 		backoff = rejectBackoff
+	case Misdirected:
+		longest, doublings = misdirectedMaxBackoff, misdirectedMaxDoublings
 	case Incomplete:
 		if s.failures < incompleteThreshold {
 			return
 		}
 	}
-	for range min(s.failures-1, 5) {
+	for range min(s.failures-1, doublings) {
 		backoff *= 2
 	}
-	s.backoffUntil = now.Add(min(backoff, maxBackoff))
+	s.backoffUntil = now.Add(min(backoff, longest))
 }
 
 // Tick refuses queued requests that cannot start by their wait deadline, before the
@@ -596,7 +615,7 @@
 // eligible reports whether the server can run the request, apart from busy times, the
 // pace of a rate limit and backoff.
 func (p *Pool) eligible(now time.Time, s *server, r Request) bool {
-	return s.Ready && !s.departing && s.hasShare(now) && p.startsInTime(now, s, r)
+	return s.Ready && !s.departing && !s.superseded && s.hasShare(now) && p.startsInTime(now, s, r)
 }
 
 // available reports whether the server may get the request now. After a backoff a
