--- a/test/hosting/odd_entries_test.go
+++ b/test/hosting/odd_entries_test.go
@@ -200,3 +200,28 @@
 		return len(e.Runs()) > before
 	})
 }
+
+// Guards against an odd configuration or model version that ends a gateway, takes the last
+// good one out of force, or keeps a later one from being adopted.
+func TestOddConfigurationKeepsLastOneInForce(t *testing.T) {
+	s := startSite(t, options{gateways: 2, engines: 1})
+	for g := range s.gateways {
+		s.waitForVersion(g, 1, 10*time.Second)
+	}
+	for _, text := range []string{
+		"\xff\xfe", "", "null", "[]", `{"version":9223372036854775807}`, `{"version":1e300}`, `{"version":-1}`, `{"version":9,"routes":[{}]}`,
+		`{"version":9,"routes":` + nested(9000) + `}`, `{"version":9,"routes":` + nested(100_000) + `}`, `{"model":"m","version":9223372036854775807}`,
+		`{"model":"m","version":1.5}`, `{"model":7,"version":2}`,
+	} {
+		for _, key := range []string{"op/config", "op/version/" + standin.Model, "op/version/", "op/version/other", "op/unknown", "unknown/key"} {
+			s.store.PutText(key, text)
+		}
+		time.Sleep(settleTime)
+		s.requireServed(1, fmt.Sprintf("%.60q", text))
+	}
+	s.store.SetVersion(2)
+	for g := range s.gateways {
+		s.waitForVersion(g, 2, 10*time.Second)
+	}
+	s.requireRunning()
+}
