atmostonce: a response with a status that is not final is an error

A server that answered 101, with its signature, had that passed on to the caller as its answer, on both forms. Beside own instances the agent called such an answer whole, and a status out of range in the agent's header (-1, 99, 1000) counted as a completed call, with which net/http panics when it is written.

The client that both forms send through takes a final status, 200 to 599, and reports any other as an error of a request that may have run; the header is held to the same.

--- a/internal/atmostonce/atmostonce.go
+++ b/internal/atmostonce/atmostonce.go
@@ -114,10 +114,14 @@
 		client = c.fresh
 	}
 	response, err := client.Do(request)
-	if err == nil {
+	if err == nil && IsFinalStatus(response.StatusCode) {
 		response.Body = &responseBody{ReadCloser: response.Body, recorder: recorder}
 		return response, nil
 	}
+	if err == nil {
+		_ = response.Body.Close()
+		return nil, errs.New("send", r.Address, "status %d is none of a final response", response.StatusCode)
+	}
 	if cause := context.Cause(ctx); errors.Is(cause, errConnectTimeout) {
 		err = cause
 	}
@@ -132,6 +136,10 @@
 	return nil, &NotSentError{Cause: err}
 }
 
+// IsFinalStatus reports whether a status is one of a final response. Status 101 is none:
+// no request asks for another protocol.
+func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
+
 // responseBody is the body of a response to a request that Send sent.
 type responseBody struct {
 	io.ReadCloser
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -287,7 +287,7 @@
 		return err
 	}
 	status, err := strconv.Atoi(response.Header.Get(agent.HeaderStatus))
-	if err != nil {
+	if err != nil || !atmostonce.IsFinalStatus(status) {
 		return &invalidAnswer{outcome.StreamCut, "answer has no valid status header"}
 	}
 	a.Progress.Answer = Answer{Status: status, ContentType: response.Header.Get("Content-Type"), Body: text}
