hosted: an impossible age or count in a message between processes holds nothing

A negative age, or one whose product with a millisecond overflows, gave a time in the future: a gateway that was reported once counted as alive for ever (followers of the store and shares of rate limits are chosen among them), and reports, liveness and loads that came later were older than the odd one and were ignored. Negative counts of requests offset those of other gateways.

All ages go through ages.At, which is never in the future; counts lie within 0 and 2^20 before they are summed.

Only processes of the system send these messages; no such value was seen from them.

--- a/internal/crashreport/crashreport.go
+++ b/internal/crashreport/crashreport.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
 
@@ -40,7 +41,7 @@
 // Merge merges messages that arrived at the time now into p, and returns the parts that
 // are quarantined for them.
 func Merge(p *quarantine.Parts, crashes []PartCrash, answers []PartAnswer, now time.Time) []string {
-	at := func(age int64) time.Time { return now.Add(-time.Duration(max(0, age)) * time.Millisecond) }
+	at := func(age int64) time.Time { return ages.At(now, age) }
 	var inCrashes []quarantine.PartCrash
 	for _, c := range crashes {
 		inCrashes = append(inCrashes, quarantine.PartCrash{Server: c.Server, Request: c.Request, Parts: c.Parts, At: at(c.AgeMilliseconds)})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/rendezvous"
 )
@@ -80,7 +81,7 @@
 	if g.Name == "" {
 		return
 	}
-	if seenAt := now.Add(-time.Duration(g.AgeMilliseconds) * time.Millisecond); seenAt.After(known.seenAt) {
+	if seenAt := ages.At(now, g.AgeMilliseconds); seenAt.After(known.seenAt) {
 		known.Gateway, known.seenAt = g, seenAt
 	}
 }
@@ -95,7 +96,7 @@
 		t.Observe(g, now)
 	}
 	for _, l := range request.Loads {
-		at := now.Add(-time.Duration(l.AgeMilliseconds) * time.Millisecond)
+		at := ages.At(now, l.AgeMilliseconds)
 		if l.Region != t.own.Region && at.After(t.regionLoads[l.Region].at) {
 			t.regionLoads[l.Region] = regionLoad{l.Running, at}
 		}
@@ -232,9 +233,12 @@
 	return sum
 }
 
+// maxCount bounds a count of running requests, so that sums of them do not overflow.
+const maxCount = 1 << 20
+
 func add(sum, running map[string]int) {
 	for server, count := range running {
-		sum[server] += count
+		sum[server] += min(max(count, 0), maxCount)
 	}
 }
 
--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/crashreport"
 	"almondreel.example/almondreel/internal/event"
@@ -228,7 +229,7 @@
 // down.
 func (gs *gossiper) applyDepartures(departures []hostedrpc.Departure, from string, now time.Time) {
 	for _, d := range departures {
-		at := now.Add(-time.Duration(d.AgeMilliseconds) * time.Millisecond)
+		at := ages.At(now, d.AgeMilliseconds)
 		if gs.servers.pools.MarkDeparting(d.Service, schedule.Departure{Server: d.Server, StartUnixMS: d.Born, At: at}) {
 			event.Log(event.ServerLeaving, "Server", d.Server, "Service", d.Service, "From", from)
 		}
@@ -248,7 +249,7 @@
 // applySlowStarts applies another gateway's report of responses that started late.
 func (gs *gossiper) applySlowStarts(starts []hostedrpc.SlowStart, now time.Time) {
 	for _, s := range starts {
-		at := now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
+		at := ages.At(now, s.AgeMilliseconds)
 		gs.servers.pools.RecordSlowStart(now, s.Service, schedule.SlowStart{Server: s.Server, Milliseconds: float64(s.StartMilliseconds), At: at})
 	}
 }
--- a/internal/hosted/pull.go
+++ b/internal/hosted/pull.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/internal/compress"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
@@ -48,7 +49,7 @@
 	view := gs.servers.siteView
 	view.apply(view.mirror.ApplyUpdate(reply.Beliefs), from)
 	if reply.AgeMilliseconds >= 0 && view.mirror.Revision() >= reply.Revision {
-		view.confirmCurrent(time.Now().Add(-time.Duration(reply.AgeMilliseconds) * time.Millisecond))
+		view.confirmCurrent(ages.At(time.Now(), reply.AgeMilliseconds))
 	}
 }
 
--- a/internal/hosted/ratelimits.go
+++ b/internal/hosted/ratelimits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
@@ -27,7 +28,7 @@
 	for _, r := range limits {
 		l := schedule.RateLimit{
 			Server: r.Server, StartUnixMS: r.Born, Limited: r.Limited, PerSecond: r.PerSecond,
-			At: now.Add(-time.Duration(r.AgeMilliseconds) * time.Millisecond),
+			At: ages.At(now, r.AgeMilliseconds),
 		}
 		if gs.servers.pools.RecordRateLimit(r.Service, l, l.At) {
 			counter.Add("RateLimitsChanged", 1)
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/internal/crashreport"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/pause"
@@ -26,7 +27,7 @@
 	}
 	gs.servers.applyReports(request.Agents, request.Alive, path, now)
 	for _, v := range request.Named {
-		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
+		at := ages.At(now, v.AgeMilliseconds)
 		gs.servers.recordAnnouncement(site.Version{Model: v.Model, Number: v.Version}, rollout.Announcement{At: at, FoundAtStart: v.Found})
 	}
 	mergeConvictions(gs.crashes.Table, request.Convictions, now)
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/proxy"
@@ -141,10 +142,10 @@
 	t.mu.Lock()
 	changed := false
 	for _, a := range reports {
-		changed = t.agents.Record(a, now.Add(-time.Duration(a.AgeMilliseconds)*time.Millisecond), path) || changed
+		changed = t.agents.Record(a, ages.At(now, a.AgeMilliseconds), path) || changed
 	}
 	for _, s := range alive {
-		t.agents.MarkAlive(s.Name, now.Add(-time.Duration(s.AgeMilliseconds)*time.Millisecond))
+		t.agents.MarkAlive(s.Name, ages.At(now, s.AgeMilliseconds))
 	}
 	t.mu.Unlock()
 	if changed {
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
@@ -184,7 +185,7 @@
 	}
 	a.wanted = wanted
 	for _, v := range announced {
-		at := now.Add(-time.Duration(v.AgeMilliseconds) * time.Millisecond)
+		at := ages.At(now, v.AgeMilliseconds)
 		a.rollouts.Record(site.Version{Model: v.Model, Number: v.Version}, rollout.Announcement{At: at, FoundAtStart: v.Found})
 	}
 	if _, ok := a.rollouts.AnnouncedAt(wanted.Engine.Model, wanted.Version); !ok {
