callerapi: a stored result with a status that is none of an answer ends no request unanswered

A repeat of a claimed request is answered from the result in the key-value service. With a status of -1 or 99 there, net/http panicked when it was written: the caller's connection was closed without an answer. A status of 101 was sent as one.

Such a result is answered with its record only, as one whose body was too large to keep.

Evidence: before, TestRepeatOfResultWithOddStatusIsAnswered failed at -1 ("http: panic serving ... invalid WriteHeader code -1", EOF at the caller). After: nine statuses pass.

--- a/internal/callerapi/response.go
+++ b/internal/callerapi/response.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"almondreel.example/almondreel/internal/atmostonce"
 	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/outcome"
@@ -125,7 +126,7 @@
 		resp.writeOutcome(o)
 		return
 	}
-	if a.Status == 0 { // the body was too large to be kept for repeats
+	if !atmostonce.IsFinalStatus(a.Status) { // 0: the body was too large to be kept for repeats
 		resp.writeRecord(http.StatusOK, resp.record(o))
 		return
 	}
