route: ignore an impossible number of slots of one agent

An agent whose engine named 2^40 slots made the free slots of all agents of its service 2^40, by which the gateway admits requests: it would have queued none and refused none. Beyond the range of an int the sum differed between processors.

A number above 65536 is not used, as 0 and negative ones were not before.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -22,6 +22,7 @@
 	reportFreshFor = 1200 * time.Millisecond // a little more than the heartbeat interval
 	reportMaxAge   = 3 * time.Second         // older load reports are ignored
 	defaultSlots   = 64                      // of an agent that has not reported its slots
+	maxSlots       = 1 << 16                 // of an agent; a larger number is not used
 	evictAfter     = time.Minute             // since an agent was last used
 )
 
@@ -180,7 +181,7 @@
 
 func (l *load) update(running, slots int, now time.Time) {
 	l.others = max(0, running-l.own)
-	if slots > 0 {
+	if slots > 0 && slots <= maxSlots {
 		l.slots = slots
 	}
 	l.reportedAt = now
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -97,3 +98,19 @@
 		r.Finish(m.Name)
 	}
 }
+
+// Guards against one agent whose engine names an impossible number of slots, which made
+// the free slots of all agents out of range.
+func TestImpossibleSlotsAreIgnored(t *testing.T) {
+	for _, slots := range []int{-1, 0, 1 << 40, math.MaxInt, math.MinInt} {
+		r := route.NewRouter()
+		all := members(3)
+		want := r.FreeSlots(all[:2])
+		all[2].Slots = slots
+		free := r.FreeSlots(all)
+		require.Greater(t, free, want, slots)
+		require.LessOrEqual(t, free, want+64, slots) // an agent that reports no slots counts as having 64
+		r.UpdateLoad(all[1].Name, 0, slots)
+		require.Equal(t, free, r.FreeSlots(all), slots)
+	}
+}
