Own instances: a stop waits until the ends of answers are written

A caller that read slowly lost the end of its answer when the gateway, or the agent behind it, was stopped.

A drain waits for handlers. The end of an answer may still be in the server's buffer then, and a write to a caller may take 10 s, but a gateway closed its connections 2 s and an agent 5 s after its drain. A gateway whose caller pauses reads nothing from the agent meanwhile.

Both now wait as long as one write to a caller may take, and a second more. Connections without a request do not delay the stop for longer than net/http's 5 s.

--- a/internal/callerapi/response.go
+++ b/internal/callerapi/response.go
@@ -13,7 +13,8 @@
 	"almondreel.example/almondreel/internal/outcome"
 )
 
-const writeTimeout = 10 * time.Second // for each write to a caller
+// WriteTimeout bounds each write to a caller.
+const WriteTimeout = 10 * time.Second
 
 // refusalStatus is the HTTP status of a refusal by reason. For other reasons it is
 // 503.
@@ -78,7 +79,7 @@
 		h.Set("Trailer", HeaderOutcome)
 		s.responder.writer.WriteHeader(http.StatusOK)
 	}
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = s.controller.SetWriteDeadline(time.Now().Add(WriteTimeout))
 	if _, err := s.responder.writer.Write([]byte(event)); err != nil {
 		return err
 	}
@@ -133,7 +134,7 @@
 	h := resp.writer.Header()
 	h.Set("Content-Type", a.ContentType)
 	h.Set("Trailer", HeaderOutcome)
-	_ = http.NewResponseController(resp.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = http.NewResponseController(resp.writer).SetWriteDeadline(time.Now().Add(WriteTimeout))
 	resp.begun = true
 	resp.writer.WriteHeader(a.Status)
 	_, _ = resp.writer.Write(a.Body)
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -34,7 +34,6 @@
 	// before its HTTP server stops.
 	leaveNoticeTime   = 2500 * time.Millisecond
 	agentDrainTimeout = 2 * time.Minute
-	agentStopTimeout  = 5 * time.Second
 )
 
 // RunAgent runs an agent until a signal to stop is received, then drains it: it reports
@@ -132,9 +131,5 @@
 	defer cancel()
 	a.backendProxy.Drain(drainCtx)
 	time.Sleep(time.Until(noticeEnd))
-	stopCtx, cancelStop := context.WithTimeout(ctx, agentStopTimeout)
-	defer cancelStop()
-	if err := server.Shutdown(stopCtx); err != nil {
-		_ = server.Close()
-	}
+	shutDownAgent(ctx, server)
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -76,7 +76,7 @@
 	tree := supervisor.NewTree(s.Name)
 	// Task names appear in the log. The task "spread" distributes state to other
 	// gateways and agents, and "suspicion" replicates the quarantine table.
-	tree.Add("callers", supervisor.Serve(callerconn.Listener{Listener: callerListener}, newCallerServer(g.callerHandler), shutDown))
+	tree.Add("callers", supervisor.Serve(callerconn.Listener{Listener: callerListener}, newCallerServer(g.callerHandler), shutDownCallers))
 	tree.Add("control", supervisor.Serve(controlListener, newServer(handler), shutDown))
 	tree.Add("spread", g.stateSync.Run)
 	tree.Add("planner", g.planner.Run)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
+	"almondreel.example/almondreel/internal/callerapi"
 	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/desired"
 )
@@ -25,8 +27,22 @@
 }
 
 // shutDown shuts the server down and closes it if requests still run after stopTimeout.
-func shutDown(ctx context.Context, s *http.Server) {
-	stopCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+func shutDown(ctx context.Context, s *http.Server) { shutDownWithin(ctx, s, stopTimeout) }
+
+// writeEndTimeout bounds the wait for the ends of answers, which may be written after
+// their handlers have returned: one write to a caller. A gateway reads on from an agent
+// only after that.
+const writeEndTimeout = callerapi.WriteTimeout + time.Second
+
+// shutDownCallers shuts down a gateway's server for callers after its drain.
+func shutDownCallers(ctx context.Context, s *http.Server) { shutDownWithin(ctx, s, writeEndTimeout) }
+
+// shutDownAgent shuts down an agent's server after its drain.
+func shutDownAgent(ctx context.Context, s *http.Server) { shutDownWithin(ctx, s, writeEndTimeout) }
+
+// shutDownWithin shuts the server down and closes it if requests still run after timeout.
+func shutDownWithin(ctx context.Context, s *http.Server, timeout time.Duration) {
+	stopCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if s.Shutdown(stopCtx) != nil {
 		_ = s.Close()
