proxy: one server cannot have sound requests refused as malformed

A server that answers each request with 400 and the mark of one that was not run had all requests that it got refused with 400, which callers do not repeat. As such responses are fast and counted as finished, the server seemed idle and was preferred.

Servers refuse requests without an identifier that way; only for these is the refusal final. Others are sent to another server, as before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -125,7 +125,7 @@
 	}
 	foreign := info.AttemptID != "" && info.AttemptID != e.info.AttemptID
 	switch {
-	case info.NotRun && !foreign && response.StatusCode == http.StatusBadRequest:
+	case info.NotRun && !foreign && response.StatusCode == http.StatusBadRequest && e.info.AttemptID == "": // any server refuses that
 		return rejected{reason: outcome.Malformed, endState: schedule.Finished, final: true, detail: response.Status}
 	case info.NotRun && !foreign:
 		return rejected{reason: outcome.BackendRefused, endState: rejectionEnd(response.StatusCode), detail: response.Status}
