callerapi: refuse a request whose body does not come in time

On own instances a caller that stopped sending its body got no refusal, and its connection stayed open: after ten seconds the gateway refused the request, but it had reset the read deadline, and net/http reads the rest of a body before it responds.

The deadline now stays until the connection is closed, and the refusal is 503 "DeadlinePassed" (it was to be 400). A body that ends early is named CallerBodyIncomplete (400 as before). The body is read before the headers are checked.

Before, TestBodyThatComesTooLateIsRefused of test/requests failed: nothing came within 15 s.

--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/google/uuid"
@@ -67,9 +68,12 @@
 	handle(a)
 }
 
-// readRequest reads the idempotency key, deadline and body. It returns "" or the
-// reason to refuse the request.
+// readRequest reads the body, idempotency key and deadline. It returns "" or the reason to
+// refuse the request.
 func (a *admittedRequest) readRequest(r *http.Request) outcome.Reason {
+	if reason := a.readWholeBody(r); reason != "" {
+		return reason
+	}
 	a.key = r.Header.Get(HeaderIdempotencyKey)
 	if len(a.key) > maxKeyBytes {
 		return outcome.Malformed
@@ -81,20 +85,28 @@
 		}
 		a.deadline = at
 	}
+	return ""
+}
+
+func (a *admittedRequest) readWholeBody(r *http.Request) outcome.Reason {
 	controller := http.NewResponseController(a.writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	err := a.readBody(http.MaxBytesReader(a.writer, r.Body, a.handler.maxBodyBytes))
-	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		_ = controller.SetReadDeadline(time.Time{})
+		return ""
 	case err == errNoMemory:
 		return outcome.QueueFull
 	case errors.As(err, &tooLarge):
 		return outcome.TooLarge
-	case err != nil:
-		return outcome.Malformed
+	case errors.Is(err, os.ErrDeadlineExceeded): // the deadline stays, as net/http reads on before it responds
+		return outcome.DeadlinePassed
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return outcome.CallerBodyIncomplete
 	}
-	return ""
+	return outcome.Malformed
 }
 
 // errNoMemory reports that request bodies in progress use all the memory for them.
--- a/internal/callerapi/response.go
+++ b/internal/callerapi/response.go
@@ -20,6 +20,7 @@
 // 503.
 var refusalStatus = map[outcome.Reason]int{
 	outcome.Malformed:             http.StatusBadRequest,
+	outcome.CallerBodyIncomplete:  http.StatusBadRequest,
 	outcome.IdempotencyKeyMissing: http.StatusBadRequest,
 	outcome.Unauthorised:          http.StatusUnauthorized,
 	outcome.UnknownClass:          http.StatusNotFound,
--- a/test/requests/callerends_test.go
+++ b/test/requests/callerends_test.go
@@ -103,3 +103,17 @@
 	require.False(t, r.NotRun)
 	require.Equal(t, outcome.CallerClosed, r.Reason)
 }
+
+// A caller whose body did not come in time got no refusal: the gateway waited for the rest
+// of the body before it responded.
+func TestBodyThatComesTooLateIsRefused(t *testing.T) {
+	s := startSite(t, options())
+	conn := dialGateway(t, s.Gateways[0])
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-north\r\nContent-Length: 100\r\n\r\n{", callerapi.CompletionsPath)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(15*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err, "no answer and no refusal")
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.True(t, response.Close, "the rest of the body could be taken for a request")
+}
