proxy, callerapi: read the body of a refused request before the refusal

A caller that sent a large body got neither an answer nor a refusal, but a reset connection, if its request was refused before the body was read: no such route, no such key, not ready, full or stopping. net/http reads at most 256 KiB after such a response, closes its sending side and half a second later the connection; the kernel then resets it, and what the caller had not read yet is lost. A change of the configuration that removes a route or key is one cause of such refusals, in the hosted form.

The body is now read and dropped up to the longest that is accepted, until the caller's deadline (a second at least), and the refusal follows.

TestRefusalOfALargeRequestReachesItsCaller sends 1 MiB in a second and reads then.

--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/dispatch"
@@ -88,6 +89,7 @@
 // ServeHTTP handles a caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !h.begin() {
+		h.discardBody(w, r)
 		resp := &responder{handler: h, writer: w, id: uuid.NewString()}
 		resp.refuse(outcome.Refused{Reason: outcome.ShuttingDown, RetryAt: limit.Jittered(time.Now(), shutdownRetryDelay)})
 		return
@@ -96,6 +98,11 @@
 	h.mux.ServeHTTP(w, r)
 }
 
+// discardBody reads the body of a request that is refused unread.
+func (h *Handler) discardBody(w http.ResponseWriter, r *http.Request) {
+	callerconn.DiscardBody(w, r, h.maxBodyBytes, time.Now().Add(bodyTimeout))
+}
+
 // begin counts a request as in progress, or returns false if the handler is
 // draining.
 func (h *Handler) begin() bool {
--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -51,6 +51,7 @@
 	defer a.recoverPanic()
 	organisation, ok := h.authenticate(r)
 	if !ok {
+		h.discardBody(w, r)
 		a.refuse(outcome.Refused{Reason: outcome.Unauthorised})
 		return
 	}
@@ -98,6 +99,7 @@
 		_ = controller.SetReadDeadline(time.Time{})
 		return ""
 	case err == errNoMemory:
+		a.handler.discardBody(a.writer, r)
 		return outcome.QueueFull
 	case errors.As(err, &tooLarge):
 		return outcome.TooLarge
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -34,6 +34,7 @@
 	priority      int
 	configVersion int64
 	body          []byte
+	bodyRead      bool // or reading it failed
 	suspect       suspectRequest
 	failover      failover
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -128,6 +128,9 @@
 	e.info = h.HeaderCodec.ParseRequest(r.Header, e.arrivedAt)
 	refused, ok := e.admit(w)
 	if !ok {
+		if !e.bodyRead {
+			e.discardBody(w)
+		}
 		e.finish(refused)
 		return
 	}
@@ -161,6 +164,8 @@
 const (
 	// bodyReadTimeout bounds reading the body of a request without a deadline.
 	bodyReadTimeout = 20 * time.Second
+	// minDiscardTime is the least time for reading the body of a refused request.
+	minDiscardTime = time.Second
 	// writeGrace is how long after the request's deadline the response may still be
 	// written. A caller that reads nothing must not hold a connection forever.
 	writeGrace = 2 * time.Second
@@ -212,23 +217,16 @@
 		e.priority = organisation.Priority
 	}
 	e.service = configuration.Services[pickTarget(route.Targets)]
-	return e.readBody(w, configuration.Limits)
+	return e.readBody(w, maxBodyBytes(configuration))
 }
 
-func (e *exchange) readBody(w http.ResponseWriter, limits site.Limits) (outcome.Outcome, bool) {
+func (e *exchange) readBody(w http.ResponseWriter, maxBytes int64) (outcome.Outcome, bool) {
+	e.bodyRead = true
 	if e.r.Body == http.NoBody {
 		return nil, true
 	}
-	maxBytes := limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	deadline := e.info.Deadline
-	if deadline.IsZero() {
-		deadline = e.arrivedAt.Add(bodyReadTimeout)
-	}
 	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
+	if err := controller.SetReadDeadline(e.bodyDeadline()); err != nil {
 		counter.Add("ReadDeadlinesUnset", 1)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, e.r.Body, maxBytes))
@@ -245,6 +243,31 @@
 	return nil, true
 }
 
+// bodyDeadline returns the time until which the request's body must have been read.
+func (e *exchange) bodyDeadline() time.Time {
+	if e.info.Deadline.IsZero() {
+		return e.arrivedAt.Add(bodyReadTimeout)
+	}
+	return e.info.Deadline
+}
+
+// discardBody reads the body of a request that is refused unread.
+func (e *exchange) discardBody(w http.ResponseWriter) {
+	deadline := e.bodyDeadline()
+	if earliest := e.arrivedAt.Add(minDiscardTime); deadline.Before(earliest) {
+		deadline = earliest
+	}
+	callerconn.DiscardBody(w, e.r, maxBodyBytes(e.handler.View.Configuration()), deadline)
+}
+
+// maxBodyBytes returns the length of the longest body that is accepted.
+func maxBodyBytes(c *site.Configuration) int64 {
+	if c == nil || c.Limits.BodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return c.Limits.BodyBytes
+}
+
 // bodyErrorReason returns why a request is refused whose body could not be read.
 func bodyErrorReason(err error) outcome.Reason {
 	var tooLarge *http.MaxBytesError
--- a/test/hosting/oddvalues_test.go
+++ b/test/hosting/oddvalues_test.go
@@ -87,3 +87,30 @@
 		require.Equal(t, 200, o.Status, o.Body)
 	}
 }
+
+// A caller that sent a large body to a route or with a key that is not in the
+// configuration got a reset connection in place of its refusal, if it read only after it
+// had sent the whole request.
+func TestRefusalOfALargeRequestReachesItsCaller(t *testing.T) {
+	s := startSite(t, options{gateways: 1, engines: 1, firstVersion: 1})
+	s.waitForVersion(0, 1, 10*time.Second)
+	const pieces, pieceBytes, piecePause = 64, 16 << 10, 15 * time.Millisecond
+	for name, c := range map[string]struct {
+		path, key string
+		status    int
+	}{
+		"no route": {"/none/x", apiKey, http.StatusNotFound},
+		"no key":   {standin.OncePath + "x", "removed", http.StatusUnauthorized},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := dialGateway(t, s)
+			require.NoError(t, caller.WriteHead(conn, c.path, "large", c.key, "3000", pieces*pieceBytes))
+			for range pieces {
+				_, err := conn.Write(make([]byte, pieceBytes))
+				require.NoError(t, err, "the connection was closed before the whole request was read")
+				time.Sleep(piecePause)
+			}
+			require.Equal(t, c.status, readFinalAnswer(t, conn).StatusCode)
+		})
+	}
+}
--- a/test/requests/callerends_test.go
+++ b/test/requests/callerends_test.go
@@ -117,3 +117,21 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.True(t, response.Close, "the rest of the body could be taken for a request")
 }
+
+// A caller that sent a large body with an unknown key got a reset connection in place of
+// its refusal, if it read only after it had sent the whole request.
+func TestRefusalOfALargeRequestReachesItsCaller(t *testing.T) {
+	s := startSite(t, options())
+	conn := dialGateway(t, s.Gateways[0])
+	const pieces, pieceBytes, piecePause = 62, 16 << 10, 15 * time.Millisecond
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer removed\r\nContent-Length: %d\r\n\r\n", callerapi.CompletionsPath, pieces*pieceBytes)
+	require.NoError(t, err)
+	for range pieces {
+		_, err := conn.Write(make([]byte, pieceBytes))
+		require.NoError(t, err, "the connection was closed before the whole request was read")
+		time.Sleep(piecePause)
+	}
+	status, r := readRecord(t, conn)
+	require.Equal(t, http.StatusUnauthorized, status)
+	require.Equal(t, outcome.Unauthorised, r.Reason)
+}
