Test: the write deadline of an earlier request ends with it on a kept connection

A hypothesis of the incident, ruled out: a request that is refused later than the first one's deadline and two seconds gets its refusal.

--- a/test/hosting/callerends_test.go
+++ b/test/hosting/callerends_test.go
@@ -120,3 +120,16 @@
 		}
 	})
 }
+
+// The deadline for writing an answer must not stay on a kept connection: a later request
+// that is refused at once sets none, and its refusal would not be written.
+func TestWriteDeadlineOfAnEarlierRequestEndsWithIt(t *testing.T) {
+	s := startSite(t, options{gateways: 1, engines: 1, firstVersion: 1})
+	s.waitForVersion(0, 1, 10*time.Second)
+	conn := dialGateway(t, s)
+	require.NoError(t, caller.New("").Write(conn, standin.OncePath+"x", "first", apiKey, time.Now().Add(200*time.Millisecond)))
+	require.Equal(t, http.StatusOK, readFinalAnswer(t, conn).StatusCode)
+	time.Sleep(200*time.Millisecond + 2*time.Second + 300*time.Millisecond) // the deadline and the time for writing
+	require.NoError(t, caller.New("").Write(conn, "/none/", "second", apiKey, time.Now().Add(requestTimeout)))
+	require.Equal(t, http.StatusNotFound, readFinalAnswer(t, conn).StatusCode)
+}
