attempt, dispatch: leave a silent agent only if another one can go on

The timer now asks, every 100 ms, whether another agent that was not tried has a free slot, and takes the retry from the budget before it cancels. What is not covered: the other agent may refuse or fail after that.

TestStalledAgentIsReplacedBeforeDeadline and the tests of endless answers and cuts passed, one run each.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -69,6 +70,9 @@
 	Progress   *Progress      // updated by Run
 	Sink       Sink           // receives a completion's tokens; nil for a plain call
 	OnAccepted func()         // called when the agent has passed the request to its backend server
+	// MayLeave reports whether another agent can go on with the request. It is called
+	// while the agent makes no progress, and not after Run has returned.
+	MayLeave func() bool
 
 	id string
 }
@@ -294,11 +298,20 @@
 	return nil
 }
 
-// progressTimer cancels an attempt that makes no progress in time. Its zero value
-// never cancels.
+// leaveCheckInterval is the time between checks of an attempt without progress.
+const leaveCheckInterval = 100 * time.Millisecond
+
+// progressTimer cancels an attempt that makes no progress in time, once another agent can
+// go on: the silent one may still answer. Its zero value never cancels.
 type progressTimer struct {
-	timer   *time.Timer
-	timeout func() time.Duration
+	timeout  time.Duration // between tokens
+	mayLeave func() bool
+	cancel   context.CancelFunc
+
+	mu        sync.Mutex
+	timer     *time.Timer // nil: never cancels
+	expiresAt time.Time
+	stopped   bool
 }
 
 // startProgressTimer starts the timer for the first token of an idempotent
@@ -310,16 +323,42 @@
 	}
 	first := max(minProgressTimeout, time.Duration(firstTokenTimeoutFactor*target.FirstTokenMilliseconds)*time.Millisecond)
 	between := max(minProgressTimeout, time.Duration(betweenTokensTimeoutFactor*target.BetweenTokensMilliseconds)*time.Millisecond)
-	return &progressTimer{timer: time.AfterFunc(first, cancel), timeout: func() time.Duration { return between }}
+	p := &progressTimer{timeout: between, mayLeave: a.MayLeave, cancel: cancel, expiresAt: time.Now().Add(first)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer = time.AfterFunc(first, p.check)
+	return p
+}
+
+func (p *progressTimer) check() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := time.Until(p.expiresAt)
+	switch {
+	case p.stopped:
+	case left > 0:
+		p.timer.Reset(left)
+	case p.mayLeave():
+		p.cancel()
+	default:
+		p.timer.Reset(leaveCheckInterval)
+	}
 }
 
 func (p *progressTimer) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.timer != nil {
-		p.timer.Reset(p.timeout())
+		p.expiresAt = time.Now().Add(p.timeout)
+		p.timer.Reset(p.timeout)
 	}
 }
 
+// stop ends the checks. None is in progress when it returns.
 func (p *progressTimer) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
 	if p.timer != nil {
 		p.timer.Stop()
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -233,6 +233,7 @@
 	lastTried        string         // agent of the last attempt
 	suspect          bool           // the last attempt ran as a suspect
 	interruptedCount int
+	retryTaken       bool // by mayLeave, for the retry after the current attempt
 	notRunCount      int
 }
 
@@ -335,10 +336,22 @@
 	return ""
 }
 
-// takeRetry takes a retry from the class's budget. It reports false if the
-// budget is spent.
+// mayLeave reports whether another agent has room for the request, which is idempotent,
+// and takes the retry for it from the class's budget.
+func (f *inflight) mayLeave() bool {
+	if f.interruptedCount+1 >= maxInterrupted || !f.dispatcher.router.HasRoom(f.members(time.Now()), f.tried) {
+		return false
+	}
+	f.retryTaken = f.budget.TakeRetry()
+	return f.retryTaken
+}
+
+// takeRetry takes a retry from the class's budget, unless mayLeave has. It reports false
+// if the budget is spent.
 func (f *inflight) takeRetry(reason outcome.Reason) bool {
-	if !f.budget.TakeRetry() {
+	taken := f.retryTaken
+	f.retryTaken = false
+	if !taken && !f.budget.TakeRetry() {
 		counter.Add("RetryRefused."+string(outcome.RetryBudgetSpent), 1)
 		return false
 	}
@@ -401,6 +414,7 @@
 		Progress:   &f.progress,
 		Sink:       f.sink,
 		OnAccepted: f.onAccepted,
+		MayLeave:   f.mayLeave,
 	}
 	r := a.Run(ctx)
 	f.recordResult(r, m, suspect)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -153,6 +154,17 @@
 	return int(free)
 }
 
+// HasRoom reports whether one of the members that are not excluded has a free slot.
+func (r *Router) HasRoom(members []gateway.Member, exclude map[string]bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(members, func(m gateway.Member) bool {
+		l := r.load(m, now)
+		return !exclude[m.Name] && l.total(now) < float64(l.slots)
+	})
+}
+
 // UpdateLoad records the load that an agent reported in an answer. It ignores
 // agents that were never considered.
 func (r *Router) UpdateLoad(name string, running, slots int) {
--- a/test/requests/cuts_test.go
+++ b/test/requests/cuts_test.go
@@ -148,3 +148,24 @@
 		require.Less(t, time.Since(start), 6*time.Second)
 	}
 }
+
+// A completion was given up after a second without a token although no other agent could
+// go on with it, and its caller got no whole answer. A sound server may fall silent for a
+// second and go on.
+func TestSilentAgentIsNotLeftWithoutAnother(t *testing.T) {
+	const silence = 2500 * time.Millisecond
+	for name, before := range map[string]time.Duration{"before the first token": 0, "between tokens": 60 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			o := options()
+			o.Engines, o.Engine.BetweenTokensMilliseconds = 1, 10
+			s := startSite(t, o)
+			route := s.Replicas[0].ToAgent
+			timers := make(chan error, 2)
+			time.AfterFunc(before, func() { timers <- route.Set(faultproxy.Faults{ToCaller: faultproxy.Stall{}}) })
+			time.AfterFunc(before+silence, func() { timers <- route.Set(faultproxy.Faults{}) })
+			requireCompleteAnswer(t, sendCompletion(t, s.Gateways[0], "lot 14", 20), "lot 14", 20)
+			require.NoError(t, <-timers)
+			require.NoError(t, <-timers)
+		})
+	}
+}
