--- a/internal/testsite/testsite.go
+++ b/internal/testsite/testsite.go
@@ -68,6 +68,7 @@
 	URL            string // base URL of the listener for callers
 	CallerHandler  *callerapi.Handler
 	Dispatcher     *dispatch.Dispatcher
+	Desired        *desired.State
 	Members        *membership.Table
 	Ledger         *ledger.Ledger
 	Claims         *claims.Store
@@ -222,6 +223,7 @@
 	if err != nil {
 		return err
 	}
+	g.Desired = d
 	store := kv.NewClient(s.kvURL)
 	parts := quarantine.NewParts(g.Quarantine)
 	syncer := quarantinesync.New(name, g.Quarantine, parts, func() []gateway.Peer { return s.peers(name) }, store)
