schedule: refuse queued requests of a service that has no servers at once

Callers whose requests waited for a server when a configuration removed their service waited until the request's target had passed, though nothing could serve them. A request whose response has begun still waits, as a refusal would cut it, and so do requests of a service whose servers are listed and not ready, since engines change versions.

TestQueuedRequestsOfARemovedServiceAreRefusedAtOnce failed before (no decision), one run passed now, as did the tests of internal/schedule with the race detector.

--- a/internal/schedule/departures_test.go
+++ b/internal/schedule/departures_test.go
@@ -164,3 +164,31 @@
 	require.True(t, ok)
 	require.False(t, refused.RetryAt.Before(startTime.Add(10*time.Second)))
 }
+
+// A configuration that removed a service left its queued requests waiting until their
+// targets had passed. A request whose response has begun waits for servers to come back,
+// since a refusal would cut it.
+func TestQueuedRequestsOfARemovedServiceAreRefusedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := schedule.NewPool(schedule.Options{})
+	p.SetServers(now, []schedule.Server{{ID: "a", Slots: 1, Ready: true}})
+	decisionOf(p.Submit(now, longWaitRequest(1, now)))
+	require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(now, longWaitRequest(2, now))))
+	resumed := longWaitRequest(3, now)
+	resumed.Resumed = true
+	require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(now, resumed)))
+	require.Empty(t, p.Tick(now))
+	p.SetServers(now, nil)
+	resolved := p.Tick(now)
+	require.Len(t, resolved, 1)
+	require.EqualValues(t, 2, resolved[0].ID)
+	refused, ok := resolved[0].Decision.(schedule.Refuse)
+	require.True(t, ok)
+	require.Equal(t, outcome.NoReplicaServing, refused.Reason)
+
+	p.Ended(now, "a", schedule.Finished, 0)
+	p.SetServers(now, nil)
+	resolved = p.SetServers(now, []schedule.Server{{ID: "a", Slots: 1, Ready: true}})
+	require.Len(t, resolved, 1)
+	require.EqualValues(t, 3, resolved[0].ID)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -80,6 +80,7 @@
 	options      Options
 	servers      map[string]*server
 	order        []*server // sorted by ID
+	listed       int       // servers in the last list
 	queue        []Request
 	completions  rateWindow
 	nextRetryAt  time.Time // earliest retry time of the next refusal
@@ -119,6 +120,7 @@
 // SetServers replaces the list of servers. Requests that run on a server that is
 // no longer listed are counted until they end.
 func (p *Pool) SetServers(now time.Time, list []Server) []Resolved {
+	p.listed = len(list)
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
@@ -353,15 +355,16 @@
 }
 
 // Tick refuses queued requests that cannot start by their wait deadline, before the
-// model versions of the servers expire or in time for this gateway's end, and starts
-// those for which a slot is free.
+// model versions of the servers expire or in time for this gateway's end, or whose
+// service has no servers, and starts those for which a slot is free. A request whose
+// response has begun waits for new servers.
 func (p *Pool) Tick(now time.Time) []Resolved {
 	var out []Resolved
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
 		switch {
 		case p.endsBeforeAnswer(now, r):
 			out = append(out, Resolved{r.ID, refuseStopping(now)})
-		case p.allExpiring(now, r):
+		case p.allExpiring(now, r), p.listed == 0 && !r.Resumed:
 			out = append(out, Resolved{r.ID, p.refuseNoReplica(now, r)})
 		case !now.Before(p.waitDeadline(r)) || p.allBusy(now, r):
 			out = append(out, Resolved{r.ID, p.Refusal(now, outcome.ProjectedWaitTooLong, r)})
