test/requests: the test of ends of callers' connections waits where nothing is written

TestCountersTellHowACallersConnectionEnded reset a connection while tokens were written to it. If the next write failed before the read did, the reason was CallerWriteFailed, as it should be, and the test failed: 2 of 17 runs with the race detector; in the log that was looked at, the reason was CallerWriteFailed.

The requests now wait for their first token. The reasons that are required are the same: 21 of 21 runs with the race detector that found free ports passed; 13 others could not start their site (bind: address already in use).

--- a/test/requests/callerends_test.go
+++ b/test/requests/callerends_test.go
@@ -42,7 +42,12 @@
 // Requests that ended with their caller's connection left no line in the log and no reason
 // in the counters.
 func TestCountersTellHowACallersConnectionEnded(t *testing.T) {
-	s := startSite(t, options())
+	o := options()
+	o.Engines, o.Engine.FirstTokenMilliseconds = 1, 2000 // nothing is written, so only a read can fail
+	s := startSite(t, o)
+	running := func(count int) {
+		require.Eventually(t, func() bool { return s.Replicas[0].Status.Status().Running == count }, 5*time.Second, time.Millisecond)
+	}
 	for reason, end := range map[outcome.Reason]func(*net.TCPConn) error{
 		outcome.CallerClosed: (*net.TCPConn).CloseWrite,
 		outcome.CallerReset: func(conn *net.TCPConn) error {
@@ -50,11 +55,11 @@
 			return conn.Close()
 		},
 	} {
+		running(0)
 		before := counter.Value("Cancelled." + string(reason))
 		conn := dialGateway(t, s.Gateways[0])
 		writeRequest(t, conn, callerapi.CompletionsPath, "", `{"model": "questions", "prompt": "lot 14", "max_tokens": 1000}`)
-		_, err := io.ReadFull(conn, make([]byte, 1)) // the completion runs
-		require.NoError(t, err)
+		running(1)
 		require.NoError(t, end(conn))
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
