--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -36,7 +36,7 @@
 	BaseLatencyMS float64 // milliseconds until the response starts on an idle server, excluding PromptMS
 	ArrivedAt     time.Time
 	AnswerBy      time.Time // latency target: the response should start by then
-	Deadline      time.Time // the caller does not wait longer
+	Deadline      time.Time // the caller does not wait longer; zero: unknown
 	AnswerMS      float64   // milliseconds until its response is complete, at the most; 0: part was sent already
 	Generates     bool      // runs on a model version, which may expire
 	Rejected      []string  // IDs of servers that did not run it
@@ -402,7 +402,7 @@
 			until = earliest
 		}
 	}
-	if r.Deadline.Before(until) {
+	if !r.Deadline.IsZero() && r.Deadline.Before(until) {
 		until = r.Deadline
 	}
 	return until
