proxy: the body of a request is waited for 20 s at the most

Some hundreds of them made the gateway refuse all other requests.

The bound for requests without a time budget holds for all.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -162,7 +162,7 @@
 }
 
 const (
-	// bodyReadTimeout bounds reading the body of a request without a deadline.
+	// bodyReadTimeout bounds reading the body of a request, whatever its deadline.
 	bodyReadTimeout = 20 * time.Second
 	// minDiscardTime is the least time for reading the body of a refused request.
 	minDiscardTime = time.Second
@@ -245,8 +245,9 @@
 
 // bodyDeadline returns the time until which the request's body must have been read.
 func (e *exchange) bodyDeadline() time.Time {
-	if e.info.Deadline.IsZero() {
-		return e.arrivedAt.Add(bodyReadTimeout)
+	latest := e.arrivedAt.Add(bodyReadTimeout)
+	if e.info.Deadline.IsZero() || e.info.Deadline.After(latest) {
+		return latest
 	}
 	return e.info.Deadline
 }
