hosted: an agent's first report does not make its engine's weights incomplete

When agents start before a gateway answers them, as after a loss of power everywhere, callers were refused (NoReplicaServing) by a gateway that had just begun to serve, until the agents' next reports. An agent learns from a gateway how many layers the weights have; before that it reported none of them as held, and its report overrode the entry of the engine, which said that all are.

The report now says that this is not known. The gateway then uses the entry, if it is of the start that the agent reports.

--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -90,7 +90,9 @@
 	served := s.State.Served(service.Engine.Layers)
 	served.Whole = served.Whole && served.Version <= t.namedVersion(service.Engine.Model)
 	if a, ok := t.agentReport(s.Address); ok && now.Sub(a.At) < agentReportTTL && a.Born != 0 {
-		served = servedNow(a, now)
+		if !a.HoldingUnknown {
+			served = servedNow(a, now)
+		}
 		// An entry of another start is the previous one, perhaps under another ID, or it is
 		// not the engine's. An engine that has just started, of which its agent has not
 		// reported yet, has no weights.
--- a/internal/hostedrpc/messages.go
+++ b/internal/hostedrpc/messages.go
@@ -34,6 +34,7 @@
 	EngineAddress   string // IP:port
 	Born            int64  // Unix milliseconds of the engine's start; 0 if it does not answer
 	Holding         site.ServedWeights
+	HoldingUnknown  bool  // the agent has started and does not know yet how many layers make Holding whole
 	Ready           int64 // newest version that the engine could load now; 0 if none
 	Change          Switchover
 	Switching       bool // the engine takes no new requests while it replaces its weights
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -115,14 +115,14 @@
 	born, ready, change              int64
 	model                            string
 	version                          int64
-	whole, switching                 bool
+	whole, unknown, switching        bool
 }
 
 func stateOf(a hostedrpc.Agent) agentState {
 	return agentState{
 		address: a.Address, region: a.Region, service: a.Service, engine: a.EngineAddress,
 		born: a.Born, ready: a.Ready, change: a.Change.Version,
-		model: a.Holding.Model, version: a.Holding.Version, whole: a.Holding.Whole, switching: a.Switching,
+		model: a.Holding.Model, version: a.Holding.Version, whole: a.Holding.Whole, unknown: a.HoldingUnknown, switching: a.Switching,
 	}
 }
 
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -261,6 +261,7 @@
 	if a.engineUp {
 		out.Born = a.state.Born
 		out.Holding = a.state.Served(a.wanted.Engine.Layers)
+		out.HoldingUnknown = a.wanted.Engine.Layers == 0
 	}
 	if a.ready != nil {
 		out.Ready = a.ready.manifest.Version
--- a/internal/weightsync/start_test.go
+++ b/internal/weightsync/start_test.go
@@ -133,3 +133,19 @@
 	require.False(t, e.loadedCorrupt)
 	require.Zero(t, o.piecesSent)
 }
+
+// An agent that starts beside an engine with weights does not know yet how many layers
+// the weights have. Guards against its first report, by which gateways took the weights
+// for incomplete and refused all requests.
+func TestAgentReportsWeightsAsUnknownBeforeItKnowsTheirLayers(t *testing.T) {
+	e := newStartingEngine(pieces)
+	e.servedVersion = 1
+	e.up.Store(true)
+	a, stop := runAgent(e, &fakeOrigin{})
+	defer stop()
+	require.Eventually(t, func() bool { return a.State().Born == 1 }, 5*time.Second, 5*time.Millisecond)
+	require.True(t, a.State().HoldingUnknown)
+	a.SetWanted(wanted(1), nil)
+	require.False(t, a.State().HoldingUnknown)
+	require.Equal(t, site.ServedWeights{Model: model, Version: 1, Whole: true}, a.State().Holding)
+}
