desired: null is no configuration and no placement

encoding/json decodes null into an empty document without an error, so a stored null replaced the configuration or the placement in force: no class was left to serve. Other documents that cannot be decoded already left the last one in force.

Evidence: before, TestOddDocumentKeepsLastOneInForce failed at null; all its other documents (nested 5,000 to 1,000,000 levels, numbers out of range, other types) passed. After: all pass.

--- a/internal/desired/desired.go
+++ b/internal/desired/desired.go
@@ -4,6 +4,7 @@
 package desired
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"sync"
@@ -53,7 +54,7 @@
 		return nil
 	}
 	var d operator.Document
-	if err := json.Unmarshal(v.Value, &d); err != nil {
+	if err := decodeObject(v.Value, &d); err != nil {
 		return errs.Wrap(err, "decode configuration", from)
 	}
 	v = v.WithCompressed()
@@ -77,7 +78,7 @@
 		return nil
 	}
 	var p placement.Placement
-	if err := json.Unmarshal(v.Value, &p); err != nil {
+	if err := decodeObject(v.Value, &p); err != nil {
 		return errs.Wrap(err, "decode placement", from)
 	}
 	v = v.WithCompressed()
@@ -93,6 +94,16 @@
 	return nil
 }
 
+var errNoObject = errors.New("document is not a JSON object")
+
+// decodeObject decodes a document. encoding/json takes null for an empty one.
+func decodeObject(text []byte, document any) error {
+	if !bytes.HasPrefix(bytes.TrimLeft(text, " \t\r\n"), []byte("{")) {
+		return errNoObject
+	}
+	return json.Unmarshal(text, document)
+}
+
 // logOlder logs a document whose revision is lower than the current one.
 func logOlder(n event.Number, offered, current uint64, from string) {
 	if offered < current {
@@ -174,7 +185,7 @@
 		return s.AdoptPlacement(gateway.Versioned{Value: text, Revision: revision}, from)
 	}
 	var d operator.Document
-	if err := json.Unmarshal(text, &d); err != nil {
+	if err := decodeObject(text, &d); err != nil {
 		return errs.Wrap(err, "decode configuration", from)
 	}
 	return s.AdoptConfiguration(gateway.Versioned{Value: d.WithoutHistory().Encode(), Revision: revision}, from)
