statesync: a document that cannot be decoded is read once

A stored configuration or placement that cannot be decoded never became current, so each watch of its key asked again for changes after the current revision and was answered at once with the same document: the watching gateways called the key-value service without a pause and logged each time, until the document was replaced.

A watch continues from the revision that was read.

Evidence: before, TestOddDocumentIsReadOnce counted 8450 watches in 2 s (below 10 expected). After: passes, and the next document is adopted.

--- a/internal/statesync/watch.go
+++ b/internal/statesync/watch.go
@@ -28,9 +28,10 @@
 func (s *Syncer) watchKey(ctx context.Context, key string) {
 	retry := minRetry
 	down := false
+	read := uint64(0) // a document that cannot be decoded does not become current
 	for ctx.Err() == nil {
 		watching := s.isWatcher(key, time.Now())
-		request := kv.Watch{Key: key, After: s.currentRevision(key)}
+		request := kv.Watch{Key: key, After: max(s.currentRevision(key), read)}
 		if watching && request.After > 0 {
 			request.WaitMilliseconds = int(watchWait.Milliseconds())
 		}
@@ -44,6 +45,7 @@
 		s.logUp(&down)
 		retry = minRetry
 		s.adopt(e, newer)
+		read = max(read, e.Revision)
 		s.pauseBetweenWatches(ctx, key, watching)
 	}
 }
