hosted: a history longer than an answer may be is replaced by a listing

While a gateway could not reach the store, another writer rewrote a large entry. The answer to the next watch was longer than the gateway reads (4 MiB), it was asked for again with the same revision, and the gateway followed the store no more, until the store had dropped that history. Callers were refused with keys that a new configuration had added.

A watch whose answer is too long is followed by a listing, as one whose history is gone.

Evidence: before, TestLargeEntriesDoNotEndWatches failed (six writes of 1 MiB; "response exceeds the size limit", the next configuration not adopted within 5 s).

--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/mirror"
@@ -114,8 +115,8 @@
 	return ctx.Err()
 }
 
-// poll makes one call to the store: a watch, or a full listing if the mirror is empty
-// or the store no longer has the history.
+// poll makes one call to the store: a watch, or a full listing if the mirror is empty,
+// the store no longer has the history, or the history is longer than an answer may be.
 func (sv *siteView) poll(ctx context.Context) error {
 	if sv.mirror.Revision() == 0 {
 		return sv.reload(ctx)
@@ -125,6 +126,9 @@
 		event.Log(event.StoreCompacted, "Revision", sv.mirror.Revision())
 		return sv.reload(ctx)
 	}
+	if errors.Is(err, bounded.ErrTooLong) {
+		return sv.reload(ctx) // which has the last change of each item only
+	}
 	if err != nil {
 		return err
 	}
--- a/test/hosting/odd_entries_test.go
+++ b/test/hosting/odd_entries_test.go
@@ -225,3 +225,19 @@
 	}
 	s.requireRunning()
 }
+
+// Another writer rewrites a large entry while a gateway cannot reach the store. Guards
+// against a watch whose answer, with all these changes, is longer than the gateway reads,
+// so that it never follows the store again.
+func TestLargeEntriesDoNotEndWatches(t *testing.T) {
+	s := startSite(t, options{gateways: 1, engines: 1})
+	s.waitForVersion(0, 1, 10*time.Second)
+	s.gateways[0].storeEndpoint.SetFaults(standin.StoreFaults{Busy: true})
+	time.Sleep(settleTime)
+	for n := range 6 {
+		s.store.PutServer(oddID, strings.Repeat(fmt.Sprint(n), 1<<20))
+	}
+	s.gateways[0].storeEndpoint.SetFaults(standin.StoreFaults{})
+	s.requireServed(1, "a large entry")
+	s.requireRunning()
+}
