planner: a stored placement that cannot be decoded is replaced

A planner that found such a placement when it took the lease never planned again, and one that held the lease lost every write to it: instances that ended were not replaced until somebody mended the document by hand.

The planner notes the revision of such a placement and writes the next one over it.

Evidence: before, TestOddPlacementIsReplaced failed (no placement written within 15 s, the document read again each second). After: passes, with the document there at the planner's start and again later.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -46,6 +46,9 @@
 	resolver      *resolver
 	loadAllowedAt map[loadPermit]time.Time // when an instance was first allowed to load a version
 	writtenTerm   uint64                   // last lease term in which a placement was written
+	// undecodable is the revision of a stored placement that cannot be decoded; it is
+	// replaced.
+	undecodable uint64
 }
 
 // New returns the planner of the gateway that s describes.
@@ -99,7 +102,7 @@
 
 // readDocuments reads the configuration and the placement from the key-value
 // service, so that a new holder does not plan from outdated local copies. It
-// returns false if a document cannot be read or decoded.
+// returns false if a document cannot be read, or a configuration cannot be decoded.
 func (p *Planner) readDocuments(ctx context.Context) bool {
 	for _, key := range []string{operator.ConfigurationKey, placement.Key} {
 		e, err := p.kv.Get(ctx, key)
@@ -109,6 +112,10 @@
 		if e.Revision == 0 {
 			continue
 		}
+		if key == placement.Key {
+			p.adoptPlacement(e.Value, e.Revision)
+			continue
+		}
 		if err := p.desired.AdoptStored(key, e.Value, e.Revision); err != nil {
 			event.Fail(event.DocumentUndecodable, err, "Key", key)
 			return false
@@ -117,6 +124,14 @@
 	return true
 }
 
+// adoptPlacement adopts a stored placement, or notes that it is to be replaced.
+func (p *Planner) adoptPlacement(value []byte, revision uint64) {
+	if err := p.desired.AdoptStored(placement.Key, value, revision); err != nil {
+		event.Fail(event.DocumentUndecodable, err, "Key", placement.Key, "Revision", revision)
+		p.undecodable = revision
+	}
+}
+
 // planOnce computes a placement and writes it if the assignments changed or if
 // nothing was written in this lease term yet. The first write of a term raises the
 // revision, so that writes of an earlier holder fail with a conflict.
@@ -139,11 +154,12 @@
 	})
 	p.recordLoadTimes(next, now)
 	next.Holder = p.self
-	if p.writtenTerm == term && next.SameAssignments(s.Placement) {
+	base := max(s.Placement.Revision, p.undecodable)
+	if p.writtenTerm == term && base == s.Placement.Revision && next.SameAssignments(s.Placement) {
 		return
 	}
 	p.logShortfalls(s.Configuration, s.Placement, next)
-	if p.write(ctx, s.Placement.Revision, next) {
+	if p.write(ctx, base, next) {
 		p.writtenTerm = term
 	}
 }
@@ -194,7 +210,7 @@
 	case condwrite.Rejected:
 		counter.Add("PlacementRefused.Fenced", 1)
 		event.Log(event.PlacementConflict, "Current", result.Current.Revision)
-		_ = p.desired.AdoptStored(placement.Key, result.Current.Value, result.Current.Revision)
+		p.adoptPlacement(result.Current.Value, result.Current.Revision)
 	case condwrite.NotWritten:
 		counter.Add("PlacementRefused.Unavailable", 1)
 	case condwrite.Unknown:
