--- a/test/hosting/odd_entries_test.go
+++ b/test/hosting/odd_entries_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
-	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -24,74 +22,10 @@
 // odd entry.
 const requestsPerEntry = 3
 
-// entryAt returns an entry at an address with some fields replaced by JSON.
-func entryAt(t *testing.T, service, address string, fields map[string]string) string {
-	t.Helper()
-	entry := map[string]json.RawMessage{
-		"service": json.RawMessage(fmt.Sprintf("%q", service)), "address": json.RawMessage(fmt.Sprintf("%q", address)),
-		"zone": json.RawMessage(`"north-a"`), "slots": json.RawMessage("8"), "state": json.RawMessage(`"ready"`), "born": json.RawMessage("1000"),
-	}
-	if service == standin.EngineService {
-		entry["layers"] = json.RawMessage(`{"from":0,"target":4,"version":1}`)
-	}
-	for name, value := range fields {
-		entry[name] = json.RawMessage(value)
-	}
-	var text strings.Builder
-	for _, name := range slices.Sorted(maps.Keys(entry)) { // as text: values may be no numbers that Go has
-		fmt.Fprintf(&text, ",%q:%s", name, entry[name])
-	}
-	return "{" + text.String()[1:] + "}"
-}
-
-// invalidEntries returns entries that name no server to use, by what is odd.
-func invalidEntries(t *testing.T, service, address string) map[string]string {
-	t.Helper()
-	host, _, err := net.SplitHostPort(address)
-	require.NoError(t, err)
-	out := map[string]string{
-		"no JSON": "\xff\xfe\x00", "empty": "", "null": "null", "a list": "[]",
-		"unknown state":   entryAt(t, service, address, map[string]string{"state": `"asleep"`, "born": "2000"}),
-		"unknown service": entryAt(t, "nobody", address, map[string]string{"born": "2000"}),
-		"draining":        entryAt(t, service, address, map[string]string{"state": `"draining"`, "born": "2000"}),
-		"nested":          entryAt(t, service, address, map[string]string{"models": nested(9000)}),
-		"deeply nested":   entryAt(t, service, address, map[string]string{"models": nested(100_000)}),
-		"version 2^63":    entryAt(t, service, address, map[string]string{"layers": `{"from":0,"target":4,"version":9223372036854775807}`}),
-	}
-	for _, born := range []string{"1e300", "-1e300", "1e400", "1000.5"} {
-		out["born "+born] = entryAt(t, service, address, map[string]string{"born": born})
-	}
-	for _, slots := range []string{"1e18", "1e300", "-1e300", "0", "8.5"} {
-		out["slots "+slots] = entryAt(t, service, address, map[string]string{"slots": slots, "born": "2000"})
-	}
-	for _, port := range []string{"99999", "-1", "0", "http"} {
-		out["port "+port] = entryAt(t, service, host+":"+port, nil)
-	}
-	return out
-}
-
-func nested(levels int) string { return strings.Repeat("[", levels) + strings.Repeat("]", levels) }
-
-// plausibleEntries returns entries that only the server at the address can refute, by
-// what is odd.
-func plausibleEntries(t *testing.T, service, address string) map[string]string {
-	t.Helper()
-	out := map[string]string{
-		"version 2^53": entryAt(t, service, address, map[string]string{"layers": `{"from":0,"target":4,"version":9007199254740992}`}),
-		"slots 60000":  entryAt(t, service, address, map[string]string{"slots": "60000", "born": "2000"}),
-		"closed port":  entryAt(t, service, "127.0.0.1:1", map[string]string{"slots": "60000"}),
-	}
-	for _, born := range []string{"1000", "1001", "2000", "1e15", "9007199254740992"} {
-		out["born "+born] = entryAt(t, service, address, map[string]string{"born": born})
-		out["no layers, born "+born] = entryAt(t, service, address, map[string]string{"born": born, "layers": "null"})
-	}
-	return out
-}
-
-// oddEntries returns both kinds of entries.
-func oddEntries(t *testing.T, service, address string) map[string]string {
-	out := invalidEntries(t, service, address)
-	maps.Copy(out, plausibleEntries(t, service, address))
+// oddEntries returns entries of both kinds that another writer may leave.
+func oddEntries(service, address string) map[string]string {
+	out := standin.InvalidEntries(service, address)
+	maps.Copy(out, standin.PlausibleEntries(service, address))
 	return out
 }
 
@@ -140,7 +74,7 @@
 		s.waitForVersion(g, 1, 10*time.Second)
 	}
 	for service, address := range map[string]string{standin.EngineService: s.engines[0].route.Address(), standin.PlainService: s.ledger.Address()} {
-		entries := oddEntries(t, service, address)
+		entries := oddEntries(service, address)
 		for _, name := range slices.Sorted(maps.Keys(entries)) {
 			s.store.PutServer(oddID, entries[name])
 			time.Sleep(settleTime)
@@ -157,12 +91,12 @@
 	s := startSite(t, options{gateways: 2, engines: 2})
 	s.waitForVersion(0, 1, 10*time.Second)
 	for service, address := range map[string]string{standin.EngineService: s.engines[0].route.Address(), standin.PlainService: s.ledger.Address()} {
-		for name, text := range invalidEntries(t, service, address) {
+		for name, text := range standin.InvalidEntries(service, address) {
 			s.store.PutServer("i-"+strings.ReplaceAll(service+name, " ", "-"), text)
 		}
-		s.store.PutServer(oddID+service, plausibleEntries(t, service, address)["born 2000"])
+		s.store.PutServer(oddID+service, standin.PlausibleEntries(service, address)["born 2000"])
 	}
-	s.store.PutServer("line\nbreak", entryAt(t, standin.PlainService, s.ledger.Address(), nil))
+	s.store.PutServer("line\nbreak", standin.PlausibleEntries(standin.PlainService, s.ledger.Address())["born 1000"])
 	for _, g := range s.gateways {
 		g.kill()
 		g.start(t)
@@ -187,7 +121,7 @@
 		s.waitForVersion(g, 1, 10*time.Second)
 	}
 	e := s.engines[1]
-	entries := oddEntries(t, standin.EngineService, e.route.Address())
+	entries := oddEntries(standin.EngineService, e.route.Address())
 	for _, name := range slices.Sorted(maps.Keys(entries)) {
 		s.store.PutServer("i-1", entries[name])
 		time.Sleep(settleTime / 2)
@@ -208,12 +142,8 @@
 	for g := range s.gateways {
 		s.waitForVersion(g, 1, 10*time.Second)
 	}
-	for _, text := range []string{
-		"\xff\xfe", "", "null", "[]", `{"version":9223372036854775807}`, `{"version":1e300}`, `{"version":-1}`, `{"version":9,"routes":[{}]}`,
-		`{"version":9,"routes":` + nested(9000) + `}`, `{"version":9,"routes":` + nested(100_000) + `}`, `{"model":"m","version":9223372036854775807}`,
-		`{"model":"m","version":1.5}`, `{"model":7,"version":2}`,
-	} {
-		for _, key := range []string{"op/config", "op/version/" + standin.Model, "op/version/", "op/version/other", "op/unknown", "unknown/key"} {
+	for _, text := range standin.OddOperatorItems() {
+		for _, key := range standin.OperatorKeys() {
 			s.store.PutText(key, text)
 		}
 		time.Sleep(settleTime)
