Own instances: final answers before a gateway is killed

A platform that kills a gateway some time after SIGTERM cut the requests that were in progress, without an answer.

A gateway waited for its requests for up to ten minutes and did not know that it has less time; requests that outlast the ten minutes were cut as well.

The optional setting GraceSeconds of a gateway names the time from SIGTERM until it is killed. Shortly before, or after ten minutes, the requests that still run are ended by the cause on their context that the hosted form uses (now internal/ending), and get their outcome: Refused if no agent took them, else Unknown or Failed, with the reason ShuttingDown. The ledger, the connections and the log have their times before the kill too. Without the setting nothing changes but the end of the ten minutes.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -18,6 +18,7 @@
 	"almondreel.example/almondreel/internal/atmostonce"
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/ending"
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/gateway"
@@ -171,6 +172,8 @@
 // answer was interrupted. reason applies unless ctx has ended.
 func (a *Attempt) classifyFailure(ctx context.Context, reason outcome.Reason, err error) Result {
 	switch {
+	case ending.Ended(ctx):
+		return Interrupted{Reason: outcome.ShuttingDown, Cause: err}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return Interrupted{Reason: outcome.DeadlinePassed, Cause: err}
 	case ctx.Err() != nil:
@@ -200,7 +203,7 @@
 	case "", agent.EndWhole:
 		return a.classifyFailure(ctx, outcome.StreamCut, err)
 	case outcome.CallerGone:
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !ending.Ended(ctx) {
 			return CallerGone{}
 		}
 		return Interrupted{Reason: outcome.StreamCut, Cause: err}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"almondreel.example/almondreel/internal/callerapi"
@@ -47,6 +48,7 @@
 	desired        *desired.State
 	members        *membership.Table
 	quarantine     *quarantine.Table
+	dispatcher     *dispatch.Dispatcher
 	callerHandler  *callerapi.Handler
 	stateSync      *statesync.Syncer
 	planner        *planner.Planner
@@ -54,12 +56,15 @@
 	claims         *claims.Store
 	ledger         *ledger.Ledger
 	ready          *readiness
+	stopTimes      atomic.Pointer[stopTimes] // nil before the drain
 }
 
 // RunGateway runs the gateway with settings s until a signal to stop is received. Then it
 // refuses new requests, completes those in progress and stops.
 func RunGateway(s settings.Gateway, received *signals.Signals) error {
-	defer logsink.Start(os.Stderr).Stop()
+	g := newGateway(s)
+	sink := logsink.Start(os.Stderr)
+	defer func() { sink.StopBy(g.flushBy()) }()
 	callerListener, err := net.Listen("tcp", s.CallerListen)
 	if err != nil {
 		return errs.Wrap(err, "listen for callers", s.CallerListen)
@@ -68,7 +73,6 @@
 	if err != nil {
 		return errs.Wrap(err, "listen for control", s.ControlListen)
 	}
-	g := newGateway(s)
 	handler, err := g.controlHandler()
 	if err != nil {
 		return err
@@ -76,7 +80,7 @@
 	tree := supervisor.NewTree(s.Name)
 	// Task names appear in the log. The task "spread" distributes state to other
 	// gateways and agents, and "suspicion" replicates the quarantine table.
-	tree.Add("callers", supervisor.Serve(callerconn.Listener{Listener: callerListener}, newCallerServer(g.callerHandler), shutDownCallers))
+	tree.Add("callers", supervisor.Serve(callerconn.Listener{Listener: callerListener}, newCallerServer(g.callerHandler), g.shutDownCallers))
 	tree.Add("control", supervisor.Serve(controlListener, newServer(handler), shutDown))
 	tree.Add("spread", g.stateSync.Run)
 	tree.Add("planner", g.planner.Run)
@@ -101,7 +105,7 @@
 	d.quarantineSync = quarantinesync.New(s.Name, d.quarantine, parts, d.otherGateways, store)
 	d.claims = claims.New(s.Name, func() int { return len(d.liveGateways()) }, store)
 	d.ledger = ledger.New(s.Name, store)
-	dispatcher := dispatch.New(dispatch.Options{
+	d.dispatcher = dispatch.New(dispatch.Options{
 		Gateway:       s.Name,
 		Desired:       d.desired,
 		Members:       d.members,
@@ -115,7 +119,7 @@
 	d.callerHandler = callerapi.NewHandler(callerapi.Options{
 		Settings:   s,
 		Desired:    d.desired,
-		Dispatcher: dispatcher,
+		Dispatcher: d.dispatcher,
 		Record:     d.ledger.Add,
 		Outcomes:   d.claims,
 	})
@@ -151,20 +155,58 @@
 	return mux, nil
 }
 
-// drain refuses new requests, waits up to drainTimeout for those in progress and
-// writes the outcome records to the ledger.
+// drain refuses new requests, waits for those in progress and writes the outcome records
+// to the ledger. Requests that run for longer than drainTimeout, or nearly until the end
+// of the grace period, get a final answer.
 func (d *gatewayDaemon) drain(ctx context.Context) {
+	times := newStopTimes(time.Now(), time.Duration(d.settings.GraceSeconds*float64(time.Second)))
+	d.stopTimes.Store(&times)
 	event.Log(event.DrainStarted, "Running", d.callerHandler.Running())
 	d.ready.leave()
-	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	drained := d.callerHandler.Drain()
+	cut := 0
+	if !waitUntil(ctx, drained, times.answer) {
+		cut = d.callerHandler.Running()
+		d.dispatcher.End()
+		waitUntil(ctx, drained, times.write)
+	}
+	event.Log(event.DrainEnded, "Cut", cut, "Running", d.callerHandler.Running())
+	ledgerCtx, cancel := withBound(ctx, times.ledger)
+	defer cancel()
+	d.closeLedger(ledgerCtx)
+}
+
+// waitUntil waits until done is closed, at the latest until a time. It reports whether
+// done is closed.
+func waitUntil(ctx context.Context, done <-chan struct{}, at time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, at)
 	defer cancel()
 	select {
-	case <-d.callerHandler.Drain():
-		event.Log(event.DrainEnded)
+	case <-done:
+		return true
 	case <-ctx.Done():
-		event.Fail(event.DrainEnded, ctx.Err(), "Running", d.callerHandler.Running())
+		return false
+	}
+}
+
+// shutDownCallers shuts down the server for callers within the stop's times.
+func (d *gatewayDaemon) shutDownCallers(ctx context.Context, s *http.Server) {
+	var by time.Time
+	if times := d.stopTimes.Load(); times != nil {
+		by = times.close
+	}
+	ctx, cancel := withBound(ctx, by)
+	defer cancel()
+	shutDownCallers(ctx, s)
+}
+
+// flushBy returns when the log has to be written.
+func (d *gatewayDaemon) flushBy() time.Time {
+	by := time.Now().Add(logsink.FlushTimeout)
+	if times := d.stopTimes.Load(); times != nil && !times.flush.IsZero() && times.flush.Before(by) {
+		return times.flush
 	}
-	d.closeLedger(context.WithoutCancel(ctx))
+	return by
 }
 
 // closeLedger writes the pending outcome records to the key-value service, or hands
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
+	"almondreel.example/almondreel/internal/ending"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/invariant"
@@ -56,6 +57,7 @@
 	router      *route.Router
 	unreachable *route.Unreachable
 	subsets     *route.SubsetCache
+	ending      ending.Ending
 
 	mu      sync.Mutex
 	queues  map[string]*limit.Queue       // by service
@@ -85,11 +87,15 @@
 		router:      route.NewRouter(),
 		unreachable: route.NewUnreachable(),
 		subsets:     route.NewSubsetCache(o.Members, o.Gateways, o.Gateway),
+		ending:      ending.New(),
 		queues:      map[string]*limit.Queue{},
 		budgets:     map[string]*limit.RetryBudget{},
 	}
 }
 
+// End ends the requests in progress. Each gets its final outcome.
+func (d *Dispatcher) End() { d.ending.End() }
+
 // Stream runs a completion and passes its tokens to sink. Of the returned
 // Answer only Repeat is set.
 func (d *Dispatcher) Stream(ctx context.Context, r attempt.Request, sink attempt.Sink) (attempt.Answer, outcome.Outcome) {
@@ -105,6 +111,8 @@
 	lifecycle := newRequestLifecycle()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	ctx, release := d.ending.Bind(ctx)
+	defer release()
 	f := &inflight{dispatcher: d, request: r, sink: sink, lifecycle: lifecycle, parts: r.PromptParts(), tried: map[string]bool{}, lastReason: outcome.NoReplicaServing, budget: d.budget(r.Class.Name)}
 	result := f.admitAndRun(ctx)
 	return f.progress.Answer, lifecycle.finish(r.ID, result)
@@ -141,6 +149,9 @@
 	case limit.QueueFull:
 		return outcome.Refused{Reason: outcome.QueueFull, RetryAt: r.RetryAt}
 	case limit.Cancelled:
+		if ending.Ended(ctx) {
+			return outcome.Refused{Reason: outcome.ShuttingDown, RetryAt: limit.Jittered(time.Now(), unqueuedRetryDelay)}
+		}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return outcome.Refused{Reason: outcome.DeadlinePassed}
 		}
@@ -362,10 +373,12 @@
 
 // giveUp returns the outcome of a request that gets no further attempt.
 func (f *inflight) giveUp(ctx context.Context, reason outcome.Reason) outcome.Outcome {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		if f.accepted || f.mayHaveRun {
-			return f.cancelled(ctx)
-		}
+	switch {
+	case ending.Ended(ctx):
+		reason = outcome.ShuttingDown
+	case errors.Is(ctx.Err(), context.Canceled) && (f.accepted || f.mayHaveRun):
+		return f.cancelled(ctx)
+	case errors.Is(ctx.Err(), context.Canceled):
 		reason = callerconn.EndReason(ctx)
 	}
 	if f.accepted {
--- a/internal/hosted/stoptimes.go
+++ b/internal/hosted/stoptimes.go
@@ -1,6 +1,10 @@
 package hosted
 
-import "time"
+import (
+	"time"
+
+	"almondreel.example/almondreel/internal/ending"
+)
 
 const (
 	// drainAcceptTime is how long a draining gateway still takes new requests at the
@@ -33,7 +37,7 @@
 // after which the platform kills the process.
 func newStopTimes(began time.Time, grace time.Duration) stopTimes {
 	before := func(reserve time.Duration, share float64) time.Time {
-		return began.Add(grace - min(reserve, time.Duration(share*float64(grace))))
+		return ending.Before(began, grace, reserve, share)
 	}
 	t := stopTimes{
 		answer: before(answerReserve, answerReserveShare),
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
 	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/ending"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/schedule"
@@ -118,7 +118,7 @@
 	if e.r.Context().Err() != nil {
 		return e.callerGone()
 	}
-	if errors.Is(context.Cause(ctx), errGatewayEnds) {
+	if ending.Ended(ctx) {
 		return e.refusedOrUnknown(outcome.Refused{Reason: outcome.ShuttingDown, RetryAt: time.Now().Add(notReadyRetryDelay)})
 	}
 	return e.refusedOrUnknown(outcome.Refused{Reason: outcome.DeadlinePassed, RetryAt: time.Now().Add(notReadyRetryDelay)})
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -20,6 +20,7 @@
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/ending"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
@@ -86,7 +87,7 @@
 	activity         activityTracker
 	arrivalEstimator *schedule.ArrivalEstimator
 	answerTimes      *schedule.AnswerTimes
-	ending           ending
+	ending           ending.Ending
 	logLimiter       *rate.Limiter // for the log lines of ended requests
 	running          atomic.Int64
 	draining         atomic.Bool
@@ -94,7 +95,7 @@
 
 // NewHandler returns a handler without requests.
 func NewHandler(o Options) *Handler {
-	return &Handler{Options: o, client: atmostonce.NewClient(), logLimiter: rate.NewLimiter(maxLogLinesPerSecond, maxLogLinesPerSecond), activity: activityTracker{servers: map[string]serverActivity{}}, arrivalEstimator: schedule.NewArrivalEstimator(), answerTimes: schedule.NewAnswerTimes(), ending: newEnding()}
+	return &Handler{Options: o, client: atmostonce.NewClient(), logLimiter: rate.NewLimiter(maxLogLinesPerSecond, maxLogLinesPerSecond), activity: activityTracker{servers: map[string]serverActivity{}}, arrivalEstimator: schedule.NewArrivalEstimator(), answerTimes: schedule.NewAnswerTimes(), ending: ending.New()}
 }
 
 // retryWindow returns the window that counts a service's requests and retries.
@@ -136,7 +137,7 @@
 	}
 	ctx, cancel := e.withDeadline(r.Context())
 	defer cancel()
-	ctx, release := e.handler.ending.bind(ctx)
+	ctx, release := e.handler.ending.Bind(ctx)
 	defer release()
 	e.setWriteDeadline(w)
 	e.finish(e.run(ctx))
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,6 +15,8 @@
 	maxWeight    = 1000
 	maxBodyBytes = 64 << 20
 	maxPort      = 1<<16 - 1
+	// maxGraceSeconds is longer than any drain.
+	maxGraceSeconds = 3600
 )
 
 // checker validates the values of a decoded document and collects every error.
@@ -43,6 +45,8 @@
 	c.optionalURL("Store", g.Store)
 	c.require(g.MaxBodyBytes >= 0 && g.MaxBodyBytes <= maxBodyBytes, "MaxBodyBytes",
 		fmt.Sprintf("a number of bytes from 0 to %d", maxBodyBytes))
+	c.require(g.GraceSeconds >= 0 && g.GraceSeconds <= maxGraceSeconds, "GraceSeconds",
+		fmt.Sprintf("a number of seconds from 0 to %d", maxGraceSeconds))
 	c.organisations(g.Organisations)
 	return c.err()
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	Store         string         `yaml:"Store"`         // weight store; empty: none
 	Organisations []Organisation `yaml:"Organisations"`
 	MaxBodyBytes  int64          `yaml:"MaxBodyBytes"` // limit of a request's body; 0 means 1 MiB
+	GraceSeconds  float64        `yaml:"GraceSeconds"` // time from SIGTERM until the process is killed; 0: it is not
 }
 
 // Backend describes the backend server that an agent manages.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -93,6 +93,7 @@
 		"same credential":    {gateway, "secret-2", "secret-1", ":12: key Organisations[1].Key: expected a credential that no other organisation has"},
 		"list expected":      {gateway, "Organisations:\n", "Organisations: none\nOther:\n", `:9: key Organisations: found "none", expected a list`},
 		"body limit":         {gateway, "Origin:", "MaxBodyBytes: -1\nOrigin:", `:8: key MaxBodyBytes: found "-1"`},
+		"grace period":       {gateway, "Origin:", "GraceSeconds: .nan\nOrigin:", `:8: key GraceSeconds: found ".nan"`},
 		"no gateway URLs":    {operator, "[http://127.0.0.1:7300]", "[]", ":3: key Gateways: expected at least one URL"},
 		"bad gateway URL":    {operator, "http://127.0.0.1:7300", "x", `:3: key Gateways[0]: found "x", expected a URL`},
 		"unknown kind":       {agent, "Engine", "Magic", `:6: key Backend.Kind: found "Magic", expected Engine or Plain`},
