supervisor: an error exit does not wait for the reader of standard error

A program that ended with an error, such as invalid settings or an address in use, did not end while the reader of its standard error stalled: the last line was written without a bound. It was neither serving nor restarted then.

The last line is waited for for 200 ms, as the log is.

--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/oklog/run"
 	"github.com/thejerf/suture/v4"
@@ -135,8 +136,20 @@
 	<-done
 }
 
-// Exit prints err to standard error and exits with code.
+// exitWriteTimeout bounds the time to write the last error, whose reader may have stalled.
+const exitWriteTimeout = 200 * time.Millisecond
+
+// Exit prints err to standard error and exits with code, whether or not the error can be
+// written.
 func Exit(program string, err error, code int) {
-	fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+	}()
+	select {
+	case <-written:
+	case <-time.After(exitWriteTimeout):
+	}
 	os.Exit(code)
 }
