proxy: a server that serves another version is not taken for one that is not there

Once an engine had refused requests because of the expected version for some seconds, gateways left it for up to 12 s after it had switched: any 421 counted as proof that another server is at the address.

Found by a review.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -109,9 +109,10 @@
 	defer watchdog.stop()
 	e.startVersionTimer(s, cancel)
 	defer e.stopVersionTimer()
+	forward := e.forwardInfo(ctx, s)
 	response, err := e.handler.client.Send(ctx, atmostonce.Request{
 		Method: e.r.Method, Address: s.Address, Host: e.r.Host, Path: originForm(e.r.RequestURI),
-		Header: e.handler.HeaderCodec.BackendHeader(e.r.Header, e.forwardInfo(ctx, s), now),
+		Header: e.handler.HeaderCodec.BackendHeader(e.r.Header, forward, now),
 		Body:   e.body, NewConn: true, ConnectBy: now.Add(connectTimeout),
 	})
 	if err != nil {
@@ -128,7 +129,7 @@
 	case info.NotRun && !foreign && response.StatusCode == http.StatusBadRequest && e.info.AttemptID == "": // any server refuses that
 		return rejected{reason: outcome.Malformed, endState: schedule.Finished, final: true, detail: response.Status}
 	case info.NotRun && !foreign:
-		return rejected{reason: outcome.BackendRefused, endState: rejectionEnd(response.StatusCode), detail: response.Status}
+		return rejected{reason: outcome.BackendRefused, endState: rejectionEnd(response.StatusCode, forward), detail: response.Status}
 	case info.AttemptID != e.info.AttemptID || response.Header.Get("Content-Encoding") != "" || !info.Signed:
 		return failed{reason: outcome.BackendFailed, endState: schedule.Incomplete, detail: "response is encoded, unsigned or for another attempt: " + response.Status}
 	case e.response.begun() || e.route.Kind == site.Stream && response.StatusCode == http.StatusOK:
@@ -172,14 +173,17 @@
 	}
 }
 
-// rejectionEnd returns how the scheduler records a rejection. Status 421 means
-// that another server runs at the address or that it serves another version; any
-// other status means that the server is full.
-func rejectionEnd(status int) schedule.End {
-	if status == http.StatusMisdirectedRequest {
-		return schedule.Misdirected
+// rejectionEnd returns how the scheduler records a rejection. Status 421 means that
+// another server runs at the address, or that it serves another version if one was
+// expected; any other status means that the server is full.
+func rejectionEnd(status int, f ForwardInfo) schedule.End {
+	switch {
+	case status != http.StatusMisdirectedRequest:
+		return schedule.Rejected
+	case f.Version > 0:
+		return schedule.Unreachable
 	}
-	return schedule.Rejected
+	return schedule.Misdirected
 }
 
 // urgencyUnset sends no urgency, so the server applies its default.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -277,11 +277,11 @@
 const (
 	Finished    End = iota
 	Abandoned       // the caller left, or its deadline passed
-	Unreachable     // the connection failed
+	Unreachable     // the connection failed, or the server serves another version
 	Rejected        // the server reported that it did not run the request
 	Incomplete      // the response ended before it was complete
 	TimedOut        // no response in time
-	Misdirected     // another server answered at the address, or one that serves another version
+	Misdirected     // another server answered at the address
 )
 
 // Ended records that an attempt at server id ended. promptMS is the PromptMS of the
