schedule: one long answer does not make a stopping gateway refuse others

A gateway that is told to stop takes a request only if the route's longest recent answer, and 1.5 s more, fits before its end. One answer of 6 s among a hundred of 0.5 s made it refuse all requests without a near deadline from the signal on, with a grace period of 8 s (a review's trial).

The longest 2 in 100 of the last 128 answers are ignored. The estimates of callers' timeouts and of answers share one type for this.

TestOneLongAnswerDoesNotDecideForOthers: 7500 for 2000 before, by the old rule; passed after, with the other tests of internal/schedule.

--- a/internal/schedule/arrival.go
+++ b/internal/schedule/arrival.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -12,23 +11,12 @@
 // likely a retry. An ArrivalEstimator is safe for concurrent use.
 type ArrivalEstimator struct {
 	mu     sync.Mutex
-	routes map[string]*routeCalls
-}
-
-// routeCalls holds the last calls on a route.
-type routeCalls struct {
-	calls [maxRouteCalls]routeCall
-	next  int // index of the next call
-}
-
-type routeCall struct {
-	at     time.Time // zero: there was no such call
-	leftMS int64
+	routes map[string]*recentMS // remaining time of the last calls
 }
 
 // NewArrivalEstimator returns an estimator without recorded calls.
 func NewArrivalEstimator() *ArrivalEstimator {
-	return &ArrivalEstimator{routes: map[string]*routeCalls{}}
+	return &ArrivalEstimator{routes: map[string]*recentMS{}}
 }
 
 const (
@@ -43,8 +31,6 @@
 	longTimeoutShare = 0.1
 	// minRouteCalls is the number of calls without which no timeout is usual.
 	minRouteCalls = 10
-	// maxRouteCalls bounds the calls that are kept of a route.
-	maxRouteCalls = 128
 	// routeSpan is how long a call is used, longer than a caller waits.
 	routeSpan = 20 * time.Second
 )
@@ -58,11 +44,11 @@
 	defer e.mu.Unlock()
 	calls, ok := e.routes[route]
 	if !ok {
-		calls = &routeCalls{}
+		calls = &recentMS{}
 		e.routes[route] = calls
 	}
-	calls.add(routeCall{now, leftMS})
-	usualMS := calls.usualMS(now)
+	calls.add(now, leftMS)
+	usualMS := usualTimeoutMS(now, calls)
 	share := float64(leftMS) / float64(max(1, usualMS))
 	if share < minRetryShare || share >= firstCallShare {
 		return now
@@ -70,25 +56,13 @@
 	return now.Add(-time.Duration(usualMS-leftMS) * time.Millisecond)
 }
 
-func (c *routeCalls) add(call routeCall) {
-	c.calls[c.next] = call
-	c.next = (c.next + 1) % maxRouteCalls
-}
-
-// usualMS returns the usual timeout of first calls: the longest remaining time of recent
-// calls but for the longTimeoutShare longest ones, so that few callers with long timeouts
-// do not make retries of all others. It returns 0 if there are too few calls.
-func (c *routeCalls) usualMS(now time.Time) int64 {
-	left := make([]int64, 0, maxRouteCalls)
-	for _, call := range c.calls {
-		if !call.at.IsZero() && now.Sub(call.at) < routeSpan {
-			left = append(left, call.leftMS)
-		}
-	}
-	if len(left) < minRouteCalls {
+// usualTimeoutMS returns the usual timeout of first calls, or 0 if there are too few calls:
+// the longest remaining time but for the longTimeoutShare longest ones, so that few callers
+// with long timeouts do not make retries of all others.
+func usualTimeoutMS(now time.Time, calls *recentMS) int64 {
+	ms, count := calls.longest(now, routeSpan, longTimeoutShare)
+	if count < minRouteCalls {
 		return 0
 	}
-	slices.Sort(left)
-	ignored := max(1, int(longTimeoutShare*float64(len(left))))
-	return left[len(left)-1-ignored]
+	return ms
 }
--- a/internal/schedule/stopping.go
+++ b/internal/schedule/stopping.go
@@ -36,15 +36,17 @@
 // server until the response is complete. It is safe for concurrent use.
 type AnswerTimes struct {
 	mu     sync.Mutex
-	routes map[string]maxWindow
+	routes map[string]*recentMS // answers of each route
 }
 
 // NewAnswerTimes returns estimates without recorded responses.
-func NewAnswerTimes() *AnswerTimes { return &AnswerTimes{routes: map[string]maxWindow{}} }
+func NewAnswerTimes() *AnswerTimes { return &AnswerTimes{routes: map[string]*recentMS{}} }
 
 const (
-	// answerSpan is the length of the period over which a maximum is taken.
-	answerSpan = 30 * time.Second
+	// answerSpan is how long an answer is used.
+	answerSpan = time.Minute
+	// longAnswerShare is the share of a route's answers that may take longer than expected.
+	longAnswerShare = 0.02
 	// unknownAnswerMS is assumed for a route without recent responses, in milliseconds.
 	unknownAnswerMS = 2000
 	// silenceMS is added for a server that is silent for a while and then goes on, in
@@ -52,21 +54,29 @@
 	silenceMS = 1500
 )
 
-// Record records that a response was complete, or was given up, milliseconds after its
-// request had been sent.
+// Record records that a response was complete milliseconds after its request had been sent.
 func (t *AnswerTimes) Record(route string, now time.Time, milliseconds int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.routes[route] = t.routes[route].add(now, answerSpan, milliseconds)
+	answers, ok := t.routes[route]
+	if !ok {
+		answers = &recentMS{}
+		t.routes[route] = answers
+	}
+	answers.add(now, milliseconds)
 }
 
 // LongestMS returns the milliseconds in which nearly every response of a route is complete.
 func (t *AnswerTimes) LongestMS(route string, now time.Time) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	window := t.routes[route].at(now, answerSpan)
-	if !window.known() {
+	answers, ok := t.routes[route]
+	if !ok {
+		return unknownAnswerMS + silenceMS
+	}
+	ms, count := answers.longest(now, answerSpan, longAnswerShare)
+	if count == 0 {
 		return unknownAnswerMS + silenceMS
 	}
-	return float64(window.longest() + silenceMS)
+	return float64(ms + silenceMS)
 }
--- a/internal/schedule/stopping_test.go
+++ b/internal/schedule/stopping_test.go
@@ -103,3 +103,14 @@
 	require.InDelta(t, 1700, times.LongestMS("r", startTime.Add(70*time.Second)), 1e-9)
 	require.InDelta(t, unknown, times.LongestMS("r", startTime.Add(3*time.Minute)), 1e-9)
 }
+
+// One answer of 6 s among a hundred of 0.5 s made a stopping gateway refuse all requests of
+// the route from its signal on.
+func TestOneLongAnswerDoesNotDecideForOthers(t *testing.T) {
+	times := schedule.NewAnswerTimes()
+	times.Record("r", startTime, 6000)
+	for range 100 {
+		times.Record("r", startTime, 500)
+	}
+	require.InDelta(t, 2000, times.LongestMS("r", startTime), 1e-9)
+}
