callerapi: a deadline in the year 1 has passed

On own instances a request whose Request-Deadline was 0001-01-01T00:00:00Z was run, with the class's whole time for an answer: the zero time stood for no deadline. Deadlines that have passed are now refused as they are read. Other odd deadlines (year 0, 9999 and 10000, numbers, no zone) got their answer or refusal before as well.

--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -84,6 +84,9 @@
 		if err != nil {
 			return outcome.Malformed
 		}
+		if !time.Now().Before(at) { // also of the zero time, which would be no deadline
+			return outcome.DeadlinePassed
+		}
 		a.deadline = at
 	}
 	return ""
--- a/test/requests/callerends_test.go
+++ b/test/requests/callerends_test.go
@@ -140,3 +140,35 @@
 	require.Equal(t, http.StatusUnauthorized, status)
 	require.Equal(t, outcome.Unauthorised, r.Reason)
 }
+
+// A deadline in the year 1, which is the zero time, stood for no deadline.
+func TestOddDeadlinesGetAnAnswer(t *testing.T) {
+	s := startSite(t, options())
+	for deadline, want := range map[string]struct {
+		status int
+		reason outcome.Reason
+	}{
+		"9999-12-31T23:59:59Z":           {http.StatusOK, ""},
+		"9999-12-31T23:59:59-23:59":      {http.StatusOK, ""},
+		"0001-01-01T00:00:00Z":           {http.StatusServiceUnavailable, outcome.DeadlinePassed},
+		"0000-01-01T00:00:00Z":           {http.StatusServiceUnavailable, outcome.DeadlinePassed},
+		"1970-01-01T00:00:00.000000001Z": {http.StatusServiceUnavailable, outcome.DeadlinePassed},
+		"10000-01-01T00:00:00Z":          {http.StatusBadRequest, outcome.Malformed},
+		"1e20":                           {http.StatusBadRequest, outcome.Malformed},
+		"2026-12-05T00:00:00":            {http.StatusBadRequest, outcome.Malformed},
+	} {
+		for _, path := range []string{callerapi.CompletionsPath, callerapi.CallsPath + lookups} {
+			conn := dialGateway(t, s.Gateways[0])
+			writeRequest(t, conn, path, "Request-Deadline: "+deadline+"\r\n", `{"model": "questions", "prompt": "lot 14", "max_tokens": 2}`)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err, "no answer and no refusal")
+			_, err = io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, want.status, response.StatusCode, "%s %s", deadline, path)
+			if want.reason != "" {
+				require.Contains(t, response.Header.Get(callerapi.HeaderOutcome), string(want.reason))
+			}
+		}
+	}
+}
