Tests: bodies that arrive during a stop; calls queued before the drain

TestQueuedCallsAreRefusedIfTheirTurnComesTooLate failed once: the test paused for longer than a call takes, so that calls were passed on 3 ms before the gateway had handled its signal; these cannot be refused. It judges each call that runs after the start of the drain now, as the rule says; others need a final answer.

The event 4009 counts as Cut only requests that were in progress when the drain ran out of time.

--- a/internal/daemon/stoptimes.go
+++ b/internal/daemon/stoptimes.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// answerReserve, writeReserve, ledgerReserve, closeReserve and flushReserve are how long before the
-	// process is killed the steps of a gateway's stop end (see stopTimes). Each is at most
-	// the share of the grace period with its name.
+	// answerReserve, writeReserve, ledgerReserve, closeReserve and flushReserve are how
+	// long before the process is killed the steps of a gateway's stop end (see stopTimes).
+	// Each is at most the share of the grace period with its name.
 	answerReserve      = 5 * time.Second
 	answerReserveShare = 0.3
 	writeReserve       = 4 * time.Second
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -188,19 +188,26 @@
 	// This closes idle connections, also one from which a request has just been read. So
 	// it must not be done while requests are accepted.
 	g.callerServer.SetKeepAlivesEnabled(false)
-	g.waitForAnswers(ctx, times.answer)
-	cut := g.handler.Running()
-	g.handler.End()
-	g.waitForAnswers(ctx, times.write)
+	cut := int64(0)
+	if !g.waitForAnswers(ctx, times.answer) {
+		cut = g.handler.Running()
+		g.handler.End()
+		g.waitForAnswers(ctx, times.write)
+	}
 	event.Log(event.DrainEnded, "Cut", cut, "Running", g.handler.Running(), "Active", g.connLimiter.Active(), "MS", time.Since(began).Milliseconds())
 }
 
-// waitForAnswers waits until all answers are written, at the latest until a time. The end
-// of an answer may still be written after its handler has returned.
-func (g *gateway) waitForAnswers(ctx context.Context, until time.Time) {
-	for g.connLimiter.Active() > 0 && time.Now().Before(until) {
+// waitForAnswers waits until all answers are written, at the latest until a time, and
+// reports whether they are. The end of an answer may still be written after its handler
+// has returned.
+func (g *gateway) waitForAnswers(ctx context.Context, until time.Time) bool {
+	for g.connLimiter.Active() > 0 {
+		if !time.Now().Before(until) {
+			return false
+		}
 		pause.For(ctx, min(settleDelay, time.Until(until)))
 	}
+	return true
 }
 
 // earlier returns the earlier one of two times. A zero limit is none.
--- a/test/hosting/stop_late_test.go
+++ b/test/hosting/stop_late_test.go
@@ -1,7 +1,11 @@
 package hosting_test
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"testing"
@@ -167,10 +171,56 @@
 			ended := r.stop()
 			r.wait.Wait()
 			require.NoError(t, <-ended)
+			passedOn := map[string]bool{} // after the start of the drain
+			for _, run := range r.ledger.Runs() {
+				passedOn[run.Attempt] = run.At.After(r.drainAt)
+			}
 			for _, o := range r.outcomes {
-				require.True(t, o.answered() || o.NotRun(), "%s: status %d, %v", o.Attempt, o.Status, o.Err)
+				require.True(t, !passedOn[o.Attempt] || o.answered(), "%s: status %d, %v", o.Attempt, o.Status, o.Err)
 			}
 			require.NotZero(t, r.check())
 		})
 	}
 }
+
+// Requests of which the gateway had read a part at the signal are answered if their rest
+// arrives early enough, and are refused otherwise.
+func TestBodiesThatArriveDuringStopAreAnsweredOrRefused(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 3 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			r := startGraceRun(t, grace, 1)
+			const parts = 5
+			outcomes := make(chan plannedOutcome, parts)
+			for n := range parts {
+				o := plannedOutcome{path: standin.OncePath, began: time.Now(), deadline: time.Now().Add(callerPatience)}
+				o.Attempt = fmt.Sprint("part-", n)
+				var request bytes.Buffer
+				require.NoError(t, caller.New(r.gateways[0].callerAddress).Write(&request, o.path+"x", o.Attempt, apiKey, o.deadline))
+				conn, err := net.Dial("tcp", r.gateways[0].callerAddress)
+				require.NoError(t, err)
+				defer conn.Close()
+				_, err = conn.Write(request.Next(request.Len() - 1))
+				require.NoError(t, err)
+				go func() {
+					time.Sleep(grace*time.Duration(n)/parts + 50*time.Millisecond)
+					o.Sent = time.Now()
+					_, o.Err = conn.Write(request.Bytes())
+					if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+						body, err := io.ReadAll(response.Body)
+						o.Status, o.Body, o.Err = response.StatusCode, string(body), err
+					}
+					o.ended = time.Now()
+					outcomes <- o
+				}()
+			}
+			ended := r.stop()
+			for range parts {
+				r.outcomes = append(r.outcomes, <-outcomes)
+			}
+			r.drainAt = time.Time{} // none of them was sent before the drain
+			require.NoError(t, <-ended)
+			r.check()
+		})
+	}
+}
