schedule: a begun response may wait for a server from when it broke

Callers' streams were cut in the middle although a sound server could go on a moment later. A stream that breaks may wait 1.2 s for a server, but that time counted from the arrival of its request, and the estimate of the queue could refuse it as well: a stream that broke later than 1.2 s after its arrival was cut at once if no server could take it at that very moment. One such case: an engine is silent for a second, the gateway goes on at another one, that one is full and refuses, and the first, which is sound, is in its backoff of 100 ms.

The wait now counts from when the request is submitted again, and only its end refuses a begun response. Retried requests without a response keep the old bound.

--- a/internal/schedule/retry_test.go
+++ b/internal/schedule/retry_test.go
@@ -56,3 +56,18 @@
 	require.True(t, ok)
 	require.Equal(t, "bad", started.Server.ID)
 }
+
+// A stream that broke later than 1.2 s after its request had arrived was cut at once if no
+// server could go on with it at that moment.
+func TestResumedRequestMayWaitFromWhenItBroke(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := schedule.NewPool(schedule.Options{})
+	p.SetServers(now, []schedule.Server{{ID: "a", Slots: 1, Ready: true}})
+	decisionOf(p.Submit(now, longWaitRequest(1, now)))
+	resumed := schedule.Request{ID: 2, Retried: true, Resumed: true, ArrivedAt: now.Add(-2 * time.Second), AnswerBy: now.Add(-1600 * time.Millisecond), Deadline: now.Add(4 * time.Second)}
+	require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(now, resumed)))
+	require.Empty(t, p.Tick(now.Add(time.Second)))
+	resolved := p.Ended(now.Add(time.Second), "a", schedule.Finished, 0)
+	require.Len(t, resolved, 1)
+	require.IsType(t, schedule.Start{}, resolved[0].Decision)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -41,6 +41,8 @@
 	Generates     bool      // runs on a model version, which may expire
 	Rejected      []string  // IDs of servers that did not run it
 	Failed        []string  // IDs of servers that may have run it and did not complete it
+
+	submittedAt time.Time // set by Submit
 }
 
 // Decision is the result of scheduling a Request: Start, Wait or Refuse.
@@ -230,6 +232,7 @@
 	if p.endsBeforeAnswer(now, r) {
 		return refuseStopping(now), nil
 	}
+	r.submittedAt = now
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
 			return p.start(now, s, r), nil
@@ -238,8 +241,10 @@
 	if !p.canServe(now, r) {
 		return p.refuseNoReplica(now, r), nil
 	}
-	if d, refused := p.checkQueueWait(now, r); refused {
-		return d, nil
+	if !r.Resumed { // an estimate is no reason to cut a response
+		if d, refused := p.checkQueueWait(now, r); refused {
+			return d, nil
+		}
 	}
 	p.queue = append(p.queue, r)
 	decision := Decision(Wait{})
@@ -380,7 +385,8 @@
 	// minWait is the least time that a request may wait for a slot: long enough
 	// for two calls of SetOtherLoad.
 	minWait = 60 * time.Millisecond
-	// retryMinWait is the least time that a retried or resumed request may wait.
+	// retryMinWait is the least time from its arrival that a retried request may wait, and
+	// from its submission that a resumed one may: a refusal of that cuts its response.
 	retryMinWait = 1200 * time.Millisecond
 )
 
@@ -398,7 +404,11 @@
 		until = earliest
 	}
 	if r.Retried || r.Resumed {
-		if earliest := r.ArrivedAt.Add(retryMinWait); until.Before(earliest) {
+		from := r.ArrivedAt
+		if r.Resumed {
+			from = r.submittedAt
+		}
+		if earliest := from.Add(retryMinWait); until.Before(earliest) {
 			until = earliest
 		}
 	}
