--- a/internal/plannedstop/plan.go
+++ b/internal/plannedstop/plan.go
@@ -40,9 +40,18 @@
 	Down   time.Duration // from the program's end to its next start
 }
 
-// Random returns a random stop.
-func Random(r *rand.Rand) Stop {
-	s := Stop{Wait: randomTime(r, 4*time.Second), Down: randomTime(r, 300*time.Millisecond)}
+// stopsPerSecond is the largest mean number of stops in each second of a run. Each starts a
+// process, of which a computer bears only so many.
+const stopsPerSecond = 5
+
+// MaxWait returns the maxWait of Random and Run for a number of programs.
+func MaxWait(programs int) time.Duration {
+	return max(4*time.Second, time.Duration(2*programs)*time.Second/stopsPerSecond)
+}
+
+// Random returns a random stop within maxWait of the program's start.
+func Random(r *rand.Rand, maxWait time.Duration) Stop {
+	s := Stop{Wait: randomTime(r, maxWait), Down: randomTime(r, 300*time.Millisecond)}
 	if r.IntN(5) == 0 {
 		s.Wait = randomTime(r, 60*time.Millisecond) // also before the program serves
 	}
--- a/internal/plannedstop/program.go
+++ b/internal/plannedstop/program.go
@@ -20,6 +20,10 @@
 // process, since no handler can be installed yet.
 const startTime = 300 * time.Millisecond
 
+// startProcessorTime is the processor time that a daemon takes until it handles signals, at
+// least. A process that ended with less had not run that far, however long ago it started.
+const startProcessorTime = 6 * time.Millisecond
+
 // Program is a program that is stopped and started again. Its methods are safe for
 // concurrent use, but only one may stop it at a time.
 type Program struct {
@@ -35,9 +39,16 @@
 	output    *output
 	problems  []string
 	stops     int
+	downtimes []Downtime
 	text      text
 }
 
+// Downtime is a time in which a program ends or does not run.
+type Downtime struct {
+	From time.Time // of the first signal to stop, or of its start if it ended without one
+	To   time.Time // of its next start; zero: it has not been started since
+}
+
 // New returns a program that is not started; command returns a command that runs it.
 // Programs start with the default actions of signals. A test that a shell runs in the
 // background may ignore some of them, and a program would inherit that: a signal in its
@@ -65,6 +76,9 @@
 	// The kernel kills the child if the test exits before it stops it.
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.startedAt = time.Now()
+	if last := len(p.downtimes) - 1; last >= 0 && p.downtimes[last].To.IsZero() {
+		p.downtimes[last].To = p.startedAt
+	}
 	if err := c.Start(); err != nil {
 		return errs.Wrap(err, "start program", p.Name)
 	}
@@ -73,6 +87,7 @@
 		err := c.Wait()
 		p.mu.Lock()
 		p.exit = err
+		p.beginDowntime(p.startedAt) // a hangup just after the start may end a program
 		p.mu.Unlock()
 		close(ended)
 	}(p.ended)
@@ -95,14 +110,24 @@
 func (p *Program) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s != syscall.SIGHUP {
+		p.beginDowntime(time.Now())
+	}
 	_ = p.process.Process.Signal(s) // the process may have ended
 }
 
-// Run stops and restarts the program at random times until ctx ends. The program runs
-// when Run returns.
-func (p *Program) Run(ctx context.Context, r *rand.Rand) error {
+// beginDowntime records a downtime, unless one has begun since the last start. Callers hold mu.
+func (p *Program) beginDowntime(from time.Time) {
+	if last := len(p.downtimes) - 1; last < 0 || !p.downtimes[last].To.IsZero() {
+		p.downtimes = append(p.downtimes, Downtime{From: from})
+	}
+}
+
+// Run stops and restarts the program at random times until ctx ends. Each of its runs
+// lasts at most maxWait before it is stopped. The program runs when Run returns.
+func (p *Program) Run(ctx context.Context, r *rand.Rand, maxWait time.Duration) error {
 	for ctx.Err() == nil {
-		s := Random(r)
+		s := Random(r, maxWait)
 		if ended := p.waitForStop(ctx, s.Wait); !ended {
 			if ctx.Err() != nil {
 				return nil
@@ -127,7 +152,9 @@
 	p.mu.Unlock()
 	select {
 	case <-p.end():
-		p.addProblem("ended without a signal: %v", p.exit)
+		if !p.endedAtStart() { // by a hangup that was still pending
+			p.addProblem("ended without a signal: %v", p.exit)
+		}
 		return true
 	case <-ctx.Done():
 	case <-time.After(time.Until(at)):
@@ -215,17 +242,38 @@
 	return false
 }
 
+// endedAtStart reports whether a signal to stop or a hangup ended the process before it
+// handled signals.
+func (p *Program) endedAtStart() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.process.ProcessState
+	status, ok := state.Sys().(syscall.WaitStatus)
+	if !ok || !status.Signaled() || state.UserTime()+state.SystemTime() >= startProcessorTime {
+		return false
+	}
+	switch status.Signal() {
+	case syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM:
+		return true
+	}
+	return false
+}
+
 // checkExit adds a problem if the program, which s has ended, ended otherwise than by its
 // own exit with status 0, or without a signal to stop.
 func (p *Program) checkExit(s Stop) {
 	p.mu.Lock()
-	exit := p.exit
+	exit, state, startedAt := p.exit, p.process.ProcessState, p.startedAt
 	p.mu.Unlock()
-	switch {
-	case !s.ends():
-		p.addProblem("was ended by a hangup: %v", exit)
-	case exit != nil:
-		p.addProblem("was ended by a signal: %v", exit)
+	if p.endedAtStart() {
+		return
+	}
+	cause := "signal"
+	if !s.ends() {
+		cause = "hangup"
+	}
+	if exit != nil || !s.ends() {
+		p.addProblem("was ended by a %s: %v, started at %s, used %v of the processor", cause, exit, startedAt.Format(timeLayout), state.UserTime()+state.SystemTime())
 	}
 }
 
@@ -249,5 +297,12 @@
 	return p.stops
 }
 
+// Downtimes returns the times in which the program ended or did not run, in order.
+func (p *Program) Downtimes() []Downtime {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Downtime(nil), p.downtimes...)
+}
+
 // Log returns the output that was read, with a line for each stop.
 func (p *Program) Log() string { return p.text.String() }
--- a/test/hosting/stop_test.go
+++ b/test/hosting/stop_test.go
@@ -20,7 +20,7 @@
 const (
 	// slowEventMS makes a stream last about a second.
 	slowEventMS = 100
-	// graceTime is the GraceSeconds setting of the gateways.
+	// graceTime is the GraceSeconds setting of gateways without another one.
 	graceTime = 8 * time.Second
 )
 
