--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -163,10 +163,14 @@
 	return nil
 }
 
-// ListInstances sets the platform's instance list to all gateways and agents. Their
-// state is Live unless states has another one for the name.
-func (f *Fleet) ListInstances(ctx context.Context, states map[string]instances.State) error {
-	var list instances.List
+// ListInstances sets the platform's instance list to all gateways and agents, and to
+// encoded entries of other writers. Their state is Live unless states has another one for
+// the name.
+func (f *Fleet) ListInstances(ctx context.Context, states map[string]instances.State, others ...json.RawMessage) error {
+	var list struct{ Instances []any }
+	for _, entry := range others {
+		list.Instances = append(list.Instances, entry)
+	}
 	add := func(name string, role instances.Role, r Region, address string) {
 		state := instances.Live
 		if s, ok := states[name]; ok {
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -3,6 +3,7 @@
 package instances
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -26,10 +27,10 @@
 	Frozen          bool // the list stays as it was visible when this was set
 }
 
-// timedList is a list and the time at which it was set.
+// timedList is an encoded list and the time at which it was set.
 type timedList struct {
 	setAt time.Time
-	list  instances.List
+	list  json.RawMessage
 }
 
 // Server is the stand-in. It is safe for concurrent use.
@@ -39,7 +40,7 @@
 
 	mu      sync.Mutex
 	faults  Faults
-	frozen  instances.List
+	frozen  json.RawMessage
 	history []timedList // oldest first
 }
 
@@ -84,17 +85,26 @@
 
 // Replace sets the list, which becomes visible after the delay.
 func (s *Server) Replace(l instances.List) {
+	text, err := json.Marshal(l)
+	if err != nil {
+		panic(err) // a list holds only strings
+	}
+	s.replaceText(text)
+}
+
+// replaceText sets the list to any JSON value, since other writers may list odd entries.
+func (s *Server) replaceText(l json.RawMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history = append(s.history, timedList{setAt: time.Now(), list: l})
 }
 
 func (s *Server) replace(w http.ResponseWriter, r *http.Request) {
-	var l instances.List
+	var l json.RawMessage
 	if !standin.Decode(w, r, maxBodyBytes, &l) {
 		return
 	}
-	s.Replace(l)
+	s.replaceText(l)
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -105,7 +115,7 @@
 	standin.WriteJSON(w, http.StatusOK, s.currentList())
 }
 
-func (s *Server) currentList() instances.List {
+func (s *Server) currentList() json.RawMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Frozen {
@@ -116,7 +126,7 @@
 
 // laggedList returns the newest list that was set at least the delay ago, and drops
 // older ones.
-func (s *Server) laggedList(now time.Time) instances.List {
+func (s *Server) laggedList(now time.Time) json.RawMessage {
 	lag := s.options.LagMilliseconds
 	if s.faults.LagMilliseconds > 0 {
 		lag = s.faults.LagMilliseconds
@@ -126,7 +136,7 @@
 		s.history = s.history[1:]
 	}
 	if len(s.history) == 0 || s.history[0].setAt.After(cutoff) {
-		return instances.List{Instances: []instances.Instance{}}
+		return json.RawMessage(`{"Instances":[]}`)
 	}
 	return s.history[0].list
 }
