schedule: a begun stream waits for engines that change over

A stream of which its caller had a part was cut at once ("NoReplicaServing") if it broke while no engine was ready, as when all change to another version, although one was ready a moment later.

A begun response cannot be refused, so only the end of its wait, 1.2 s from when it broke, or of its deadline ends it. It does not hold up requests behind it that can be served.

TestBegunStreamWaitsForEnginesThatChangeOver: before, all four cases failed with a refusal in place of a wait; passed after, with the package's other tests.

--- a/internal/schedule/retry_test.go
+++ b/internal/schedule/retry_test.go
@@ -71,3 +71,34 @@
 	require.Len(t, resolved, 1)
 	require.IsType(t, schedule.Start{}, resolved[0].Decision)
 }
+
+// A stream broke while all engines changed over, and was cut at once although one of them
+// was ready a moment later.
+func TestBegunStreamWaitsForEnginesThatChangeOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ready := []schedule.Server{{ID: "a", Slots: 2, Ready: true, Version: 2}}
+	for name, servers := range map[string][]schedule.Server{
+		"none ready":      {{ID: "a", Slots: 2, Version: 1}},
+		"version over":    {{ID: "a", Slots: 2, Ready: true, Version: 1, ServesUntil: now}},
+		"none listed":     nil,
+		"expires at once": {{ID: "a", Slots: 2, Ready: true, Version: 1, ServesUntil: now.Add(100 * time.Millisecond)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := schedule.NewPool(schedule.Options{})
+			p.SetServers(now, servers)
+			resumed := schedule.Request{ID: 1, Retried: true, Resumed: true, Generates: true, ArrivedAt: now.Add(-2 * time.Second), AnswerBy: now.Add(-time.Second), Deadline: now.Add(4 * time.Second)}
+			require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(now, resumed)))
+			require.Empty(t, p.Tick(now.Add(500*time.Millisecond)))
+			resolved := p.SetServers(now.Add(600*time.Millisecond), ready)
+			require.Len(t, resolved, 1)
+			require.IsType(t, schedule.Start{}, resolved[0].Decision)
+
+			p.SetServers(now.Add(time.Second), servers)
+			resumed.ID, resumed.ArrivedAt = 2, now
+			require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(now.Add(time.Second), resumed)))
+			resolved = p.Tick(now.Add(2500 * time.Millisecond))
+			require.Len(t, resolved, 1, "the wait has an end")
+			require.IsType(t, schedule.Refuse{}, resolved[0].Decision)
+		})
+	}
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -238,10 +238,10 @@
 			return p.start(now, s, r), nil
 		}
 	}
-	if !p.canServe(now, r) {
-		return p.refuseNoReplica(now, r), nil
-	}
-	if !r.Resumed { // an estimate is no reason to cut a response
+	if !r.Resumed { // only the end of its wait is a reason to cut a response
+		if !p.canServe(now, r) {
+			return p.refuseNoReplica(now, r), nil
+		}
 		if d, refused := p.checkQueueWait(now, r); refused {
 			return d, nil
 		}
@@ -369,9 +369,9 @@
 		switch {
 		case p.endsBeforeAnswer(now, r):
 			out = append(out, Resolved{r.ID, refuseStopping(now)})
-		case p.allExpiring(now, r), p.listed == 0 && !r.Resumed:
+		case !r.Resumed && (p.allExpiring(now, r) || p.listed == 0):
 			out = append(out, Resolved{r.ID, p.refuseNoReplica(now, r)})
-		case !now.Before(p.waitDeadline(r)) || p.allBusy(now, r):
+		case !now.Before(p.waitDeadline(r)) || !r.Resumed && p.allBusy(now, r):
 			out = append(out, Resolved{r.ID, p.Refusal(now, outcome.ProjectedWaitTooLong, r)})
 		default:
 			return false
@@ -479,7 +479,7 @@
 		}
 		s := p.chooseServer(now, r)
 		if s == nil {
-			blocked = !r.pastTarget(now) && !p.waitsForRecovery(now, r)
+			blocked = !r.pastTarget(now) && !p.waitsForRecovery(now, r) && p.canServe(now, r)
 			return false
 		}
 		out = append(out, Resolved{r.ID, p.start(now, s, r)})
