Hosted gateway: requests run until the last sixth of a short grace period

With a grace period under 4.8 s, requests that still ran were ended after three quarters of it, earlier than needed.

The steps of a stop take at most 16, 12, 9 and 6 in 100 of the grace period.

--- a/internal/hosted/stoptimes.go
+++ b/internal/hosted/stoptimes.go
@@ -15,13 +15,13 @@
 	// platform kills the process the steps of a stop end (see stopTimes). Each is at most
 	// the share of the grace period with its name.
 	answerReserve      = 800 * time.Millisecond
-	answerReserveShare = 0.25
+	answerReserveShare = 0.16
 	writeReserve       = 500 * time.Millisecond
-	writeReserveShare  = 0.17
+	writeReserveShare  = 0.12
 	closeReserve       = 350 * time.Millisecond
-	closeReserveShare  = 0.12
+	closeReserveShare  = 0.09
 	flushReserve       = 150 * time.Millisecond
-	flushReserveShare  = 0.08
+	flushReserveShare  = 0.06
 )
 
 // stopTimes are the times at which the steps of a gateway's stop end.
