--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -307,7 +307,7 @@
 // progressTimer cancels an attempt that makes no progress in time, once another agent can
 // go on: the silent one may still answer. Its zero value never cancels.
 type progressTimer struct {
-	timeout  time.Duration // between tokens
+	deadline func() time.Time // of the next token, if one came now
 	mayLeave func() bool
 	cancel   context.CancelFunc
 
@@ -326,7 +326,8 @@
 	}
 	first := max(minProgressTimeout, time.Duration(firstTokenTimeoutFactor*target.FirstTokenMilliseconds)*time.Millisecond)
 	between := max(minProgressTimeout, time.Duration(betweenTokensTimeoutFactor*target.BetweenTokensMilliseconds)*time.Millisecond)
-	p := &progressTimer{timeout: between, mayLeave: a.MayLeave, cancel: cancel, expiresAt: time.Now().Add(first)}
+	deadline := func() time.Time { return time.Now().Add(between) }
+	p := &progressTimer{deadline: deadline, mayLeave: a.MayLeave, cancel: cancel, expiresAt: time.Now().Add(first)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.timer = time.AfterFunc(first, p.check)
@@ -352,8 +353,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.timer != nil {
-		p.expiresAt = time.Now().Add(p.timeout)
-		p.timer.Reset(p.timeout)
+		p.expiresAt = p.deadline()
+		p.timer.Reset(time.Until(p.expiresAt))
 	}
 }
 
--- a/test/hosting/stopsoak_test.go
+++ b/test/hosting/stopsoak_test.go
@@ -43,7 +43,8 @@
 )
 
 // largeSite is the size of the runs with as many processes as a computer with eight
-// processors bears (with twice as many, configurations take longer than configurationTime), largePlannedTime how long processes are stopped in these, and
+// processors bears (with twice as many, configurations take longer than
+// configurationTime), largePlannedTime how long processes are stopped in these, and
 // largeGraces are their grace periods in seconds: processes may wait for a processor.
 var (
 	largeSite   = options{gateways: 16, engines: 64, firstVersion: 1}
@@ -61,9 +62,10 @@
 	128, 158, // the test's shell ignored SIGINT, so a signal just after the start was discarded
 	4,         // half-closed callers got no response, and a budget of 1e20 ms made other calls repeats
 	7, 11, 12, // with a grace period of 3 s, answers were cut after 2.25 s
-	8,  // with a grace period of 1 s, the gateway was killed in the middle of all answers
-	6,  // streams to silent engines got 502 when their version ended
-	20, // a stream was cut when the version of a silent engine ended that was to continue it
+	8,          // with a grace period of 1 s, the gateway was killed in the middle of all answers
+	6,          // streams to silent engines got 502 when their version ended
+	20,         // a stream was cut when the version of a silent engine ended that was to continue it
+	15, 16, 22, // with a grace period of 1 s, answers were cut after 0.75 s
 }
 
 // TestSoakOfPlannedStops runs one fixed seed. SOAK=1 runs fifty random seeds and the
@@ -73,23 +75,7 @@
 }
 
 func soakPlannedStops(t *testing.T, seed uint64) {
-	size := options{gateways: 4, engines: 6, firstVersion: 1}
-	kinds, plannedTime, graces := callerKinds, plannedTime, plannedGraces
-	if soakseeds.Large(seed) {
-		size, kinds, plannedTime, graces = largeSite, callerKindsPerLargeSite, largePlannedTime, largeGraces
-	}
-	grace := graces[rand.New(rand.NewPCG(seed, 5000)).IntN(len(graces))]
-	size.graceSeconds = grace
-	s := &plannedSoak{site: startSite(t, size), seed: seed, version: 1, grace: time.Duration(grace) * time.Second}
-	s.startSpare()
-	s.writeConfiguration(s.firstConfiguration())
-	for n := range s.gateways {
-		s.waitForVersion(n, 1, startTimeout)
-	}
-	s.ledger.SetDelayMS(plannedLedgerMS)
-	for n, e := range s.engines {
-		e.SetEventMS([]int{5, 40, slowEventMS}[n%3])
-	}
+	s := startPlannedSoak(t, seed)
 	var gateways, agents []*plannedstop.Program
 	for _, g := range s.gateways {
 		gateways = append(gateways, s.takeOver(g))
@@ -97,11 +83,15 @@
 	for _, e := range s.engines {
 		agents = append(agents, s.takeOver(e.agent))
 	}
+	plannedTime, kinds := plannedTime, callerKinds
+	if soakseeds.Large(seed) {
+		plannedTime, kinds = largePlannedTime, callerKindsPerLargeSite
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), plannedTime)
 	defer cancel()
 	callersCtx, stopCallers := context.WithCancel(t.Context())
 	defer stopCallers()
-	var work, callers sync.WaitGroup
+	var callers sync.WaitGroup
 	for n, g := range s.gateways {
 		for kind := range kinds {
 			kind = (n + kind) % callerKinds
@@ -110,11 +100,44 @@
 			})
 		}
 	}
-	maxWait := plannedstop.MaxWait(len(gateways) + len(agents))
-	for n, p := range append(gateways, agents...) {
+	s.doPlannedWork(ctx, append(gateways, agents...))
+	pause.For(t.Context(), idleGap) // requests to the last processes
+	stopCallers()
+	callers.Wait()
+	s.check(gateways, agents)
+	s.checkServingBesideOddEntries()
+}
+
+// startPlannedSoak starts the site of a seed and waits until it serves.
+func startPlannedSoak(t *testing.T, seed uint64) *plannedSoak {
+	size, graces := options{gateways: 4, engines: 6, firstVersion: 1}, plannedGraces
+	if soakseeds.Large(seed) {
+		size, graces = largeSite, largeGraces
+	}
+	grace := graces[rand.New(rand.NewPCG(seed, 5000)).IntN(len(graces))]
+	size.graceSeconds = grace
+	s := &plannedSoak{site: startSite(t, size), seed: seed, version: 1, grace: time.Duration(grace) * time.Second}
+	s.startSpare()
+	s.writeConfiguration(s.firstConfiguration())
+	for n := range s.gateways {
+		s.waitForVersion(n, 1, startTimeout)
+	}
+	s.ledger.SetDelayMS(plannedLedgerMS)
+	for n, e := range s.engines {
+		e.SetEventMS([]int{5, 40, slowEventMS}[n%3])
+	}
+	return s
+}
+
+// doPlannedWork stops and restarts the programs, beside changes, silent servers and odd
+// entries, until ctx ends and the last stops are over.
+func (s *plannedSoak) doPlannedWork(ctx context.Context, programs []*plannedstop.Program) {
+	var work sync.WaitGroup
+	maxWait := plannedstop.MaxWait(len(programs))
+	for n, p := range programs {
 		work.Go(func() {
 			if err := p.Run(ctx, s.newRand(n), maxWait); err != nil {
-				t.Error(err)
+				s.t.Error(err)
 			}
 		})
 	}
@@ -128,11 +151,6 @@
 		work.Go(func() { s.drainEngines(ctx, drained[n:min(n+enginesPerDrain, len(drained))], s.newRand(n+1000)) })
 	}
 	work.Wait()
-	pause.For(t.Context(), idleGap) // requests to the last processes
-	stopCallers()
-	callers.Wait()
-	s.check(gateways, agents)
-	s.checkServingBesideOddEntries()
 }
 
 // startTimeout is the time in which a large site must serve.
