Test of gateways that find an agent unreachable: its address is a reserved port

Failed once under the race detector at load 65 to 89: EOF from the address of the server that the test had closed, so something else answered there (likely another process that had been given the port; not shown).

--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -15,6 +15,7 @@
 	"almondreel.example/almondreel/internal/gateway"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/process"
 	"almondreel.example/almondreel/internal/route"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
@@ -29,13 +30,21 @@
 
 func newRecordingAgents(t *testing.T) *recordingAgents {
 	t.Helper()
+	const agents = 4
 	a := &recordingAgents{servers: map[string]*httptest.Server{}}
-	for i := range 4 {
+	ports, err := process.Reserve(agents) // the port of a closed server stays free
+	require.NoError(t, err)
+	t.Cleanup(ports.Release)
+	for i := range agents {
 		name := fmt.Sprint("assistant-", i)
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			a.answered = append(a.answered, name)
 			completeAnswer(w, r, answerWriter{w: w, attempt: r.Header.Get(agent.HeaderAttempt)})
 		}))
+		require.NoError(t, server.Listener.Close())
+		server.Listener, err = ports.Listen()
+		require.NoError(t, err)
+		server.Start()
 		t.Cleanup(server.Close)
 		a.servers[name] = server
 		a.members = append(a.members, gateway.Member{
