weightsync: pieces that were staged over are read again before a load

An engine was ordered to load a version while pieces of the next one were staged, so it would have served wrong weights. Found by the soak of planned stops (hosted; the agent's log: 3001 version 3 with Staged=8, 3000 and 3001 version 4, then 3005 version 3).

A restarted agent finds a version whole at its engine and counts it as read for a second. While it waits for the engine's turn to change over, another version may be complete, which is staged over the first. The order then went out without another check.

Pieces count as read only if no piece was staged since.

--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -83,6 +83,7 @@
 	switchover    switchover // announced to the gateways
 	// stageAfter is when staging may continue after an order without an answer.
 	stageAfter     time.Time
+	stagedAt       time.Time // when a piece of any version was last staged
 	latestManifest *Manifest // the newest that was read; fetching may not have started
 }
 
--- a/internal/weightsync/agent_test.go
+++ b/internal/weightsync/agent_test.go
@@ -260,7 +260,12 @@
 
 // runAgent runs an agent for an engine until stop is called.
 func runAgent(e weightsync.Engine, o *fakeOrigin) (a *weightsync.Agent, stop func()) {
-	a = weightsync.NewAgent(weightsync.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, RolloutMilliseconds: 8000, Engine: e, Origin: o, Peers: weightsync.NewPeerClient(&http.Client{})})
+	return runAgentWithRollout(e, o, 8000)
+}
+
+// runAgentWithRollout is runAgent with a rollout period in milliseconds.
+func runAgentWithRollout(e weightsync.Engine, o *fakeOrigin, rolloutMilliseconds int) (a *weightsync.Agent, stop func()) {
+	a = weightsync.NewAgent(weightsync.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, RolloutMilliseconds: rolloutMilliseconds, Engine: e, Origin: o, Peers: weightsync.NewPeerClient(&http.Client{})})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- a.Run(ctx) }()
--- a/internal/weightsync/stage.go
+++ b/internal/weightsync/stage.go
@@ -38,7 +38,7 @@
 	if !ok {
 		return false
 	}
-	err := a.Engine.Stage(ctx, v.manifest.Model, n, v.data[n])
+	err := a.stage(ctx, v, n)
 	if err != nil {
 		if ctx.Err() == nil {
 			event.Fail(event.StagingFailed, err, "Piece", n, "Version", v.manifest.Version)
@@ -53,6 +53,15 @@
 	return true
 }
 
+// stage stages a piece of a version. Callers hold stagingMu.
+func (a *Agent) stage(ctx context.Context, v *version, piece int) error {
+	err := a.Engine.Stage(ctx, v.manifest.Model, piece, v.data[piece])
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stagedAt = time.Now() // also after an error, as the engine may have staged it
+	return err
+}
+
 // nextUnstaged returns a held piece of the current version that is not staged
 // yet. While an older version is complete and waits to be loaded, nothing is
 // staged over it.
@@ -136,12 +145,12 @@
 const recentReadTime = time.Second
 
 // recentlyRead reports whether every piece was read within recentReadTime from
-// this run of the engine. An agent that starts next to a running engine reads
-// the staged pieces anyway.
+// this run of the engine, and none was staged since. An agent that starts next to
+// a running engine reads the staged pieces anyway.
 func (a *Agent) recentlyRead(v *version) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return v.engineStart == a.state.Born && time.Since(v.stagedReadAt) < recentReadTime
+	return v.engineStart == a.state.Born && time.Since(v.stagedReadAt) < recentReadTime && v.stagedReadAt.After(a.stagedAt)
 }
 
 // restageCorrupt reads every staged piece back, restages those that are
@@ -155,7 +164,7 @@
 		}
 		restaged++
 		counter.Add("PiecesStaged", 1)
-		if err := a.Engine.Stage(ctx, v.manifest.Model, n, v.data[n]); err != nil {
+		if err := a.stage(ctx, v, n); err != nil {
 			return restaged, err
 		}
 	}
--- a/test/hosting/stopsoak_test.go
+++ b/test/hosting/stopsoak_test.go
@@ -66,6 +66,7 @@
 	6,          // streams to silent engines got 502 when their version ended
 	20,         // a stream was cut when the version of a silent engine ended that was to continue it
 	15, 16, 22, // with a grace period of 1 s, answers were cut after 0.75 s
+	16858900968129376346, // a restarted agent ordered a load of pieces over which it had staged the next version
 	13618413418496127818, // a stream waited for an engine for 0.9 s after its version had ended
 	17193747707664844314, // a half-closed caller's begun stream was cut, which the check did not allow
 	17011842820108192522, // a silent engine had a request until the last sixth of the grace period, of which the check did not know
