--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -85,6 +85,8 @@
 	RateLimitChanged
 	RequestCancelled
 	HandlerPanicked
+	SuccessorStarted
+	SuccessorEnded
 )
 
 var texts = map[Number]string{
@@ -162,4 +164,6 @@
 	RateLimitChanged:    "rate limit of a backend server changed",
 	RequestCancelled:    "request cancelled: the caller's connection ended",
 	HandlerPanicked:     "request handler panicked",
+	SuccessorStarted:    "server is silent: another is asked to go on with the response",
+	SuccessorEnded:      "server does not go on with the response of a silent one",
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -4,17 +4,19 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"almondreel.example/almondreel/internal/atmostonce"
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/eventstream"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/site"
+	"almondreel.example/almondreel/pkg/quarantine"
 )
 
 // result is the result of one attempt at a backend server: complete, rejected,
@@ -37,7 +39,6 @@
 type failed struct {
 	reason         outcome.Reason
 	endState       schedule.End
-	responseBegun  bool
 	mayHaveCrashed bool
 	survived       bool              // the server had answered for provenAnswerTime
 	errorResponse  *bufferedResponse // the server's own 5xx response; nil if it sent none
@@ -46,8 +47,7 @@
 
 // cancelled means that the caller disconnected or the deadline passed.
 type cancelled struct {
-	notRun        bool // nothing was sent to the server
-	responseBegun bool
+	notRun bool // nothing was sent to the server
 }
 
 func (complete) schedulerEnd() schedule.End   { return schedule.Finished }
@@ -55,19 +55,6 @@
 func (r failed) schedulerEnd() schedule.End   { return r.endState }
 func (cancelled) schedulerEnd() schedule.End  { return schedule.Abandoned }
 
-// responseBegun reports whether the server had begun to send its response.
-func responseBegun(r result) bool {
-	switch r := r.(type) {
-	case complete:
-		return true
-	case failed:
-		return r.responseBegun
-	case cancelled:
-		return r.responseBegun
-	}
-	return false
-}
-
 // bufferedResponse is a response that has been read to its end.
 type bufferedResponse struct {
 	status int
@@ -83,12 +70,6 @@
 	// maxResponseBytes bounds the body of a response that is not a stream. It is
 	// twice the largest request body that the operators' limits allow.
 	maxResponseBytes = 8 << 20
-	// stallCheckFactor times the route's target latency is the delay after which
-	// the proxy starts to check whether a request has stalled.
-	stallCheckFactor = 1.5
-	// minStallCheckDelay is the least such delay, so that a server that is only
-	// busy is not taken for a stalled one.
-	minStallCheckDelay = 350 * time.Millisecond
 )
 
 var (
@@ -96,33 +77,66 @@
 	errVersionEnded = errors.New("model version ended before the response began")
 )
 
-// send sends the request to one server and forwards the response to the caller.
-func (e *exchange) send(ctx context.Context, s schedule.Server) result {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	now := time.Now()
-	e.sentAt = now
-	if e.canFailOver() {
-		e.failover.begin(e.slotRequest(), s.ID)
+// attempt is one dispatch of a request to a server. Its response is first opened, which
+// shows that the server works, and then forwarded to the caller.
+type attempt struct {
+	exchange *exchange
+	server   schedule.Server
+	verdict  quarantine.Verdict // on the request when the attempt began
+	from     position           // where its response goes on
+	sentAt   time.Time
+	ctx      context.Context // of the attempt, which may outlive the current one
+	cancel   context.CancelCauseFunc
+	memory   *bounded.Reservation
+	// versionTimer cancels the attempt when the server's model version ends.
+	versionTimer *time.Timer
+
+	// Set by open:
+	response *http.Response
+	whole    *bufferedResponse   // of a response that is not a stream
+	events   *eventstream.Reader // of a stream
+	first    eventstream.Event   // of events
+	empty    bool                // the stream has no event
+	started  bool                // the server has begun to answer
+}
+
+func (e *exchange) newAttempt(ctx context.Context, s schedule.Server, verdict quarantine.Verdict) *attempt {
+	a := &attempt{exchange: e, server: s, verdict: verdict, from: e.response.position(), sentAt: time.Now(), memory: e.handler.ResponseMemory.NewReservation()}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	return a
+}
+
+// close ends the attempt's connection to the server, unless the response is complete.
+func (a *attempt) close() {
+	a.stopVersionTimer()
+	a.cancel(nil)
+	if a.response != nil {
+		_ = a.response.Body.Close() // nothing more is read
 	}
-	watchdog := e.watchForStall(s, cancel)
-	defer watchdog.stop()
-	e.startVersionTimer(s, cancel)
-	defer e.stopVersionTimer()
-	forward := e.forwardInfo(ctx, s)
-	response, err := e.handler.client.Send(ctx, atmostonce.Request{
+	a.memory.Release()
+}
+
+// open sends the request and reads the response as far as shows that the server works: the
+// first event of a stream, or the whole of another response. It returns nil then, and the
+// result of the attempt otherwise.
+func (a *attempt) open() result {
+	e, s := a.exchange, a.server
+	a.startVersionTimer()
+	defer a.stopVersionTimer()
+	forward := a.forwardInfo()
+	response, err := e.handler.client.Send(a.ctx, atmostonce.Request{
 		Method: e.r.Method, Address: s.Address, Host: e.r.Host, Path: originForm(e.r.RequestURI),
-		Header: e.handler.HeaderCodec.BackendHeader(e.r.Header, forward, now),
-		Body:   e.body, NewConn: true, ConnectBy: now.Add(connectTimeout),
+		Header: e.handler.HeaderCodec.BackendHeader(e.r.Header, forward, a.sentAt),
+		Body:   e.body, NewConn: true, ConnectBy: a.sentAt.Add(connectTimeout),
 	})
 	if err != nil {
-		return e.sendFailed(ctx, err)
+		return a.sendFailed(err)
 	}
-	defer response.Body.Close()
+	a.response = response
 	info := e.handler.HeaderCodec.ParseResponse(response.StatusCode, response.Header, time.Now())
-	e.recordServerState(s, info)
+	a.recordServerState(info)
 	if response.StatusCode != http.StatusMisdirectedRequest { // another server may run at the address
-		e.recordRateLimit(s, info)
+		a.recordRateLimit(info)
 	}
 	foreign := info.AttemptID != "" && info.AttemptID != e.info.AttemptID
 	switch {
@@ -132,10 +146,21 @@
 		return rejected{reason: outcome.BackendRefused, endState: rejectionEnd(response.StatusCode, forward), detail: response.Status}
 	case info.AttemptID != e.info.AttemptID || response.Header.Get("Content-Encoding") != "" || !info.Signed:
 		return failed{reason: outcome.BackendFailed, endState: schedule.Incomplete, detail: "response is encoded, unsigned or for another attempt: " + response.Status}
-	case e.response.begun() || e.route.Kind == site.Stream && response.StatusCode == http.StatusOK:
-		return e.forwardStream(ctx, s, response, watchdog, cancel)
+	case a.from.begun || e.route.Kind == site.Stream && response.StatusCode == http.StatusOK:
+		return a.openStream(response)
 	}
-	return e.forwardPlain(ctx, s, response)
+	return a.openWhole(response)
+}
+
+// opened reports whether open has opened the response.
+func (a *attempt) opened() bool { return a.whole != nil || a.events != nil && a.started }
+
+// forward sends the open response to the caller.
+func (a *attempt) forward() result {
+	if a.whole != nil {
+		return a.forwardWhole()
+	}
+	return a.forwardStream()
 }
 
 // originForm returns the path and query of a request target, which may have the absolute
@@ -153,7 +178,8 @@
 
 // recordServerState applies what a response's headers say about the server's own
 // state: that it is about to shut down, or that it is to receive no requests for a time.
-func (e *exchange) recordServerState(s schedule.Server, r ResponseInfo) {
+func (a *attempt) recordServerState(r ResponseInfo) {
+	e, s := a.exchange, a.server
 	if r.Departing && e.handler.Pools.MarkDeparting(e.service.Name, schedule.Departure{Server: s.ID, StartUnixMS: s.StartUnixMS, At: time.Now()}) {
 		counter.Add("ServersDeparting", 1)
 		event.Log(event.ServerLeaving, "Server", s.ID, "Address", s.Address, "Service", e.service.Name, "From", "server")
@@ -165,9 +191,10 @@
 }
 
 // recordRateLimit applies the rate limit that a response states, or the end of one.
-func (e *exchange) recordRateLimit(s schedule.Server, r ResponseInfo) {
+func (a *attempt) recordRateLimit(r ResponseInfo) {
+	e, s := a.exchange, a.server
 	limit := schedule.RateLimit{Server: s.ID, StartUnixMS: s.StartUnixMS, Limited: r.RateLimited, PerSecond: r.RequestsPerSecond, At: time.Now()}
-	if e.handler.Pools.RecordRateLimit(e.service.Name, limit, e.sentAt) {
+	if e.handler.Pools.RecordRateLimit(e.service.Name, limit, a.sentAt) {
 		counter.Add("RateLimitsChanged", 1)
 		event.Log(event.RateLimitChanged, "Server", s.ID, "Address", s.Address, "Service", e.service.Name, "Limited", r.RateLimited, "PerSecond", r.RequestsPerSecond, "From", "server")
 	}
@@ -189,14 +216,15 @@
 // urgencyUnset sends no urgency, so the server applies its default.
 const urgencyUnset = -1
 
-func (e *exchange) forwardInfo(ctx context.Context, s schedule.Server) ForwardInfo {
-	f := ForwardInfo{Server: s.ID, Organisation: e.organisation, AfterEvent: e.response.lastEventID, Urgency: urgencyUnset}
-	if e.response.begun() {
+func (a *attempt) forwardInfo() ForwardInfo {
+	e := a.exchange
+	f := ForwardInfo{Server: a.server.ID, Organisation: e.organisation, AfterEvent: a.from.lastEventID, Urgency: urgencyUnset}
+	if a.from.begun {
 		f.Urgency = 0 // the caller has received part of the response
 	}
-	f.Deadline, _ = ctx.Deadline()
+	f.Deadline, _ = a.ctx.Deadline()
 	if e.route.Generates && e.handler.View.MinVersion(e.info.Model, time.Now().Add(versionNoticeTime)) > 0 {
-		f.Version = s.Version
+		f.Version = a.server.Version
 	}
 	return f
 }
@@ -207,48 +235,16 @@
 // may take to begin.
 const versionNoticeTime = 2 * time.Second
 
-// stallWatchdog cancels an attempt that stalls while another server could still
-// run the request.
-type stallWatchdog struct {
-	timer    *time.Timer
-	disabled bool
-	mu       sync.Mutex
-}
-
-// watchForStall starts a watchdog that cancels the attempt if its response does
-// not begin, once another server can take the request. The watchdog is disabled if no
-// other server may be tried.
-func (e *exchange) watchForStall(s schedule.Server, cancel context.CancelCauseFunc) *stallWatchdog {
-	w := &stallWatchdog{}
-	if !e.canFailOver() {
-		w.disabled = true
-		return w
-	}
-	sent := e.sentAt
-	delay := time.Duration(stallCheckFactor*float64(e.route.TargetMilliseconds)) * time.Millisecond
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(max(delay, minStallCheckDelay), func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		switch {
-		case w.disabled:
-		case e.handler.activity.stalled(s.ID, sent, time.Now()) && e.giveUpStalled(cancel):
-		default:
-			w.timer.Reset(stallCheckInterval)
-		}
-	})
-	return w
+// stalled reports whether the server has stalled with the request, whose response has not
+// begun.
+func (a *attempt) stalled(now time.Time) bool {
+	return !now.Before(a.stallCheckAt()) && a.exchange.handler.activity.stalled(a.server.ID, a.sentAt, now)
 }
 
-// giveUpStalled cancels the attempt if another server can go on with the request, and
-// reports whether it did.
-func (e *exchange) giveUpStalled(cancel context.CancelCauseFunc) bool {
-	if !e.failover.reserve() {
-		return false
-	}
-	cancel(errStalled)
-	return true
+// stallCheckAt returns the time from which the attempt may have stalled.
+func (a *attempt) stallCheckAt() time.Time {
+	delay := time.Duration(stallCheckFactor*float64(a.exchange.route.TargetMilliseconds)) * time.Millisecond
+	return a.sentAt.Add(max(delay, minStallCheckDelay))
 }
 
 // versionEndMargin is how long before a version ends the attempt is cancelled, so
@@ -257,47 +253,26 @@
 
 // startVersionTimer cancels the attempt if its response has not begun when the
 // model version that the server serves ends.
-func (e *exchange) startVersionTimer(s schedule.Server, cancel context.CancelCauseFunc) {
-	if !e.route.Generates {
+func (a *attempt) startVersionTimer() {
+	if !a.exchange.route.Generates || a.server.ServesUntil.IsZero() {
 		return
 	}
-	if s.ServesUntil.IsZero() {
-		return
-	}
-	e.versionTimer = time.AfterFunc(time.Until(s.ServesUntil.Add(-versionEndMargin)), func() {
+	a.versionTimer = time.AfterFunc(time.Until(a.server.ServesUntil.Add(-versionEndMargin)), func() {
 		counter.Add("AttemptsEndedWithVersion", 1)
-		cancel(errVersionEnded)
+		a.cancel(errVersionEnded)
 	})
 }
 
 // stopVersionTimer is called when the response begins or the attempt is over.
-func (e *exchange) stopVersionTimer() {
-	if e.versionTimer != nil {
-		e.versionTimer.Stop()
-		e.versionTimer = nil
+func (a *attempt) stopVersionTimer() {
+	if a.versionTimer != nil {
+		a.versionTimer.Stop()
+		a.versionTimer = nil
 	}
 }
 
-// stallCheckInterval is the time between checks of a request without a response.
-const stallCheckInterval = 100 * time.Millisecond
-
-// stop disables the watchdog.
-func (w *stallWatchdog) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.disabled = true
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
-
-// canFailOver reports whether another server may run the request if this attempt
-// fails.
-func (e *exchange) canFailOver() bool {
-	return e.route.Repeatable() && e.possibleRuns+1 < e.route.MaxAttempts
-}
-
-func (e *exchange) sendFailed(ctx context.Context, err error) result {
+func (a *attempt) sendFailed(err error) result {
+	ctx := a.ctx
 	var notSentError *atmostonce.NotSentError
 	notSent := errors.As(err, &notSentError)
 	versionOver, stalled := errors.Is(context.Cause(ctx), errVersionEnded), errors.Is(context.Cause(ctx), errStalled)
@@ -311,7 +286,7 @@
 	case notSent:
 		return rejected{reason: outcome.BackendUnreachable, endState: schedule.Unreachable, detail: err.Error()}
 	case stalled:
-		return failed{reason: outcome.BackendFailed, endState: schedule.TimedOut, detail: errStalled.Error()}
+		return failed{reason: outcome.BackendFailed, endState: schedule.Superseded, detail: errStalled.Error()}
 	}
 	return failed{reason: outcome.BackendDied, endState: schedule.Incomplete, mayHaveCrashed: true, detail: err.Error()}
 }
@@ -323,50 +298,74 @@
 	return failed{reason: outcome.BackendFailed, endState: schedule.Abandoned, detail: errVersionEnded.Error()}
 }
 
-// forwardPlain forwards a response that is not a stream, after it has read it to
-// its end.
-func (e *exchange) forwardPlain(ctx context.Context, s schedule.Server, response *http.Response) result {
-	memory := e.handler.ResponseMemory.NewReservation()
-	defer memory.Release()
-	body, err := memory.ReadAll(response.Body, maxResponseBytes)
+// openWhole reads a response that is not a stream to its end.
+func (a *attempt) openWhole(response *http.Response) result {
+	body, err := a.memory.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
-		return e.interrupted(ctx, err, false, false)
+		return a.interrupted(err, false)
 	}
-	e.recordFirstByte(s)
-	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, signed: true, body: body}
+	whole := &bufferedResponse{status: response.StatusCode, header: response.Header, signed: true, body: body}
+	a.recordStart()
 	if response.StatusCode >= http.StatusInternalServerError {
-		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, responseBegun: true, errorResponse: buffered, detail: response.Status}
+		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, errorResponse: whole, detail: response.Status}
+	}
+	a.whole = whole
+	return nil
+}
+
+// forwardWhole sends the caller a response that is not a stream.
+func (a *attempt) forwardWhole() result {
+	e := a.exchange
+	e.stall.stop()
+	if !e.failover.progressed() {
+		return a.interrupted(errSuperseded, false)
 	}
 	e.handler.CrashDetector.Survived(e.suspect)
-	if !e.mayWrite(buffered) {
-		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, responseBegun: true, detail: response.Status + " is not marked as not run"}
+	if !e.mayWrite(a.whole) {
+		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, detail: strconv.Itoa(a.whole.status) + " is not marked as not run"}
 	}
-	if err := e.response.writeWhole(buffered); err != nil {
-		return cancelled{responseBegun: true} // the connection to the caller has failed
+	e.recordFirstByte()
+	if err := e.response.writeWhole(a.whole); err != nil {
+		return cancelled{} // the connection to the caller has failed
 	}
 	return complete{}
 }
 
 // interrupted returns the result of an attempt whose response ended with err before
 // it was complete.
-func (e *exchange) interrupted(ctx context.Context, err error, began, survived bool) result {
+func (a *attempt) interrupted(err error, survived bool) result {
+	ctx := a.ctx
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, errVersionEnded):
 		return versionEnded()
 	case errors.Is(cause, errStalled):
-		return failed{reason: outcome.BackendFailed, endState: schedule.TimedOut, responseBegun: began, detail: errStalled.Error()}
+		return failed{reason: outcome.BackendFailed, endState: schedule.Superseded, detail: errStalled.Error()}
 	case ctx.Err() != nil:
-		return cancelled{responseBegun: began}
+		return cancelled{}
+	}
+	return failed{reason: outcome.StreamCut, endState: schedule.Incomplete, mayHaveCrashed: true, survived: survived, detail: err.Error()}
+}
+
+// recordStart records that the server has begun to answer.
+func (a *attempt) recordStart() {
+	e, now := a.exchange, time.Now()
+	a.started = true
+	e.handler.Pools.responseBegan(e.service.Name, a.server.ID, float64(now.Sub(a.sentAt).Milliseconds()), e.promptMS())
+	e.handler.activity.responseBegan(a.server.ID, a.sentAt, now)
+}
+
+// release frees the server's slot.
+func (a *attempt) release(r result) {
+	promptMS := a.exchange.promptMS()
+	if a.started {
+		promptMS = 0 // the scheduler does not count it any more
 	}
-	return failed{reason: outcome.StreamCut, endState: schedule.Incomplete, responseBegun: began, mayHaveCrashed: true, survived: survived, detail: err.Error()}
+	a.exchange.handler.Pools.release(a.exchange.service.Name, a.server.ID, r.schedulerEnd(), promptMS)
 }
 
-// recordFirstByte records when the response began.
-func (e *exchange) recordFirstByte(s schedule.Server) {
-	e.handler.Pools.responseBegan(e.service.Name, s.ID, float64(time.Since(e.sentAt).Milliseconds()), e.promptMS())
-	e.handler.activity.responseBegan(s.ID, e.sentAt, time.Now())
-	e.stopVersionTimer()
+// recordFirstByte records when the response to the caller began.
+func (e *exchange) recordFirstByte() {
 	if e.firstMS == 0 {
 		e.firstMS = time.Since(e.arrivedAt).Milliseconds()
 		counter.Observe("FirstAnswerMilliseconds."+e.route.Name, e.firstMS)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"almondreel.example/almondreel/internal/callerconn"
@@ -38,19 +39,19 @@
 	suspect       suspectRequest
 	failover      failover
 
-	sentAt        time.Time   // when the last attempt was sent
-	versionTimer  *time.Timer // cancels the attempt when the server's model version ends
-	lastServer    string      // server of the last attempt
-	serversTried  int         // servers that were sent the request
-	possibleRuns  int         // servers that may have run it
-	rejectedBy    []string    // servers that did not run it
-	failedBy      []string    // servers that may have run it and did not complete it
-	firstMS       int64       // milliseconds from arrival until the response began
-	lastEventAt   time.Time   // when the last event was sent to the caller
-	maxPauseMS    int64       // longest pause between events, in milliseconds
-	queueMS       int64       // milliseconds spent waiting for a slot on a server
-	interruptedAt time.Time   // when the last attempt failed; zero again once an event has been sent
-	resumeMS      int64       // milliseconds from interruptedAt until the next event
+	stall         stallTimer // of the current attempt
+	reserved      bool       // a successor may go on after the last attempt
+	lastServer    string     // server of the last attempt
+	serversTried  int        // servers that were sent the request, without successors that ended
+	possibleRuns  int        // servers that may have run it, without successors that ended
+	rejectedBy    []string   // servers that did not run it
+	failedBy      []string   // servers that may have run it and did not complete it
+	firstMS       int64      // milliseconds from arrival until the response began
+	lastEventAt   time.Time  // when the last event was sent to the caller
+	maxPauseMS    int64      // longest pause between events, in milliseconds
+	queueMS       int64      // milliseconds spent waiting for a slot on a server
+	interruptedAt time.Time  // when the last attempt failed; zero again once an event has been sent
+	resumeMS      int64      // milliseconds from interruptedAt until the next event
 }
 
 // run sends the request to servers until one completes it or no other may be
@@ -58,9 +59,10 @@
 func (e *exchange) run(ctx context.Context) outcome.Outcome {
 	e.handler.retryWindow(e.service.Name).CountRequest(e.arrivedAt)
 	e.suspect = suspectRequest{e.info.AttemptID, e.fingerprint(), e.info.SharedParts}
-	e.failover.pools, e.failover.service = e.handler.Pools, e.service.Name
-	e.failover.takeRetry = func() bool { return e.handler.takeRetry(e.service.Name) }
-	defer e.failover.release()
+	e.failover.exchange = e
+	defer e.failover.stop()
+	e.stall.onSilence = func(since time.Time) { e.failover.startSuccessor(ctx, since) }
+	defer e.stall.stop()
 	for {
 		if ctx.Err() != nil {
 			return e.timedOut(ctx)
@@ -68,35 +70,50 @@
 		if e.handler.CrashDetector.Verdict(e.suspect) == quarantine.Quarantined {
 			return e.quarantined()
 		}
-		switch d := e.acquireSlot(ctx).(type) {
-		case schedule.Start:
-			verdict := e.handler.CrashDetector.Verdict(e.suspect)
-			if verdict == quarantine.Quarantined {
-				e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, e.promptMS())
-				return e.quarantined()
-			}
-			o, retry := e.attempt(ctx, d.Server, verdict)
-			if !retry {
-				return o
-			}
-		case schedule.Refuse:
-			return e.refusedOrUnknown(outcome.Refused{Reason: d.Reason, RetryAt: d.RetryAt})
-		default:
-			return e.timedOut(ctx)
+		a, o := e.nextAttempt(ctx)
+		if a == nil {
+			return o
+		}
+		o, retry := e.complete(ctx, a)
+		if !retry {
+			return o
 		}
 	}
 }
 
-// acquireSlot returns the slot that was reserved while the last attempt ran, or waits for
-// one as Pools.acquire does.
-func (e *exchange) acquireSlot(ctx context.Context) schedule.Decision {
-	if start := e.failover.take(); start != nil {
-		return *start
+// nextAttempt returns the successor that goes on, or an attempt at a server that has a slot
+// for the request. It returns nil and the outcome if there is none.
+func (e *exchange) nextAttempt(ctx context.Context) (*attempt, outcome.Outcome) {
+	if a := e.failover.await(); a != nil {
+		return a, nil
+	}
+	if e.reserved && !e.mayRetry() { // the successor has ended
+
+		return nil, e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, outcome.BackendRefused, e.slotRequest()))
 	}
 	queuedAt := time.Now()
 	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slotRequest())
 	e.queueMS += time.Since(queuedAt).Milliseconds()
-	return decision
+	switch d := decision.(type) {
+	case schedule.Start:
+		verdict := e.handler.CrashDetector.Verdict(e.suspect)
+		if verdict == quarantine.Quarantined {
+			e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, e.promptMS())
+			return nil, e.quarantined()
+		}
+		return e.newAttempt(ctx, d.Server, verdict), nil
+	case schedule.Refuse:
+		return nil, e.refusedOrUnknown(outcome.Refused{Reason: d.Reason, RetryAt: d.RetryAt})
+	}
+	return nil, e.timedOut(ctx)
+}
+
+// runs returns the number of servers that may have run the request, or be running it.
+func (e *exchange) runs() int { return e.possibleRuns + e.failover.possibleRuns() }
+
+// mayRetry takes a retry from the budget if the request may run at another server.
+func (e *exchange) mayRetry() bool {
+	return e.route.Repeatable() && e.response.resumable() && e.runs() < e.route.MaxAttempts && e.handler.takeRetry(e.service.Name)
 }
 
 func (e *exchange) quarantined() outcome.Outcome {
@@ -106,7 +123,7 @@
 // refusedOrUnknown returns r if no server can have run the request, and
 // outcome.Unknown otherwise.
 func (e *exchange) refusedOrUnknown(r outcome.Refused) outcome.Outcome {
-	if e.possibleRuns == 0 {
+	if e.runs() == 0 {
 		return r
 	}
 	return outcome.Unknown{Reason: r.Reason}
@@ -128,27 +145,26 @@
 // that has closed only its sending side still reads the response.
 func (e *exchange) callerGone() outcome.Outcome {
 	reason := callerconn.EndReason(e.r.Context())
-	if e.possibleRuns == 0 {
+	if e.runs() == 0 {
 		return outcome.Refused{Reason: reason, RetryAt: time.Now().Add(notReadyRetryDelay)}
 	}
 	return outcome.Cancelled{Reason: reason}
 }
 
-// attempt sends the request to a server. It returns the outcome and false, or
-// true if the request is to be retried.
-func (e *exchange) attempt(ctx context.Context, s schedule.Server, verdict quarantine.Verdict) (outcome.Outcome, bool) {
-	e.lastServer = s.ID
+// complete runs an attempt, whose response may be open, to its end. It returns the outcome
+// and false, or true if the request is to be retried.
+func (e *exchange) complete(ctx context.Context, a *attempt) (outcome.Outcome, bool) {
+	e.lastServer = a.server.ID
 	e.serversTried++
-	result, reserved := e.sendAndRelease(ctx, s)
-	switch r := result.(type) {
+	switch r := e.forward(a).(type) {
 	case complete:
 		e.handler.CrashDetector.Completed(e.suspect.fingerprint)
-		e.handler.answerTimes.Record(e.route.Name, time.Now(), time.Since(e.sentAt).Milliseconds())
+		e.handler.answerTimes.Record(e.route.Name, time.Now(), time.Since(a.sentAt).Milliseconds())
 		return outcome.Answered{}, false
 	case rejected:
-		return e.afterRejection(s, r)
+		return e.afterRejection(a, r)
 	case failed:
-		return e.afterFailure(s, r, verdict, reserved)
+		return e.afterFailure(a, r)
 	case cancelled:
 		if !r.notRun {
 			e.possibleRuns++
@@ -157,63 +173,62 @@
 	return e.timedOut(ctx), false
 }
 
-// sendAndRelease sends the request to a server and releases the slot, also after a panic.
-// reserved says that there is a slot for a retry.
-func (e *exchange) sendAndRelease(ctx context.Context, s schedule.Server) (r result, reserved bool) {
+// forward opens the attempt's response unless it is open, forwards it, and releases the
+// slot, also after a panic.
+func (e *exchange) forward(a *attempt) (r result) {
 	r = cancelled{}
 	defer func() {
-		reserved = e.failover.end()
-		e.handler.Pools.release(e.service.Name, s.ID, r.schedulerEnd(), e.pendingPromptMS(r))
+		e.stall.stop()
+		e.reserved = e.failover.endCurrent()
+		a.close()
+		a.release(r)
 	}()
-	r = e.send(ctx, s)
-	return r, reserved
-}
-
-// pendingPromptMS returns the prompt processing time that the scheduler still counts
-// as the server's load: 0 once the response has begun.
-func (e *exchange) pendingPromptMS(result result) float64 {
-	if responseBegun(result) {
-		return 0
+	e.failover.begin(a, e.slotRequest(), e.possibleRuns)
+	if a.opened() {
+		return a.forward()
+	}
+	if e.route.Repeatable() {
+		e.stall.start(a.stallCheckAt(), func() bool { return a.stalled(time.Now()) })
+	}
+	if r = a.open(); r == nil {
+		r = a.forward()
 	}
-	return e.promptMS()
+	return r
 }
 
-func (e *exchange) afterRejection(s schedule.Server, r rejected) (outcome.Outcome, bool) {
-	if r.final && e.possibleRuns == 0 {
+func (e *exchange) afterRejection(a *attempt, r rejected) (outcome.Outcome, bool) {
+	if r.final && e.runs() == 0 {
 		return outcome.Refused{Reason: r.reason}, false
 	}
-	e.rejectedBy = append(e.rejectedBy, s.ID)
-	if len(e.rejectedBy) >= maxRejections || !e.handler.takeRetry(e.service.Name) {
+	e.rejectedBy = append(e.rejectedBy, a.server.ID)
+	if !e.reserved && (len(e.rejectedBy) >= maxRejections || !e.handler.takeRetry(e.service.Name)) {
 		return e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, r.reason, e.slotRequest())), false
 	}
 	counter.Add("Retried."+string(r.reason), 1)
-	event.Log(event.RequestRetried, "Request", e.info.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail)
+	event.Log(event.RequestRetried, "Request", e.info.AttemptID, "Server", a.server.ID, "Reason", string(r.reason), "Detail", r.detail)
 	return nil, true
 }
 
 // afterFailure returns the outcome and false, or true if the request is to be retried.
-// reserved says that there is a slot for the retry, which the budget allows.
-func (e *exchange) afterFailure(s schedule.Server, r failed, verdict quarantine.Verdict, reserved bool) (outcome.Outcome, bool) {
+func (e *exchange) afterFailure(a *attempt, r failed) (outcome.Outcome, bool) {
 	e.possibleRuns++
-	e.failedBy = append(e.failedBy, s.ID)
-	interrupted := interruptedResponse{e.suspect, time.Now(), r.survived, s, verdict}
+	e.failedBy = append(e.failedBy, a.server.ID)
+	interrupted := interruptedResponse{e.suspect, time.Now(), r.survived, a.server, a.verdict}
 	if r.mayHaveCrashed && e.handler.CrashDetector.ReportInterrupted(interrupted) == quarantine.Quarantined {
 		return outcome.Unknown{Reason: outcome.Quarantined}, false
 	}
-	unknown := outcome.Unknown{Reason: r.reason}
 	if e.r.Context().Err() != nil {
 		return e.callerGone(), false
 	}
-	repeatable := e.route.Repeatable() && e.response.resumable()
-	if !repeatable || e.possibleRuns >= e.route.MaxAttempts || !reserved && !e.handler.takeRetry(e.service.Name) {
+	if !e.reserved && !e.mayRetry() {
 		if r.errorResponse != nil {
 			return e.writeErrorResponse(r), false
 		}
-		return unknown, false
+		return outcome.Unknown{Reason: r.reason}, false
 	}
 	e.interruptedAt = time.Now()
 	counter.Add("Retried."+string(r.reason), 1)
-	event.Log(event.RequestRetried, "Request", e.info.AttemptID, "Server", s.ID, "Reason", string(r.reason), "Detail", r.detail, "AfterEvent", e.response.lastEventID)
+	event.Log(event.RequestRetried, "Request", e.info.AttemptID, "Server", a.server.ID, "Reason", string(r.reason), "Detail", r.detail, "AfterEvent", e.response.lastEventID)
 	return nil, true
 }
 
@@ -227,6 +242,7 @@
 
 // slotRequest returns the request for a slot on a server.
 func (e *exchange) slotRequest() schedule.Request {
+	rejectedBy, failedBy := e.failover.ended()
 	request := schedule.Request{
 		Priority:      e.priority,
 		Resumed:       e.response.begun(),
@@ -237,8 +253,8 @@
 		AnswerBy:      e.firstCallAt.Add(time.Duration(e.route.TargetMilliseconds) * time.Millisecond),
 		Deadline:      e.deadline,
 		Generates:     e.route.Generates,
-		Rejected:      e.rejectedBy,
-		Failed:        e.failedBy,
+		Rejected:      slices.Concat(e.rejectedBy, rejectedBy),
+		Failed:        slices.Concat(e.failedBy, failedBy),
 	}
 	if e.route.Generates {
 		request.BaseLatencyMS = engineBaseLatencyMS
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -1,122 +1,293 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/schedule"
+	"almondreel.example/almondreel/pkg/quarantine"
 )
 
-// failover holds the slot at another server with which a request goes on if its current
-// attempt is given up. An attempt whose server is silent is given up only once there is
-// such a slot, since the server may still answer. It is safe for concurrent use.
+const (
+	// successorDelay is the time from one successor to the next. It doubles with each, so
+	// that a long silence takes few retries from the budget.
+	successorDelay = stallCheckInterval
+	// maxSuccessorDoublings limits successorDelay to a few seconds.
+	maxSuccessorDoublings = 5
+)
+
+// errSuperseded cancels an attempt because another one goes on with the response.
+var errSuperseded = errors.New("another server goes on with the response")
+
+// failover starts successors of an attempt whose server is silent: attempts at other
+// servers beside it, since the silent server may still answer. The first attempt that has
+// what the caller needs next goes on with the response, and the others are cancelled. It
+// is safe for concurrent use.
 type failover struct {
-	pools   *Pools
-	service string
-	// takeRetry takes a retry from the budget, or reports that none is left.
-	takeRetry func() bool
+	exchange *exchange
 
-	mu       sync.Mutex
-	request  schedule.Request // of the attempt
-	server   string           // of the attempt
-	open     bool             // the attempt is running
-	reserved *schedule.Start
+	mu          sync.Mutex
+	current     *attempt         // whose response is forwarded; nil: none is
+	request     schedule.Request // for the slot of current
+	runs        int              // servers that may have run the request before current
+	silent      bool             // the server of current counts as silent
+	opened      *attempt         // successor that goes on in place of current
+	successors  []*successor     // all but the one that went on
+	nextStartAt time.Time        // of a successor
 }
 
-// begin allows reservations while the attempt at a server runs.
-func (f *failover) begin(request schedule.Request, server string) {
+// successor is an attempt beside one whose server is silent.
+type successor struct {
+	*attempt
+	done chan struct{} // closed when its response has been opened or it has ended
+	end  result        // nil while it opens its response
+}
+
+// begin allows successors of an attempt. runs is the number of servers that may have run
+// the request before.
+func (f *failover) begin(a *attempt, request schedule.Request, runs int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.request, f.server, f.open = request, server, true
+	f.current, f.request, f.runs, f.silent = a, request, runs, false
 }
 
-// reserve takes a slot at another server and a retry for it. It reports whether the
-// attempt may be given up.
-func (f *failover) reserve() bool {
+// startSuccessor starts a successor unless one is opening its response, if the request
+// may run at one more server and another one has a slot. The current server has been silent
+// since a time.
+func (f *failover) startSuccessor(ctx context.Context, since time.Time) {
+	e, now := f.exchange, time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.open || f.reserved != nil {
-		return false
+	switch {
+	case f.current == nil, f.opened != nil, now.Before(f.nextStartAt), !e.response.resumable():
+		return
+	case f.runs+1+f.successorRuns() >= e.route.MaxAttempts:
+		return
+	case slices.ContainsFunc(f.successors, func(s *successor) bool { return s.end == nil && !s.stalled(now) }):
+		return
+	case e.handler.CrashDetector.Verdict(e.suspect) != quarantine.Clear:
+		return // a suspect runs at one server at a time
 	}
-	request := f.request
-	request.Resumed, request.Retried = true, true
-	request.Failed = append(slices.Clone(request.Failed), f.server)
-	start, ok := f.pools.startElsewhere(f.service, request)
+	start, ok := e.handler.Pools.startElsewhere(e.service.Name, f.slotRequest())
 	if !ok {
-		return false
+		return
+	}
+	if !e.handler.takeRetry(e.service.Name) {
+		e.handler.Pools.release(e.service.Name, start.Server.ID, schedule.Abandoned, e.promptMS())
+		return
+	}
+	if !f.silent {
+		f.silent = true
+		e.handler.Pools.markSilent(e.service.Name, f.current.server.ID)
 	}
-	if !f.takeRetry() {
-		f.free(start)
+	f.nextStartAt = now.Add(successorDelay << min(len(f.successors), maxSuccessorDoublings))
+	s := &successor{attempt: e.newAttempt(ctx, start.Server, quarantine.Clear), done: make(chan struct{})}
+	f.successors = append(f.successors, s)
+	counter.Add("SuccessorsStarted", 1)
+	event.Log(event.SuccessorStarted, "Request", e.info.AttemptID, "Server", s.server.ID, "Silent", f.current.server.ID, "AfterEvent", s.from.lastEventID, "SilentMS", now.Sub(since).Milliseconds())
+	go f.open(s)
+}
+
+// slotRequest returns the request for a successor's slot. Callers hold mu.
+func (f *failover) slotRequest() schedule.Request {
+	r := f.request
+	r.Resumed, r.Retried = true, true
+	r.Rejected = slices.Clone(r.Rejected)
+	r.Failed = append(slices.Clone(r.Failed), f.current.server.ID)
+	for _, s := range f.successors {
+		if s.mayHaveRun() {
+			r.Failed = append(r.Failed, s.server.ID)
+		} else {
+			r.Rejected = append(r.Rejected, s.server.ID)
+		}
+	}
+	return r
+}
+
+// mayHaveRun reports whether the server may have run the request.
+func (s *successor) mayHaveRun() bool {
+	switch r := s.end.(type) {
+	case rejected:
 		return false
+	case cancelled:
+		return !r.notRun
 	}
-	f.reserved = &start
 	return true
 }
 
-// end ends the reservations of an attempt. It reports whether a slot is reserved.
-func (f *failover) end() bool {
+// possibleRuns returns the number of successors that may have run the request, or be
+// running it, without the one that went on.
+func (f *failover) possibleRuns() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.open = false
-	return f.reserved != nil
+	runs := f.successorRuns()
+	if f.opened != nil {
+		runs++
+	}
+	return runs
+}
+
+// successorRuns returns the number of successors that may have run the request. Callers
+// hold mu.
+func (f *failover) successorRuns() int {
+	runs := 0
+	for _, s := range f.successors {
+		if s.mayHaveRun() {
+			runs++
+		}
+	}
+	return runs
+}
+
+// open opens a successor's response, which goes on with that of the current attempt, or
+// ends the successor. The current attempt stays as it is if the successor fails.
+func (f *failover) open(s *successor) {
+	defer close(s.done)
+	e := f.exchange
+	end := result(cancelled{})
+	defer func() {
+		if cause := recover(); cause != nil {
+			counter.Add("HandlerPanics", 1)
+			event.Fail(event.HandlerPanicked, errs.New("open response", s.server.Address, "%v", cause), "Request", e.info.AttemptID, "Route", e.route.Name)
+		}
+		if end == nil && f.goOn(s) {
+			return
+		}
+		if end == nil {
+			end = cancelled{}
+		}
+		s.close()
+		s.release(end)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		s.end = end
+	}()
+	end = s.open()
+	if end == nil && s.empty {
+		end = failed{reason: outcome.StreamCut, endState: schedule.Incomplete, detail: errNoEvent.Error()}
+	}
+	switch r := end.(type) {
+	case rejected:
+		event.Log(event.SuccessorEnded, "Request", e.info.AttemptID, "Server", s.server.ID, "Reason", string(r.reason), "Detail", r.detail)
+	case failed:
+		event.Log(event.SuccessorEnded, "Request", e.info.AttemptID, "Server", s.server.ID, "Reason", string(r.reason), "Detail", r.detail)
+		if r.mayHaveCrashed {
+			e.handler.CrashDetector.ReportInterrupted(interruptedResponse{e.suspect, time.Now(), r.survived, s.server, s.verdict})
+		}
+	}
 }
 
-// take returns the reserved slot, or nil. The caller must use or release it.
-func (f *failover) take() *schedule.Start {
+// goOn makes a successor whose response is open the one that goes on, unless another
+// attempt has. It cancels the others.
+func (f *failover) goOn(s *successor) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	start := f.reserved
-	f.reserved = nil
-	return start
+	if f.opened != nil || s.ctx.Err() != nil {
+		return false
+	}
+	f.opened = s.attempt
+	f.successors = slices.DeleteFunc(f.successors, func(other *successor) bool { return other == s })
+	f.cancelSuccessors()
+	if f.current != nil {
+		f.current.cancel(errStalled)
+	}
+	return true
 }
 
-// release frees the slot of a request that ended without it.
-func (f *failover) release() {
-	if start := f.take(); start != nil {
-		f.free(*start)
+// cancelSuccessors cancels the successors that open their responses. Callers hold mu.
+func (f *failover) cancelSuccessors() {
+	for _, s := range f.successors {
+		if s.end == nil {
+			s.cancel(errSuperseded)
+		}
 	}
 }
 
-func (f *failover) free(start schedule.Start) {
-	f.pools.release(f.service, start.Server.ID, schedule.Abandoned, f.request.PromptMS)
+// progressed is called before more of the current response is sent to the caller. It
+// cancels the successors, or reports false if one of them goes on.
+func (f *failover) progressed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.opened != nil {
+		return false
+	}
+	f.cancelSuccessors()
+	if f.silent && f.current != nil {
+		f.silent = false
+		f.exchange.handler.Pools.markResponsive(f.exchange.service.Name, f.current.server.ID)
+	}
+	return true
 }
 
-// streamPauseTimer gives up an attempt whose stream pauses for longer than maxStreamPause,
-// once another server can go on with it.
-type streamPauseTimer struct {
-	giveUp func() bool // reports whether the attempt was given up
-
-	mu    sync.Mutex
-	timer *time.Timer // nil before the first event
-	round int         // of restart and stop; the timer of an earlier one does nothing
+// endCurrent ends the current attempt. It reports whether a successor goes on, or opens
+// its response.
+func (f *failover) endCurrent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current = nil
+	return f.opened != nil || f.opening() != nil
 }
 
-// restart starts to wait for the next event.
-func (t *streamPauseTimer) restart() { t.start(maxStreamPause) }
+// opening returns a successor that opens its response, or nil. Callers hold mu.
+func (f *failover) opening() *successor {
+	for _, s := range f.successors {
+		if s.end == nil && s.ctx.Err() == nil {
+			return s
+		}
+	}
+	return nil
+}
 
-func (t *streamPauseTimer) start(delay time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.round++
-	round := t.round
-	t.timer = time.AfterFunc(delay, func() { t.fire(round) })
+// await returns the successor that goes on, once there is one, or nil if all have ended.
+func (f *failover) await() *attempt {
+	for {
+		f.mu.Lock()
+		opened, opening := f.opened, f.opening()
+		f.opened = nil
+		f.mu.Unlock()
+		if opened != nil || opening == nil {
+			return opened
+		}
+		<-opening.done
+	}
 }
 
-func (t *streamPauseTimer) fire(round int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if round == t.round && !t.giveUp() {
-		t.timer.Reset(stallCheckInterval)
+// ended returns the servers of successors that rejected the request, and of those that
+// may have run it.
+func (f *failover) ended() (rejectedBy, failedBy []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.successors {
+		if s.mayHaveRun() {
+			failedBy = append(failedBy, s.server.ID)
+		} else {
+			rejectedBy = append(rejectedBy, s.server.ID)
+		}
 	}
+	return rejectedBy, failedBy
 }
 
-// stop ends the wait.
-func (t *streamPauseTimer) stop() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.round++
-	if t.timer != nil {
-		t.timer.Stop()
+// stop cancels the successors and waits for their end.
+func (f *failover) stop() {
+	f.mu.Lock()
+	f.current = nil
+	opened := f.opened
+	f.opened = nil
+	f.cancelSuccessors()
+	successors := slices.Clone(f.successors)
+	f.mu.Unlock()
+	if opened != nil {
+		opened.close()
+		opened.release(cancelled{})
+	}
+	for _, s := range successors {
+		<-s.done
 	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -347,7 +347,7 @@
 	event.Log(event.RequestEnded,
 		"Request", e.info.AttemptID, "Route", e.route.Name, "Organisation", e.organisation,
 		"Outcome", r.Outcome, "Reason", string(r.Reason), "Server", e.lastServer, "Version", e.configVersion,
-		"Sent", e.serversTried, "Runs", e.possibleRuns, "FirstMS", e.firstMS, "PauseMS", e.maxPauseMS, "QueueMS", e.queueMS, "ResumeMS", e.resumeMS, "MS", took, "Prompt", e.info.PromptTokens, "Parts", strings.Join(e.info.SharedParts, ","), "WaitedMS", e.arrivedAt.Sub(e.firstCallAt).Milliseconds())
+		"Sent", e.serversTried, "Runs", e.runs(), "FirstMS", e.firstMS, "PauseMS", e.maxPauseMS, "QueueMS", e.queueMS, "ResumeMS", e.resumeMS, "MS", took, "Prompt", e.info.PromptTokens, "Parts", strings.Join(e.info.SharedParts, ","), "WaitedMS", e.arrivedAt.Sub(e.firstCallAt).Milliseconds())
 }
 
 // pickTarget returns the service of a random target, chosen by weight, or "" if no
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -117,6 +117,21 @@
 	return p.pool(service).StartElsewhere(time.Now(), request)
 }
 
+// markSilent stops sending requests to a server for a time, since one of its responses has
+// stalled.
+func (p *Pools) markSilent(service, server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(service).MarkSilent(time.Now(), server)
+}
+
+// markResponsive ends that time, since the response goes on.
+func (p *Pools) markResponsive(service, server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deliver(p.pool(service).MarkResponsive(time.Now(), server))
+}
+
 // cancelWait removes a request from the queue. A slot that it was given in the
 // meantime is released.
 func (p *Pools) cancelWait(service string, request schedule.Request, waiter chan schedule.Decision) schedule.Decision {
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -77,14 +77,25 @@
 	return nil
 }
 
+// position is how much of a stream the caller has received.
+type position struct {
+	begun       bool
+	contentType string // of a stream that has begun
+	lastEventID string // ID of the last event written
+}
+
+func (c *callerResponse) position() position {
+	return position{c.begun(), c.contentType, c.lastEventID}
+}
+
 // checkStream returns an error unless events of a backend server's response may be
-// written. A response that continues a stream has the status of a stream and the type
-// of the one that began it, if that has a type.
-func (c *callerResponse) checkStream(response *http.Response) error {
-	if !c.begun() {
+// written from p on. A response that continues a stream has the status of a stream and the
+// type of the one that began it, if that has a type.
+func (p position) checkStream(response *http.Response) error {
+	if !p.begun {
 		return nil
 	}
-	if response.StatusCode != http.StatusOK || c.contentType != "" && mediaType(response.Header) != c.contentType {
+	if response.StatusCode != http.StatusOK || p.contentType != "" && mediaType(response.Header) != p.contentType {
 		return errNotContinue
 	}
 	return nil
@@ -102,11 +113,11 @@
 // checkEvent returns errGap if an event may not follow the last one that was written.
 // If event IDs are numbers, they must increase, and the first event of a resumed
 // stream must have the next number.
-func (c *callerResponse) checkEvent(event eventstream.Event, resumed bool) error {
-	if c.lastEventID == "" {
+func (p position) checkEvent(event eventstream.Event, resumed bool) error {
+	if p.lastEventID == "" {
 		return nil
 	}
-	last, err := strconv.ParseInt(c.lastEventID, 10, 64)
+	last, err := strconv.ParseInt(p.lastEventID, 10, 64)
 	if err != nil {
 		return nil // events are not numbered
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -17,66 +16,95 @@
 // at another server after the last complete event, and the caller receives one
 // uninterrupted response.
 
-// maxStreamPause is the longest time without an event before the stream fails over
-// to another server, if one can take it. Callers disconnect after two seconds.
-const maxStreamPause = time.Second
-
 var errNoEvent = errors.New("connection closed before the first event")
 
-// forwardStream forwards a server's events to the caller. Only a complete event
-// stops the watchdog: a stalled server may still send headers, comments and single
-// bytes.
-func (e *exchange) forwardStream(ctx context.Context, s schedule.Server, response *http.Response, watchdog *stallWatchdog, cancel context.CancelCauseFunc) result {
-	if err := e.response.checkStream(response); err != nil {
-		return failed{reason: outcome.BackendFailed, endState: continuationEnd(response.StatusCode), responseBegun: true, detail: err.Error() + ": " + response.Status}
+// openStream reads the first event of a stream. It returns nil if the caller may receive
+// that event, or if the stream is complete without one.
+func (a *attempt) openStream(response *http.Response) result {
+	if err := a.from.checkStream(response); err != nil {
+		return failed{reason: outcome.BackendFailed, endState: continuationEnd(response.StatusCode), detail: err.Error() + ": " + response.Status}
 	}
-	pauseTimer := &streamPauseTimer{giveUp: func() bool { return e.giveUpStalled(cancel) }}
-	defer pauseTimer.stop()
-	memory := e.handler.ResponseMemory.NewReservation()
-	defer memory.Release()
-	events := eventstream.NewReader(response.Body, memory)
-	began, survived := false, false
-	var firstEventAt time.Time
-	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) && !began && !hasLength(response) {
-			err = errNoEvent
-		}
-		if errors.Is(err, io.EOF) {
-			if began && !survived {
-				e.handler.CrashDetector.Survived(e.suspect)
-			}
-			if err := e.response.endStream(response, event.Bytes); err != nil {
-				return cancelled{responseBegun: began} // the connection to the caller has failed
-			}
-			return complete{}
-		}
-		if err == nil {
-			err = e.response.checkEvent(event, !began)
-		}
-		if err != nil {
-			return e.interrupted(ctx, err, began, survived)
-		}
-		watchdog.stop()
-		pauseTimer.stop() // a caller that reads slowly is no pause of the server
+	a.response, a.events = response, eventstream.NewReader(response.Body, a.memory)
+	first, err := a.events.Next()
+	if errors.Is(err, io.EOF) && hasLength(response) {
+		a.first, a.empty = first, true
+		return nil
+	}
+	if errors.Is(err, io.EOF) {
+		err = errNoEvent
+	}
+	if err == nil {
+		err = a.from.checkEvent(first, true)
+	}
+	if err != nil {
+		return a.interrupted(err, false)
+	}
+	a.first = first
+	a.recordStart()
+	return nil
+}
+
+// forwardStream forwards an open stream to the caller.
+func (a *attempt) forwardStream() result {
+	e := a.exchange
+	if a.empty {
+		return a.endStream(a.first, false)
+	}
+	e.recordFirstByte()
+	firstEventAt, survived := time.Now(), false
+	event, err := a.first, error(nil)
+	for ; err == nil; event, err = a.nextEvent() {
+		e.stall.stop() // a caller that reads slowly is no pause of the server
 		now := time.Now()
-		e.handler.activity.received(s.ID, now)
-		if !began {
-			began, firstEventAt = true, now
-			e.recordFirstByte(s)
-		}
+		e.handler.activity.received(a.server.ID, now)
 		if !survived && now.Sub(firstEventAt) >= provenAnswerTime {
 			survived = true
 			e.handler.CrashDetector.Survived(e.suspect)
 		}
-		if err := e.response.writeEvent(response, event); err != nil {
-			return cancelled{responseBegun: true} // the connection to the caller has failed
+		if !e.failover.progressed() {
+			return a.interrupted(errSuperseded, survived)
+		}
+		if err := e.response.writeEvent(a.response, event); err != nil {
+			return cancelled{} // the connection to the caller has failed
 		}
 		e.recordEvent(time.Now())
-		if e.canFailOver() {
-			pauseTimer.restart()
+		if e.route.Repeatable() {
+			e.stall.start(e.lastEventAt.Add(maxStreamPause), alwaysStalled)
 		}
 	}
+	e.stall.stop()
+	if !errors.Is(err, io.EOF) {
+		return a.interrupted(err, survived)
+	}
+	if !survived {
+		e.handler.CrashDetector.Survived(e.suspect)
+	}
+	return a.endStream(event, survived)
+}
+
+// alwaysStalled is for streams that have begun, whose server owes the next event.
+func alwaysStalled() bool { return true }
+
+// nextEvent reads an event and checks that it follows the last one that was written.
+func (a *attempt) nextEvent() (eventstream.Event, error) {
+	event, err := a.events.Next()
+	if err == nil {
+		err = a.exchange.response.position().checkEvent(event, false)
+	}
+	return event, err
+}
+
+// endStream completes the caller's stream with the comments after the last event.
+func (a *attempt) endStream(comments eventstream.Event, survived bool) result {
+	e := a.exchange
+	e.stall.stop()
+	if !e.failover.progressed() {
+		return a.interrupted(errSuperseded, survived)
+	}
+	if err := e.response.endStream(a.response, comments.Bytes); err != nil {
+		return cancelled{} // the connection to the caller has failed
+	}
+	return complete{}
 }
 
 // hasLength reports whether a response states where its body ends. A body that ends with
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -287,6 +287,7 @@
 	Incomplete      // the response ended before it was complete
 	TimedOut        // no response in time
 	Misdirected     // another server answered at the address
+	Superseded      // another server went on with the response; MarkSilent was called
 )
 
 // Ended records that an attempt at server id ended. promptMS is the PromptMS of the
@@ -313,6 +314,21 @@
 	return p.dispatch(now)
 }
 
+// MarkSilent records that a response of server id has stalled. The attempt goes on.
+func (p *Pool) MarkSilent(now time.Time, id string) {
+	if s, ok := p.servers[id]; ok {
+		s.backOff(now, TimedOut)
+	}
+}
+
+// MarkResponsive records that a response that had stalled goes on.
+func (p *Pool) MarkResponsive(now time.Time, id string) []Resolved {
+	if s, ok := p.servers[id]; ok {
+		s.failures, s.backoffUntil = 0, time.Time{}
+	}
+	return p.dispatch(now)
+}
+
 // removeIfNoSlots removes a server without slots. A server with slots may only be
 // paused; SetServers removes it if it is no longer listed.
 func (p *Pool) removeIfNoSlots(id string) {
