proxy: three refusals within milliseconds do not cut a begun stream

Callers saw a begun stream end when its server had ended and three others refused within 2 ms each, although those took requests again half a second later. Cause: the limit of refusals, meant for requests that can be refused whole, applied to responses that can only be cut. A begun response now waits before each further server, 100 ms and then twice as long, until 1.2 s after the interruption; each try takes a retry from the budget.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,14 +11,22 @@
 	"almondreel.example/almondreel/internal/ending"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
 
-// maxRejections is the number of servers that may reject a request before the
-// caller is refused.
-const maxRejections = 3
+const (
+	// maxRejections is the number of servers that may reject a request before the caller
+	// is refused. A response that has begun waits before each further one instead.
+	maxRejections = 3
+	// resumeDelay is the first of these waits. It doubles with each.
+	resumeDelay = 100 * time.Millisecond
+	// resumeTimeout is the time from an interruption after which no further server is asked
+	// to resume the response.
+	resumeTimeout = 1200 * time.Millisecond
+)
 
 // exchange is one caller's request and its response in progress.
 type exchange struct {
@@ -162,7 +170,7 @@
 		e.handler.answerTimes.Record(e.route.Name, time.Now(), time.Since(a.sentAt).Milliseconds())
 		return outcome.Answered{}, false
 	case rejected:
-		return e.afterRejection(a, r)
+		return e.afterRejection(ctx, a, r)
 	case failed:
 		return e.afterFailure(a, r)
 	case cancelled:
@@ -196,12 +204,13 @@
 	return r
 }
 
-func (e *exchange) afterRejection(a *attempt, r rejected) (outcome.Outcome, bool) {
+// afterRejection returns the outcome and false, or true if the request is to be retried.
+func (e *exchange) afterRejection(ctx context.Context, a *attempt, r rejected) (outcome.Outcome, bool) {
 	if r.final && e.runs() == 0 {
 		return outcome.Refused{Reason: r.reason}, false
 	}
 	e.rejectedBy = append(e.rejectedBy, a.server.ID)
-	if !e.reserved && (len(e.rejectedBy) >= maxRejections || !e.handler.takeRetry(e.service.Name)) {
+	if !e.reserved && (!e.mayAskAnother(ctx) || !e.handler.takeRetry(e.service.Name)) {
 		return e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, r.reason, e.slotRequest())), false
 	}
 	counter.Add("Retried."+string(r.reason), 1)
@@ -209,6 +218,21 @@
 	return nil, true
 }
 
+// mayAskAnother reports whether one more server may be asked to run a request that the
+// last one rejected. It waits if part of the response was sent, which would be cut.
+func (e *exchange) mayAskAnother(ctx context.Context) bool {
+	more := len(e.rejectedBy) - maxRejections
+	if more < 0 || !e.response.begun() {
+		return more < 0
+	}
+	delay := resumeDelay << min(more, maxSuccessorDoublings)
+	if time.Now().Add(delay).After(e.interruptedAt.Add(resumeTimeout)) {
+		return false
+	}
+	pause.For(ctx, delay)
+	return true
+}
+
 // afterFailure returns the outcome and false, or true if the request is to be retried.
 func (e *exchange) afterFailure(a *attempt, r failed) (outcome.Outcome, bool) {
 	e.possibleRuns++
--- a/test/hosting/silence_refusal_test.go
+++ b/test/hosting/silence_refusal_test.go
@@ -57,3 +57,33 @@
 	}
 	require.Zero(t, cut, "streams cut of %d", rounds*streams)
 }
+
+// Begun streams whose engine ended were cut by three refusals within milliseconds, although
+// the engines that refused took requests again half a second later.
+func TestBegunStreamOutlastsRefusals(t *testing.T) {
+	const (
+		engines  = 6
+		streams  = 24
+		refusals = 500 * time.Millisecond
+	)
+	s := startSite(t, options{gateways: 1, engines: engines, firstVersion: 1})
+	s.waitForVersion(0, 1, 10*time.Second)
+	time.Sleep(exchangeTime) // the agents have reported
+	for _, e := range s.engines {
+		e.SetEventMS(slowEventMS)
+	}
+	outcomes := s.sendMany(0, streams)
+	time.Sleep(300 * time.Millisecond) // the streams have begun
+	for _, e := range s.engines[1:] {
+		e.RefuseUntil(time.Now().Add(refusals))
+	}
+	s.engines[0].Crash(false)
+	cut := 0
+	for range streams {
+		if o := <-outcomes; o.CheckStream() != nil {
+			t.Logf("%s: status %d, %v", o.Attempt, o.Status, o.CheckStream())
+			cut++
+		}
+	}
+	require.Zero(t, cut, "streams cut of %d", streams)
+}
