--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -96,7 +96,6 @@
 		return a, nil
 	}
 	if e.reserved && !e.mayRetry() { // the successor has ended
-
 		return nil, e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, outcome.BackendRefused, e.slotRequest()))
 	}
 	queuedAt := time.Now()
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -99,6 +99,9 @@
 func (f *failover) slotRequest() schedule.Request {
 	r := f.request
 	r.Resumed, r.Retried = true, true
+	if f.exchange.response.begun() {
+		r.AnswerMS = 0 // a gateway that stops does not cut it sooner than it must
+	}
 	r.Rejected = slices.Clone(r.Rejected)
 	r.Failed = append(slices.Clone(r.Failed), f.current.server.ID)
 	for _, s := range f.successors {
