proxy: the end of a successor is known before the current attempt's is handled

Callers saw a begun stream cut if its silent server died as a successor refused it, with attempts and retry budget left. Cause: the successor's context ended before its result was recorded; the exchange then did not wait for it and took it for a server that may have run the request, so no attempt was left. The result is now recorded first, and a cancelled successor is waited for, too: cancelled, it ends at once.

TestSilentEngineDiesAsSuccessorRefuses under -race: failed in 5 of 5 runs before (1 or more of 60 streams cut), passed in 5 of 5 after.

--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -163,11 +163,11 @@
 		if end == nil {
 			end = cancelled{}
 		}
+		f.mu.Lock()
+		s.end = end // before its context ends, so that a refusal never counts as a run
+		f.mu.Unlock()
 		s.close()
 		s.release(end)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		s.end = end
 	}()
 	end = s.open()
 	if end == nil && s.empty {
@@ -226,8 +226,8 @@
 	return true
 }
 
-// endCurrent ends the current attempt. It reports whether a successor goes on, or opens
-// its response.
+// endCurrent ends the current attempt. It reports whether a successor goes on, or has not
+// ended.
 func (f *failover) endCurrent() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -235,10 +235,11 @@
 	return f.opened != nil || f.opening() != nil
 }
 
-// opening returns a successor that opens its response, or nil. Callers hold mu.
+// opening returns a successor that opens its response, or that was cancelled and has not
+// ended, or nil. Callers hold mu.
 func (f *failover) opening() *successor {
 	for _, s := range f.successors {
-		if s.end == nil && s.ctx.Err() == nil {
+		if s.end == nil {
 			return s
 		}
 	}
