proxy: a request whose caller leaves or deadline passes at a successor ends as such

A call whose first server had failed while a successor was still silent got 502 in place of 504 at its deadline, and a stream whose caller left then was recorded as Unknown, BackendRefused; a retry was taken from the budget for it. Cause: the end of the last successor was handled without a look at the request's context.

TestCallerLeavesWhileSuccessorOpens/dead and the case "first fails, successor silent" of TestFirstWholeAnswerToIdempotentCallIsGiven under -race: failed in 2 of 2 runs before, passed after.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -87,8 +87,10 @@
 	if a := e.failover.await(); a != nil {
 		return a, nil
 	}
+	if ctx.Err() != nil {
+		return nil, e.timedOut(ctx)
+	}
 	if e.reserved && !e.mayRetry() { // the successor has ended
-
 		return nil, e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, outcome.BackendRefused, e.slotRequest()))
 	}
 	queuedAt := time.Now()
