proxy: a server's error response is given if its successor fails after it

A call whose silent server answered 500 while a successor ran got 502 when the successor failed too; without a successor it gets the server's 500. Cause: the failed response was dropped once a successor was running. It is kept until the successors have ended.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -42,6 +42,7 @@
 	stall         stallTimer // of the current attempt
 	reserved      bool       // a successor may go on after the last attempt
 	lastServer    string     // server of the last attempt
+	lastFailure   failed     // of the last attempt, while its successors open; else zero
 	serversTried  int        // servers that were sent the request, without successors that ended
 	possibleRuns  int        // servers that may have run it, without successors that ended
 	rejectedBy    []string   // servers that did not run it
@@ -91,7 +92,7 @@
 		return nil, e.timedOut(ctx)
 	}
 	if e.reserved && !e.mayRetry() { // the successor has ended
-		return nil, e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, outcome.BackendRefused, e.slotRequest()))
+		return nil, e.afterSuccessor()
 	}
 	queuedAt := time.Now()
 	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slotRequest())
@@ -110,6 +111,15 @@
 	return nil, e.timedOut(ctx)
 }
 
+// afterSuccessor returns the outcome of a request whose last attempt and successors have
+// failed.
+func (e *exchange) afterSuccessor() outcome.Outcome {
+	if e.lastFailure.errorResponse != nil {
+		return e.writeErrorResponse(e.lastFailure)
+	}
+	return e.refusedOrUnknown(e.handler.Pools.refusal(e.service.Name, outcome.BackendRefused, e.slotRequest()))
+}
+
 // runs returns the number of servers that may have run the request, or be running it.
 func (e *exchange) runs() int { return e.possibleRuns + e.failover.possibleRuns() }
 
@@ -156,7 +166,7 @@
 // complete runs an attempt, whose response may be open, to its end. It returns the outcome
 // and false, or true if the request is to be retried.
 func (e *exchange) complete(ctx context.Context, a *attempt) (outcome.Outcome, bool) {
-	e.lastServer = a.server.ID
+	e.lastServer, e.lastFailure = a.server.ID, failed{}
 	e.serversTried++
 	switch r := e.forward(a).(type) {
 	case complete:
@@ -228,6 +238,9 @@
 		}
 		return outcome.Unknown{Reason: r.reason}, false
 	}
+	if e.reserved {
+		e.lastFailure = r
+	}
 	e.interruptedAt = time.Now()
 	counter.Add("Retried."+string(r.reason), 1)
 	event.Log(event.RequestRetried, "Request", e.info.AttemptID, "Server", a.server.ID, "Reason", string(r.reason), "Detail", r.detail, "AfterEvent", e.response.lastEventID)
