Soak of planned stops: a begun stream that is cut because of servers is a failure

The check allowed a cut stream after two runs beside the end of a version, and in the last sixth of a grace period if some engine was silent. An engine's silence is no reason to end an answer sooner, and no engine fails in this soak. The first case is gone, since a silent engine is not left any more; the second one needs a run that lasts into the last sixth, unless nothing had begun. What gateways log about the end of a begun stream (event 4013) counts before all exemptions: a reason that lies with servers, before the deadline, is a failure. A failure is printed with the silences, versions, stops and log lines beside it.

--- a/test/hosting/stopcheck_test.go
+++ b/test/hosting/stopcheck_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -78,6 +79,42 @@
 	downtimes      map[string][]plannedstop.Downtime // by gateway
 	named          []time.Time                       // when versions were named
 	silences       []plannedSilence
+	ends           map[string][]endLine // by attempt
+}
+
+// endLine is a gateway's log line on the end of a request.
+type endLine struct {
+	text, reason string
+	begun        bool
+}
+
+// endPattern matches an event 4013 with the request, the reason and the time to the first byte.
+var endPattern = regexp.MustCompile(`(?m)^.* Event=4013 Request="([^"]*)".* Reason="([^"]*)".* FirstMS=(\d+) .*$`)
+
+// serverReasons are the reasons, in log lines, of requests that ended because of the servers
+// at which the gateway tried them, or for want of one.
+var serverReasons = []string{
+	"BackendRefused", "BackendUnreachable", "BackendDied", "BackendFailed", "StreamCut", "NoReplicaServing",
+	"ReplicaBusy", "ReplicaLeaving", "ReplicaServesOtherVersion", "ReplicaUnreachable", "QueueFull", "ProjectedWaitTooLong", "RetryBudgetSpent",
+}
+
+// addEnds reads the ends of requests from a gateway's log, which may lack lines.
+func (j judge) addEnds(log string) {
+	for _, m := range endPattern.FindAllStringSubmatch(log, -1) {
+		j.ends[m[1]] = append(j.ends[m[1]], endLine{m[0], m[2], m[3] != "0"})
+	}
+}
+
+// letGo reports whether o is a begun stream that its gateway says to have cut because of
+// servers. No engine fails, so that is allowed at no time before o's deadline.
+func (j judge) letGo(o plannedOutcome) bool {
+	return o.begunStream() && o.Err != nil && o.ended.Before(j.timeout(o)) &&
+		slices.ContainsFunc(j.ends[o.Attempt], func(l endLine) bool { return l.begun && slices.Contains(serverReasons, l.reason) })
+}
+
+// begunStream reports whether o's caller received the beginning of a stream.
+func (o plannedOutcome) begunStream() bool {
+	return o.path == standin.StreamPath && o.Status == http.StatusOK
 }
 
 // problem says in what o breaks the rules of planned work; empty: in nothing.
@@ -111,6 +148,8 @@
 	switch {
 	case ledger[o.Attempt] > 1 || o.answered():
 		return problem
+	case j.letGo(o):
+		return "begun stream was cut because of servers"
 	case j.atWorkInLastGrace(o), j.versionEnded(o):
 		return ""
 	case o.budget != "" && o.Status > 0 && o.Err == nil: // its budget may be used up
@@ -154,7 +193,8 @@
 			}
 		}
 		// A silent server notes a run only once it goes on. Its caller gets a final answer.
-		if o.Status > 0 && slices.ContainsFunc(servicesOf(o.path), func(service string) bool { return j.silent(service, last, o.ended) }) {
+		// That of a begun stream has noted its run.
+		if o.Status > 0 && !o.begunStream() && slices.ContainsFunc(servicesOf(o.path), func(service string) bool { return j.silent(service, last, o.ended) }) {
 			return true
 		}
 	}
@@ -174,17 +214,12 @@
 	return slices.ContainsFunc(j.silences, func(n plannedSilence) bool { return n.service == service && n.overlaps(from, to) })
 }
 
-// maxAttempts is the number of engines that may run a request.
-const maxAttempts = 2
-
 // versionEnded reports whether o is a stream during which the version of a silent engine may
-// have ended, either before an event had come, or after it had been left for that engine,
-// as its second and last one. The engine may not begin it then, and nobody can know whether
-// it had begun.
+// have ended before an event had come. The engine may not begin it then, and nobody can know
+// whether it had begun.
 func (j judge) versionEnded(o plannedOutcome) bool {
 	unknown := o.Status == http.StatusBadGateway && o.Err == nil
-	usedUp := o.Status == http.StatusOK && o.Err != nil && len(j.runs[o.Attempt]) >= maxAttempts
-	if o.path != standin.StreamPath || !unknown && !usedUp || !j.silent(standin.EngineService, o.began, o.ended) {
+	if o.path != standin.StreamPath || !unknown || !j.silent(standin.EngineService, o.began, o.ended) {
 		return false
 	}
 	return slices.ContainsFunc(j.named, func(at time.Time) bool {
@@ -210,7 +245,7 @@
 func (s *plannedSoak) newJudge(gateways []*plannedstop.Program) judge {
 	j := judge{
 		grace: s.grace, runs: map[string][]servedRun{}, configurations: &s.configurations, downtimes: map[string][]plannedstop.Downtime{},
-		named: s.named, silences: s.silences,
+		named: s.named, silences: s.silences, ends: map[string][]endLine{},
 	}
 	add := func(service string, runs []standin.Run) {
 		for _, r := range runs {
@@ -224,6 +259,7 @@
 	}
 	for _, g := range gateways {
 		j.downtimes[g.Name] = g.Downtimes()
+		j.addEnds(g.Log())
 	}
 	return j
 }
@@ -237,8 +273,8 @@
 	answered, refused, unanswered, late, ended, withdrawn := 0, 0, 0, 0, 0, 0
 	for _, o := range s.outcomes {
 		if p := j.problem(o); p != "" {
-			problems[p] = append(problems[p], fmt.Sprintf("%s (key %s, budget %q) to %s: status %d, %v, body %q, began %s, sent %s, ended %s, runs %s", o.Attempt, o.key, o.budget, o.gateway,
-				o.Status, o.Err, o.Body, o.began.Format(logTimeLayout), o.Sent.Format(logTimeLayout), o.ended.Format(logTimeLayout), describe(j.runs[o.Attempt])))
+			problems[p] = append(problems[p], fmt.Sprintf("%s (key %s, budget %q) to %s: status %d, %v, body %q, began %s, sent %s, ended %s, runs %s%s", o.Attempt, o.key, o.budget, o.gateway,
+				o.Status, o.Err, o.Body, o.began.Format(logTimeLayout), o.Sent.Format(logTimeLayout), o.ended.Format(logTimeLayout), describe(j.runs[o.Attempt]), j.surroundings(o)))
 		}
 		switch {
 		case o.answered():
@@ -271,6 +307,31 @@
 	require.Greater(s.t, answered, (len(s.outcomes)-withdrawn)/10)
 }
 
+// surroundings returns the silences, named versions and stops beside o, and what its gateway
+// logged about its end.
+func (j judge) surroundings(o plannedOutcome) string {
+	text := ""
+	for _, n := range j.silences {
+		if n.overlaps(o.began, o.ended) {
+			text += fmt.Sprintf("; %s silent %s to %s", n.service, n.From.Format(logTimeLayout), n.To.Format(logTimeLayout))
+		}
+	}
+	for _, at := range j.named {
+		if at.After(o.began.Add(-2*versionMS*time.Millisecond)) && at.Before(o.ended) {
+			text += "; version named " + at.Format(logTimeLayout)
+		}
+	}
+	for _, d := range j.downtimes[o.gateway] {
+		if o.ended.After(d.From) && (d.To.IsZero() || o.began.Before(d.To)) {
+			text += fmt.Sprintf("; stopped %s to %s", d.From.Format(logTimeLayout), d.To.Format(logTimeLayout))
+		}
+	}
+	for _, l := range j.ends[o.Attempt] {
+		text += "; " + l.text
+	}
+	return text
+}
+
 // describe returns the services and times of runs.
 func describe(runs []servedRun) string {
 	text := ""
