Soak of planned stops: refusals beside silence, storms of configurations, grown sites

Begun streams were cut at the users' largest site, which the soak did not have. Seeds that end in 9 have a site of 6 gateways and 45 engines with two callers of each kind at each gateway; no regression seed ends so. While some engines with slow events are silent, most or all others refuse requests. Storms change the configuration each 80 to 330 ms for 2 to 6 s, some with up to 1,400 routes. Silences last up to 1.6 s. Both have random sources of their own, so the other choices of a seed stay, but for the lengths of silences.

--- a/internal/soakseeds/soakseeds.go
+++ b/internal/soakseeds/soakseeds.go
@@ -15,7 +15,8 @@
 	defaultSeed = 1
 	// randomSeeds is the number of random seeds with SOAK=1.
 	randomSeeds = 50
-	// seedsPerLargeSite selects the large site for every seed that it divides.
+	// seedsPerLargeSite selects the large site for every seed that it divides, and the grown
+	// site for every seed before one of these.
 	seedsPerLargeSite = 10
 )
 
@@ -38,3 +39,10 @@
 
 // Large reports whether a seed's run has a large site.
 func Large(seed uint64) bool { return seed%seedsPerLargeSite == 0 }
+
+// Grown reports whether a seed's run has a site of the size of the largest in use, if the
+// soak has one.
+func Grown(seed uint64) bool { return seed%seedsPerLargeSite == seedsPerLargeSite-1 }
+
+// Alone reports whether a seed's run is too large for others beside it.
+func Alone(seed uint64) bool { return Large(seed) || Grown(seed) }
--- a/test/hosting/soak_test.go
+++ b/test/hosting/soak_test.go
@@ -62,14 +62,14 @@
 	runSeeds(t, regressionSeeds, soak)
 }
 
-// runSeeds runs the seeds that soakseeds.Choose chooses: those with large sites one after
+// runSeeds runs the seeds that soakseeds.Choose chooses: those of soakseeds.Alone one after
 // another, then the others, several at the same time.
 func runSeeds(t *testing.T, regressionSeeds []uint64, run func(*testing.T, uint64)) {
 	seeds, err := soakseeds.Choose(regressionSeeds)
 	require.NoError(t, err)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("SEED=", seed), func(t *testing.T) {
-			if len(seeds) > 1 && !soakseeds.Large(seed) {
+			if len(seeds) > 1 && !soakseeds.Alone(seed) {
 				t.Parallel() // once the tests that are not parallel have ended
 			}
 			run(t, seed)
--- a/test/hosting/stopsoak_callers_test.go
+++ b/test/hosting/stopsoak_callers_test.go
@@ -14,6 +14,7 @@
 const (
 	callerKinds             = 10 // for each gateway
 	callerKindsPerLargeSite = 4  // for each gateway of a large site, in turn
+	callerKindsPerGrownSite = 20 // two callers of each kind for each gateway
 )
 
 // refusedPause is the pause after a request that was not answered.
--- a/test/hosting/stopsoak_changes_test.go
+++ b/test/hosting/stopsoak_changes_test.go
@@ -71,18 +71,48 @@
 func (s *plannedSoak) changeConfigurations(ctx context.Context, r *rand.Rand) {
 	c := s.firstConfiguration()
 	pauses := []time.Duration{time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second}
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		c.WithoutRoutes = nil // what is left out comes back with the next change
 		for range 1 + r.IntN(3) {
 			changeConfiguration(&c, r)
 		}
-		c.Keys = append(c.Keys, fmt.Sprint("key-", s.configurationVersion))
+		c.Keys = append(c.Keys, fmt.Sprint("key-", n))
 		s.writeConfiguration(c)
 		pause.For(ctx, time.Duration(r.Int64N(int64(pauses[r.IntN(len(pauses))]))))
 	}
 	s.writeConfiguration(s.firstConfiguration())
 }
 
+const (
+	// stormPauseMS is the least pause between two changes of a storm, in milliseconds, and
+	// stormPauseRangeMS how much longer it may be.
+	stormPauseMS, stormPauseRangeMS = 80, 251
+	// stormMS is the least time of a storm, in milliseconds, and stormRangeMS how much longer
+	// it may take.
+	stormMS, stormRangeMS = 2000, 4001
+	// maxMoreRoutes is the largest number of further routes in a storm.
+	maxMoreRoutes = 1400
+)
+
+// stormConfigurations changes the configuration in storms, some with many routes, and ends
+// with the first configuration.
+func (s *plannedSoak) stormConfigurations(ctx context.Context, r *rand.Rand) {
+	for ctx.Err() == nil {
+		pause.For(ctx, time.Duration(r.IntN(4000))*time.Millisecond)
+		c, large := s.firstConfiguration(), r.IntN(2) == 0
+		for end := time.Now().Add(time.Duration(stormMS+r.IntN(stormRangeMS)) * time.Millisecond); ctx.Err() == nil && time.Now().Before(end); {
+			c.WithoutRoutes = nil
+			changeConfiguration(&c, r)
+			if large {
+				c.MoreRoutes = r.IntN(maxMoreRoutes + 1)
+			}
+			s.writeConfiguration(c)
+			pause.For(ctx, time.Duration(stormPauseMS+r.IntN(stormPauseRangeMS))*time.Millisecond)
+		}
+	}
+	s.writeConfiguration(s.firstConfiguration())
+}
+
 func changeConfiguration(c *standin.Configuration, r *rand.Rand) {
 	toggle := func(all []string, item string) []string {
 		if n := slices.Index(all, item); n >= 0 {
--- a/test/hosting/stopsoak_test.go
+++ b/test/hosting/stopsoak_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -20,9 +21,9 @@
 )
 
 // This soak test does planned work only: every process is stopped and restarted at random
-// times, in ways that overlap, while the configuration and the version change, engines are
-// drained and restarted, sound servers are silent for about a second, and another writer
-// puts odd entries into the store. Nothing fails by itself, so each request must be
+// times, in ways that overlap, while the configuration and the version change, also in storms,
+// engines are drained and restarted, sound servers are silent for about a second while others
+// refuse requests, and another writer puts odd entries into the store. Nothing fails by itself, so each request must be
 // answered completely, be refused truthfully, or not run.
 
 const (
@@ -53,6 +54,12 @@
 
 const largePlannedTime = 20 * time.Second
 
+// grownSite is the size of the largest site in use.
+var (
+	grownSite   = options{gateways: 6, engines: 45, firstVersion: 1}
+	grownGraces = []int{5, 8, 20}
+)
+
 // plannedGraces are the grace periods in seconds, of which each run draws one.
 var plannedGraces = []int{1, 2, 2, 3, 3, 5, 5, 8, 8, 20}
 
@@ -93,16 +100,19 @@
 	if soakseeds.Large(seed) {
 		plannedTime, kinds = largePlannedTime, callerKindsPerLargeSite
 	}
+	if soakseeds.Grown(seed) {
+		plannedTime, kinds = largePlannedTime, callerKindsPerGrownSite
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), plannedTime)
 	defer cancel()
 	callersCtx, stopCallers := context.WithCancel(t.Context())
 	defer stopCallers()
 	var callers sync.WaitGroup
 	for n, g := range s.gateways {
-		for kind := range kinds {
-			kind = (n + kind) % callerKinds
+		for k := range kinds {
+			kind, round := (n+k)%callerKinds, k/callerKinds
 			callers.Go(func() {
-				s.runPlannedCaller(callersCtx, g, fmt.Sprint(n, "-", kind), kind, s.newRand(3000+n*callerKinds+kind))
+				s.runPlannedCaller(callersCtx, g, fmt.Sprint(n, "-", kind+round*callerKinds), kind, s.newRand(3000+round*1000+n*callerKinds+kind))
 			})
 		}
 	}
@@ -120,6 +130,9 @@
 	if soakseeds.Large(seed) {
 		size, graces = largeSite, largeGraces
 	}
+	if soakseeds.Grown(seed) {
+		size, graces = grownSite, grownGraces
+	}
 	grace := graces[rand.New(rand.NewPCG(seed, 5000)).IntN(len(graces))]
 	size.graceSeconds = grace
 	s := &plannedSoak{site: startSite(t, size), seed: seed, version: 1, grace: time.Duration(grace) * time.Second}
@@ -130,11 +143,14 @@
 	}
 	s.ledger.SetDelayMS(plannedLedgerMS)
 	for n, e := range s.engines {
-		e.SetEventMS([]int{5, 40, slowEventMS}[n%3])
+		e.SetEventMS(eventMS(n))
 	}
 	return s
 }
 
+// eventMS returns the time between two events of engine n, in milliseconds.
+func eventMS(n int) int { return []int{5, 40, slowEventMS}[n%3] }
+
 // doPlannedWork stops and restarts the programs, beside changes, silent servers and odd
 // entries, until ctx ends and the last stops are over.
 func (s *plannedSoak) doPlannedWork(ctx context.Context, programs []*plannedstop.Program) {
@@ -149,7 +165,9 @@
 	}
 	work.Go(func() { s.changeVersions(ctx, s.newRand(2000)) })
 	work.Go(func() { s.changeConfigurations(ctx, s.newRand(2001)) })
+	work.Go(func() { s.stormConfigurations(ctx, s.newRand(2004)) })
 	work.Go(func() { s.silenceServers(ctx, s.newRand(2002)) })
+	work.Go(func() { s.refuseBesideSilence(ctx, s.newRand(2005)) })
 	// No odd entry names an engine that is drained: it would bring that engine requests.
 	drained, named := s.engines[:len(s.engines)/2], s.engines[len(s.engines)/2:]
 	work.Go(func() { s.writeOddEntries(ctx, named, s.newRand(2003)) })
@@ -224,7 +242,7 @@
 func (s *plannedSoak) silenceServers(ctx context.Context, r *rand.Rand) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		until := began.Add(700*time.Millisecond + time.Duration(r.IntN(600))*time.Millisecond)
+		until := began.Add(randomSilence(r))
 		switch r.IntN(5) {
 		case 0:
 			s.ledger.SilenceUntil(until)
@@ -245,6 +263,38 @@
 	}
 }
 
+// randomSilence returns how long a sound server is silent.
+func randomSilence(r *rand.Rand) time.Duration {
+	return time.Duration(700+r.IntN(901)) * time.Millisecond
+}
+
+// refuseBesideSilence makes some engines with slow events silent at the same time, while most
+// or all others refuse requests for about as long.
+func (s *plannedSoak) refuseBesideSilence(ctx context.Context, r *rand.Rand) {
+	var slow []int
+	for n := range s.engines {
+		if eventMS(n) == slowEventMS {
+			slow = append(slow, n)
+		}
+	}
+	for pause.For(ctx, time.Duration(1000+r.IntN(4000))*time.Millisecond) {
+		began, all := time.Now(), r.IntN(2) == 0
+		until := began.Add(randomSilence(r))
+		r.Shuffle(len(slow), func(i, k int) { slow[i], slow[k] = slow[k], slow[i] })
+		silent := slow[:1+r.IntN((len(slow)+1)/2)]
+		s.noteSilence(plannedSilence{period{began, until}, standin.EngineService})
+		for n, e := range s.engines {
+			refusal := time.Duration(500+r.IntN(2000)) * time.Millisecond
+			switch {
+			case slices.Contains(silent, n):
+				e.SilenceUntil(until)
+			case all || r.IntN(4) > 0:
+				e.RefuseUntil(began.Add(refusal))
+			}
+		}
+	}
+}
+
 func (s *plannedSoak) noteSilence(n plannedSilence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tools/soak-seeds.sh
+++ b/tools/soak-seeds.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs one soak test with many seeds, each in a process of its own. Large sites, of seeds
-# that 10 divides, run last and one at a time.
+# that end in 0 or 9, run last and one at a time.
 #
 #   tools/soak-seeds.sh PACKAGE TEST [SEEDS [JOBS]]
 #
@@ -58,7 +58,7 @@
 
 small=() large=()
 for seed in $list; do
-	if [[ $seed == *0 ]]; then large+=("$seed"); else small+=("$seed"); fi
+	if [[ $seed == *[09] ]]; then large+=("$seed"); else small+=("$seed"); fi
 done
 printf '%s\n' "${small[@]}" | xargs -r -P "$jobs" -I{} bash -c 'run_seed {}'
 printf '%s\n' "${large[@]}" | xargs -r -P 1 -I{} bash -c 'run_seed {}'
