Soak of planned stops: a version's end must be the logged cause of an unknown stream

The check allowed each 502 beside the end of a version and some engine's silence. If the gateway logged the request's end, that line or reason BackendFailed is now required.

--- a/test/hosting/stopcheck_test.go
+++ b/test/hosting/stopcheck_test.go
@@ -80,6 +80,7 @@
 	named          []time.Time                       // when versions were named
 	silences       []plannedSilence
 	ends           map[string][]endLine // by attempt
+	versionEnds    map[string]bool      // attempts that gateways left because a version ended
 }
 
 // endLine is a gateway's log line on the end of a request.
@@ -91,6 +92,9 @@
 // endPattern matches an event 4013 with the request, the reason and the time to the first byte.
 var endPattern = regexp.MustCompile(`(?m)^.* Event=4013 Request="([^"]*)".* Reason="([^"]*)".* FirstMS=(\d+) .*$`)
 
+// versionEndPattern matches an event 4003 of a request whose server's version ended.
+var versionEndPattern = regexp.MustCompile(`Event=4003 Request="([^"]*)".* Detail="model version ended before`)
+
 // serverReasons are the reasons, in log lines, of requests that ended because of the servers
 // at which the gateway tried them, or for want of one.
 var serverReasons = []string{
@@ -103,6 +107,9 @@
 	for _, m := range endPattern.FindAllStringSubmatch(log, -1) {
 		j.ends[m[1]] = append(j.ends[m[1]], endLine{m[0], m[2], m[3] != "0"})
 	}
+	for _, m := range versionEndPattern.FindAllStringSubmatch(log, -1) {
+		j.versionEnds[m[1]] = true
+	}
 }
 
 // letGo reports whether o is a begun stream that its gateway says to have cut because of
@@ -216,12 +223,16 @@
 
 // versionEnded reports whether o is a stream during which the version of a silent engine may
 // have ended before an event had come. The engine may not begin it then, and nobody can know
-// whether it had begun.
+// whether it had begun. If its gateway logged its end, it must name that cause.
 func (j judge) versionEnded(o plannedOutcome) bool {
 	unknown := o.Status == http.StatusBadGateway && o.Err == nil
 	if o.path != standin.StreamPath || !unknown || !j.silent(standin.EngineService, o.began, o.ended) {
 		return false
 	}
+	otherCause := func(l endLine) bool { return l.reason != "BackendFailed" && !j.versionEnds[o.Attempt] }
+	if slices.ContainsFunc(j.ends[o.Attempt], otherCause) {
+		return false
+	}
 	return slices.ContainsFunc(j.named, func(at time.Time) bool {
 		return period{at, at.Add(versionMS*time.Millisecond + exchangeTime)}.overlaps(o.began, o.ended)
 	})
@@ -245,7 +256,7 @@
 func (s *plannedSoak) newJudge(gateways []*plannedstop.Program) judge {
 	j := judge{
 		grace: s.grace, runs: map[string][]servedRun{}, configurations: &s.configurations, downtimes: map[string][]plannedstop.Downtime{},
-		named: s.named, silences: s.silences, ends: map[string][]endLine{},
+		named: s.named, silences: s.silences, ends: map[string][]endLine{}, versionEnds: map[string]bool{},
 	}
 	add := func(service string, runs []standin.Run) {
 		for _, r := range runs {
