proxy: a silent successor is not the last server that is asked

A stream whose engine was silent and then ended waited until its deadline, and was cut, if its successor was silent as well; a call that its engine refused late got 504. Cause: the end of a successor was waited for without a check for silence, and an ordinary retry was left out for it. While successors are silent, another one is now started beside them, also after the end of the first attempt.

A stream whose engine fell silent after its last event was cut at its deadline: a successor's stream without an event, which says that nothing is left, counted as a failure. It now goes on if the first attempt has ended, or is silent for 0.8 s more. Cancelled successors do not count as completions for the scheduler.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -153,7 +153,7 @@
 }
 
 // opened reports whether open has opened the response.
-func (a *attempt) opened() bool { return a.whole != nil || a.events != nil && a.started }
+func (a *attempt) opened() bool { return a.whole != nil || a.events != nil && (a.started || a.empty) }
 
 // forward sends the open response to the caller.
 func (a *attempt) forward() result {
@@ -244,6 +244,9 @@
 // stallCheckAt returns the time from which the attempt may have stalled.
 func (a *attempt) stallCheckAt() time.Time {
 	delay := time.Duration(stallCheckFactor*float64(a.exchange.route.TargetMilliseconds)) * time.Millisecond
+	if a.from.begun {
+		delay = 0 // the caller waits for the next event, not for the target
+	}
 	return a.sentAt.Add(max(delay, minStallCheckDelay))
 }
 
@@ -305,7 +308,9 @@
 		return a.interrupted(err, false)
 	}
 	whole := &bufferedResponse{status: response.StatusCode, header: response.Header, signed: true, body: body}
-	a.recordStart()
+	if r := a.start(); r != nil {
+		return r
+	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		return failed{reason: outcome.BackendFailed, endState: schedule.Finished, errorResponse: whole, detail: response.Status}
 	}
@@ -347,21 +352,23 @@
 	return failed{reason: outcome.StreamCut, endState: schedule.Incomplete, mayHaveCrashed: true, survived: survived, detail: err.Error()}
 }
 
-// recordStart records that the server has begun to answer.
-func (a *attempt) recordStart() {
+// start records that the response has begun, or returns the attempt's result if the model
+// version ended before.
+func (a *attempt) start() result {
 	e, now := a.exchange, time.Now()
 	a.started = true
 	e.handler.Pools.responseBegan(e.service.Name, a.server.ID, float64(now.Sub(a.sentAt).Milliseconds()), e.promptMS())
 	e.handler.activity.responseBegan(a.server.ID, a.sentAt, now)
+	return nil
 }
 
 // release frees the server's slot.
-func (a *attempt) release(r result) {
+func (a *attempt) release(end schedule.End) {
 	promptMS := a.exchange.promptMS()
 	if a.started {
 		promptMS = 0 // the scheduler does not count it any more
 	}
-	a.exchange.handler.Pools.release(a.exchange.service.Name, a.server.ID, r.schedulerEnd(), promptMS)
+	a.exchange.handler.Pools.release(a.exchange.service.Name, a.server.ID, end, promptMS)
 }
 
 // recordFirstByte records when the response to the caller began.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -70,7 +70,7 @@
 	e.suspect = suspectRequest{e.info.AttemptID, e.fingerprint(), e.info.SharedParts}
 	e.failover.exchange = e
 	defer e.failover.stop()
-	e.stall.onSilence = func(since time.Time) { e.failover.startSuccessor(ctx, since) }
+	e.stall.onSilence = func(since time.Time) { e.failover.onSilence(ctx, since) }
 	defer e.stall.stop()
 	for {
 		if ctx.Err() != nil {
@@ -93,7 +93,7 @@
 // nextAttempt returns the successor that goes on, or an attempt at a server that has a slot
 // for the request. It returns nil and the outcome if there is none.
 func (e *exchange) nextAttempt(ctx context.Context) (*attempt, outcome.Outcome) {
-	if a := e.failover.await(); a != nil {
+	if a := e.failover.await(ctx, e.slotRequest(), e.possibleRuns); a != nil {
 		return a, nil
 	}
 	if ctx.Err() != nil {
@@ -201,7 +201,7 @@
 		e.stall.stop()
 		e.reserved = e.failover.endCurrent()
 		a.close()
-		a.release(r)
+		a.release(r.schedulerEnd())
 	}()
 	e.failover.begin(a, e.slotRequest(), e.possibleRuns)
 	if a.opened() {
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -10,7 +10,6 @@
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
-	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
@@ -36,7 +35,7 @@
 	mu          sync.Mutex
 	current     *attempt         // whose response is forwarded; nil: none is
 	request     schedule.Request // for the slot of current
-	runs        int              // servers that may have run the request before current
+	runs        int              // servers that may have run the request, without current and successors
 	silent      bool             // the server of current counts as silent
 	opened      *attempt         // successor that goes on in place of current
 	successors  []*successor     // all but the one that went on
@@ -58,17 +57,27 @@
 	f.current, f.request, f.runs, f.silent = a, request, runs, false
 }
 
-// startSuccessor starts a successor unless one is opening its response, if the request
-// may run at one more server and another one has a slot. The current server has been silent
-// since a time.
-func (f *failover) startSuccessor(ctx context.Context, since time.Time) {
-	e, now := f.exchange, time.Now()
+// onSilence starts a successor of the current attempt, whose server has been silent since a
+// time.
+func (f *failover) onSilence(ctx context.Context, since time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.current != nil {
+		f.startSuccessor(ctx, since)
+	}
+}
+
+// startSuccessor starts a successor unless another one may still go on, if the request may
+// run at one more server and one has a slot. Callers hold mu.
+func (f *failover) startSuccessor(ctx context.Context, since time.Time) {
+	e, now, runs := f.exchange, time.Now(), f.runs+f.successorRuns()
+	if f.current != nil {
+		runs++
+	}
 	switch {
-	case f.current == nil, f.opened != nil, now.Before(f.nextStartAt), !e.response.resumable():
+	case f.opened != nil, now.Before(f.nextStartAt), !e.response.resumable():
 		return
-	case f.runs+1+f.successorRuns() >= e.route.MaxAttempts:
+	case runs >= e.route.MaxAttempts:
 		return
 	case slices.ContainsFunc(f.successors, func(s *successor) bool { return s.end == nil && !s.stalled(now) }):
 		return
@@ -83,16 +92,22 @@
 		e.handler.Pools.release(e.service.Name, start.Server.ID, schedule.Abandoned, e.promptMS())
 		return
 	}
-	if !f.silent {
-		f.silent = true
-		e.handler.Pools.markSilent(e.service.Name, f.current.server.ID)
-	}
+	f.markSilent()
 	f.nextStartAt = now.Add(successorDelay << min(len(f.successors), maxSuccessorDoublings))
 	s := &successor{attempt: e.newAttempt(ctx, start.Server, quarantine.Clear), done: make(chan struct{})}
 	f.successors = append(f.successors, s)
 	counter.Add("SuccessorsStarted", 1)
-	event.Log(event.SuccessorStarted, "Request", e.info.AttemptID, "Server", s.server.ID, "Silent", f.current.server.ID, "AfterEvent", s.from.lastEventID, "SilentMS", now.Sub(since).Milliseconds())
-	go f.open(s)
+	event.Log(event.SuccessorStarted, "Request", e.info.AttemptID, "Server", s.server.ID, "Silent", e.lastServer, "AfterEvent", s.from.lastEventID, "SilentMS", now.Sub(since).Milliseconds())
+	go f.open(s, f.current)
+}
+
+// markSilent stops new requests to the server of the current attempt, once. Callers hold mu.
+func (f *failover) markSilent() {
+	if f.current == nil || f.silent {
+		return
+	}
+	f.silent = true
+	f.exchange.handler.Pools.markSilent(f.exchange.service.Name, f.current.server.ID)
 }
 
 // slotRequest returns the request for a successor's slot. Callers hold mu.
@@ -103,7 +118,10 @@
 		r.AnswerMS = 0 // a gateway that stops does not cut it sooner than it must
 	}
 	r.Rejected = slices.Clone(r.Rejected)
-	r.Failed = append(slices.Clone(r.Failed), f.current.server.ID)
+	r.Failed = slices.Clone(r.Failed)
+	if f.current != nil {
+		r.Failed = append(r.Failed, f.current.server.ID)
+	}
 	for _, s := range f.successors {
 		if s.mayHaveRun() {
 			r.Failed = append(r.Failed, s.server.ID)
@@ -151,7 +169,7 @@
 
 // open opens a successor's response, which goes on with that of the current attempt, or
 // ends the successor. The current attempt stays as it is if the successor fails.
-func (f *failover) open(s *successor) {
+func (f *failover) open(s *successor, current *attempt) {
 	defer close(s.done)
 	e := f.exchange
 	end := result(cancelled{})
@@ -170,11 +188,11 @@
 		s.end = end // before its context ends, so that a refusal never counts as a run
 		f.mu.Unlock()
 		s.close()
-		s.release(end)
+		s.release(s.schedulerEnd(end))
 	}()
 	end = s.open()
-	if end == nil && s.empty {
-		end = failed{reason: outcome.StreamCut, endState: schedule.Incomplete, detail: errNoEvent.Error()}
+	if end == nil && s.empty && current != nil {
+		s.waitBehind(current)
 	}
 	switch r := end.(type) {
 	case rejected:
@@ -187,6 +205,30 @@
 	}
 }
 
+// emptyStreamDelay is the time for which a stream without an event waits for the silent
+// server, which may have one. Callers disconnect after two seconds without an event.
+const emptyStreamDelay = 800 * time.Millisecond
+
+// waitBehind waits until the current attempt has ended, or for emptyStreamDelay.
+func (s *successor) waitBehind(current *attempt) {
+	timer := time.NewTimer(emptyStreamDelay)
+	defer timer.Stop()
+	select {
+	case <-current.ctx.Done():
+	case <-s.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// schedulerEnd returns how the scheduler records the end of a successor. One that was
+// cancelled freed no slot for waiting requests before its time.
+func (s *successor) schedulerEnd(end result) schedule.End {
+	if errors.Is(context.Cause(s.ctx), errSuperseded) {
+		return schedule.Superseded
+	}
+	return end.schedulerEnd()
+}
+
 // goOn makes a successor whose response is open the one that goes on, unless another
 // attempt has. It cancels the others.
 func (f *failover) goOn(s *successor) bool {
@@ -249,18 +291,35 @@
 	return nil
 }
 
-// await returns the successor that goes on, once there is one, or nil if all have ended.
-func (f *failover) await() *attempt {
+// await returns the successor that goes on after the current attempt has ended, or nil if
+// all have ended. It starts another one while they are silent. request is for the slot of
+// that one, and runs the number of servers that may have run the request.
+func (f *failover) await(ctx context.Context, request schedule.Request, runs int) *attempt {
+	f.mu.Lock()
+	f.request, f.runs = request, runs
+	f.mu.Unlock()
+	began := time.Now()
 	for {
-		f.mu.Lock()
-		opened, opening := f.opened, f.opening()
-		f.opened = nil
-		f.mu.Unlock()
+		opened, opening := f.next(ctx, began)
 		if opened != nil || opening == nil {
 			return opened
 		}
-		<-opening.done
+		select {
+		case <-opening.done:
+		case <-time.After(stallCheckInterval):
+		}
+	}
+}
+
+// next returns the successor that goes on, or one that opens its response.
+func (f *failover) next(ctx context.Context, since time.Time) (opened *attempt, opening *successor) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	opened, f.opened = f.opened, nil
+	if opening = f.opening(); opened == nil && opening != nil && ctx.Err() == nil {
+		f.startSuccessor(ctx, since)
 	}
+	return opened, opening
 }
 
 // ended returns the servers of successors that rejected the request, and of those that
@@ -289,7 +348,7 @@
 	f.mu.Unlock()
 	if opened != nil {
 		opened.close()
-		opened.release(cancelled{})
+		opened.release(schedule.Abandoned)
 	}
 	for _, s := range successors {
 		<-s.done
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -40,8 +40,7 @@
 		return a.interrupted(err, false)
 	}
 	a.first = first
-	a.recordStart()
-	return nil
+	return a.start()
 }
 
 // forwardStream forwards an open stream to the caller.
