proxy: a stream that begins as its version ends is whole or not begun

Callers saw a stream end after an event or two. Cause: the timer that cancels attempts without an event at the end of a version fired while the first event was read; the event was sent to the caller although the connection was being closed. Either the first event or the timer decides now, not both.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"almondreel.example/almondreel/internal/atmostonce"
@@ -88,8 +89,10 @@
 	ctx      context.Context // of the attempt, which may outlive the current one
 	cancel   context.CancelCauseFunc
 	memory   *bounded.Reservation
-	// versionTimer cancels the attempt when the server's model version ends.
+	// versionTimer cancels the attempt when the server's model version ends, unless decided
+	// is set by then.
 	versionTimer *time.Timer
+	decided      atomic.Bool // the response has begun, or the version has ended
 
 	// Set by open:
 	response *http.Response
@@ -261,8 +264,10 @@
 		return
 	}
 	a.versionTimer = time.AfterFunc(time.Until(a.server.ServesUntil.Add(-versionEndMargin)), func() {
-		counter.Add("AttemptsEndedWithVersion", 1)
-		a.cancel(errVersionEnded)
+		if a.decided.CompareAndSwap(false, true) {
+			counter.Add("AttemptsEndedWithVersion", 1)
+			a.cancel(errVersionEnded)
+		}
 	})
 }
 
@@ -355,6 +360,9 @@
 // start records that the response has begun, or returns the attempt's result if the model
 // version ended before.
 func (a *attempt) start() result {
+	if !a.decided.CompareAndSwap(false, true) {
+		return versionEnded()
+	}
 	e, now := a.exchange, time.Now()
 	a.started = true
 	e.handler.Pools.responseBegan(e.service.Name, a.server.ID, float64(now.Sub(a.sentAt).Milliseconds()), e.promptMS())
