proxy: a successor that no retry allows uses no slot or rate limit

While the retry budget was empty, each check of a silent server (ten a second and stream) took a slot at another one and gave it back: a server with a rate limit then got no request for a time, and the slots given back counted as completed requests, from which the wait in the queue is estimated. Cause: the retry was taken after the slot. The retry is now taken once a server is found, before its slot.

--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -75,14 +75,10 @@
 	case e.handler.CrashDetector.Verdict(e.suspect) != quarantine.Clear:
 		return // a suspect runs at one server at a time
 	}
-	start, ok := e.handler.Pools.startElsewhere(e.service.Name, f.slotRequest())
+	start, ok := e.handler.Pools.startElsewhere(e.service.Name, f.slotRequest(), func() bool { return e.handler.takeRetry(e.service.Name) })
 	if !ok {
 		return
 	}
-	if !e.handler.takeRetry(e.service.Name) {
-		e.handler.Pools.release(e.service.Name, start.Server.ID, schedule.Abandoned, e.promptMS())
-		return
-	}
 	if !f.silent {
 		f.silent = true
 		e.handler.Pools.markSilent(e.service.Name, f.current.server.ID)
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -110,11 +110,16 @@
 }
 
 // startElsewhere takes a slot for a request at once, at a server that did not fail it. It
-// reports false if there is none.
-func (p *Pools) startElsewhere(service string, request schedule.Request) (schedule.Start, bool) {
+// reports false if there is none, or if permitted, which it calls if there is one, returns
+// false. permitted must not use p.
+func (p *Pools) startElsewhere(service string, request schedule.Request, permitted func() bool) (schedule.Start, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pool(service).StartElsewhere(time.Now(), request)
+	pool, now := p.pool(service), time.Now()
+	if !pool.MayStartElsewhere(now, request) || !permitted() {
+		return schedule.Start{}, false
+	}
+	return pool.StartElsewhere(now, request)
 }
 
 // markSilent stops sending requests to a server for a time, since one of its responses has
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -541,13 +541,26 @@
 // StartElsewhere starts a request at once at a server that did not fail it, before those
 // in the queue. It reports false if no such server has a free slot.
 func (p *Pool) StartElsewhere(now time.Time, r Request) (Start, bool) {
-	s := p.chooseServer(now, r)
-	if s == nil || slices.Contains(r.Failed, s.ID) {
+	s := p.chooseElsewhere(now, r)
+	if s == nil {
 		return Start{}, false
 	}
 	return p.start(now, s, r), true
 }
 
+// MayStartElsewhere reports whether StartElsewhere would start the request.
+func (p *Pool) MayStartElsewhere(now time.Time, r Request) bool {
+	return p.chooseElsewhere(now, r) != nil
+}
+
+func (p *Pool) chooseElsewhere(now time.Time, r Request) *server {
+	s := p.chooseServer(now, r)
+	if s == nil || slices.Contains(r.Failed, s.ID) {
+		return nil
+	}
+	return s
+}
+
 // promptLoadWeight converts pending prompt milliseconds to load, a fraction of a
 // server's slots.
 const promptLoadWeight = 1.0 / 400
