dispatch: a silent agent is left only when another one goes on with the answer

Callers on own instances saw begun completions end with Failed while their agent was sound and paused for over a second. Cause: the attempt was cancelled as soon as the router had a free slot elsewhere. That is an estimate: the others may be busy, serve another version or be gone, and after a few of them the request was given up. A caller that read slowly had the same effect, as the timer ran while a token was passed on.

A successor now runs at another agent beside the silent one, from a copy of its progress. The first of them to have the next token goes on, the other is cancelled. A refused or interrupted successor leaves the silent attempt as it was; it counts as a run of the request if it may have been one, and not as a refusal. If the silent attempt ends first, the successor is the retry. Each start takes a retry from the budget, with growing pauses in one silence; suspects and requests that are not idempotent have none. The timer rests while a token is passed on, and an answer that lacks only its end marker ends as whole. The state machine gets a successor's events, from the request's goroutine, after those of the attempt before it.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -30,13 +29,12 @@
 // MaxAnswerBytes is the maximum size of a plain service's answer.
 const MaxAnswerBytes = 4 << 20
 
-const (
-	minProgressTimeout         = time.Second
-	firstTokenTimeoutFactor    = 3  // multiple of the class's first-token target
-	betweenTokensTimeoutFactor = 40 // multiple of the class's between-tokens target
-)
+// ErrSuperseded cancels the context of an attempt because another one goes on with the
+// answer.
+var ErrSuperseded = errors.New("another agent goes on with the answer")
 
-// Result is the result of an attempt: NotRun, Completed, Interrupted or CallerGone.
+// Result is the result of an attempt: NotRun, Completed, Interrupted, CallerGone or
+// Superseded.
 type Result interface{ result() }
 
 // NotRun means that the request was certainly not run.
@@ -56,10 +54,14 @@
 // CallerGone means that the caller disconnected during the attempt.
 type CallerGone struct{}
 
+// Superseded means that another attempt goes on with the answer. The request may have run.
+type Superseded struct{}
+
 func (NotRun) result()      {}
 func (Completed) result()   {}
 func (Interrupted) result() {}
 func (CallerGone) result()  {}
+func (Superseded) result()  {}
 
 // Attempt is one dispatch of a request to an agent.
 type Attempt struct {
@@ -68,12 +70,15 @@
 	Request    Request
 	Member     gateway.Member // agent that gets the request
 	Suspect    bool           // the request may crash the backend server
-	Progress   *Progress      // updated by Run
+	Progress   *Progress      // of this attempt and those before it; updated by Run
 	Sink       Sink           // receives a completion's tokens; nil for a plain call
 	OnAccepted func()         // called when the agent has passed the request to its backend server
-	// MayLeave reports whether another agent can go on with the request. It is called
-	// while the agent makes no progress, and not after Run has returned.
-	MayLeave func() bool
+	// GoOn is called before each new token is passed on. It reports false if another
+	// attempt goes on with the answer.
+	GoOn func() bool
+	// OnSilence is called repeatedly while the agent makes no progress, with the time of
+	// the last. It is called neither while a token is passed on nor after Run has returned.
+	OnSilence func(since time.Time)
 
 	id string
 }
@@ -172,6 +177,8 @@
 // answer was interrupted. reason applies unless ctx has ended.
 func (a *Attempt) classifyFailure(ctx context.Context, reason outcome.Reason, err error) Result {
 	switch {
+	case errors.Is(context.Cause(ctx), ErrSuperseded):
+		return Superseded{}
 	case ending.Ended(ctx):
 		return Interrupted{Reason: outcome.ShuttingDown, Cause: err}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -188,6 +195,9 @@
 	if errors.Is(err, errCallerGone) {
 		return CallerGone{}
 	}
+	if errors.Is(err, ErrSuperseded) {
+		return Superseded{}
+	}
 	var invalid *invalidAnswer
 	trailer := outcome.Reason(response.Trailer.Get(agent.TrailerEnd))
 	switch {
@@ -240,13 +250,9 @@
 		if done {
 			return &invalidAnswer{outcome.StreamCut, "token after the end of the answer"}
 		}
-		tokensBefore := a.Progress.Tokens
-		if err := a.forwardToken(e.Data); err != nil {
+		if err := a.forwardToken(e.Data, timer); err != nil {
 			return err
 		}
-		if a.Progress.Tokens > tokensBefore { // a repeated token is no progress
-			timer.reset()
-		}
 	}
 	if !done || !a.Progress.Finished {
 		return errIncomplete
@@ -256,7 +262,7 @@
 
 // forwardToken passes one token on. It skips a repeated one and returns an
 // *invalidAnswer for one of another attempt or version or out of order.
-func (a *Attempt) forwardToken(data string) error {
+func (a *Attempt) forwardToken(data string, timer *progressTimer) error {
 	var t engine.Token
 	if err := json.Unmarshal([]byte(data), &t); err != nil {
 		return &invalidAnswer{outcome.StreamCut, "token is not JSON: " + err.Error()}
@@ -276,11 +282,16 @@
 	}
 	invariant.Assert(t.Digest == a.Progress.Digest, invariant.ServedDigestPlaced, "request %s got a token from version %s", a.Request.ID, t.Digest)
 	t.RequestID = a.Request.ID
+	timer.hold() // the caller may be slow to read
+	if !a.GoOn() {
+		return ErrSuperseded
+	}
 	if err := a.Sink.Token(t); err != nil {
 		return errCallerGone
 	}
 	a.Progress.Tokens++
 	a.Progress.Finished = t.Finish != ""
+	timer.reset()
 	return nil
 }
 
@@ -300,70 +311,3 @@
 	a.Progress.Answer = Answer{Status: status, ContentType: response.Header.Get("Content-Type"), Body: text}
 	return nil
 }
-
-// leaveCheckInterval is the time between checks of an attempt without progress.
-const leaveCheckInterval = 100 * time.Millisecond
-
-// progressTimer cancels an attempt that makes no progress in time, once another agent can
-// go on: the silent one may still answer. Its zero value never cancels.
-type progressTimer struct {
-	deadline func() time.Time // of the next token, if one came now
-	mayLeave func() bool
-	cancel   context.CancelFunc
-
-	mu        sync.Mutex
-	timer     *time.Timer // nil: never cancels
-	expiresAt time.Time
-	stopped   bool
-}
-
-// startProgressTimer starts the timer for the first token of an idempotent
-// completion. Other requests get a timer that never cancels.
-func (a *Attempt) startProgressTimer(cancel context.CancelFunc) *progressTimer {
-	target := a.Request.Class.Target
-	if a.Request.Class.Kind != operator.Model || !a.Request.Class.Idempotent {
-		return &progressTimer{}
-	}
-	first := max(minProgressTimeout, time.Duration(firstTokenTimeoutFactor*target.FirstTokenMilliseconds)*time.Millisecond)
-	between := max(minProgressTimeout, time.Duration(betweenTokensTimeoutFactor*target.BetweenTokensMilliseconds)*time.Millisecond)
-	deadline := func() time.Time { return time.Now().Add(between) }
-	p := &progressTimer{deadline: deadline, mayLeave: a.MayLeave, cancel: cancel, expiresAt: time.Now().Add(first)}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.timer = time.AfterFunc(first, p.check)
-	return p
-}
-
-func (p *progressTimer) check() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	left := time.Until(p.expiresAt)
-	switch {
-	case p.stopped:
-	case left > 0:
-		p.timer.Reset(left)
-	case p.mayLeave():
-		p.cancel()
-	default:
-		p.timer.Reset(leaveCheckInterval)
-	}
-}
-
-func (p *progressTimer) reset() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.timer != nil {
-		p.expiresAt = p.deadline()
-		p.timer.Reset(time.Until(p.expiresAt))
-	}
-}
-
-// stop ends the checks. None is in progress when it returns.
-func (p *progressTimer) stop() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.stopped = true
-	if p.timer != nil {
-		p.timer.Stop()
-	}
-}
--- a/internal/attempt/request.go
+++ b/internal/attempt/request.go
@@ -1,8 +1,8 @@
 // Package attempt sends a request once to one agent, passes the answer on to the
 // caller and classifies the result.
 //
-// The result is NotRun, Completed, Interrupted (the request may have run) or
-// CallerGone. Package dispatch decides whether the request is retried.
+// The result is NotRun, Completed, Interrupted (the request may have run),
+// CallerGone or Superseded (another attempt goes on). Package dispatch decides whether the request is retried.
 package attempt
 
 import (
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -80,7 +80,6 @@
 		case attempt.CallerGone:
 			return outcome.Unknown{Reason: callerconn.EndReason(ctx)}
 		case attempt.Interrupted:
-			f.syncQuarantine(ctx, r)
 			return outcome.Unknown{Reason: r.Reason}
 		}
 		if reason := f.checkRetry(ctx, r); reason != "" {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,9 +17,7 @@
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/ending"
-	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
-	"almondreel.example/almondreel/internal/invariant"
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
@@ -114,6 +112,7 @@
 	ctx, release := d.ending.Bind(ctx)
 	defer release()
 	f := &inflight{dispatcher: d, request: r, sink: sink, lifecycle: lifecycle, parts: r.PromptParts(), tried: map[string]bool{}, lastReason: outcome.NoReplicaServing, budget: d.budget(r.Class.Name)}
+	f.failover = &failover{request: f}
 	result := f.admitAndRun(ctx)
 	return f.progress.Answer, lifecycle.finish(r.ID, result)
 }
@@ -233,18 +232,15 @@
 	queue            *limit.Queue
 	permit           *limit.Permit
 	budget           *limit.RetryBudget
+	failover         *failover
 	progress         attempt.Progress
 	tried            map[string]bool
-	mayHaveRun       bool     // an attempt was interrupted and may have run
-	accepted         bool     // an agent accepted an attempt and passed it to its backend server
-	parts            []string // of the prompt
-	attemptStartedAt time.Time
-	tokensBefore     int            // tokens passed to the caller before the last attempt
-	lastReason       outcome.Reason // why the last attempt failed
-	lastTried        string         // agent of the last attempt
-	suspect          bool           // the last attempt ran as a suspect
+	mayHaveRun       bool           // an attempt was interrupted and may have run
+	accepted         bool           // an agent accepted an attempt and passed it to its backend server
+	parts            []string       // of the prompt
+	last             *run           // last attempt
+	lastReason       outcome.Reason // why it failed
 	interruptedCount int
-	retryTaken       bool // by mayLeave, for the retry after the current attempt
 	notRunCount      int
 }
 
@@ -300,14 +296,14 @@
 		if !ok {
 			return f.giveUp(ctx, f.lastReason)
 		}
-		switch r := r.(type) {
+		switch r.(type) {
 		case attempt.Completed:
 			f.dispatcher.options.Quarantine.RecordCompletion(f.request.Fingerprint)
 			return outcome.Answered{Digest: string(f.progress.Digest), Tokens: f.progress.Tokens}
 		case attempt.CallerGone:
 			return f.cancelled(ctx)
 		case attempt.Interrupted:
-			if f.syncQuarantine(ctx, r) {
+			if f.verdict() == quarantine.Quarantined {
 				return outcome.Failed{Reason: outcome.Quarantined, Tokens: f.progress.Tokens}
 			}
 		}
@@ -327,8 +323,8 @@
 		if r.Reason == outcome.ReplicaServesOtherVersion || r.Reason == outcome.NoReplicaServing {
 			f.repin()
 		}
-		if f.suspect && r.Reason == outcome.ReplicaBusy {
-			delete(f.tried, f.lastTried) // the agent runs another gateway's suspect
+		if f.last.Suspect && r.Reason == outcome.ReplicaBusy {
+			delete(f.tried, f.last.Member.Name) // the agent runs another gateway's suspect
 			f.notRunCount--
 			f.waitJittered(ctx, suspectDelay)
 			return ""
@@ -347,27 +343,13 @@
 	return ""
 }
 
-// mayLeave reports whether another agent has room for the request, which is idempotent,
-// and takes the retry for it from the class's budget.
-func (f *inflight) mayLeave() bool {
-	if f.interruptedCount+1 >= maxInterrupted || !f.dispatcher.router.HasRoom(f.members(time.Now()), f.tried) {
-		return false
-	}
-	f.retryTaken = f.budget.TakeRetry()
-	return f.retryTaken
-}
-
-// takeRetry takes a retry from the class's budget, unless mayLeave has. It reports false
-// if the budget is spent.
+// takeRetry takes a retry from the class's budget. It reports false if the budget is spent.
 func (f *inflight) takeRetry(reason outcome.Reason) bool {
-	taken := f.retryTaken
-	f.retryTaken = false
-	if !taken && !f.budget.TakeRetry() {
+	if !f.budget.TakeRetry() {
 		counter.Add("RetryRefused."+string(outcome.RetryBudgetSpent), 1)
 		return false
 	}
-	counter.Add("Retried."+string(reason), 1)
-	event.Log(event.RequestRetried, "Request", f.request.ID, "Reason", string(reason))
+	f.recordRetry(f.last, reason)
 	return true
 }
 
@@ -401,65 +383,3 @@
 	}
 	return f.queue.RetryAt(time.Now())
 }
-
-// tryAgent sends the request once to an agent that was not tried before. It
-// reports false if there is none.
-func (f *inflight) tryAgent(ctx context.Context) (attempt.Result, bool) {
-	m, suspect, ok := f.chooseAgent(ctx)
-	if !ok {
-		return nil, false
-	}
-	defer f.dispatcher.router.Finish(m.Name)
-	if suspect {
-		defer f.dispatcher.options.Quarantine.EndSuspect(f.request.Fingerprint, m.Name)
-	}
-	f.tried[m.Name] = true
-	f.lastTried, f.suspect = m.Name, suspect
-	f.attemptStartedAt, f.tokensBefore = time.Now(), f.progress.Tokens
-	invariant.Assert(f.request.Class.Idempotent || !f.mayHaveRun, invariant.OneDispatchOfClaim, "request %s is not idempotent and is dispatched again", f.request.ID)
-	f.lifecycle.fire("Dispatch")
-	a := &attempt.Attempt{
-		Client:     f.dispatcher.client,
-		ReportLoad: f.dispatcher.router.UpdateLoad,
-		Request:    f.request,
-		Member:     m,
-		Suspect:    suspect,
-		Progress:   &f.progress,
-		Sink:       f.sink,
-		OnAccepted: f.onAccepted,
-		MayLeave:   f.mayLeave,
-	}
-	r := a.Run(ctx)
-	f.recordResult(r, m, suspect)
-	return r, true
-}
-
-// onAccepted records that an agent accepted the current attempt.
-func (f *inflight) onAccepted() {
-	f.lifecycle.fire("Begin")
-	f.accepted = true
-	milliseconds := int(time.Since(f.attemptStartedAt).Milliseconds())
-	f.permit.ObserveLatency(milliseconds, f.request.Class.Target.FirstTokenMilliseconds)
-	counter.Observe("FirstTokenMilliseconds."+f.request.Class.Name, int64(milliseconds))
-}
-
-// recordResult updates the state machine, counters, events and concurrency
-// limit with an attempt's result.
-func (f *inflight) recordResult(r attempt.Result, m gateway.Member, suspect bool) {
-	switch r := r.(type) {
-	case attempt.Completed:
-		f.dispatcher.options.Parts.RecordAnswer(f.parts, time.Now())
-	case attempt.NotRun:
-		f.lifecycle.fire("Decline")
-		counter.Add("Declined."+string(r.Reason), 1)
-		event.Log(event.DispatchRefused, "Request", f.request.ID, "Reason", string(r.Reason), "Peer", m.Name)
-		if r.Reason == outcome.ReplicaBusy {
-			f.permit.ReportOverload()
-		}
-	case attempt.Interrupted:
-		f.mayHaveRun = true
-		f.lifecycle.fire("Interrupt")
-		counter.Add("Broken."+string(r.Reason), 1)
-		f.recordDeath(r, m, suspect)
-	}
-}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -48,7 +48,7 @@
 			f.lastReason = outcome.Quarantined
 			return gateway.Member{}, false, false
 		case quarantine.Clear:
-			m, ok := f.dispatcher.router.Pick(members, f.criteria())
+			m, ok := f.dispatcher.router.Pick(members, f.criteria(f.tried))
 			return m, false, ok
 		}
 		m, ok := f.reserveForSuspect(f.serving(time.Now()), members)
@@ -62,14 +62,14 @@
 	}
 }
 
-// criteria returns what the next agent must satisfy. A request whose fingerprint
+// criteria returns what the next agent must satisfy that is not one of those tried. A request whose fingerprint
 // has not completed lately is confined to few agents, so that few backend servers
 // die if it crashes them.
-func (f *inflight) criteria() route.Criteria {
-	c := route.Criteria{Affinity: f.request.Affinity(), Exclude: f.tried}
+func (f *inflight) criteria(tried map[string]bool) route.Criteria {
+	c := route.Criteria{Affinity: f.request.Affinity(), Exclude: tried}
 	if !f.dispatcher.options.Quarantine.RecentlyCompleted(f.request.Fingerprint, time.Now()) {
 		c.UnprovenFingerprint = f.request.Fingerprint
-		if len(f.tried) > 0 {
+		if len(tried) > 0 {
 			c.Affinity = f.request.Fingerprint // as in reserveForSuspect
 		}
 	}
@@ -126,13 +126,13 @@
 // the report of that death arrives during the delay. An unreachable agent is
 // also left out of the following choices.
 func (f *inflight) delayAfterNotRun(ctx context.Context, reason outcome.Reason) {
-	unproven := f.criteria().UnprovenFingerprint != ""
+	unproven := f.criteria(f.tried).UnprovenFingerprint != ""
 	switch reason {
 	case outcome.BackendUnreachable, outcome.ReplicaUnreachable:
 		if unproven {
 			f.waitJittered(ctx, unreachableDelay)
 		}
-		f.dispatcher.unreachable.Add(f.lastTried, time.Now())
+		f.dispatcher.unreachable.Add(f.last.Member.Name, time.Now())
 	case outcome.ReplicaBusy:
 		if unproven {
 			f.waitJittered(ctx, busyDelay)
@@ -154,17 +154,17 @@
 // request. The request becomes a suspect. It is quarantined if it ran as a suspect,
 // or if another backend server died while running the same fingerprint and the
 // fingerprint has not completed lately.
-func (f *inflight) recordDeath(r attempt.Interrupted, m gateway.Member, suspect bool) {
+func (f *inflight) recordDeath(attempted *run, r attempt.Interrupted) {
 	if !r.Died {
 		return
 	}
 	now := time.Now()
 	table := f.dispatcher.options.Quarantine
-	verdict := table.RecordCrash(f.request.Fingerprint, m.Name, suspect, now.Add(suspicionTTL))
+	verdict := table.RecordCrash(f.request.Fingerprint, attempted.Member.Name, attempted.Suspect, now.Add(suspicionTTL))
 	counter.Add("BackendDeaths", 1)
-	event.Fail(event.BackendDied, r.Cause, "Request", f.request.ID, "Peer", m.Name)
+	event.Fail(event.BackendDied, r.Cause, "Request", f.request.ID, "Peer", attempted.Member.Name)
 	if verdict == quarantine.Quarantined {
-		table.Merge([]quarantine.Entry{{Fingerprint: f.request.Fingerprint, Server: m.Name, Convicted: true, ExpiresAt: now.Add(quarantineTTL)}})
+		table.Merge([]quarantine.Entry{{Fingerprint: f.request.Fingerprint, Server: attempted.Member.Name, Convicted: true, ExpiresAt: now.Add(quarantineTTL)}})
 		event.Log(event.RequestQuarantined, "Request", f.request.ID, "Organisation", f.request.Organisation, "Class", f.request.Class.Name)
 		counter.Add("Convicted", 1)
 	}
@@ -173,14 +173,14 @@
 // recordPartCrash records the death of a backend server that had not answered the request
 // for provenAnswerTime against the parts of its prompt. Other gateways are told first,
 // and tell when they last answered requests with these parts.
-func (f *inflight) recordPartCrash(ctx context.Context, r attempt.Interrupted) {
+func (f *inflight) recordPartCrash(ctx context.Context, attempted *run, r attempt.Interrupted) {
 	now := time.Now()
-	survived := f.progress.Tokens > f.tokensBefore && now.Sub(f.attemptStartedAt) >= provenAnswerTime
+	survived := attempted.Progress.Tokens > attempted.tokensBefore && now.Sub(attempted.startedAt) >= provenAnswerTime
 	if !r.Died || survived || len(f.parts) == 0 {
 		return
 	}
 	options := f.dispatcher.options
-	crash := quarantine.PartCrash{Server: f.lastTried, Request: f.request.Fingerprint, Parts: f.parts, At: now}
+	crash := quarantine.PartCrash{Server: attempted.Member.Name, Request: f.request.Fingerprint, Parts: f.parts, At: now}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
 	options.ReportCrash(ctx, crash)
@@ -196,10 +196,9 @@
 }
 
 // syncQuarantine reports the death of a backend server to the other gateways
-// before the request is retried or ended, waits for their reports, and returns
-// whether the request is quarantined.
-func (f *inflight) syncQuarantine(ctx context.Context, r attempt.Interrupted) bool {
-	f.recordPartCrash(ctx, r)
+// before the request is retried or ended, and waits for their reports.
+func (f *inflight) syncQuarantine(ctx context.Context, attempted *run, r attempt.Interrupted) {
+	f.recordPartCrash(ctx, attempted, r)
 	table := f.dispatcher.options.Quarantine
 	e, ok := table.Find(f.request.Fingerprint, time.Now())
 	if r.Died && ok {
@@ -208,5 +207,4 @@
 		f.dispatcher.options.ReportSuspect(reportCtx, e)
 		f.waitJittered(ctx, deathReportDelay)
 	}
-	return f.verdict() == quarantine.Quarantined
 }
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -17,17 +17,30 @@
 	"almondreel.example/almondreel/internal/membership"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/pkg/quarantine"
 )
 
-// newSilenceDispatcher returns a dispatcher for fake agents. The one to which the request
-// goes first answers by silent. The others answer by other, or are unreachable if it is nil.
-func newSilenceDispatcher(t *testing.T, request attempt.Request, silent, other script) *dispatch.Dispatcher {
-	t.Helper()
+// silenceMembers returns the fake agents of newSilenceDispatcher, without addresses.
+func silenceMembers() []gateway.Member {
 	const agents = 6
 	var members []gateway.Member
 	for i := range agents {
 		members = append(members, gateway.Member{Name: fmt.Sprint("assistant-", i), Service: "assistant", Digest: digest, Slots: 4, Sequence: 1, Started: 1})
 	}
+	return members
+}
+
+// newSilenceDispatcher returns a dispatcher for fake agents. The one to which the request
+// goes first answers by silent. The others answer by other, or are unreachable if it is nil.
+func newSilenceDispatcher(t *testing.T, request attempt.Request, silent, other script) *dispatch.Dispatcher {
+	t.Helper()
+	return newQuarantineDispatcher(t, request, silent, other, nil)
+}
+
+// newQuarantineDispatcher is newSilenceDispatcher with a quarantine table.
+func newQuarantineDispatcher(t *testing.T, request attempt.Request, silent, other script, q *quarantine.Table) *dispatch.Dispatcher {
+	t.Helper()
+	members := silenceMembers()
 	firstName := first(members, request.Affinity())
 	table := membership.NewTable()
 	for _, m := range members {
@@ -45,7 +58,7 @@
 		}
 		table.RecordHeartbeat(m, time.Now())
 	}
-	return dispatch.New(dispatch.Options{Gateway: "g", Desired: placedState(t), Members: table})
+	return dispatch.New(dispatch.Options{Gateway: "g", Desired: placedState(t), Members: table, Quarantine: q, Claims: grantAllClaims{}})
 }
 
 // pauses returns a script that streams an answer with a pause before a token.
