attempt: a paused gateway does not take unread tokens for silence

A gateway that got no processor time for over a second left its sound agents: when it ran again, the progress timers of all its streams expired before it had read the tokens that waited in its sockets. Each stream then took a retry and ran again elsewhere. A check that is over 100 ms late is now skipped, and the next one comes after 100 ms, once what waits has been read (counter StallChecksLate).

--- a/internal/attempt/progress.go
+++ b/internal/attempt/progress.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/operator"
 )
 
@@ -14,6 +15,9 @@
 	betweenTokensTimeoutFactor = 40 // multiple of the class's between-tokens target
 	// silenceCheckInterval is the time between checks of an attempt without progress.
 	silenceCheckInterval = 100 * time.Millisecond
+	// maxCheckDelay is the delay of a check from which the gateway itself has paused. The
+	// agent may have sent tokens that it has not read.
+	maxCheckDelay = silenceCheckInterval
 )
 
 // progressTimer calls onSilence while an attempt makes no progress. Its zero value never
@@ -65,8 +69,11 @@
 	case now.Before(p.checkAt):
 		p.timer.Reset(p.checkAt.Sub(now))
 		return
+	case now.Sub(p.checkAt) > maxCheckDelay:
+		counter.Add("StallChecksLate", 1)
+	default:
+		p.onSilence(p.since)
 	}
-	p.onSilence(p.since)
 	p.checkAt = time.Now().Add(silenceCheckInterval)
 	p.timer.Reset(silenceCheckInterval)
 }
