--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -111,7 +111,7 @@
 	defer cancel()
 	ctx, release := d.ending.Bind(ctx)
 	defer release()
-	f := &inflight{dispatcher: d, request: r, sink: sink, lifecycle: lifecycle, parts: r.PromptParts(), tried: map[string]bool{}, lastReason: outcome.NoReplicaServing, budget: d.budget(r.Class.Name)}
+	f := &inflight{dispatcher: d, request: r, sink: sink, lifecycle: lifecycle, parts: r.PromptParts(), tried: map[string]bool{}, declined: map[string]bool{}, lastReason: outcome.NoReplicaServing, budget: d.budget(r.Class.Name)}
 	f.failover = &failover{request: f}
 	result := f.admitAndRun(ctx)
 	return f.progress.Answer, lifecycle.finish(r.ID, result)
@@ -235,11 +235,14 @@
 	failover         *failover
 	progress         attempt.Progress
 	tried            map[string]bool
-	mayHaveRun       bool           // an attempt was interrupted and may have run
-	accepted         bool           // an agent accepted an attempt and passed it to its backend server
-	parts            []string       // of the prompt
-	last             *run           // last attempt
-	lastReason       outcome.Reason // why it failed
+	declined         map[string]bool // of tried: agents that did not run the request
+	askAgainUntil    time.Time       // see askAgain; zero: not called since an agent accepted
+	askedAgain       int             // successful calls of askAgain since
+	mayHaveRun       bool            // an attempt was interrupted and may have run
+	accepted         bool            // an agent accepted an attempt and passed it to its backend server
+	parts            []string        // of the prompt
+	last             *run            // last attempt
+	lastReason       outcome.Reason  // why it failed
 	interruptedCount int
 	notRunCount      int
 }
@@ -293,6 +296,9 @@
 			return f.giveUp(ctx, outcome.DeadlinePassed)
 		}
 		r, ok := f.tryAgent(ctx)
+		if !ok && f.askAgain(ctx) {
+			continue
+		}
 		if !ok {
 			return f.giveUp(ctx, f.lastReason)
 		}
@@ -319,6 +325,7 @@
 	switch r := r.(type) {
 	case attempt.NotRun:
 		f.lastReason = r.Reason
+		f.declined[f.last.Member.Name] = true
 		f.notRunCount++
 		if r.Reason == outcome.ReplicaServesOtherVersion || r.Reason == outcome.NoReplicaServing {
 			f.repin()
@@ -330,11 +337,14 @@
 			return ""
 		}
 		f.delayAfterNotRun(ctx, r.Reason)
+		if (f.askedAgain > 0 || f.notRunCount >= maxNotRun) && !f.askAgain(ctx) {
+			return f.lastReason
+		}
 	case attempt.Interrupted:
 		f.lastReason = r.Reason
 		f.interruptedCount++
 	}
-	if f.interruptedCount >= maxInterrupted || f.notRunCount >= maxNotRun {
+	if f.interruptedCount >= maxInterrupted {
 		return f.lastReason
 	}
 	if !f.takeRetry(f.lastReason) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -176,6 +176,7 @@
 func (f *inflight) onAccepted(r *run) {
 	f.lifecycle.fire("Begin")
 	f.accepted = true
+	f.askAgainUntil, f.askedAgain = time.Time{}, 0
 	milliseconds := int(r.acceptedAt.Sub(r.startedAt).Milliseconds())
 	f.permit.ObserveLatency(milliseconds, f.request.Class.Target.FirstTokenMilliseconds)
 	counter.Observe("FirstTokenMilliseconds."+f.request.Class.Name, int64(milliseconds))
