--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -108,7 +108,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := a.startProgressTimer(cancel)
-	defer timer.stop()
+	defer timer.hold()
 	response, err := a.Client.Send(attemptCtx, atmostonce.Request{
 		Address: a.Member.Address,
 		Path:    agent.DispatchPath,
--- a/internal/dispatch/failover.go
+++ b/internal/dispatch/failover.go
@@ -13,17 +13,10 @@
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/silence"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
 
-const (
-	// successorDelay is the time from one successor to the next. It doubles with each of
-	// one silence, so that a long silence takes few retries from the budget.
-	successorDelay = 100 * time.Millisecond
-	// maxSuccessorDoublings limits successorDelay to a few seconds.
-	maxSuccessorDoublings = 5
-)
-
 // failover starts successors of an attempt whose agent is silent: attempts at other agents
 // beside it, since the silent agent may still answer. The first attempt that has the next
 // token goes on with the answer, and the others are cancelled. It is safe for concurrent
@@ -98,7 +91,7 @@
 	if !ok {
 		return
 	}
-	f.nextStartAt = now.Add(successorDelay << min(f.started, maxSuccessorDoublings))
+	f.nextStartAt = silence.SuccessorAfter(now, f.started)
 	f.started++
 	f.tried[m.Name] = true
 	s := q.newRun(f.ctx, m, false, *f.current.Progress)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -62,9 +62,9 @@
 	}
 }
 
-// criteria returns what the next agent must satisfy that is not one of those tried. A request whose fingerprint
-// has not completed lately is confined to few agents, so that few backend servers
-// die if it crashes them.
+// criteria returns what the next agent must satisfy that is not one of those tried. A
+// request whose fingerprint has not completed lately is confined to few agents, so that
+// few backend servers die if it crashes them.
 func (f *inflight) criteria(tried map[string]bool) route.Criteria {
 	c := route.Criteria{Affinity: f.request.Affinity(), Exclude: tried}
 	if !f.dispatcher.options.Quarantine.RecentlyCompleted(f.request.Fingerprint, time.Now()) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -71,6 +71,12 @@
 	// maxResponseBytes bounds the body of a response that is not a stream. It is
 	// twice the largest request body that the operators' limits allow.
 	maxResponseBytes = 8 << 20
+	// stallCheckFactor times the route's target latency is the delay after which
+	// the proxy starts to check whether a request has stalled.
+	stallCheckFactor = 1.5
+	// minStallCheckDelay is the least such delay, so that a server that is only
+	// busy is not taken for a stalled one.
+	minStallCheckDelay = 350 * time.Millisecond
 )
 
 var (
@@ -326,7 +332,7 @@
 // forwardWhole sends the caller a response that is not a stream.
 func (a *attempt) forwardWhole() result {
 	e := a.exchange
-	e.stall.stop()
+	e.stall.Stop()
 	if !e.failover.progressed() {
 		return a.interrupted(errSuperseded, false)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -13,6 +13,7 @@
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/schedule"
+	"almondreel.example/almondreel/internal/silence"
 	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
@@ -23,6 +24,8 @@
 	maxRejections = 3
 	// resumeDelay is the first of these waits. It doubles with each.
 	resumeDelay = 100 * time.Millisecond
+	// maxResumeDoublings bounds these doublings, well above what resumeTimeout allows.
+	maxResumeDoublings = 5
 	// resumeTimeout is the time from an interruption after which no further server is asked
 	// to resume the response.
 	resumeTimeout = 1200 * time.Millisecond
@@ -47,20 +50,20 @@
 	suspect       suspectRequest
 	failover      failover
 
-	stall         stallTimer // of the current attempt
-	reserved      bool       // a successor may go on after the last attempt
-	lastServer    string     // server of the last attempt
-	lastFailure   failed     // of the last attempt, while its successors open; else zero
-	serversTried  int        // servers that were sent the request, without successors that ended
-	possibleRuns  int        // servers that may have run it, without successors that ended
-	rejectedBy    []string   // servers that did not run it
-	failedBy      []string   // servers that may have run it and did not complete it
-	firstMS       int64      // milliseconds from arrival until the response began
-	lastEventAt   time.Time  // when the last event was sent to the caller
-	maxPauseMS    int64      // longest pause between events, in milliseconds
-	queueMS       int64      // milliseconds spent waiting for a slot on a server
-	interruptedAt time.Time  // when the last attempt failed; zero again once an event has been sent
-	resumeMS      int64      // milliseconds from interruptedAt until the next event
+	stall         silence.Timer // of the current attempt
+	reserved      bool          // a successor may go on after the last attempt
+	lastServer    string        // server of the last attempt
+	lastFailure   failed        // of the last attempt, while its successors open; else zero
+	serversTried  int           // servers that were sent the request, without successors that ended
+	possibleRuns  int           // servers that may have run it, without successors that ended
+	rejectedBy    []string      // servers that did not run it
+	failedBy      []string      // servers that may have run it and did not complete it
+	firstMS       int64         // milliseconds from arrival until the response began
+	lastEventAt   time.Time     // when the last event was sent to the caller
+	maxPauseMS    int64         // longest pause between events, in milliseconds
+	queueMS       int64         // milliseconds spent waiting for a slot on a server
+	interruptedAt time.Time     // when the last attempt failed; zero again once an event has been sent
+	resumeMS      int64         // milliseconds from interruptedAt until the next event
 }
 
 // run sends the request to servers until one completes it or no other may be
@@ -70,8 +73,8 @@
 	e.suspect = suspectRequest{e.info.AttemptID, e.fingerprint(), e.info.SharedParts}
 	e.failover.exchange = e
 	defer e.failover.stop()
-	e.stall.onSilence = func(since time.Time) { e.failover.onSilence(ctx, since) }
-	defer e.stall.stop()
+	e.stall.OnSilence = func(since time.Time) { e.failover.onSilence(ctx, since) }
+	defer e.stall.Stop()
 	for {
 		if ctx.Err() != nil {
 			return e.timedOut(ctx)
@@ -198,7 +201,7 @@
 func (e *exchange) forward(a *attempt) (r result) {
 	r = cancelled{}
 	defer func() {
-		e.stall.stop()
+		e.stall.Stop()
 		e.reserved = e.failover.endCurrent()
 		a.close()
 		a.release(r.schedulerEnd())
@@ -208,7 +211,7 @@
 		return a.forward()
 	}
 	if e.route.Repeatable() {
-		e.stall.start(a.stallCheckAt(), func() bool { return a.stalled(time.Now()) })
+		e.stall.Start(a.stallCheckAt(), func() bool { return a.stalled(time.Now()) })
 	}
 	if r = a.open(); r == nil {
 		r = a.forward()
@@ -237,7 +240,7 @@
 	if more < 0 || !e.response.begun() {
 		return more < 0
 	}
-	delay := resumeDelay << min(more, maxSuccessorDoublings)
+	delay := resumeDelay << min(more, maxResumeDoublings)
 	if time.Now().Add(delay).After(e.interruptedAt.Add(resumeTimeout)) {
 		return false
 	}
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -11,17 +11,10 @@
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/schedule"
+	"almondreel.example/almondreel/internal/silence"
 	"almondreel.example/almondreel/pkg/quarantine"
 )
 
-const (
-	// successorDelay is the time from one successor to the next. It doubles with each, so
-	// that a long silence takes few retries from the budget.
-	successorDelay = stallCheckInterval
-	// maxSuccessorDoublings limits successorDelay to a few seconds.
-	maxSuccessorDoublings = 5
-)
-
 // errSuperseded cancels an attempt because another one goes on with the response.
 var errSuperseded = errors.New("another server goes on with the response")
 
@@ -89,7 +82,7 @@
 		return
 	}
 	f.markSilent()
-	f.nextStartAt = now.Add(successorDelay << min(len(f.successors), maxSuccessorDoublings))
+	f.nextStartAt = silence.SuccessorAfter(now, len(f.successors))
 	s := &successor{attempt: e.newAttempt(ctx, start.Server, quarantine.Clear), done: make(chan struct{})}
 	f.successors = append(f.successors, s)
 	counter.Add("SuccessorsStarted", 1)
@@ -302,7 +295,7 @@
 		}
 		select {
 		case <-opening.done:
-		case <-time.After(stallCheckInterval):
+		case <-time.After(silence.CheckInterval):
 		}
 	}
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -9,6 +9,7 @@
 	"almondreel.example/almondreel/internal/eventstream"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/schedule"
+	"almondreel.example/almondreel/internal/silence"
 )
 
 // Streams are forwarded byte for byte, one event at a time, and only complete
@@ -16,6 +17,10 @@
 // at another server after the last complete event, and the caller receives one
 // uninterrupted response.
 
+// maxStreamPause is the longest time without an event before another server is asked to go
+// on with the stream. Callers disconnect after two seconds.
+const maxStreamPause = time.Second
+
 var errNoEvent = errors.New("connection closed before the first event")
 
 // openStream reads the first event of a stream. It returns nil if the caller may receive
@@ -53,7 +58,7 @@
 	firstEventAt, survived := time.Now(), false
 	event, err := a.first, error(nil)
 	for ; err == nil; event, err = a.nextEvent() {
-		e.stall.stop() // a caller that reads slowly is no pause of the server
+		e.stall.Stop() // a caller that reads slowly is no pause of the server
 		now := time.Now()
 		e.handler.activity.received(a.server.ID, now)
 		if !survived && now.Sub(firstEventAt) >= provenAnswerTime {
@@ -68,10 +73,10 @@
 		}
 		e.recordEvent(time.Now())
 		if e.route.Repeatable() {
-			e.stall.start(e.lastEventAt.Add(maxStreamPause), alwaysStalled)
+			e.stall.Start(e.lastEventAt.Add(maxStreamPause), silence.Always)
 		}
 	}
-	e.stall.stop()
+	e.stall.Stop()
 	if !errors.Is(err, io.EOF) {
 		return a.interrupted(err, survived)
 	}
@@ -81,9 +86,6 @@
 	return a.endStream(event, survived)
 }
 
-// alwaysStalled is for streams that have begun, whose server owes the next event.
-func alwaysStalled() bool { return true }
-
 // nextEvent reads an event and checks that it follows the last one that was written.
 func (a *attempt) nextEvent() (eventstream.Event, error) {
 	event, err := a.events.Next()
@@ -96,7 +98,7 @@
 // endStream completes the caller's stream with the comments after the last event.
 func (a *attempt) endStream(comments eventstream.Event, survived bool) result {
 	e := a.exchange
-	e.stall.stop()
+	e.stall.Stop()
 	if !e.failover.progressed() {
 		return a.interrupted(errSuperseded, survived)
 	}
--- a/test/hosting/stopsoak_test.go
+++ b/test/hosting/stopsoak_test.go
@@ -23,8 +23,8 @@
 // This soak test does planned work only: every process is stopped and restarted at random
 // times, in ways that overlap, while the configuration and the version change, also in storms,
 // engines are drained and restarted, sound servers are silent for about a second while others
-// refuse requests, and another writer puts odd entries into the store. Nothing fails by itself, so each request must be
-// answered completely, be refused truthfully, or not run.
+// refuse requests, and another writer puts odd entries into the store. Nothing fails by
+// itself, so each request must be answered completely, be refused truthfully, or not run.
 
 const (
 	// plannedTime is how long processes are stopped in one run; the last stops end later.
