--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -50,20 +50,21 @@
 	suspect       suspectRequest
 	failover      failover
 
-	stall         silence.Timer // of the current attempt
-	reserved      bool          // a successor may go on after the last attempt
-	lastServer    string        // server of the last attempt
-	lastFailure   failed        // of the last attempt, while its successors open; else zero
-	serversTried  int           // servers that were sent the request, without successors that ended
-	possibleRuns  int           // servers that may have run it, without successors that ended
-	rejectedBy    []string      // servers that did not run it
-	failedBy      []string      // servers that may have run it and did not complete it
-	firstMS       int64         // milliseconds from arrival until the response began
-	lastEventAt   time.Time     // when the last event was sent to the caller
-	maxPauseMS    int64         // longest pause between events, in milliseconds
-	queueMS       int64         // milliseconds spent waiting for a slot on a server
-	interruptedAt time.Time     // when the last attempt failed; zero again once an event has been sent
-	resumeMS      int64         // milliseconds from interruptedAt until the next event
+	stall         silence.Timer    // of the current attempt
+	slot          schedule.Request // for a slot of the current attempt
+	reserved      bool             // a successor may go on after the last attempt
+	lastServer    string           // server of the last attempt
+	lastFailure   failed           // of the last attempt, while its successors open; else zero
+	serversTried  int              // servers that were sent the request, without successors that ended
+	possibleRuns  int              // servers that may have run it, without successors that ended
+	rejectedBy    []string         // servers that did not run it
+	failedBy      []string         // servers that may have run it and did not complete it
+	firstMS       int64            // milliseconds from arrival until the response began
+	lastEventAt   time.Time        // when the last event was sent to the caller
+	maxPauseMS    int64            // longest pause between events, in milliseconds
+	queueMS       int64            // milliseconds spent waiting for a slot on a server
+	interruptedAt time.Time        // when the last attempt failed; zero again once an event has been sent
+	resumeMS      int64            // milliseconds from interruptedAt until the next event
 }
 
 // run sends the request to servers until one completes it or no other may be
@@ -96,17 +97,27 @@
 // nextAttempt returns the successor that goes on, or an attempt at a server that has a slot
 // for the request. It returns nil and the outcome if there is none.
 func (e *exchange) nextAttempt(ctx context.Context) (*attempt, outcome.Outcome) {
-	if a := e.failover.await(ctx, e.slotRequest(), e.possibleRuns); a != nil {
+	e.slot = e.slotRequest()
+	if !e.reserved {
+		return e.acquireSlot(ctx)
+	}
+	if a := e.failover.await(ctx, e.slot, e.possibleRuns); a != nil {
 		return a, nil
 	}
 	if ctx.Err() != nil {
 		return nil, e.timedOut(ctx)
 	}
-	if e.reserved && !e.mayRetry() { // the successor has ended
+	if !e.mayRetry() {
 		return nil, e.afterSuccessor()
 	}
+	e.slot = e.slotRequest() // the successors have ended
+	return e.acquireSlot(ctx)
+}
+
+// acquireSlot waits for a slot and returns an attempt at its server, or nil and the outcome.
+func (e *exchange) acquireSlot(ctx context.Context) (*attempt, outcome.Outcome) {
 	queuedAt := time.Now()
-	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slotRequest())
+	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slot)
 	e.queueMS += time.Since(queuedAt).Milliseconds()
 	switch d := decision.(type) {
 	case schedule.Start:
@@ -206,7 +217,7 @@
 		a.close()
 		a.release(r.schedulerEnd())
 	}()
-	e.failover.begin(a, e.slotRequest(), e.possibleRuns)
+	e.failover.begin(a, e.slot, e.possibleRuns)
 	if a.opened() {
 		return a.forward()
 	}
