proxy: a panic while a response is forwarded frees the server's slot

With a defect in the handler each such request left a slot taken: the end of the attempt was worked out from a result that was not set yet. Since the failover was built; found by reading.

TestPanicWhileForwardingFreesTheSlot failed before and passes after, under the race detector.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -224,10 +224,10 @@
 	if e.route.Repeatable() {
 		e.stall.Start(a.stallCheckAt(), func() bool { return a.stalled(time.Now()) })
 	}
-	if r = a.open(); r == nil {
-		r = a.forward()
+	if ended := a.open(); ended != nil {
+		return ended
 	}
-	return r
+	return a.forward()
 }
 
 // afterRejection returns the outcome and false, or true if the request is to be retried.
