--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -287,7 +287,7 @@
 	Incomplete      // the response ended before it was complete
 	TimedOut        // no response in time
 	Misdirected     // another server answered at the address
-	Superseded      // another server went on with the response; MarkSilent was called
+	Superseded      // another server went on with the response
 )
 
 // Ended records that an attempt at server id ended. promptMS is the PromptMS of the
