--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -133,7 +133,7 @@
 }
 
 // possibleRuns returns the number of successors that may have run the request, or be
-// running it, without the one that went on.
+// running it, with the one that goes on until it is the current attempt.
 func (f *failover) possibleRuns() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
