--- a/review/drill/bodies.go
+++ b/review/drill/bodies.go
@@ -20,19 +20,19 @@
 	"almondreel.example/almondreel/platform/standin"
 )
 
-// bodiesCase lets many users come at once, for a few seconds, three times. All send bodies
-// of the length that the configuration allows. The platform ends a process that uses more
+// bodiesCase lets many users come at once, for a few seconds, six times. All send bodies of
+// the length that the configuration allows. The platform ends a process that uses more
 // memory than its machine has, and starts it again.
 func bodiesCase(r *record, trouble bool) (verdict, error) {
 	const (
-		bursts      = 3
+		bursts      = 6
 		burstFactor = 1.7
 		burstTime   = 3 * time.Second
 		pause       = 6 * time.Second
 	)
 	usual, _ := strconv.Atoi(os.Getenv("USUAL"))
 	if usual == 0 {
-		usual = 30
+		usual = 31
 	}
 	s, err := startSite(r, size{2, 2}, standin.NewOrigin())
 	if err != nil {
--- a/review/drill/freeze.go
+++ b/review/drill/freeze.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,6 +21,9 @@
 		freeze  = 4 * time.Second
 		spoilt  = 3 // piece that turns bad
 		watched = 4 * time.Second
+		// received is the time in which the agent gets the last piece that it reads. It sends
+		// the order 0.1 s after it has begun to read.
+		received = 10 * time.Millisecond
 	)
 	s, err := startSite(r, size{3, 3}, standin.NewOrigin())
 	if err != nil {
@@ -36,7 +40,8 @@
 	time.Sleep(3 * time.Second)
 	e := s.engines[0]
 	var staged, read atomic.Int64
-	frozen, woken := make(chan struct{}), make(chan struct{})
+	checked, woken := make(chan struct{}), make(chan struct{})
+	var once sync.Once
 	onCall := func(q *http.Request) {
 		piece, _ := strconv.Atoi(q.URL.Query().Get("num"))
 		switch {
@@ -47,7 +52,7 @@
 		case strings.HasPrefix(q.URL.Path, "/almondreel/stage-get/") && q.URL.Query().Has("num"):
 			r.add("engine 0: staged piece %d is read", piece)
 			if staged.Load() >= standin.Pieces && read.Add(1) == standin.Pieces {
-				close(frozen)
+				once.Do(func() { close(checked) })
 			}
 		case q.URL.Path == "/almondreel/order":
 			r.say("engine 0: load order")
@@ -57,7 +62,8 @@
 	s.nameVersion(2)
 	r.say("version 2 is confirmed")
 	select {
-	case <-frozen:
+	case <-checked:
+		time.Sleep(received)
 	case <-time.After(versionMS * time.Millisecond):
 		return verdict{}, errNotDisrupted
 	}
