--- a/review/drill/freeze.go
+++ b/review/drill/freeze.go
@@ -45,16 +45,16 @@
 	onCall := func(q *http.Request) {
 		piece, _ := strconv.Atoi(q.URL.Query().Get("num"))
 		switch {
-		case strings.HasPrefix(q.URL.Path, "/almondreel/stage-put/"):
+		case strings.HasPrefix(q.URL.Path, wire.Stage):
 			r.add("engine 0: piece %d is staged", piece)
 			staged.Add(1)
 			read.Store(0)
-		case strings.HasPrefix(q.URL.Path, "/almondreel/stage-get/") && q.URL.Query().Has("num"):
+		case strings.HasPrefix(q.URL.Path, wire.Staged) && q.URL.Query().Has("num"):
 			r.add("engine 0: staged piece %d is read", piece)
 			if staged.Load() >= standin.Pieces && read.Add(1) == standin.Pieces {
 				once.Do(func() { close(checked) })
 			}
-		case q.URL.Path == "/almondreel/order":
+		case q.URL.Path == wire.Order:
 			r.say("engine 0: load order")
 		}
 	}
--- a/review/drill/manifest.go
+++ b/review/drill/manifest.go
@@ -25,7 +25,7 @@
 
 func (o *spoilingOrigin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o.answers.Add(1)
-	if !strings.HasPrefix(r.URL.Path, "/almondreel/manifest/") {
+	if !strings.HasPrefix(r.URL.Path, wire.Manifest) {
 		o.Origin.ServeHTTP(w, r)
 		return
 	}
--- a/review/drill/site.go
+++ b/review/drill/site.go
@@ -156,10 +156,9 @@
 
 // register writes the entry of a server of the plain service.
 func (s *site) register(n int, ledger *standin.Service) {
-	s.store.put(fmt.Sprint("servers/l-", n), map[string]any{
-		"service": standin.PlainService, "address": ledger.Address(), "zone": zones[n%len(zones)], "version": "1",
-		"slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": time.Since(s.startedAt).Milliseconds(), "born": 1000,
-	})
+	s.store.write(wire.Server+fmt.Sprint("l-", n), fill(entryTemplate, entryValues{
+		Service: standin.PlainService, Address: ledger.Address(), Zone: zones[n%len(zones)], Sequence: time.Since(s.startedAt).Milliseconds(),
+	}))
 }
 
 func (s *site) startEngine(n int) error {
@@ -212,34 +211,12 @@
 // of the organisation "north". It returns the revision.
 func (s *site) configure(keys ...string) int64 {
 	s.configVersion++
-	route := func(name, prefix, kind, service string, engine bool) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": standin.Host, "prefix": prefix, "route_type": kind, "timeout_ms": 6000,
-			"target_latency_ms": 400, "target_itl_ms": 300, "service": service, "max_attempts": 2, "sticky": engine, "resumable": engine, "priority": 1,
-		}
-	}
-	return s.store.put("op/config", map[string]any{
-		"version": s.configVersion,
-		"routes": []any{
-			route("stream", standin.StreamPath, "streaming", standin.EngineService, true),
-			route("once", standin.OncePath, "non_idempotent", standin.PlainService, false),
-		},
-		"services": []any{
-			map[string]any{"name": standin.EngineService, "max_connections": 264, "engine": map[string]any{
-				"slots": 8, "layers": 4, "chunks": standin.Pieces, "chunk_bytes": standin.PieceBytes, "read_per_s": 31900.0,
-				"models": []any{map[string]any{"name": standin.Model, "warmup_s": 0.3}},
-			}},
-			map[string]any{"name": standin.PlainService, "max_connections": 100},
-			map[string]any{"name": "origin", "origin": s.originAddress, "bandwidth_mbps": 9.9, "max_connections": 48},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 10000, "idle_timeout_ms": 30000},
-		"tenants": []any{map[string]any{"name": "north", "api_keys": keys}},
-	})
+	return s.store.write(wire.Configuration, configurationOf(s.configVersion, s.originAddress, keys))
 }
 
 // nameVersion names the version of the weights that engines must serve.
 func (s *site) nameVersion(version int64) {
-	s.store.put("op/version/"+standin.Model, map[string]any{"model": standin.Model, "version": version})
+	s.store.put(wire.NamedVersion+standin.Model, map[string]any{"model": standin.Model, "version": version})
 }
 
 // awaitService waits until every gateway serves both routes.
--- a/review/drill/store.go
+++ b/review/drill/store.go
@@ -115,16 +115,16 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	key, isWrite := strings.CutPrefix(r.URL.Path, "/almondreel/kv-key/")
+	key, isWrite := strings.CutPrefix(r.URL.Path, wire.Write)
 	switch {
 	case r.Method == http.MethodPut && isWrite:
 		value, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
 		if err != nil || s.write(key, value) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	case r.URL.Path == "/almondreel/kv-range":
+	case r.URL.Path == wire.List:
 		s.list(w, r)
-	case r.URL.Path == "/almondreel/kv-watch":
+	case r.URL.Path == wire.Watch:
 		s.watch(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
