--- a/review/drill/site.go
+++ b/review/drill/site.go
@@ -3,11 +3,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -69,7 +71,7 @@
 
 // startSite starts the daemons with the commands of deploy/system.toml. origin serves
 // the weights.
-func startSite(r *record, n size, origin http.Handler) (*site, error) {
+func startSite(r *record, n size, origin http.Handler) (_ *site, err error) {
 	dir, err := os.MkdirTemp("", "drill")
 	if err != nil {
 		return nil, err
@@ -79,6 +81,11 @@
 		return nil, err
 	}
 	s := &site{record: r, dir: dir, ports: ports, store: newStore(), origin: origin, configVersion: 1, stopped: make(chan struct{})}
+	defer func() {
+		if err != nil {
+			s.stop()
+		}
+	}()
 	if s.storeAddress, err = s.listen(s.store); err != nil {
 		return nil, err
 	}
@@ -249,6 +256,7 @@
 			e.agent.Kill()
 		}
 	}
+	s.checkEnded()
 	s.ports.Release()
 	_ = os.RemoveAll(s.dir)
 	for n, e := range s.engines {
@@ -259,6 +267,27 @@
 	}
 }
 
+// checkEnded records, by process ID, whether each daemon has ended. Kill has waited for each
+// run of it.
+func (s *site) checkEnded() {
+	daemons := slices.Clone(s.gateways)
+	for _, e := range s.engines {
+		if e.agent != nil {
+			daemons = append(daemons, e.agent)
+		}
+	}
+	running := 0
+	for _, d := range daemons {
+		id := d.ID()
+		ended := id == 0 || errors.Is(syscall.Kill(id, 0), syscall.ESRCH)
+		if !ended {
+			running++
+		}
+		s.add("process %d, the last run of %s, has ended: %v", id, d.Name, ended)
+	}
+	s.say("%d of %d daemons are still running", running, len(daemons))
+}
+
 // recordRuns records the requests that a server ran.
 func (s *site) recordRuns(server string, runs []standin.Run) {
 	for _, run := range runs {
