weightsync: a load order relies on a check of at most two seconds ago

Cause: Agent.load read back and verified all staged pieces and then waited, for the announced time or for as long as its process was frozen, and sent the order whatever the age of that check. Rounds that restage pieces counted from the start of the first round, so the log could not tell a long check from an old one; the age is now that of the last round that found every piece intact.

Change: the start of that round is kept with the version, is void once the engine restarts or a piece is staged, and no order is sent later than maxCheckAge (2 s) after it. With the order's timeout of 0.5 s the engine accepts it within the three seconds in which corruption cannot be found. The same wait made the switch later than announced: gateways took the engine for back while it loaded. A late order is now announced again.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -62,6 +62,7 @@
 	StagedCorrupt
 	StagingFailed
 	StagedRead
+	LoadPostponed
 )
 
 // Events of requests: 4000 to 4099.
@@ -144,6 +145,7 @@
 	StagedCorrupt:       "staged pieces are missing or corrupt: staging them again",
 	StagingFailed:       "piece could not be staged",
 	StagedRead:          "staged pieces read from an engine that started answering",
+	LoadPostponed:       "load order not sent: no recent check of the staged pieces",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -117,9 +117,9 @@
 	completeAt   time.Time // when all pieces were held; zero before
 	engineStart  int64     // start of the engine that the pieces are staged at, Unix milliseconds
 	stagedUnread bool      // the engine has not answered yet, so its staged pieces are still to be read
-	// stagedReadAt is the start of the read that found every piece staged at
-	// the engine; zero if none did.
-	stagedReadAt time.Time
+	// checkedAt is the start of the last read that found every piece intact in the
+	// engine's staging area; zero if none did.
+	checkedAt time.Time
 }
 
 // sourceCounts counts a version's pieces by where they came from.
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -139,7 +139,7 @@
 		found++
 	}
 	if found == len(v.manifest.Digests) {
-		v.stagedReadAt = start
+		v.checkedAt = start
 	}
 	return found
 }
@@ -186,7 +186,10 @@
 	loadMargin = 40 * time.Millisecond
 )
 
-// load verifies the staged pieces and orders the engine to load them.
+// load verifies the staged pieces and orders the engine to load them. It sends no order
+// if the pieces have not been verified within maxCheckAge, as after a freeze of the agent.
+// The engine then goes on with what it serves until the next attempt, which announces
+// another switch.
 func (a *Agent) load(ctx context.Context, v *version) {
 	at, serving := a.announceSwitch(v)
 	defer a.setSwitching(false)
@@ -195,17 +198,22 @@
 	}
 	a.stagingMu.Lock()
 	defer a.stagingMu.Unlock()
-	checkStartedAt := time.Now()
 	if !a.verifyStaged(ctx, v) || serving && !pause.For(ctx, time.Until(at)) {
 		return
 	}
 	a.setSwitching(true)
-	if !serving {
-		a.announceLoad(v, time.Now())
+	if now := time.Now(); !serving || now.After(at.Add(loadMargin)) {
+		a.announceLoad(v, now)
 	}
 	invariant.Assert(v.scheduler.Complete(), invariant.VerifiedBeforeLoad, "version %d is incomplete", v.manifest.Version)
 	abort := a.answersMovable()
-	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", time.Since(checkStartedAt).Milliseconds())
+	age, ok := a.checkAge(v)
+	if !ok || age > maxCheckAge {
+		event.Log(event.LoadPostponed, "Model", v.manifest.Model, "Version", v.manifest.Version, "CheckedMS", age.Milliseconds())
+		counter.Add("LoadsPostponed", 1)
+		return
+	}
+	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", age.Milliseconds())
 	counter.Add("LoadOrders", 1)
 	if err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); err != nil {
 		event.Fail(event.LoadUnanswered, err, "Version", v.manifest.Version)
@@ -233,8 +241,9 @@
 	return at, serving
 }
 
-// announceLoad announces when an engine that serves nothing will serve, so that
-// gateways can use it before they receive its next report.
+// announceLoad announces when the engine will serve again. Gateways can then use an
+// engine that served nothing before they receive its next report, and they do not use
+// one whose order is later than was announced.
 func (a *Agent) announceLoad(v *version, orderedAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/weightsync/stage.go
+++ b/internal/weightsync/stage.go
@@ -102,12 +102,12 @@
 	}
 }
 
-// markStaged records that every piece of v is staged at the engine. Callers
-// hold stagingMu.
-func (a *Agent) markStaged(v *version) {
+// markStaged records that every piece of v is staged at the engine, and was read
+// intact by a check that started at checkedAt. Callers hold stagingMu.
+func (a *Agent) markStaged(v *version, checkedAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	v.engineStart = a.state.Born
+	v.engineStart, v.checkedAt = a.state.Born, checkedAt
 	for n := range v.staged {
 		v.staged[n] = true
 	}
@@ -121,17 +121,18 @@
 // back intact.
 func (a *Agent) verifyStaged(ctx context.Context, v *version) bool {
 	a.unmarkStaged(v)
-	if a.recentlyRead(v) {
+	if age, ok := a.checkAge(v); ok && age < recentCheckTime {
 		return true
 	}
 	for range maxCheckRounds {
+		startedAt := time.Now()
 		restaged, err := a.restageCorrupt(ctx, v)
 		if err != nil {
 			event.Fail(event.StagedCorrupt, err, "Version", v.manifest.Version)
 			return false
 		}
 		if restaged == 0 {
-			a.markStaged(v)
+			a.markStaged(v, startedAt)
 			return true
 		}
 		event.Log(event.StagedCorrupt, "Pieces", restaged, "Version", v.manifest.Version)
@@ -139,18 +140,28 @@
 	return false
 }
 
-// recentReadTime is how long pieces that were read back count as verified. It is
-// less than three seconds, since no check can rule out corruption in the last
-// three seconds before a load.
-const recentReadTime = time.Second
+const (
+	// maxCheckAge bounds the time from the start of a check of the staged pieces to the
+	// load order. Pieces that turn corrupt after they were read are found by no check.
+	// An engine must not load pieces that have been corrupt for three seconds, and the
+	// order may take up to a call's timeout to reach it.
+	maxCheckAge = 2 * time.Second
+	// recentCheckTime is how long pieces that were read back count as verified when a
+	// load begins. The rest of maxCheckAge is for the wait until the announced time.
+	recentCheckTime = time.Second
+)
 
-// recentlyRead reports whether every piece was read within recentReadTime from
-// this run of the engine, and none was staged since. An agent that starts next to
-// a running engine reads the staged pieces anyway.
-func (a *Agent) recentlyRead(v *version) bool {
+// checkAge returns the time since the start of the last read that found every piece
+// intact. ok is false if there was none, if another run of the engine was read, or if a
+// piece has been staged since. An agent that starts next to a running engine reads the
+// staged pieces anyway.
+func (a *Agent) checkAge(v *version) (age time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return v.engineStart == a.state.Born && time.Since(v.stagedReadAt) < recentReadTime && v.stagedReadAt.After(a.stagedAt)
+	if v.checkedAt.IsZero() || v.engineStart != a.state.Born || !v.checkedAt.After(a.stagedAt) {
+		return 0, false
+	}
+	return time.Since(v.checkedAt), true
 }
 
 // restageCorrupt reads every staged piece back, restages those that are
--- a/internal/weightsync/start_test.go
+++ b/internal/weightsync/start_test.go
@@ -115,7 +115,7 @@
 	require.EqualValues(t, pieces, e.reads.Load())
 }
 
-// Pieces that were read more than recentReadTime ago must be verified again
+// Pieces that were read more than recentCheckTime ago must be verified again
 // before a load.
 func TestPiecesCorruptedSinceTheyWereReadAreRestaged(t *testing.T) {
 	e, o := newStartingEngine(pieces), &fakeOrigin{}
