weightsync: stage no version under a load order that may still be accepted

After an order without an answer the agent staged no new pieces for five seconds, but the check before the next version's load staged all of that version at once. An order that was accepted late then loaded pieces of two versions.

The order without an answer is now kept with its version and the engine's start. Until it expires or the engine restarts, no other version is staged or loaded. An order that the engine answered with a refusal is no longer taken for one (ErrOrderRefused), so a 409 does not delay anything.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -136,7 +136,7 @@
 	LoadOrdered:         "load order sent to engine",
 	LoadConfirmed:       "engine reports the ordered digest",
 	LoadUnanswered:      "load order got no answer: reading the engine's state",
-	OrderRefused:        "order refused: older fencing number",
+	OrderRefused:        "load order refused by the engine",
 	EngineUp:            "engine answers",
 	EngineDown:          "engine does not answer",
 	PieceFetchFailed:    "piece could not be fetched",
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -31,7 +32,7 @@
 func (a *Agent) reconcile(ctx context.Context) {
 	a.mu.Lock()
 	wanted, v, ready, engineDown := a.wanted, a.fetching, a.ready, !a.engineUp && !a.engineAwaited
-	loadDue := ready != nil && a.behind(ready) && !a.state.Loading
+	loadDue := ready != nil && a.behind(ready) && !a.state.Loading && !a.changesPending(ready, time.Now())
 	a.mu.Unlock()
 	if wanted.Version == 0 || wanted.Engine.Model == "" || engineDown {
 		return
@@ -215,9 +216,12 @@
 	}
 	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", age.Milliseconds())
 	counter.Add("LoadOrders", 1)
-	if err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); err != nil {
+	switch err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); {
+	case errors.Is(err, ErrOrderRefused):
+		event.Fail(event.OrderRefused, err, "Version", v.manifest.Version)
+	case err != nil:
 		event.Fail(event.LoadUnanswered, err, "Version", v.manifest.Version)
-		a.delayStaging()
+		a.setPending(v)
 	}
 	a.awaitLoad(ctx, v)
 }
--- a/internal/weightsync/stage.go
+++ b/internal/weightsync/stage.go
@@ -69,7 +69,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v = a.fetching
-	if v == nil || !a.engineUp || now.Before(a.stageAfter) || a.ready != nil && a.ready != v && a.behind(a.ready) {
+	if v == nil || !a.engineUp || a.changesPending(v, now) || a.ready != nil && a.ready != v && a.behind(a.ready) {
 		return nil, 0, false
 	}
 	if v.engineStart != a.state.Born { // the engine restarted, perhaps after a power loss, and may have lost them
@@ -84,12 +84,24 @@
 	return nil, 0, false
 }
 
-// delayStaging stops staging while an order that got no answer may still reach
-// the engine.
-func (a *Agent) delayStaging() {
+// pendingOrder is a load order that got no answer, and that the engine may accept until
+// a time unless it restarts.
+type pendingOrder struct {
+	version, born int64
+	until         time.Time
+}
+
+func (a *Agent) setPending(v *version) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.stageAfter = time.Now().Add(loadTimeout)
+	a.pending = pendingOrder{version: v.manifest.Version, born: a.state.Born, until: time.Now().Add(loadTimeout)}
+}
+
+// changesPending reports whether staging v would change what a pending order of another
+// version loads. Callers hold mu.
+func (a *Agent) changesPending(v *version, now time.Time) bool {
+	o := a.pending
+	return now.Before(o.until) && o.born == a.state.Born && o.version != v.manifest.Version
 }
 
 // unmarkStaged records that staging v overwrites the pieces of the version
--- a/internal/weightsync/weightsync.go
+++ b/internal/weightsync/weightsync.go
@@ -70,8 +70,12 @@
 	Abort   bool // cut off answers in progress; otherwise the engine ends them first
 }
 
+// ErrOrderRefused reports that the engine answered a load order and will not carry it out.
+// After any other error it may still do so.
+var ErrOrderRefused = errors.New("load order was refused")
+
 // Engine is a client of the agent's engine. Report reads the engine's state,
-// and Load orders a load. Stage writes a piece to the engine's staging area,
+// and Load orders a load; its error wraps ErrOrderRefused if the engine refused. Stage writes a piece to the engine's staging area,
 // Staged reads one back, and ListStaged lists the staged pieces of a model.
 type Engine interface {
 	Report(ctx context.Context) (site.EngineState, error)
