weightsync: read a manifest again that intact pieces contradict

After a loss of power the origin corrupted one digit of a digest in its answer with the manifest, and the engine got no weights.

Cause: the first manifest that can be decoded was final. It has no digest of its own, so an agent cannot tell a corrupt one on arrival; its piece was fetched, rejected and fetched again until the next version (event 3011, counter PieceFailures rising while PiecesDrawn.Origin rises with it). Pieces that are corrupt in transit look the same in the log, but differ from fetch to fetch, where an intact piece has the same digest each time. That tells the two apart.

Change: a piece that arrives twice alike, from the origin, other agents or the engine's staging area, contradicts the manifest. The manifest is then read again, from the origin first, since other agents may have the corrupt copy, and replaces the old one only if it has the digests of all such pieces; pieces held under unchanged digests stay.

The form on own instances was read: its manifests are named by their digest and checked on arrival. The stand-in origin of the tests corrupts each answer differently now, as a link does; it sent the same wrong bytes each time.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -63,6 +63,8 @@
 	StagingFailed
 	StagedRead
 	LoadPostponed
+	ManifestContradicted
+	ManifestReplaced
 )
 
 // Events of requests: 4000 to 4099.
@@ -128,24 +130,26 @@
 	ServersChanged:        "backend servers changed",
 	TargetVersionChanged:  "target version of a model changed",
 
-	TransferStarted:     "transfer of a model started",
-	TransferVerified:    "transfer complete and verified",
-	TransferAbandoned:   "transfer abandoned for a newer placement",
-	ChunkRejected:       "chunk rejected: wrong digest or length",
-	ChunkTakenOver:      "chunk taken over from an agent that did not fetch it in time",
-	LoadOrdered:         "load order sent to engine",
-	LoadConfirmed:       "engine reports the ordered digest",
-	LoadUnanswered:      "load order got no answer: reading the engine's state",
-	OrderRefused:        "load order refused by the engine",
-	EngineUp:            "engine answers",
-	EngineDown:          "engine does not answer",
-	PieceFetchFailed:    "piece could not be fetched",
-	ManifestFetchFailed: "manifest could not be read",
-	StagedListFailed:    "staged pieces could not be listed",
-	StagedCorrupt:       "staged pieces are missing or corrupt: staging them again",
-	StagingFailed:       "piece could not be staged",
-	StagedRead:          "staged pieces read from an engine that started answering",
-	LoadPostponed:       "load order not sent: no recent check of the staged pieces",
+	TransferStarted:      "transfer of a model started",
+	TransferVerified:     "transfer complete and verified",
+	TransferAbandoned:    "transfer abandoned for a newer placement",
+	ChunkRejected:        "chunk rejected: wrong digest or length",
+	ChunkTakenOver:       "chunk taken over from an agent that did not fetch it in time",
+	LoadOrdered:          "load order sent to engine",
+	LoadConfirmed:        "engine reports the ordered digest",
+	LoadUnanswered:       "load order got no answer: reading the engine's state",
+	OrderRefused:         "load order refused by the engine",
+	EngineUp:             "engine answers",
+	EngineDown:           "engine does not answer",
+	PieceFetchFailed:     "piece could not be fetched",
+	ManifestFetchFailed:  "manifest could not be read",
+	StagedListFailed:     "staged pieces could not be listed",
+	StagedCorrupt:        "staged pieces are missing or corrupt: staging them again",
+	StagingFailed:        "piece could not be staged",
+	StagedRead:           "staged pieces read from an engine that started answering",
+	LoadPostponed:        "load order not sent: no recent check of the staged pieces",
+	ManifestContradicted: "pieces contradict the manifest: no other manifest has their digests yet",
+	ManifestReplaced:     "manifest was corrupt and has been replaced",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -109,6 +109,7 @@
 // version is a version that the agent fetches or has fetched.
 type version struct {
 	manifest     Manifest
+	evidence     evidence
 	scheduler    *piecesched.Scheduler
 	data         [][]byte
 	staged       []bool // pieces staged at the engine
@@ -369,7 +370,7 @@
 	if !ok {
 		return false
 	}
-	data, err := a.fetchPiece(ctx, v.manifest, f, address)
+	data, err := a.fetchPiece(ctx, v, f, address)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v.scheduler.FetchDone(time.Now(), f, fetchResult(err))
@@ -465,7 +466,8 @@
 }
 
 // fetchPiece fetches a piece and verifies it.
-func (a *Agent) fetchPiece(ctx context.Context, m Manifest, f piecesched.Fetch, address string) ([]byte, error) {
+func (a *Agent) fetchPiece(ctx context.Context, v *version, f piecesched.Fetch, address string) ([]byte, error) {
+	m := v.manifest
 	var data []byte
 	var err error
 	if f.Source.Holder == "" {
@@ -480,7 +482,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return data, m.Verify(f.Piece, data)
+	if err := m.Verify(f.Piece, data); err != nil {
+		a.recordRejected(v, f.Piece, data)
+		return nil, err
+	}
+	return data, nil
 }
 
 // recordHave stores the piece set that a holder sent along with a piece. It is
--- a/internal/weightsync/agent_test.go
+++ b/internal/weightsync/agent_test.go
@@ -132,7 +132,7 @@
 	}
 	o.piecesSent++
 	if o.corruptEvery > 0 && o.piecesSent%o.corruptEvery == 0 {
-		return []byte("spoilt"), nil
+		return fmt.Appendf(nil, "corrupt answer %d", o.piecesSent), nil
 	}
 	return pieceData(version, n), nil
 }
--- a/internal/weightsync/manifests.go
+++ b/internal/weightsync/manifests.go
@@ -42,7 +42,7 @@
 
 // manifestLoop reads the manifest of the wanted version as soon as the version
 // is announced, also while an older one is completed: the origin may be down
-// when the manifest is needed.
+// when the manifest is needed. It reads manifests again that pieces contradict.
 func (a *Agent) manifestLoop(ctx context.Context) {
 	tries := 0
 	for {
@@ -54,6 +54,7 @@
 		} else {
 			tries = 0
 		}
+		a.recheckManifests(ctx)
 		if !pause.For(ctx, delay) {
 			return
 		}
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -114,7 +114,7 @@
 func (a *Agent) newVersion(m Manifest) *version {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &version{
-		manifest: m, data: make([][]byte, len(m.Digests)), staged: make([]bool, len(m.Digests)), engineStart: a.state.Born,
+		manifest: m, evidence: newEvidence(), data: make([][]byte, len(m.Digests)), staged: make([]bool, len(m.Digests)), engineStart: a.state.Born,
 		scheduler: piecesched.NewScheduler(a.Name, a.Region, len(m.Digests), time.Now(), random),
 	}
 }
@@ -130,8 +130,12 @@
 	found, start := 0, time.Now()
 	for _, n := range held {
 		data, err := a.Engine.Staged(ctx, v.manifest.Model, n)
-		if err != nil || v.manifest.Verify(n, data) != nil {
-			continue // corrupt, or of another version
+		if err != nil {
+			continue
+		}
+		if v.manifest.Verify(n, data) != nil { // corrupt, or of another version
+			a.recordRejected(v, n, data)
+			continue
 		}
 		a.mu.Lock()
 		v.data[n], v.staged[n] = data, true
