control: bound the messages of other processes

Reported by other operators: a peer sent bytes that were no answer, without end, and the process that had called it kept them all and ran out of memory. It can happen here on net/rpc connections between the system's own processes, in both forms and both ways: gateways and agents call addresses that the store or other gateways name, which may have been given to another program.

Cause: internal/control read the answer to CONNECT with http.ReadResponse on the bare connection, and encoding/gob allocates a message by the length that the peer sends, up to 8 GB.

Change: the head of the answer to CONNECT is bounded (4 KB). Each connection, of clients and servers, follows the lengths of gob messages and ends before one over 8 MB, or over what is left of 32 MB for all connections of the process. Messages over 4 KB must arrive within 10 s, so that a stalled one returns its share.

Before the change TestEndlessAnswerOfPeerIsNotKept failed for a status line, a header and a message of 1 GB (the client read on until its deadline), and TestEndlessMessagesOfCallersAreNotKept failed as well. TestMessagesThatStallReturnTheirMemory and TestLongMessagesInARowAreReceived guard the limits themselves and passed before.

Read and found bounded: the store's items and watches, pieces and manifests of origins and agents (bounded.ReadAll, decompression), heads of HTTP requests and answers.

--- a/internal/control/connect.go
+++ b/internal/control/connect.go
@@ -6,17 +6,20 @@
 	"io"
 	"net"
 	"net/http"
+
+	"almondreel.example/almondreel/internal/bounded"
 )
 
 // connectedStatus is the HTTP status with which a net/rpc server accepts CONNECT.
 const connectedStatus = "200 Connected to Go RPC"
 
-// connectHTTP asks for the net/rpc service on conn with an HTTP CONNECT request.
+// connectHTTP asks for the net/rpc service on conn with an HTTP CONNECT request. The peer
+// sends nothing after the head of its answer until the first call.
 func connectHTTP(conn net.Conn) error {
 	if _, err := io.WriteString(conn, "CONNECT "+Path+" HTTP/1.0\n\n"); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	response, err := http.ReadResponse(bufio.NewReader(bounded.Reader(conn, maxConnectResponseBytes)), &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return err
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -2,7 +2,8 @@
 // agents, over net/rpc.
 //
 // net/rpc has no deadlines. A Client closes its connection when a call's deadline
-// passes, so that a late answer is discarded.
+// passes, so that a late answer is discarded. It has no limits on messages either: a peer
+// whose message exceeds them is disconnected, on both sides.
 package control
 
 import (
@@ -30,7 +31,7 @@
 			return nil, errs.Wrap(err, "register "+name, "")
 		}
 	}
-	return countBytes(server), nil
+	return limitConns(server), nil
 }
 
 // Path is the HTTP path of the handler that Handle returns.
@@ -146,5 +147,5 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return rpc.NewClient(countingConn{conn}), nil
+	return rpc.NewClient(newLimitedConn(countingConn{conn})), nil
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -30,13 +28,7 @@
 
 func serve(t *testing.T, e *Echo) *control.Client {
 	t.Helper()
-	handler, err := control.Handle(map[string]any{"Echo": e})
-	require.NoError(t, err)
-	mux := http.NewServeMux()
-	mux.Handle(control.Path, handler)
-	server := httptest.NewServer(mux)
-	t.Cleanup(server.Close)
-	c := control.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	c := control.NewClient(serveAddress(t, e))
 	t.Cleanup(c.Close)
 	return c
 }
--- a/internal/control/count.go
+++ b/internal/control/count.go
@@ -26,17 +26,21 @@
 	return n, err
 }
 
-// countBytes wraps a handler that hijacks its connections, and counts their bytes.
-func countBytes(h http.Handler) http.Handler {
+// limitConns wraps a handler that hijacks its connections, counts their bytes and bounds
+// the messages that it receives.
+func limitConns(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.ServeHTTP(countingWriter{w}, r)
+		h.ServeHTTP(limitingWriter{w}, r)
 	})
 }
 
-type countingWriter struct{ http.ResponseWriter }
+type limitingWriter struct{ http.ResponseWriter }
 
-// Hijack takes over the connection and wraps it in a countingConn.
-func (w countingWriter) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+// Hijack takes over the connection and wraps it in a countingConn and a limitedConn.
+func (w limitingWriter) Hijack() (net.Conn, *bufio.ReadWriter, error) {
 	conn, buffered, err := http.NewResponseController(w.ResponseWriter).Hijack()
-	return countingConn{conn}, buffered, err
+	if err != nil {
+		return nil, nil, err
+	}
+	return newLimitedConn(countingConn{conn}), buffered, nil
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,7 @@
 	GatewayDown
 	ServersChanged
 	TargetVersionChanged
+	PeerMessageRejected
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -129,6 +130,7 @@
 	GatewayDown:           "gateway does not answer",
 	ServersChanged:        "backend servers changed",
 	TargetVersionChanged:  "target version of a model changed",
+	PeerMessageRejected:   "message of another process exceeds the limits: connection ended",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
