control: lower the limits of messages so that discarded ones fit, too

A new test, of 16 peers that send answers without end at the same time, took 60 MB of heap with limits of 8 and 32 MB: messages that were discarded stay until they are collected, while others are received. With 4 MB for a message and 16 MB in sum it stays below the test's bound of 48 MB. The longest message that is wanted holds the entries of the metadata store, of at most 1 MB each and compressed if they are long.

TestEndlessAnswersOfManyPeersAreBoundedInSum fails on the code before the limits. The tests now also require that sound peers are served beside faulty ones.

--- a/internal/control/limit.go
+++ b/internal/control/limit.go
@@ -17,10 +17,10 @@
 	maxConnectResponseBytes = 4 << 10
 	// maxMessageBytes bounds one message of a peer. The largest are the state of the
 	// metadata store and of all instances, which a process gets when it starts.
-	maxMessageBytes = 8 << 20
+	maxMessageBytes = 4 << 20
 	// maxBufferedBytes bounds the messages that all connections of the process receive at
 	// the same time.
-	maxBufferedBytes = 32 << 20
+	maxBufferedBytes = 16 << 20
 	// smallMessageBytes is the size up to which messages are received without a share of
 	// maxBufferedBytes and without a deadline. Each connection has a buffer of that size.
 	smallMessageBytes = 4 << 10
--- a/internal/control/limit_test.go
+++ b/internal/control/limit_test.go
@@ -149,7 +149,7 @@
 	for i := range conns {
 		conns[i] = connect(t, address)
 	}
-	longest := append(messageOf(8<<20), make([]byte, 8<<20)...) // decoding it fails
+	longest := append(messageOf(4<<20), make([]byte, 4<<20)...) // decoding it fails
 	grown := watchHeap(t)
 	ended := make(chan struct{}, callers)
 	for i, conn := range conns {
@@ -162,6 +162,7 @@
 			ended <- struct{}{}
 		}()
 	}
+	requireEchoes(t, address, 1<<10) // a sound caller beside them
 	for range conns {
 		<-ended
 	}
@@ -169,6 +170,32 @@
 	requireEchoes(t, address, 1<<20)
 }
 
+// Guards against a process that runs out of memory as many of its peers send answers
+// without end at the same time, each within the limit of one message.
+func TestEndlessAnswersOfManyPeersAreBoundedInSum(t *testing.T) {
+	const peers = 16
+	sound := serveAddress(t, &Echo{})
+	var clients []*control.Client
+	for range peers {
+		clients = append(clients, control.NewClient(endlessPeer(t, []byte(connected), messageOf(4<<20))))
+	}
+	grown := watchHeap(t)
+	failed := make(chan error, peers)
+	for _, c := range clients {
+		go func() {
+			defer c.Close()
+			_, err := call(c, 5*time.Second, Message{Data: []byte("x")})
+			failed <- err
+		}()
+	}
+	requireEchoes(t, sound, 1<<10)
+	for range clients {
+		require.Error(t, <-failed)
+	}
+	require.Less(t, grown(), int64(maxPeerHeap))
+	requireEchoes(t, sound, 1<<20)
+}
+
 func requireEchoes(t *testing.T, address string, size int) {
 	t.Helper()
 	c := control.NewClient(address)
@@ -184,7 +211,7 @@
 	const stalled = 6
 	address := serveAddress(t, &Echo{})
 	for range stalled {
-		_, err := connect(t, address).Write(messageOf(7 << 20))
+		_, err := connect(t, address).Write(messageOf(7 << 19))
 		require.NoError(t, err)
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -192,7 +219,7 @@
 	c := control.NewClient(address)
 	defer c.Close()
 	require.Eventually(t, func() bool {
-		_, err := call(c, time.Second, Message{Data: make([]byte, 6<<20)})
+		_, err := call(c, time.Second, Message{Data: make([]byte, 3<<20)})
 		return err == nil
 	}, 15*time.Second, 100*time.Millisecond)
 }
@@ -207,9 +234,9 @@
 	c := control.NewClient(address)
 	defer c.Close()
 	for range 20 {
-		reply, err := call(c, 10*time.Second, Message{Data: make([]byte, 6<<20)})
+		reply, err := call(c, 10*time.Second, Message{Data: make([]byte, 3<<20)})
 		require.NoError(t, err)
-		require.Len(t, reply.Data, 6<<20)
+		require.Len(t, reply.Data, 3<<20)
 	}
 	small, err := call(c, 10*time.Second, Message{Data: []byte("x")})
 	require.NoError(t, err)
