control: a closed connection reserves nothing more; comments

Found by reading the change again: Close returned the memory that a connection had reserved for a message before it marked the connection as closed. A message that began in between reserved memory that was not returned if the reader did not read again. The mark comes first now.

--- a/internal/control/limit.go
+++ b/internal/control/limit.go
@@ -38,7 +38,7 @@
 var bufferedMessages = bounded.NewMemoryBudget(maxBufferedBytes)
 
 // limitedConn is a connection on which the peer's messages are bounded. encoding/gob
-// allocates a message before it has arrived, up to 1 GB by its length, and a faulty peer or
+// allocates a message before it has arrived, up to 8 GB by its length, and a faulty peer or
 // one of another protocol may send any. So the lengths between the messages are read here,
 // before the decoder sees them. A gob length is one byte up to 127, or the negated count of
 // the big-endian bytes that follow.
@@ -156,9 +156,9 @@
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
-	c.release()
 	c.mu.Lock()
-	c.closed = true
+	c.closed = true // the reader reserves nothing more
 	c.mu.Unlock()
+	c.release()
 	return c.Conn.Close()
 }
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -68,19 +68,20 @@
 	// stagingMu is held while staged pieces change, or must not change.
 	stagingMu sync.Mutex
 
-	mu             sync.Mutex
-	wanted         hostedrpc.Wanted
-	state          site.EngineState
-	engineUp       bool // the engine answered the last read of its state
-	engineAwaited  bool // the engine has not answered since this agent started
-	members        map[string]member
-	rollouts       *rollout.Tracker
-	fetching       *version   // being fetched, or fetched last; nil before the first
-	prefetched     *version   // wanted, but not started while an older version is completed
-	previous       *version   // the one before fetching; kept for agents that still fetch it
-	ready          *version   // the newest version whose pieces are all held
-	switching      bool       // a load order was sent or is in progress
-	switchover     switchover // announced to the gateways
+	mu            sync.Mutex
+	wanted        hostedrpc.Wanted
+	state         site.EngineState
+	engineUp      bool // the engine answered the last read of its state
+	engineAwaited bool // the engine has not answered since this agent started
+	members       map[string]member
+	rollouts      *rollout.Tracker
+	fetching      *version   // being fetched, or fetched last; nil before the first
+	prefetched    *version   // wanted, but not started while an older version is completed
+	previous      *version   // the one before fetching; kept for agents that still fetch it
+	ready         *version   // the newest version whose pieces are all held
+	switching     bool       // a load order was sent or is in progress
+	switchover    switchover // announced to the gateways
+	// pending is the last load order that got no answer.
 	pending        pendingOrder
 	stagedAt       time.Time // when a piece of any version was last staged
 	latestManifest *Manifest // the newest that was read; fetching may not have started
