weightsync: logs that lead from a token to the load it was made with

Lines of agents named their engine by address or not at all, and callers and operators know its ID.

Lines on loads now name the engine's address, its start, the orders that it had accepted and the time since the order. Event 3020 shows each change of what the engine itself reports, with its count of orders, 3021 an order whose version is not reported. No logic changes.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -104,7 +104,7 @@
 	change := addCommand(p.Command, "change", "query changes", &struct{}{})
 	addCommand(change, "status", "show whether a change was accepted", &changeStatus{invocation: inv})
 	addCommand(p.Command, "invoice", "sum the outcomes of requests by organisation and class", &showInvoice{invocation: inv})
-	addCommand(p.Command, "explain", "show the log lines about one request", &explainRequest{invocation: inv})
+	addCommand(p.Command, "explain", "show the log lines about one request or backend server", &explainRequest{invocation: inv})
 	addCommand(p.Command, "check", "validate a settings file as the program does at startup", &check{invocation: inv})
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -42,6 +42,7 @@
 	ServersChanged
 	TargetVersionChanged
 	PeerMessageRejected
+	ServerWeightsChanged
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -66,6 +67,8 @@
 	LoadPostponed
 	ManifestContradicted
 	ManifestReplaced
+	EngineWeightsChanged
+	LoadNotConfirmed
 )
 
 // Events of requests: 4000 to 4099.
@@ -131,6 +134,7 @@
 	ServersChanged:        "backend servers changed",
 	TargetVersionChanged:  "target version of a model changed",
 	PeerMessageRejected:   "message of another process exceeds the limits: connection ended",
+	ServerWeightsChanged:  "weights that a backend server counts as serving changed",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
@@ -152,6 +156,8 @@
 	LoadPostponed:        "load order not sent: no recent check of the staged pieces",
 	ManifestContradicted: "pieces contradict the manifest: no other manifest has their digests yet",
 	ManifestReplaced:     "manifest was corrupt and has been replaced",
+	EngineWeightsChanged: "engine reports other weights",
+	LoadNotConfirmed:     "engine does not report the ordered version",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -33,10 +33,30 @@
 	mu          sync.Mutex
 	agents      *registry.Agents
 	listedCount int
+
+	// weights holds what was last logged of each listed engine, by server ID. Only refresh uses it.
+	weights map[string]countedWeights
+}
+
+// countedWeights is the version that an engine counts as serving, and where that is known
+// from.
+type countedWeights struct {
+	version int64 // 0: the engine counts as serving none
+	source  weightsSource
 }
 
+// weightsSource is where it is known from what an engine serves.
+type weightsSource string
+
+// Sources of what engines serve.
+const (
+	fromEntry        weightsSource = "Entry"        // the engine's entry in the store
+	fromReport       weightsSource = "Report"       // its agent's report
+	fromAnnouncement weightsSource = "Announcement" // the end of a switchover that its agent announced
+)
+
 func newServerTable(view *siteView, h settings.Hosting, pools *proxy.Pools) *serverTable {
-	return &serverTable{siteView: view, hosting: h, pools: pools, agents: registry.New(time.Now().UnixNano())}
+	return &serverTable{siteView: view, hosting: h, pools: pools, agents: registry.New(time.Now().UnixNano()), weights: map[string]countedWeights{}}
 }
 
 // run keeps the pools' server lists up to date until ctx ends.
@@ -60,6 +80,7 @@
 		return
 	}
 	services := map[string][]schedule.Server{}
+	weights := make(map[string]countedWeights, len(t.weights))
 	count := 0
 	for _, s := range t.siteView.listedServers(now) {
 		service, ok := c.Services[s.Service]
@@ -67,8 +88,13 @@
 			continue
 		}
 		count++
-		services[s.Service] = append(services[s.Service], t.scheduledServer(now, s, service))
+		scheduled, source := t.scheduledServer(now, s, service)
+		services[s.Service] = append(services[s.Service], scheduled)
+		if service.Engine.Slots > 0 {
+			weights[s.ID] = t.logWeights(s, scheduled, source)
+		}
 	}
+	t.weights = weights
 	t.pools.SetServers(now, services)
 	if count != t.listedCount {
 		t.listedCount = count
@@ -76,22 +102,36 @@
 	}
 }
 
-// scheduledServer returns a listed server for the scheduler. What an engine has loaded
-// is taken from the report of its agent if there is a recent one, since the engine's
-// entry lags.
-func (t *serverTable) scheduledServer(now time.Time, s site.Server, service site.Service) schedule.Server {
+// logWeights logs the version that an engine counts as serving if it is another one than
+// before, and returns it.
+func (t *serverTable) logWeights(s site.Server, scheduled schedule.Server, source weightsSource) countedWeights {
+	current := countedWeights{source: source}
+	if scheduled.Ready {
+		current.version = scheduled.Version
+	}
+	if known, ok := t.weights[s.ID]; !ok || known.version != current.version {
+		event.Log(event.ServerWeightsChanged, "Server", s.ID, "Address", s.Address, "Born", s.State.Born, "Version", current.version, "Source", string(source))
+	}
+	return current
+}
+
+// scheduledServer returns a listed server for the scheduler, and where it is known from
+// what an engine serves: the report of its agent if there is a recent one, since the
+// engine's entry lags.
+func (t *serverTable) scheduledServer(now time.Time, s site.Server, service site.Service) (schedule.Server, weightsSource) {
 	out := schedule.Server{
 		ID: s.ID, Address: s.Address, Region: t.hosting.Region(s.DataCentre),
 		Slots: max(1, s.Slots), StartUnixMS: s.State.Born, Ready: true,
 	}
 	if service.Engine.Slots == 0 {
-		return out
+		return out, fromEntry
 	}
+	source := fromEntry
 	served := s.State.Served(service.Engine.Layers)
 	served.Whole = served.Whole && served.Version <= t.namedVersion(service.Engine.Model)
 	if a, ok := t.agentReport(s.Address); ok && now.Sub(a.At) < agentReportTTL && a.Born != 0 {
 		if !a.HoldingUnknown {
-			served = servedNow(a, now)
+			served, source = servedNow(a, now)
 		}
 		// An entry of another start is the previous one, perhaps under another ID, or it is
 		// not the engine's. An engine that has just started, of which its agent has not
@@ -100,17 +140,17 @@
 	}
 	out.Version, out.Ready = served.Version, served.Whole
 	out.ServesUntil = t.servesUntil(service.Engine.Model, served.Version)
-	return out
+	return out, source
 }
 
 // servedNow returns what an engine serves at now, by its agent's report and the
 // switchover announced in it.
-func servedNow(a registry.Report, now time.Time) site.ServedWeights {
+func servedNow(a registry.Report, now time.Time) (site.ServedWeights, weightsSource) {
 	served := a.Holding
 	c := a.Change
 	if c.Version == 0 || served.Version >= c.Version {
 		served.Whole = served.Whole && !(a.Switching && c.Version == 0)
-		return served
+		return served, fromReport
 	}
 	since := now.Sub(a.At).Milliseconds()
 	switch {
@@ -120,7 +160,7 @@
 	default:
 		served.Version, served.Whole = c.Version, true
 	}
-	return served
+	return served, fromAnnouncement
 }
 
 func (t *serverTable) agentReport(engineAddress string) (registry.Report, bool) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -197,7 +197,8 @@
 	Born    int64 // Unix milliseconds of its start
 	Model   string
 	Loaded  LayerRange
-	Loading bool // a load order is in progress
+	Loading bool  // a load order is in progress
+	Orders  int64 // orders that it has accepted since its start; 0 in its entry in the store
 }
 
 // LayerRange is a contiguous range of layers of one version.
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -163,9 +163,14 @@
 		}
 		a.engineUp = up
 	}
-	if err == nil {
-		a.state, a.engineAwaited = state, false
+	if err != nil {
+		return
+	}
+	if state != a.state {
+		event.Log(event.EngineWeightsChanged, "Engine", a.EngineAddress, "Born", state.Born, "Orders", state.Orders, "Version", state.Loaded.Version,
+			"FromLayer", state.Loaded.From, "ToLayer", state.Loaded.To, "Loading", state.Loading)
 	}
+	a.state, a.engineAwaited = state, false
 }
 
 // Wanted returns the newest wanted state that the agent received.
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -12,6 +12,7 @@
 	"almondreel.example/almondreel/internal/invariant"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/piecesched"
+	"almondreel.example/almondreel/internal/site"
 )
 
 // reconcileInterval is how often the wanted version is compared with the
@@ -214,20 +215,23 @@
 	abort := a.answersMovable()
 	age, ok := a.checkAge(v)
 	if !ok || age > maxCheckAge {
-		event.Log(event.LoadPostponed, "Model", v.manifest.Model, "Version", v.manifest.Version, "CheckedMS", age.Milliseconds())
+		event.Log(event.LoadPostponed, "Engine", a.EngineAddress, "Model", v.manifest.Model, "Version", v.manifest.Version, "CheckedMS", age.Milliseconds())
 		counter.Add("LoadsPostponed", 1)
 		return
 	}
-	event.Log(event.LoadOrdered, "Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", age.Milliseconds())
+	engine := a.engineState()
+	event.Log(event.LoadOrdered, "Engine", a.EngineAddress, "Born", engine.Born, "Orders", engine.Orders,
+		"Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", age.Milliseconds())
 	counter.Add("LoadOrders", 1)
+	orderedAt := time.Now()
 	switch err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); {
 	case errors.Is(err, ErrOrderRefused):
-		event.Fail(event.OrderRefused, err, "Version", v.manifest.Version)
+		event.Fail(event.OrderRefused, err, "Engine", a.EngineAddress, "Version", v.manifest.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
 	case err != nil:
-		event.Fail(event.LoadUnanswered, err, "Version", v.manifest.Version)
+		event.Fail(event.LoadUnanswered, err, "Engine", a.EngineAddress, "Version", v.manifest.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
 		a.setPending(v)
 	}
-	a.awaitLoad(ctx, v)
+	a.awaitLoad(ctx, v, orderedAt)
 }
 
 // maxCheckTime bounds the time to read back and verify all pieces.
@@ -266,22 +270,32 @@
 
 // awaitLoad returns when the engine serves the version or is not loading it, or
 // after loadTimeout.
-func (a *Agent) awaitLoad(ctx context.Context, v *version) {
+func (a *Agent) awaitLoad(ctx context.Context, v *version, orderedAt time.Time) {
 	until := time.Now().Add(loadTimeout)
 	grace := time.Now().Add(3 * reportInterval)
 	for time.Now().Before(until) && pause.For(ctx, reportInterval/2) {
 		a.mu.Lock()
-		done := !a.behind(v)
+		done, engine := !a.behind(v), a.state
 		idle := !a.engineUp || !a.state.Loading && time.Now().After(grace)
 		a.mu.Unlock()
 		if done {
-			event.Log(event.LoadConfirmed, "Version", v.manifest.Version)
+			event.Log(event.LoadConfirmed, "Engine", a.EngineAddress, "Born", engine.Born, "Orders", engine.Orders,
+				"Version", v.manifest.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
 			return
 		}
 		if idle {
-			return
+			break
 		}
 	}
+	engine := a.engineState()
+	event.Log(event.LoadNotConfirmed, "Engine", a.EngineAddress, "Born", engine.Born, "Orders", engine.Orders,
+		"Version", v.manifest.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
+}
+
+func (a *Agent) engineState() site.EngineState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state
 }
 
 // answersMovable reports whether the engine's answers in progress can continue
