weightsync: a load counts as whole once it was verified after the engine had accepted it

An engine takes what is staged when it accepts an order. Agents looked before the order only, and took the engine's word that it holds the version for the proof that it holds the intact one. An engine that falls silent with the order on its way accepts it seconds later; an agent that starts next to it does not know of the order at all; and the check before a second order stages again what the first has taken corrupt. A look before the act can always be outrun.

Staged pieces never become intact by themselves and only agents stage, so pieces that are read back intact after the acceptance, and were not staged since, are what was loaded. The agent reads them while the engine warms up. Until then, and if the order got no answer, the engine does not count as whole and the announced switch is taken back. A load is identified by the engine's start and its count of accepted orders, so one that this agent did not order is seen. Orders carry that count: the engine refuses one if it has accepted another since, so of two orders on their way only one is accepted.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -69,6 +69,10 @@
 	ManifestReplaced
 	EngineWeightsChanged
 	LoadNotConfirmed
+	LoadVerified
+	LoadUnverified
+	LoadSpoilt
+	UnloadFailed
 )
 
 // Events of requests: 4000 to 4099.
@@ -158,6 +162,10 @@
 	ManifestReplaced:     "manifest was corrupt and has been replaced",
 	EngineWeightsChanged: "engine reports other weights",
 	LoadNotConfirmed:     "engine does not report the ordered version",
+	LoadVerified:         "load verified: its pieces were intact after the engine had accepted the order",
+	LoadUnverified:       "load not verified yet: its pieces could not be read",
+	LoadSpoilt:           "engine may have loaded corrupt pieces: ordering it to unload them",
+	UnloadFailed:         "engine did not unload corrupt pieces: ordering it again",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/hostedrpc/messages.go
+++ b/internal/hostedrpc/messages.go
@@ -37,11 +37,19 @@
 	HoldingUnknown  bool  // the agent has started and does not know yet how many layers make Holding whole
 	Ready           int64 // newest version that the engine could load now; 0 if none
 	Change          Switchover
-	Switching       bool // the engine takes no new requests while it replaces its weights
+	Switching       bool  // the engine takes no new requests while it replaces its weights
+	Unverified      int64 // version that the engine may have loaded, or may still load, unverified; 0: none
 	Pieces          Pieces
 	AgeMilliseconds int64 // age of the report
 }
 
+// UnverifiedLoad is a version that an engine may have loaded without a check of what it
+// took. Version is 0 if there is none.
+type UnverifiedLoad struct {
+	Born    int64 // Unix milliseconds of the engine's start
+	Version int64
+}
+
 // Switchover is an engine's planned change to another version. The engine takes no new
 // requests between start and end. Both are relative to the report, and negative if
 // past. Version is 0 if no change is planned.
@@ -128,6 +136,9 @@
 	// are that, if the agent's digest differed.
 	Quarantine  uint64
 	Convictions []QuarantineEntry
+	// Unverified is a load of the agent's engine that this agent or the one before has not
+	// verified, by its last report.
+	Unverified UnverifiedLoad
 }
 
 // Gateway is the address at which a gateway serves these calls.
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -71,6 +71,7 @@
 	mu            sync.Mutex
 	wanted        hostedrpc.Wanted
 	state         site.EngineState
+	loads         verification
 	engineUp      bool // the engine answered the last read of its state
 	engineAwaited bool // the engine has not answered since this agent started
 	members       map[string]member
@@ -81,6 +82,7 @@
 	ready         *version   // the newest version whose pieces are all held
 	switching     bool       // a load order was sent or is in progress
 	switchover    switchover // announced to the gateways
+	ordering      int64      // version of the load order in progress; 0: none
 	// pending is the last load order that got no answer.
 	pending        pendingOrder
 	stagedAt       time.Time // when a piece of any version was last staged
@@ -144,17 +146,21 @@
 // pollEngine reads the engine's state until ctx ends.
 func (a *Agent) pollEngine(ctx context.Context) {
 	for {
-		state, err := a.Engine.Report(ctx)
-		a.recordState(state, err)
+		a.refreshState(ctx)
 		if !pause.For(ctx, reportInterval) {
 			return
 		}
 	}
 }
 
-func (a *Agent) recordState(state site.EngineState, err error) {
+// recordState records a state of the engine, or the error of the read, which began at
+// readAt. A state that was read earlier than the last one is ignored.
+func (a *Agent) recordState(state site.EngineState, err error, readAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if readAt.Before(a.loads.stateAt) {
+		return
+	}
 	if up := err == nil; up != a.engineUp {
 		if up {
 			event.Log(event.EngineUp, "Engine", a.EngineAddress, "Born", state.Born)
@@ -164,12 +170,14 @@
 		a.engineUp = up
 	}
 	if err != nil {
+		a.pending.extend(time.Now())
 		return
 	}
 	if state != a.state {
 		event.Log(event.EngineWeightsChanged, "Engine", a.EngineAddress, "Born", state.Born, "Orders", state.Orders, "Version", state.Loaded.Version,
 			"FromLayer", state.Loaded.From, "ToLayer", state.Loaded.To, "Loading", state.Loading)
 	}
+	a.loads.record(a.state, state, a.engineAwaited, readAt)
 	a.state, a.engineAwaited = state, false
 }
 
@@ -258,16 +266,17 @@
 
 // State returns the state that the agent reports to gateways.
 func (a *Agent) State() hostedrpc.Agent {
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out := hostedrpc.Agent{
 		Name: a.Name, Address: a.Address, Region: a.Region, Service: a.Service,
 		EngineAddress: a.EngineAddress, Switching: a.switching || a.state.Loading,
-		Change: a.switchover.message(time.Now()),
+		Change: a.switchover.message(now), Unverified: a.unverifiedVersion(now),
 	}
 	if a.engineUp {
 		out.Born = a.state.Born
-		out.Holding = a.state.Served(a.wanted.Engine.Layers)
+		out.Holding = a.served()
 		out.HoldingUnknown = a.wanted.Engine.Layers == 0
 	}
 	if a.ready != nil {
@@ -289,7 +298,7 @@
 
 // behind reports whether the engine serves an older version than v, or none.
 func (a *Agent) behind(v *version) bool {
-	served := a.state.Served(a.wanted.Engine.Layers)
+	served := a.served()
 	return a.engineUp && (served.Version < v.manifest.Version || !served.Whole)
 }
 
@@ -349,7 +358,7 @@
 func (a *Agent) serving() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	served := a.state.Served(a.wanted.Engine.Layers)
+	served := a.served()
 	endsAt, ok := a.rollouts.ServesUntil(a.wanted.Engine.Model, served.Version)
 	if !served.Whole || !ok {
 		return served.Whole
--- a/internal/weightsync/agent_test.go
+++ b/internal/weightsync/agent_test.go
@@ -36,6 +36,7 @@
 	born          int64
 	staged        map[int][]byte
 	servedVersion int64
+	orders        int64 // accepted
 	loads         []int64
 	loadedCorrupt bool // a load found corrupt pieces or pieces of another version
 	aborted       int
@@ -46,7 +47,7 @@
 func (e *fakeEngine) Report(context.Context) (site.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := site.EngineState{Born: e.born, Model: model}
+	s := site.EngineState{Born: e.born, Model: model, Orders: e.orders}
 	if e.servedVersion > 0 {
 		s.Loaded = site.LayerRange{To: layers, Version: e.servedVersion}
 	}
@@ -56,6 +57,10 @@
 func (e *fakeEngine) Load(_ context.Context, o weightsync.Load) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if o.Accepted != e.orders {
+		return weightsync.ErrOrderRefused
+	}
+	e.orders++
 	for n := range pieces {
 		e.loadedCorrupt = e.loadedCorrupt || string(e.staged[n]) != string(pieceData(o.Version, n))
 	}
@@ -67,6 +72,17 @@
 	return nil
 }
 
+func (e *fakeEngine) Unload(_ context.Context, o weightsync.Unload) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Accepted != e.orders {
+		return weightsync.ErrOrderRefused
+	}
+	e.orders++
+	e.servedVersion = 0
+	return nil
+}
+
 func (e *fakeEngine) Stage(_ context.Context, _ string, n int, data []byte) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/weightsync/engine_test.go
+++ b/internal/weightsync/engine_test.go
@@ -104,6 +104,9 @@
 
 // accept begins to load what is staged. Callers hold mu.
 func (e *silentEngine) accept(o weightsync.Load) error {
+	if o.Accepted != e.orders {
+		return fmt.Errorf("%d orders accepted: %w", e.orders, weightsync.ErrOrderRefused)
+	}
 	if e.loadingTo == o.Version || e.loadingTo == 0 && e.version == o.Version {
 		return nil // in progress, or in effect
 	}
@@ -121,6 +124,19 @@
 	return nil
 }
 
+func (e *silentEngine) Unload(ctx context.Context, o weightsync.Unload) error {
+	if err := e.awake(ctx); err != nil {
+		return err
+	}
+	defer e.mu.Unlock()
+	if o.Accepted != e.orders || e.loadingTo != 0 {
+		return fmt.Errorf("busy or %d orders accepted: %w", e.orders, weightsync.ErrOrderRefused)
+	}
+	e.orders++
+	e.version, e.spoilt = 0, false
+	return nil
+}
+
 func (e *silentEngine) Stage(ctx context.Context, _ string, n int, data []byte) error {
 	if err := e.awake(ctx); err != nil {
 		return err
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -42,7 +42,9 @@
 	if v == nil || v.manifest.Model != wanted.Engine.Model || v.manifest.Version != wanted.Version && !a.shouldFinish() {
 		a.startVersion(ctx, wanted)
 	}
-	if loadDue && a.maySwitch(ready) {
+	switch {
+	case a.verifyFound(ctx):
+	case loadDue && a.maySwitch(ready):
 		a.load(ctx, ready)
 	}
 }
@@ -155,7 +157,7 @@
 func (a *Agent) maySwitch(v *version) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	served := a.state.Served(a.wanted.Engine.Layers)
+	served := a.served()
 	if !served.Whole || served.Version == v.manifest.Version {
 		return true
 	}
@@ -192,10 +194,11 @@
 	loadMargin = 40 * time.Millisecond
 )
 
-// load verifies the staged pieces and orders the engine to load them. It sends no order
-// if the pieces have not been verified within maxCheckAge, as after a freeze of the agent.
-// The engine then goes on with what it serves until the next attempt, which announces
-// another switch.
+// load verifies the staged pieces, orders the engine to load them, and verifies them again
+// once it has accepted the order. It sends no order if the pieces have not been verified
+// within maxCheckAge, as after a freeze of the agent, or if the engine has accepted another
+// order meanwhile. The engine then goes on with what it serves until the next attempt,
+// which announces another switch.
 func (a *Agent) load(ctx context.Context, v *version) {
 	at, serving := a.announceSwitch(v)
 	defer a.setSwitching(false)
@@ -204,6 +207,7 @@
 	}
 	a.stagingMu.Lock()
 	defer a.stagingMu.Unlock()
+	before := a.engineState()
 	if !a.verifyStaged(ctx, v) || serving && !pause.For(ctx, time.Until(at)) {
 		return
 	}
@@ -212,6 +216,10 @@
 		a.announceLoad(v, now)
 	}
 	invariant.Assert(v.scheduler.Complete(), invariant.VerifiedBeforeLoad, "version %d is incomplete", v.manifest.Version)
+	// An order that is accepted after this read took what the check has left.
+	if !a.refreshState(ctx) || idOf(a.engineState()) != idOf(before) {
+		return
+	}
 	abort := a.answersMovable()
 	age, ok := a.checkAge(v)
 	if !ok || age > maxCheckAge {
@@ -219,21 +227,38 @@
 		counter.Add("LoadsPostponed", 1)
 		return
 	}
-	engine := a.engineState()
-	event.Log(event.LoadOrdered, "Engine", a.EngineAddress, "Born", engine.Born, "Orders", engine.Orders,
+	event.Log(event.LoadOrdered, "Engine", a.EngineAddress, "Born", before.Born, "Orders", before.Orders,
 		"Model", v.manifest.Model, "Version", v.manifest.Version, "Abort", abort, "CheckedMS", age.Milliseconds())
+	a.order(ctx, v, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort, Accepted: before.Orders})
+}
+
+// order sends a load order, verifies the load if the engine accepts it, and waits for its
+// end. Callers hold stagingMu.
+func (a *Agent) order(ctx context.Context, v *version, o Load) {
+	a.setOrdering(o.Version)
+	defer a.setOrdering(0)
 	counter.Add("LoadOrders", 1)
 	orderedAt := time.Now()
-	switch err := a.Engine.Load(ctx, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort}); {
+	switch err := a.Engine.Load(ctx, o); {
 	case errors.Is(err, ErrOrderRefused):
-		event.Fail(event.OrderRefused, err, "Engine", a.EngineAddress, "Version", v.manifest.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
+		event.Fail(event.OrderRefused, err, "Engine", a.EngineAddress, "Version", o.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
+		a.withdrawSwitchover()
 	case err != nil:
-		event.Fail(event.LoadUnanswered, err, "Engine", a.EngineAddress, "Version", v.manifest.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
+		event.Fail(event.LoadUnanswered, err, "Engine", a.EngineAddress, "Version", o.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
 		a.setPending(v)
+		a.withdrawSwitchover()
+	case a.refreshState(ctx):
+		a.verifyLoad(ctx, v)
 	}
 	a.awaitLoad(ctx, v, orderedAt)
 }
 
+func (a *Agent) setOrdering(version int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ordering = version
+}
+
 // maxCheckTime bounds the time to read back and verify all pieces.
 const maxCheckTime = 100 * time.Millisecond
 
@@ -243,7 +268,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	at = time.Now()
-	served := a.state.Served(a.wanted.Engine.Layers)
+	served := a.served()
 	endsAt, ok := a.rollouts.ServesUntil(v.manifest.Model, served.Version)
 	serving = served.Whole && ok && at.Before(endsAt) // an expired version gets no requests
 	if serving {
@@ -275,7 +300,7 @@
 	grace := time.Now().Add(3 * reportInterval)
 	for time.Now().Before(until) && pause.For(ctx, reportInterval/2) {
 		a.mu.Lock()
-		done, engine := !a.behind(v), a.state
+		done, engine := a.engineUp && !a.behind(v), a.state
 		idle := !a.engineUp || !a.state.Loading && time.Now().After(grace)
 		a.mu.Unlock()
 		if done {
--- a/internal/weightsync/stage.go
+++ b/internal/weightsync/stage.go
@@ -91,6 +91,13 @@
 	until         time.Time
 }
 
+// extend moves the time until which an engine that does not answer may accept the order.
+func (o *pendingOrder) extend(now time.Time) {
+	if now.Before(o.until) {
+		o.until = now.Add(loadTimeout)
+	}
+}
+
 func (a *Agent) setPending(v *version) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/weightsync/start_test.go
+++ b/internal/weightsync/start_test.go
@@ -12,13 +12,15 @@
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/piecesched"
 	"almondreel.example/almondreel/internal/site"
+	"almondreel.example/almondreel/internal/weightsync"
 )
 
 // startingEngine is an engine that fails all calls until it is up.
 type startingEngine struct {
 	*fakeEngine
-	up    atomic.Bool
-	reads atomic.Int64
+	up           atomic.Bool
+	reads        atomic.Int64
+	readsAtOrder atomic.Int64 // reads before the last load order
 }
 
 var errStarting = errors.New("engine is starting")
@@ -42,6 +44,11 @@
 	return e.fakeEngine.Staged(ctx, modelName, n)
 }
 
+func (e *startingEngine) Load(ctx context.Context, o weightsync.Load) error {
+	e.readsAtOrder.Store(e.reads.Load())
+	return e.fakeEngine.Load(ctx, o)
+}
+
 func (e *startingEngine) Stage(ctx context.Context, modelName string, n int, data []byte) error {
 	if !e.up.Load() {
 		return errStarting
@@ -97,8 +104,8 @@
 }
 
 // All processes and engines lose everything except the staged pieces. A
-// restarted agent must read the pieces only once and announce when its engine
-// will serve.
+// restarted agent must read the pieces only once before the load order, once
+// after it, and announce when its engine will serve.
 func TestRecentlyReadPiecesAreLoadedWithoutAnotherCheck(t *testing.T) {
 	e, o := newStartingEngine(pieces), &fakeOrigin{}
 	e.up.Store(true)
@@ -112,7 +119,9 @@
 		return announced && e.servingVersion() == 1
 	}, 2*time.Second, time.Millisecond, "the switch is announced to gateways")
 	require.Zero(t, o.piecesSent)
-	require.EqualValues(t, pieces, e.reads.Load())
+	require.EqualValues(t, pieces, e.readsAtOrder.Load())
+	require.Eventually(t, func() bool { return a.State().Holding.Whole }, 2*time.Second, time.Millisecond)
+	require.EqualValues(t, 2*pieces, e.reads.Load())
 }
 
 // Pieces that were read more than recentCheckTime ago must be verified again
--- /dev/null
+++ b/internal/weightsync/verify.go
@@ -0,0 +1,186 @@
+package weightsync
+
+import (
+	"context"
+	"time"
+
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/hostedrpc"
+	"almondreel.example/almondreel/internal/site"
+)
+
+// An engine takes what is staged when it accepts an order, which may be long after the
+// order was sent, and after the agent that sent it has ended. No check before the order
+// can therefore tell what was loaded. Staged pieces turn corrupt but never intact by
+// themselves, and only agents stage. So pieces that are read back intact after the
+// acceptance, and were not staged since, are what the engine has loaded. Until then the
+// load counts as incomplete, and a load that fails the check is unloaded.
+
+// loadID identifies what an engine has loaded by its start and the orders that it has
+// accepted since.
+type loadID struct{ born, orders int64 }
+
+func idOf(s site.EngineState) loadID { return loadID{s.Born, s.Orders} }
+
+// verification is what the agent knows of its engine's loads.
+type verification struct {
+	verified loadID // the last load that counts as whole
+	found    bool   // verified was complete when the agent first read the engine's state
+	spoilt   loadID // the last load that failed the check
+	// acceptedAfter is when a read of the state began that showed one order less: the
+	// last order was accepted later.
+	acceptedAfter time.Time
+	stateAt       time.Time // when the last read of the state began
+}
+
+// record adds a state that was read from readAt on. first is set for the first one.
+func (c *verification) record(known, state site.EngineState, first bool, readAt time.Time) {
+	switch {
+	case first && !state.Loading:
+		c.verified, c.found = idOf(state), true
+	case idOf(known) != idOf(state):
+		c.acceptedAfter = c.stateAt
+	}
+	c.stateAt = readAt
+}
+
+// covers reports whether what an engine in this state has loaded counts as whole. An
+// engine that has accepted no order since its start has not taken staged pieces.
+func (c *verification) covers(s site.EngineState) bool {
+	return s.Orders == 0 || c.verified == idOf(s)
+}
+
+// served returns what the engine serves. A load that has not been verified does not count
+// as whole. Callers hold mu.
+func (a *Agent) served() site.ServedWeights {
+	served := a.state.Served(a.wanted.Engine.Layers)
+	served.Whole = served.Whole && a.loads.covers(a.state)
+	return served
+}
+
+// unverified reports whether the engine holds all layers of a load that has not been
+// verified. Callers hold mu.
+func (a *Agent) unverified() bool {
+	return a.engineUp && !a.state.Loading && a.state.Served(a.wanted.Engine.Layers).Whole && !a.loads.covers(a.state)
+}
+
+// unverifiedVersion returns the version that the engine may have loaded, or may still
+// load, without a check since: that of an order in progress, of one that got no answer,
+// or of a load by an earlier agent's order. It is 0 if there is none. Callers hold mu.
+func (a *Agent) unverifiedVersion(now time.Time) int64 {
+	switch o := a.pending; {
+	case a.ordering != 0:
+		return a.ordering
+	case now.Before(o.until) && o.born == a.state.Born:
+		return o.version
+	case a.loads.covers(a.state):
+		return 0
+	}
+	return a.state.Loaded.Version
+}
+
+// SetUnverified sets what gateways know of a load that the previous agent of this engine
+// had not verified when it ended. It is ignored once this agent has verified a load.
+func (a *Agent) SetUnverified(l hostedrpc.UnverifiedLoad) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.loads.found && a.state.Born == l.Born && a.state.Loaded.Version == l.Version {
+		a.loads.verified, a.loads.found = loadID{}, false
+	}
+}
+
+// refreshState reads the engine's state and reports whether it answered.
+func (a *Agent) refreshState(ctx context.Context) bool {
+	readAt := time.Now()
+	state, err := a.Engine.Report(ctx)
+	a.recordState(state, err, readAt)
+	return err == nil
+}
+
+// verifyFound verifies a load that ended without it, as after an order that got no answer,
+// and reports whether there was one of a version that the agent knows.
+func (a *Agent) verifyFound(ctx context.Context) bool {
+	a.mu.Lock()
+	needed := a.unverified()
+	v := a.find(a.state.Model, a.state.Loaded.Version)
+	a.mu.Unlock()
+	if !needed || v == nil {
+		return false
+	}
+	a.stagingMu.Lock()
+	defer a.stagingMu.Unlock()
+	a.verifyLoad(ctx, v)
+	return true
+}
+
+// verifyLoad reads back the pieces of the version that the engine was last ordered to
+// load, and has accepted. If one is not intact, the engine is ordered to unload it. On an
+// error the load stays unverified. Callers hold stagingMu.
+func (a *Agent) verifyLoad(ctx context.Context, v *version) {
+	a.mu.Lock()
+	state := a.state
+	id, stagedSince := idOf(state), a.stagedAt.After(a.loads.acceptedAfter)
+	spoilt := a.loads.spoilt == id
+	a.mu.Unlock()
+	if spoilt {
+		a.unload(ctx, v, state)
+		return
+	}
+	corrupt, err := a.countCorrupt(ctx, v)
+	if err != nil {
+		event.Fail(event.LoadUnverified, err, "Engine", a.EngineAddress, "Born", id.born, "Orders", id.orders, "Version", v.manifest.Version)
+		return
+	}
+	a.mu.Lock()
+	if corrupt > 0 || stagedSince {
+		a.loads.spoilt = id
+	} else {
+		a.loads.verified, a.loads.found = id, false
+	}
+	a.mu.Unlock()
+	if corrupt == 0 && !stagedSince {
+		event.Log(event.LoadVerified, "Engine", a.EngineAddress, "Born", id.born, "Orders", id.orders, "Version", v.manifest.Version)
+		return
+	}
+	counter.Add("LoadsSpoilt", 1)
+	event.Log(event.LoadSpoilt, "Engine", a.EngineAddress, "Born", id.born, "Orders", id.orders, "Version", v.manifest.Version,
+		"Corrupt", corrupt, "StagedSince", stagedSince)
+	a.unload(ctx, v, state)
+}
+
+// countCorrupt reads every staged piece back and returns how many differ from the version's.
+func (a *Agent) countCorrupt(ctx context.Context, v *version) (int, error) {
+	corrupt := 0
+	for n := range v.manifest.Digests {
+		data, err := a.Engine.Staged(ctx, v.manifest.Model, n)
+		if err != nil {
+			return corrupt, err
+		}
+		if v.manifest.Verify(n, data) != nil {
+			corrupt++
+		}
+	}
+	return corrupt, nil
+}
+
+// unload orders the engine to unload what it has loaded, and takes back the switchover that
+// was announced. An engine that is loading refuses; the order is then repeated by
+// verifyFound.
+func (a *Agent) unload(ctx context.Context, v *version, state site.EngineState) {
+	a.withdrawSwitchover()
+	err := a.Engine.Unload(ctx, Unload{Model: v.manifest.Model, Version: v.manifest.Version, Accepted: state.Orders})
+	if err != nil {
+		event.Fail(event.UnloadFailed, err, "Engine", a.EngineAddress, "Born", state.Born, "Orders", state.Orders, "Version", v.manifest.Version)
+		return
+	}
+	a.refreshState(ctx)
+}
+
+// withdrawSwitchover takes back what was announced of the load in progress, so that
+// gateways go by the agent's report of what the engine serves.
+func (a *Agent) withdrawSwitchover() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.switchover = switchover{}
+}
--- a/internal/weightsync/weightsync.go
+++ b/internal/weightsync/weightsync.go
@@ -1,12 +1,12 @@
 // Package weightsync keeps the model weights of an agent's engine on a hosting
 // platform at the version that operators announced. It fetches the version's
-// pieces, stages them at the engine, orders the load, and serves pieces to other
-// agents. On the operators' own instances packages transfer and replica do so.
+// pieces, stages them at the engine, orders the load, verifies what was loaded, and
+// serves pieces to other agents. On the operators' own instances packages transfer and replica do so.
 //
 // A version is a list of pieces, each with a digest. Pieces come from the
 // origin or from other agents. Each is verified on arrival, staged at the
-// engine, and read back and verified again just before the load order, since
-// staged pieces can become corrupt. Package piecesched decides which piece to
+// engine, and read back and verified again just before the load order and after the
+// engine has accepted it, since staged pieces can become corrupt. Package piecesched decides which piece to
 // fetch from where, and when an engine may switch versions.
 package weightsync
 
@@ -65,21 +65,31 @@
 
 // Load is an order to load all layers of the staged version.
 type Load struct {
-	Model   string
-	Version int64
-	Abort   bool // cut off answers in progress; otherwise the engine ends them first
+	Model    string
+	Version  int64
+	Abort    bool  // cut off answers in progress; otherwise the engine ends them first
+	Accepted int64 // orders accepted before, by the engine's state; it refuses if it has accepted another one since
 }
 
-// ErrOrderRefused reports that the engine answered a load order and will not carry it out.
+// Unload is an order to unload all layers, which cuts off answers in progress.
+type Unload struct {
+	Model    string
+	Version  int64
+	Accepted int64 // as in Load
+}
+
+// ErrOrderRefused reports that the engine answered an order and will not carry it out.
 // After any other error it may still do so.
 var ErrOrderRefused = errors.New("load order was refused")
 
-// Engine is a client of the agent's engine. Report reads the engine's state,
-// and Load orders a load; its error wraps ErrOrderRefused if the engine refused. Stage writes a piece to the engine's staging area,
-// Staged reads one back, and ListStaged lists the staged pieces of a model.
+// Engine is a client of the agent's engine. Report reads the engine's state. Load and
+// Unload order the engine; their errors wrap ErrOrderRefused if the engine refused. Stage
+// writes a piece to the engine's staging area, Staged reads one back, and ListStaged lists
+// the staged pieces of a model.
 type Engine interface {
 	Report(ctx context.Context) (site.EngineState, error)
 	Load(ctx context.Context, o Load) error
+	Unload(ctx context.Context, o Unload) error
 	Stage(ctx context.Context, model string, piece int, data []byte) error
 	Staged(ctx context.Context, model string, piece int) ([]byte, error)
 	ListStaged(ctx context.Context, model string) ([]int, error)
