hosted: gateways remember loads that an agent had not verified when it ended

An agent can be killed with a load order on its way, or before it has verified the load.

Agents report the version that they have ordered and not verified. Gateways keep that, and announced switches, beyond the agent's end, for an hour at most, do not use the engine for that version by its entry, and tell the next agent, which verifies the load before it reports it as whole. Without such a report an agent that starts next to a serving engine trusts it: to unload engines because staged pieces turned corrupt later would take out engines that serve well.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -303,6 +303,7 @@
 		event.Log(event.GatewayUp, "Address", r.address)
 	}
 	a.currentAddress, a.lastContactAt, a.cursor = r.address, time.Now(), r.reply.Mark
+	a.weights.SetUnverified(r.reply.Unverified)
 	a.weights.SetWanted(r.reply.Wanted, r.reply.Named)
 	a.weights.UpdateMembers(r.reply.Others)
 	a.gatewayQuarantine = r.reply.Quarantine
--- a/internal/hosted/export_test.go
+++ b/internal/hosted/export_test.go
@@ -3,7 +3,11 @@
 import (
 	"time"
 
+	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/mirror"
+	"almondreel.example/almondreel/internal/registry"
+	"almondreel.example/almondreel/internal/settings"
+	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/platform"
 )
 
@@ -30,3 +34,24 @@
 func AnswerUntil(began time.Time, grace time.Duration) time.Time {
 	return newStopTimes(began, grace).answer
 }
+
+// Servers exposes what a gateway knows of its backend servers.
+type Servers struct{ table *serverTable }
+
+// NewServers returns the servers of a view, of which no agent has reported.
+func NewServers(v View) Servers { return Servers{newServerTable(v.view, settings.Hosting{}, nil)} }
+
+// Report records an agent's report of a time.
+func (s Servers) Report(a hostedrpc.Agent, at time.Time) {
+	s.table.agents.Record(a, at, registry.Direct)
+}
+
+// Expire removes agents that were not heard from.
+func (s Servers) Expire(now time.Time) { s.table.agents.Expire(now) }
+
+// Serves reports whether requests are sent to an engine at a time, by its entry and
+// reports.
+func (s Servers) Serves(entry site.Server, service site.Service, now time.Time) bool {
+	scheduled, _ := s.table.scheduledServer(now, entry, service)
+	return scheduled.Ready
+}
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -57,6 +57,7 @@
 	reply.Wanted = gs.servers.wanted(request.Agent.Service)
 	delta := gs.servers.agentsSince(request.Mark, request.Agent)
 	reply.Others, reply.Mark = delta.AgentChanges, delta.Cursor
+	reply.Unverified = gs.servers.unverifiedLoad(request.Agent.EngineAddress)
 	reply.Gateways = gs.gatewaysIfChanged(request.Gateways, now)
 	reply.Named = gs.versionAges(now)
 	mergeConvictions(gs.crashes.Table, request.Convictions, now)
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -129,6 +129,9 @@
 	source := fromEntry
 	served := s.State.Served(service.Engine.Layers)
 	served.Whole = served.Whole && served.Version <= t.namedVersion(service.Engine.Model)
+	if l := t.unverifiedLoad(s.Address); l.Born == s.State.Born && l.Version == served.Version {
+		served.Whole = false // its agent ended before it had verified the load
+	}
 	if a, ok := t.agentReport(s.Address); ok && now.Sub(a.At) < agentReportTTL && a.Born != 0 {
 		if !a.HoldingUnknown {
 			served, source = servedNow(a, now)
@@ -169,6 +172,14 @@
 	return t.agents.ByEngine(engineAddress)
 }
 
+// unverifiedLoad returns a load of an engine that its agent had not verified when it last
+// reported.
+func (t *serverTable) unverifiedLoad(engineAddress string) hostedrpc.UnverifiedLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.agents.Unverified(engineAddress)
+}
+
 // applyReport applies a report that an agent sent to this gateway.
 func (t *serverTable) applyReport(a hostedrpc.Agent, now time.Time) {
 	t.mu.Lock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -57,12 +57,13 @@
 	entries       map[string]*entry
 	agentByEngine map[string]string // agent name by engine address
 	removals      []removal
+	unverified    map[string]unverified // by engine address
 }
 
 // New returns a registry without agents. start must differ between starts of the
 // process, because change numbers begin again at 0.
 func New(start int64) *Agents {
-	return &Agents{start: start, entries: map[string]*entry{}, agentByEngine: map[string]string{}}
+	return &Agents{start: start, entries: map[string]*entry{}, agentByEngine: map[string]string{}, unverified: map[string]unverified{}}
 }
 
 // Record stores an agent's report from time at, unless it already has a newer one. It
@@ -87,6 +88,7 @@
 	}
 	known.Report = Report{Agent: a, At: at, Path: path}
 	r.agentByEngine[a.EngineAddress] = a.Name
+	r.recordUnverified(a, at)
 	return stateChanged
 }
 
@@ -112,7 +114,7 @@
 // times until a version change.
 type agentState struct {
 	address, region, service, engine string
-	born, ready, change              int64
+	born, ready, change, unverified  int64
 	model                            string
 	version                          int64
 	whole, unknown, switching        bool
@@ -121,7 +123,7 @@
 func stateOf(a hostedrpc.Agent) agentState {
 	return agentState{
 		address: a.Address, region: a.Region, service: a.Service, engine: a.EngineAddress,
-		born: a.Born, ready: a.Ready, change: a.Change.Version,
+		born: a.Born, ready: a.Ready, change: a.Change.Version, unverified: a.Unverified,
 		model: a.Holding.Model, version: a.Holding.Version, whole: a.Holding.Whole, unknown: a.HoldingUnknown, switching: a.Switching,
 	}
 }
@@ -143,6 +145,7 @@
 		r.change++
 		r.removals = append(r.removals, removal{name, r.change})
 	}
+	r.expireUnverified(now)
 	if over := len(r.removals) - maxRemovals; over > 0 {
 		r.compacted = r.removals[over-1].change
 		r.removals = slices.Delete(r.removals, 0, over)
@@ -189,7 +192,7 @@
 
 // peerView returns a without the fields that other agents do not need.
 func peerView(a hostedrpc.Agent) hostedrpc.Agent {
-	a.EngineAddress, a.Ready, a.Change, a.AgeMilliseconds = "", 0, hostedrpc.Switchover{}, 0
+	a.EngineAddress, a.Ready, a.Change, a.Unverified, a.AgeMilliseconds = "", 0, hostedrpc.Switchover{}, 0, 0
 	return a
 }
 
--- a/internal/weightsync/late_order_test.go
+++ b/internal/weightsync/late_order_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/weightsync"
 )
 
@@ -112,3 +113,46 @@
 	require.Eventually(t, func() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.spoiltLoads == 1 }, 10*time.Second, time.Millisecond)
 	requireServedWhole(t, e, a, 2, 5*time.Second)
 }
+
+// Guards against an engine that had loaded a corrupt piece before its agent started: the
+// agent before had not verified the load when it was killed.
+func TestLoadThatPreviousAgentHadNotVerifiedIsVerified(t *testing.T) {
+	for name, corrupt := range map[string]bool{"Spoilt": true, "Intact": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newSilentEngine(2)
+			e.orders = 1
+			if corrupt {
+				e.corrupt(3)
+				e.spoilt = true
+			}
+			a, stop := runAgentWithRollout(e, &fakeOrigin{}, 2000)
+			defer stop()
+			require.Eventually(t, func() bool { return a.State().Born == 1 }, time.Second, time.Millisecond)
+			a.SetUnverified(hostedrpc.UnverifiedLoad{Born: 1, Version: 2})
+			a.SetWanted(wanted(2), nil)
+			requireServedWhole(t, e, a, 2, 5*time.Second)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			require.Equal(t, corrupt, e.orders > 1, "an intact load stays")
+		})
+	}
+}
+
+// An agent that starts next to a serving engine, of which no gateway doubts the load, must
+// not unload it for pieces that turned corrupt since.
+func TestRestartedAgentKeepsVerifiedLoad(t *testing.T) {
+	e := newSilentEngine(2)
+	e.orders = 1
+	e.corrupt(3)
+	a, stop := runAgentWithRollout(e, &fakeOrigin{}, 2000)
+	defer stop()
+	a.SetUnverified(hostedrpc.UnverifiedLoad{})
+	a.SetWanted(wanted(2), nil)
+	requireServedWhole(t, e, a, 2, 2*time.Second)
+	time.Sleep(500 * time.Millisecond)
+	require.True(t, countsAsWhole(a, 2))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.EqualValues(t, 1, e.orders)
+}
