--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -157,7 +157,7 @@
 	StagedCorrupt:        "staged pieces are missing or corrupt: staging them again",
 	StagingFailed:        "piece could not be staged",
 	StagedRead:           "staged pieces read from an engine that started answering",
-	LoadPostponed:        "load order not sent: no recent check of the staged pieces",
+	LoadPostponed:        "load order not sent",
 	ManifestContradicted: "pieces contradict the manifest: no other manifest has their digests yet",
 	ManifestReplaced:     "manifest was corrupt and has been replaced",
 	EngineWeightsChanged: "engine reports other weights",
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -218,13 +218,13 @@
 	invariant.Assert(v.scheduler.Complete(), invariant.VerifiedBeforeLoad, "version %d is incomplete", v.manifest.Version)
 	// An order that is accepted after this read took what the check has left.
 	if !a.refreshState(ctx) || idOf(a.engineState()) != idOf(before) {
+		a.postponeLoad(v, "EngineChanged")
 		return
 	}
 	abort := a.answersMovable()
 	age, ok := a.checkAge(v)
 	if !ok || age > maxCheckAge {
-		event.Log(event.LoadPostponed, "Engine", a.EngineAddress, "Model", v.manifest.Model, "Version", v.manifest.Version, "CheckedMS", age.Milliseconds())
-		counter.Add("LoadsPostponed", 1)
+		a.postponeLoad(v, "CheckTooOld", "CheckedMS", age.Milliseconds())
 		return
 	}
 	event.Log(event.LoadOrdered, "Engine", a.EngineAddress, "Born", before.Born, "Orders", before.Orders,
@@ -232,6 +232,12 @@
 	a.order(ctx, v, Load{Model: v.manifest.Model, Version: v.manifest.Version, Abort: abort, Accepted: before.Orders})
 }
 
+// postponeLoad logs why a load order was not sent, with further pairs of keys and values.
+func (a *Agent) postponeLoad(v *version, reason string, pairs ...any) {
+	event.Log(event.LoadPostponed, append([]any{"Engine", a.EngineAddress, "Model", v.manifest.Model, "Version", v.manifest.Version, "Reason", reason}, pairs...)...)
+	counter.Add("LoadsPostponed", 1)
+}
+
 // order sends a load order, verifies the load if the engine accepts it, and waits for its
 // end. Callers hold stagingMu.
 func (a *Agent) order(ctx context.Context, v *version, o Load) {
