weightsync: an agent remembers what it is told of its engine's load before that answers

Callers can get tokens from weights that nobody has verified: the agent before was killed with a load order on its way, and a gateway told the next agent while its engine was silent.

The agent keeps the load until its engine answers first. What another gateway does not know of changes nothing.

--- a/internal/weightsync/verify.go
+++ b/internal/weightsync/verify.go
@@ -28,6 +28,9 @@
 	verified loadID // the last load that counts as whole
 	found    bool   // verified was complete when the agent first read the engine's state
 	spoilt   loadID // the last load that failed the check
+	// told is a load that the previous agent had not verified, as a gateway told before
+	// the engine answered. It is zero if there is none.
+	told hostedrpc.UnverifiedLoad
 	// acceptedAfter is when a read of the state began that showed one order less: the
 	// last order was accepted later.
 	acceptedAfter time.Time
@@ -37,7 +40,7 @@
 // record adds a state that was read from readAt on. first is set for the first one.
 func (c *verification) record(known, state site.EngineState, first bool, readAt time.Time) {
 	switch {
-	case first && !state.Loading:
+	case first && !state.Loading && !isLoad(state, c.told):
 		c.verified, c.found = idOf(state), true
 	case idOf(known) != idOf(state):
 		c.acceptedAfter = c.stateAt
@@ -45,6 +48,10 @@
 	c.stateAt = readAt
 }
 
+func isLoad(s site.EngineState, l hostedrpc.UnverifiedLoad) bool {
+	return l.Version != 0 && s.Born == l.Born && s.Loaded.Version == l.Version
+}
+
 // covers reports whether what an engine in this state has loaded counts as whole. An
 // engine that has accepted no order since its start has not taken staged pieces.
 func (c *verification) covers(s site.EngineState) bool {
@@ -85,7 +92,10 @@
 func (a *Agent) SetUnverified(l hostedrpc.UnverifiedLoad) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.loads.found && a.state.Born == l.Born && a.state.Loaded.Version == l.Version {
+	if a.engineAwaited && l.Version != 0 {
+		a.loads.told = l
+	}
+	if a.loads.found && isLoad(a.state, l) {
 		a.loads.verified, a.loads.found = loadID{}, false
 	}
 }
