weightsync: an engine that keeps a spoilt load still loads the next version

An engine that refuses to unload what failed the check stayed without a version for good: its agent repeated the order every 40 ms, with a line of the log each time, and ordered nothing else. The same while the staged pieces could not be read.

A failed check or unload is repeated after 250 ms, then after twice the time up to 1 s; meanwhile a newer version that is ready is loaded. The version that the engine holds is not ordered again: such an order does nothing.

TestNewerVersionIsLoadedAlthoughTheEngineKeepsSpoiltOne, TestRefusedUnloadIsRepeatedLessAndLessOften (74 orders in 3 s, 6 allowed) and TestUnreadablePiecesAreReadLessAndLessOften (88 reads, 55 allowed) failed before, pass now. TestLoadWithMissingPieceIsUnloaded passed before, too. go test -race ./internal/weightsync passes.

--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -33,7 +33,7 @@
 func (a *Agent) reconcile(ctx context.Context) {
 	a.mu.Lock()
 	wanted, v, ready, engineDown := a.wanted, a.fetching, a.ready, !a.engineUp && !a.engineAwaited
-	loadDue := ready != nil && a.behind(ready) && !a.state.Loading && !a.changesPending(ready, time.Now())
+	loadDue := ready != nil && a.behind(ready) && !a.state.Loading && !a.holdsUnverified(ready) && !a.changesPending(ready, time.Now())
 	a.mu.Unlock()
 	if wanted.Version == 0 || wanted.Engine.Model == "" || engineDown {
 		return
--- a/internal/weightsync/verify.go
+++ b/internal/weightsync/verify.go
@@ -35,6 +35,21 @@
 	// last order was accepted later.
 	acceptedAfter time.Time
 	stateAt       time.Time // when the last read of the state began
+	retryAt       time.Time // a check or unload order that failed is not repeated before
+	failures      int       // of checks and unload orders of the last load
+}
+
+const (
+	// minVerifyPause and maxVerifyPause bound the time between two checks of a load, or
+	// orders to unload it, of which the first failed; it doubles with each.
+	minVerifyPause = 250 * time.Millisecond
+	maxVerifyPause = time.Second
+)
+
+// postpone records that a check or an unload order failed.
+func (c *verification) postpone(now time.Time) {
+	c.retryAt = now.Add(min(minVerifyPause<<min(c.failures, 8), maxVerifyPause))
+	c.failures++
 }
 
 // record adds a state that was read from readAt on. first is set for the first one.
@@ -45,6 +60,9 @@
 	case idOf(known) != idOf(state):
 		c.acceptedAfter = c.stateAt
 	}
+	if idOf(known) != idOf(state) {
+		c.retryAt, c.failures = time.Time{}, 0
+	}
 	c.stateAt = readAt
 }
 
@@ -109,10 +127,11 @@
 }
 
 // verifyFound verifies a load that ended without it, as after an order that got no answer,
-// and reports whether there was one of a version that the agent knows.
+// and reports whether there was one of a version that the agent knows and whose check is
+// due.
 func (a *Agent) verifyFound(ctx context.Context) bool {
 	a.mu.Lock()
-	needed := a.unverified()
+	needed := a.unverified() && !time.Now().Before(a.loads.retryAt)
 	v := a.find(a.state.Model, a.state.Loaded.Version)
 	a.mu.Unlock()
 	if !needed || v == nil {
@@ -139,6 +158,7 @@
 	}
 	corrupt, err := a.countCorrupt(ctx, v)
 	if err != nil {
+		a.postponeVerification()
 		event.Fail(event.LoadUnverified, err, "Engine", a.EngineAddress, "Born", id.born, "Orders", id.orders, "Version", v.manifest.Version)
 		return
 	}
@@ -181,12 +201,25 @@
 	a.withdrawSwitchover()
 	err := a.Engine.Unload(ctx, Unload{Model: v.manifest.Model, Version: v.manifest.Version, Accepted: state.Orders})
 	if err != nil {
+		a.postponeVerification()
 		event.Fail(event.UnloadFailed, err, "Engine", a.EngineAddress, "Born", state.Born, "Orders", state.Orders, "Version", v.manifest.Version)
 		return
 	}
 	a.refreshState(ctx)
 }
 
+func (a *Agent) postponeVerification() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.loads.postpone(time.Now())
+}
+
+// holdsUnverified reports whether the engine holds v by a load that has not been verified.
+// An order to load v does nothing then. Callers hold mu.
+func (a *Agent) holdsUnverified(v *version) bool {
+	return a.unverified() && v.manifest.isVersion(a.state.Model, a.state.Loaded.Version)
+}
+
 // withdrawSwitchover takes back what was announced of the load in progress, so that
 // gateways go by the agent's report of what the engine serves.
 func (a *Agent) withdrawSwitchover() {
