--- a/internal/weightsync/verify.go
+++ b/internal/weightsync/verify.go
@@ -28,23 +28,48 @@
 	verified loadID // the last load that counts as whole
 	found    bool   // verified was complete when the agent first read the engine's state
 	spoilt   loadID // the last load that failed the check
+	// told is a load that the previous agent had not verified, as a gateway told before
+	// the engine answered. It is zero if there is none.
+	told hostedrpc.UnverifiedLoad
 	// acceptedAfter is when a read of the state began that showed one order less: the
 	// last order was accepted later.
 	acceptedAfter time.Time
 	stateAt       time.Time // when the last read of the state began
+	retryAt       time.Time // a check or unload order that failed is not repeated before
+	failures      int       // of checks and unload orders of the last load
+}
+
+const (
+	// minVerifyPause and maxVerifyPause bound the time between two checks of a load, or
+	// orders to unload it, of which the first failed; it doubles with each.
+	minVerifyPause = 250 * time.Millisecond
+	maxVerifyPause = time.Second
+)
+
+// postpone records that a check or an unload order failed.
+func (c *verification) postpone(now time.Time) {
+	c.retryAt = now.Add(min(minVerifyPause<<min(c.failures, 8), maxVerifyPause))
+	c.failures++
 }
 
 // record adds a state that was read from readAt on. first is set for the first one.
 func (c *verification) record(known, state site.EngineState, first bool, readAt time.Time) {
 	switch {
-	case first && !state.Loading:
+	case first && !state.Loading && !isLoad(state, c.told):
 		c.verified, c.found = idOf(state), true
 	case idOf(known) != idOf(state):
 		c.acceptedAfter = c.stateAt
 	}
+	if idOf(known) != idOf(state) {
+		c.retryAt, c.failures = time.Time{}, 0
+	}
 	c.stateAt = readAt
 }
 
+func isLoad(s site.EngineState, l hostedrpc.UnverifiedLoad) bool {
+	return l.Version != 0 && s.Born == l.Born && s.Loaded.Version == l.Version
+}
+
 // covers reports whether what an engine in this state has loaded counts as whole. An
 // engine that has accepted no order since its start has not taken staged pieces.
 func (c *verification) covers(s site.EngineState) bool {
@@ -85,7 +110,10 @@
 func (a *Agent) SetUnverified(l hostedrpc.UnverifiedLoad) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.loads.found && a.state.Born == l.Born && a.state.Loaded.Version == l.Version {
+	if a.engineAwaited && l.Version != 0 {
+		a.loads.told = l
+	}
+	if a.loads.found && isLoad(a.state, l) {
 		a.loads.verified, a.loads.found = loadID{}, false
 	}
 }
@@ -99,10 +127,11 @@
 }
 
 // verifyFound verifies a load that ended without it, as after an order that got no answer,
-// and reports whether there was one of a version that the agent knows.
+// and reports whether there was one of a version that the agent knows and whose check is
+// due.
 func (a *Agent) verifyFound(ctx context.Context) bool {
 	a.mu.Lock()
-	needed := a.unverified()
+	needed := a.unverified() && !time.Now().Before(a.loads.retryAt)
 	v := a.find(a.state.Model, a.state.Loaded.Version)
 	a.mu.Unlock()
 	if !needed || v == nil {
@@ -129,6 +158,7 @@
 	}
 	corrupt, err := a.countCorrupt(ctx, v)
 	if err != nil {
+		a.postponeVerification()
 		event.Fail(event.LoadUnverified, err, "Engine", a.EngineAddress, "Born", id.born, "Orders", id.orders, "Version", v.manifest.Version)
 		return
 	}
@@ -171,12 +201,25 @@
 	a.withdrawSwitchover()
 	err := a.Engine.Unload(ctx, Unload{Model: v.manifest.Model, Version: v.manifest.Version, Accepted: state.Orders})
 	if err != nil {
+		a.postponeVerification()
 		event.Fail(event.UnloadFailed, err, "Engine", a.EngineAddress, "Born", state.Born, "Orders", state.Orders, "Version", v.manifest.Version)
 		return
 	}
 	a.refreshState(ctx)
 }
 
+func (a *Agent) postponeVerification() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.loads.postpone(time.Now())
+}
+
+// holdsUnverified reports whether the engine holds v by a load that has not been verified.
+// An order to load v does nothing then. Callers hold mu.
+func (a *Agent) holdsUnverified(v *version) bool {
+	return a.unverified() && v.manifest.isVersion(a.state.Model, a.state.Loaded.Version)
+}
+
 // withdrawSwitchover takes back what was announced of the load in progress, so that
 // gateways go by the agent's report of what the engine serves.
 func (a *Agent) withdrawSwitchover() {
