registry: pass on a switch that is announced again for another time

A switch whose order was not sent is announced again for the same version, later. Gateways took the two reports for equal, since the times are relative to the report, and told others only that the agent is alive: those used the engine while it drained or loaded, which answers 421. A report whose announced end differs by more than 100 ms counts as changed.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -77,7 +77,7 @@
 		known = &entry{}
 		r.entries[a.Name] = known
 	}
-	stateChanged := !ok || stateOf(known.Agent) != stateOf(a)
+	stateChanged := !ok || stateOf(known.Agent) != stateOf(a) || changeMoved(known.Report, a, at)
 	pieces := known.Pieces
 	if stateChanged || !samePieces(pieces, a.Pieces) {
 		r.change++
@@ -92,6 +92,21 @@
 	return stateChanged
 }
 
+// maxChangeJitter is by how much the announced time of a switchover may differ between two
+// reports of the same one: they take different times to arrive.
+const maxChangeJitter = 100 * time.Millisecond
+
+// changeMoved reports whether a, of time at, announces the switchover of the known report for
+// another time.
+func changeMoved(known Report, a hostedrpc.Agent, at time.Time) bool {
+	if a.Change.Version == 0 || known.Change.Version != a.Change.Version {
+		return false
+	}
+	before := known.At.Add(time.Duration(known.Change.EndMilliseconds) * time.Millisecond)
+	now := at.Add(time.Duration(a.Change.EndMilliseconds) * time.Millisecond)
+	return now.Sub(before).Abs() > maxChangeJitter
+}
+
 // MarkAlive records that an agent was alive at a time, with its report unchanged.
 func (r *Agents) MarkAlive(name string, at time.Time) {
 	if known, ok := r.entries[name]; ok && at.After(known.At) {
--- a/internal/registry/unverified_test.go
+++ b/internal/registry/unverified_test.go
@@ -80,3 +80,29 @@
 	r.Record(a, after(200), registry.Direct)
 	require.Equal(t, hostedrpc.UnverifiedLoad{Born: a.Born, Version: 2}, r.Unverified(a.EngineAddress))
 }
+
+// Guards against a gateway that goes by the first announcement of a switch that is announced
+// again, later and for the same version, and relayed by another gateway.
+func TestSecondAnnouncementOfVersionReachesOtherGateways(t *testing.T) {
+	a := newAgent(1)
+	a.Change = hostedrpc.Switchover{Version: 2, StartMilliseconds: 300, EndMilliseconds: 1140}
+	known, other := newRegistry(1), newRegistry(2)
+	var sent registry.Sent
+	relay := func(ms int) {
+		reports, alive := known.Unsent(&sent, after(ms), registry.Resend{Alive: after(ms), Pieces: after(ms)}, func(registry.Report) bool { return true })
+		for _, report := range reports {
+			other.Record(report, after(ms), registry.SameRegion)
+		}
+		for _, l := range alive {
+			other.MarkAlive(l.Name, after(ms))
+		}
+	}
+	known.Record(a, after(100), registry.Direct)
+	relay(100)
+	a.Change = hostedrpc.Switchover{Version: 2, StartMilliseconds: 0, EndMilliseconds: 340}
+	known.Record(a, after(1500), registry.Direct)
+	relay(1500)
+	report, ok := other.ByEngine(a.EngineAddress)
+	require.True(t, ok)
+	require.EqualValues(t, 340, report.Change.EndMilliseconds)
+}
