weightsync: after a spoilt load the next order does not rely on the check before it

An engine whose load had failed the check was ordered to load the same corrupt piece again, up to a second long: pieces that were read intact within the last second are not read again before an order, and the check that found the corrupt piece did not revoke that. Found by a piece of another version that is staged late, between check and order, by a call whose sender gave up.

A load that fails the check revokes the check before it.

--- a/internal/weightsync/verify.go
+++ b/internal/weightsync/verify.go
@@ -165,6 +165,7 @@
 	a.mu.Lock()
 	if corrupt > 0 || stagedSince {
 		a.loads.spoilt = id
+		v.checkedAt = time.Time{} // the next order must not rely on the check before this one
 	} else {
 		a.loads.verified, a.loads.found = id, false
 	}
