weightsync: a staging without an answer counts until it can no longer arrive

Callers can get tokens from a corrupt piece that the engine took: a piece is staged by a call that gets no answer, and arrives just after the engine has accepted an order. The time of the staging was that of the call's end.

Such a staging now counts as possible until the engine has answered reports for 500 ms. No load is ordered before, and a load that is accepted before then does not pass the check. What the engine has taken by a call of an earlier agent, killed with it on its way, is not covered.

--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -85,7 +85,7 @@
 	ordering      int64      // version of the load order in progress; 0: none
 	// pending is the last load order that got no answer.
 	pending        pendingOrder
-	stagedAt       time.Time // when a piece of any version was last staged
+	stagedAt       time.Time // when a piece of any version was last staged; to come if one may arrive late
 	latestManifest *Manifest // the newest that was read; fetching may not have started
 }
 
@@ -171,6 +171,7 @@
 	}
 	if err != nil {
 		a.pending.extend(time.Now())
+		a.extendStaging(time.Now())
 		return
 	}
 	if state != a.state {
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -31,9 +31,11 @@
 }
 
 func (a *Agent) reconcile(ctx context.Context) {
+	now := time.Now()
 	a.mu.Lock()
 	wanted, v, ready, engineDown := a.wanted, a.fetching, a.ready, !a.engineUp && !a.engineAwaited
-	loadDue := ready != nil && a.behind(ready) && !a.state.Loading && !a.holdsUnverified(ready) && !a.changesPending(ready, time.Now())
+	loadDue := ready != nil && a.behind(ready) && !a.state.Loading && !a.holdsUnverified(ready) &&
+		!a.changesPending(ready, now) && !now.Before(a.stagedAt)
 	a.mu.Unlock()
 	if wanted.Version == 0 || wanted.Engine.Model == "" || engineDown {
 		return
--- a/internal/weightsync/stage.go
+++ b/internal/weightsync/stage.go
@@ -53,15 +53,33 @@
 	return true
 }
 
+// lateStagingTime is how long after an engine has answered again a piece may still be
+// staged whose sender got no answer.
+const lateStagingTime = 500 * time.Millisecond
+
 // stage stages a piece of a version. Callers hold stagingMu.
 func (a *Agent) stage(ctx context.Context, v *version, piece int) error {
 	err := a.Engine.Stage(ctx, v.manifest.Model, piece, v.data[piece])
+	stagedBy := time.Now()
+	if err != nil { // the engine may have staged it, or may do so yet
+		stagedBy = stagedBy.Add(lateStagingTime)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.stagedAt = time.Now() // also after an error, as the engine may have staged it
+	if stagedBy.After(a.stagedAt) {
+		a.stagedAt = stagedBy
+	}
 	return err
 }
 
+// extendStaging moves the time until which an engine that does not answer may stage a
+// piece late. Callers hold mu.
+func (a *Agent) extendStaging(now time.Time) {
+	if now.Before(a.stagedAt) {
+		a.stagedAt = now.Add(lateStagingTime)
+	}
+}
+
 // nextUnstaged returns a held piece of the current version that is not staged
 // yet. While an older version is complete and waits to be loaded, nothing is
 // staged over it.
