weightsync: a report does not tell of orders that were accepted since its state

The platform's pages say that what an engine reports is as of some hundred ms ago. The check of a load took the start of a read that showed one order less for a time before the acceptance.

A report counts as up to 500 ms old, but a load whose order was answered was accepted after that order was sent: the engine refuses a wrong count before anything else. Only a state with the new count begins the check at once; verifyFound does so otherwise.

--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -246,7 +246,7 @@
 	a.setOrdering(o.Version)
 	defer a.setOrdering(0)
 	counter.Add("LoadOrders", 1)
-	orderedAt := time.Now()
+	orderedAt, born := time.Now(), a.engineState().Born
 	switch err := a.Engine.Load(ctx, o); {
 	case errors.Is(err, ErrOrderRefused):
 		event.Fail(event.OrderRefused, err, "Engine", a.EngineAddress, "Version", o.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
@@ -255,12 +255,21 @@
 		event.Fail(event.LoadUnanswered, err, "Engine", a.EngineAddress, "Version", o.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
 		a.setPending(v)
 		a.withdrawSwitchover()
-	case a.refreshState(ctx):
+	case a.showsOrder(ctx, loadID{born, o.Accepted + 1}, orderedAt):
 		a.verifyLoad(ctx, v)
 	}
 	a.awaitLoad(ctx, v, orderedAt)
 }
 
+// showsOrder records that an order for a load was answered, and reports whether the
+// engine's report shows it already.
+func (a *Agent) showsOrder(ctx context.Context, load loadID, sentAt time.Time) bool {
+	a.mu.Lock()
+	a.loads.recordAnswer(a.state, load, sentAt)
+	a.mu.Unlock()
+	return a.refreshState(ctx) && idOf(a.engineState()) == load
+}
+
 func (a *Agent) setOrdering(version int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/weightsync/verify.go
+++ b/internal/weightsync/verify.go
@@ -31,14 +31,19 @@
 	// told is a load that the previous agent had not verified, as a gateway told before
 	// the engine answered. It is zero if there is none.
 	told hostedrpc.UnverifiedLoad
-	// acceptedAfter is when a read of the state began that showed one order less: the
-	// last order was accepted later.
+	// acceptedAfter is a time before the engine accepted the last order: a read of the state
+	// that began maxReportAge later showed one order less, or the order was sent then.
 	acceptedAfter time.Time
+	answered      loadID    // the load by the last order that was answered
+	answeredAfter time.Time // when that order was sent
 	stateAt       time.Time // when the last read of the state began
 	retryAt       time.Time // a check or unload order that failed is not repeated before
 	failures      int       // of checks and unload orders of the last load
 }
 
+// maxReportAge bounds the age of the state in an engine's report, by the platform's pages.
+const maxReportAge = 500 * time.Millisecond
+
 const (
 	// minVerifyPause and maxVerifyPause bound the time between two checks of a load, or
 	// orders to unload it, of which the first failed; it doubles with each.
@@ -57,8 +62,11 @@
 	switch {
 	case first && !state.Loading && !isLoad(state, c.told):
 		c.verified, c.found = idOf(state), true
-	case idOf(known) != idOf(state):
-		c.acceptedAfter = c.stateAt
+	case idOf(state) == idOf(known):
+	case idOf(state) == c.answered:
+		c.acceptedAfter = c.answeredAfter
+	default:
+		c.acceptedAfter = c.stateAt.Add(-maxReportAge)
 	}
 	if idOf(known) != idOf(state) {
 		c.retryAt, c.failures = time.Time{}, 0
@@ -66,6 +74,15 @@
 	c.stateAt = readAt
 }
 
+// recordAnswer records that the engine answered the order for a load, which was sent at
+// sentAt. It would have refused if it had accepted another order before.
+func (c *verification) recordAnswer(known site.EngineState, load loadID, sentAt time.Time) {
+	c.answered, c.answeredAfter = load, sentAt
+	if idOf(known) == load { // a read of the state was faster
+		c.acceptedAfter = sentAt
+	}
+}
+
 func isLoad(s site.EngineState, l hostedrpc.UnverifiedLoad) bool {
 	return l.Version != 0 && s.Born == l.Born && s.Loaded.Version == l.Version
 }
