--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -86,7 +86,7 @@
 	reported      int64      // Unverified of the last report that a gateway received
 	// pending is the last load order that got no answer.
 	pending        pendingOrder
-	stagedAt       time.Time // when a piece of any version was last staged
+	stagedAt       time.Time // when a piece of any version was last staged; to come if one may arrive late
 	latestManifest *Manifest // the newest that was read; fetching may not have started
 }
 
@@ -172,6 +172,7 @@
 	}
 	if err != nil {
 		a.pending.extend(time.Now())
+		a.extendStaging(time.Now())
 		return
 	}
 	if state != a.state {
@@ -181,6 +182,9 @@
 	if idOf(state) != idOf(a.state) {
 		a.pending = pendingOrder{} // it was accepted, or is refused by its count or start
 	}
+	if now := time.Now(); state.Born != a.state.Born && now.Before(a.stagedAt) {
+		a.stagedAt = now // no call to the engine's former start can arrive
+	}
 	a.loads.record(a.state, state, a.engineAwaited, readAt)
 	a.state, a.engineAwaited = state, false
 }
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -31,9 +31,11 @@
 }
 
 func (a *Agent) reconcile(ctx context.Context) {
+	now := time.Now()
 	a.mu.Lock()
 	wanted, v, ready, engineDown := a.wanted, a.fetching, a.ready, !a.engineUp && !a.engineAwaited
-	loadDue := ready != nil && a.behind(ready) && !a.state.Loading && !a.holdsUnverified(ready) && !a.changesPending(ready, time.Now())
+	loadDue := ready != nil && a.behind(ready) && !a.state.Loading && !a.holdsUnverified(ready) &&
+		!a.changesPending(ready, now) && !now.Before(a.stagedAt)
 	a.mu.Unlock()
 	if wanted.Version == 0 || wanted.Engine.Model == "" || engineDown {
 		return
@@ -246,7 +248,7 @@
 // end. Callers hold stagingMu.
 func (a *Agent) order(ctx context.Context, v *version, o Load) {
 	counter.Add("LoadOrders", 1)
-	orderedAt := time.Now()
+	orderedAt, born := time.Now(), a.engineState().Born
 	switch err := a.Engine.Load(ctx, o); {
 	case errors.Is(err, ErrOrderRefused):
 		event.Fail(event.OrderRefused, err, "Engine", a.EngineAddress, "Version", o.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
@@ -255,7 +257,7 @@
 		event.Fail(event.LoadUnanswered, err, "Engine", a.EngineAddress, "Version", o.Version, "OrderedMS", time.Since(orderedAt).Milliseconds())
 		a.setPending(v)
 		a.withdrawSwitchover()
-	case a.refreshState(ctx):
+	case a.showsOrder(ctx, loadID{born, o.Accepted + 1}, orderedAt):
 		a.verifyLoad(ctx, v)
 	}
 	a.awaitLoad(ctx, v, orderedAt)
@@ -290,6 +292,15 @@
 	a.reported = report.Unverified
 }
 
+// showsOrder records that an order for a load was answered, and reports whether the
+// engine's report shows it already.
+func (a *Agent) showsOrder(ctx context.Context, load loadID, sentAt time.Time) bool {
+	a.mu.Lock()
+	a.loads.recordAnswer(a.state, load, sentAt)
+	a.mu.Unlock()
+	return a.refreshState(ctx) && idOf(a.engineState()) == load
+}
+
 func (a *Agent) setOrdering(version int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
