chunkstore: a stored chunk that turned corrupt is not sent whole to the engine

The contract in internal/engine asks engines to check the digest of all bytes, and the stand-in does; but then the agent sent the same corrupt bytes again and again, and the engine never served. The next version that shares the chunk was taken for one whose manifest contradicts itself, and stayed unusable.

The agent verified when a transfer ended, and looked at nothing later: a check before an act whose effect comes later.

The fixture of ./internal/replica can replace its engine's answers and start a second reconciler; no test of before has changed.

--- a/internal/chunkstore/chunkstore_test.go
+++ b/internal/chunkstore/chunkstore_test.go
@@ -69,3 +69,70 @@
 	require.NoError(t, s.WriteVersion(&out, m.Digest()))
 	require.Equal(t, text, out.String())
 }
+
+// corruptingWriter changes a byte of a stored chunk before or after it passes on the
+// write that contains the chunk's first byte.
+type corruptingWriter struct {
+	bytes.Buffer
+	chunk []byte
+	early bool
+}
+
+func (c *corruptingWriter) Write(p []byte) (int, error) {
+	containsChunk := len(p) > 0 && &p[0] == &c.chunk[0]
+	if containsChunk && c.early {
+		c.chunk[1] ^= 0xff
+	}
+	n, err := c.Buffer.Write(p)
+	if containsChunk && !c.early {
+		c.chunk[1] ^= 0xff
+	}
+	return n, err
+}
+
+// A chunk turned corrupt while its version was written: all bytes were written.
+func TestChunkThatTurnsCorruptInMidWriteIsNotWrittenWhole(t *testing.T) {
+	const text = "aaaabbbbcccc"
+	for i := range 3 {
+		for _, early := range []bool{true, false} {
+			s, m := chunkstore.New(), build(t, "1", text)
+			s.AddVersion(m.Digest(), m)
+			fill(t, s, m, text)
+			require.NoError(t, s.Verify(m.Digest()))
+			chunk, _ := s.Chunk(m.Chunks[i].Digest)
+			out := &corruptingWriter{chunk: chunk, early: early}
+			require.ErrorIs(t, s.WriteVersion(out, m.Digest()), chunkstore.ErrCorrupt)
+			require.Less(t, out.Len(), 4*(i+1))
+
+			require.True(t, s.Corrupt(m.Digest()))
+			require.False(t, s.Verified(m.Digest()))
+			chunks, held := s.Size()
+			require.Equal(t, 2, chunks)
+			require.Equal(t, int64(8), held)
+			require.ErrorIs(t, s.Verify(m.Digest()), chunkstore.ErrIncomplete)
+			require.NoError(t, s.Put(m.Chunks[i], []byte(text[4*i:4*i+4])))
+			require.NoError(t, s.Verify(m.Digest()))
+			require.False(t, s.Corrupt(m.Digest()))
+			written := bytes.Buffer{}
+			require.NoError(t, s.WriteVersion(&written, m.Digest()))
+			require.Equal(t, text, written.String())
+		}
+	}
+}
+
+// A chunk turned corrupt before the version was verified: the manifest was taken for one
+// that contradicts itself.
+func TestVerifyDropsChunkThatTurnedCorrupt(t *testing.T) {
+	const text = "aaaabbbb"
+	s, m := chunkstore.New(), build(t, "1", text)
+	s.AddVersion(m.Digest(), m)
+	fill(t, s, m, text)
+	chunk, _ := s.Chunk(m.Chunks[1].Digest)
+	chunk[0] ^= 0xff
+	err := s.Verify(m.Digest())
+	require.ErrorIs(t, err, chunkstore.ErrCorrupt)
+	require.NotErrorIs(t, err, manifest.ErrMismatch)
+	require.True(t, s.Corrupt(m.Digest()))
+	require.NoError(t, s.Put(m.Chunks[1], []byte(text[4:])))
+	require.NoError(t, s.Verify(m.Digest()))
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -73,6 +73,7 @@
 	LoadUnverified
 	LoadSpoilt
 	UnloadFailed
+	StoredChunkCorrupt
 )
 
 // Events of requests: 4000 to 4099.
@@ -166,6 +167,7 @@
 	LoadUnverified:       "load not verified yet: its pieces could not be read",
 	LoadSpoilt:           "engine may have loaded corrupt pieces: ordering it to unload them",
 	UnloadFailed:         "engine did not unload corrupt pieces: ordering it again",
+	StoredChunkCorrupt:   "stored chunk turned corrupt: fetching it again",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/replica/order.go
+++ b/internal/replica/order.go
@@ -56,6 +56,12 @@
 	}
 	m, ok := r.weights.Store.Manifest(r.plan.Digest)
 	verified := ok && r.weights.Store.Verified(r.plan.Digest)
+	if !verified && r.weights.Store.Corrupt(r.plan.Digest) {
+		charts.Fire(r.machine, "Corrupt")
+		r.draining = false
+		r.fetchAgain(ctx)
+		return
+	}
 	invariant.Assert(verified, invariant.VerifiedBeforeLoad, "version %s", r.plan.Digest)
 	if !verified || !r.drained() {
 		return
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,14 +5,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
 	"almondreel.example/almondreel/charts"
 	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/chunkstore"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/engine"
+	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/serving"
 	"almondreel.example/almondreel/internal/settings"
@@ -76,7 +79,7 @@
 	for {
 		snapshot, changed := r.desired.Current()
 		r.applyPlacement(ctx, snapshot)
-		r.checkTransfer()
+		r.checkTransfer(ctx)
 		r.readEngine(ctx)
 		r.checkEngineState()
 		r.maybeOrderLoad(ctx, snapshot.Placement.Revision)
@@ -145,9 +148,17 @@
 	}
 }
 
+// fetchAgain replaces the transfer of the plan's version, of which a stored chunk turned
+// corrupt and was dropped.
+func (r *Reconciler) fetchAgain(ctx context.Context) {
+	event.Log(event.StoredChunkCorrupt, "Digest", r.plan.Digest)
+	r.stopTransfer()
+	r.startTransfer(ctx)
+}
+
 // checkTransfer handles the end of a transfer, and drops the stored versions that are
 // no longer needed.
-func (r *Reconciler) checkTransfer() {
+func (r *Reconciler) checkTransfer(ctx context.Context) {
 	if r.transfer == nil {
 		r.weights.Store.Retain(nil)
 		return
@@ -163,7 +174,12 @@
 	default:
 		return
 	}
-	if r.transfer.Err() != nil {
+	err := r.transfer.Err()
+	if errors.Is(err, chunkstore.ErrCorrupt) {
+		r.fetchAgain(ctx)
+		return
+	}
+	if err != nil {
 		charts.Fire(r.machine, "Mismatch")
 		return
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -44,6 +44,7 @@
 	t       *testing.T
 	swarm   *swarm.Swarm
 	agent   *swarm.Agent
+	stop    func() // ends the reconciler
 	desired *desired.State
 	status  *serving.Tracker
 
@@ -51,6 +52,7 @@
 
 	mu         sync.Mutex
 	engine     *standinengine.Server
+	intercept  http.HandlerFunc // handles requests in the engine's place; nil: none
 	orders     []engine.LoadModel
 	pending    atomic.Int32 // orders in flight
 	overlaps   atomic.Int32 // orders sent while another was in flight
@@ -67,21 +69,38 @@
 	server := httptest.NewServer(http.HandlerFunc(f.serveEngine))
 	t.Cleanup(server.Close)
 	f.engineAddress = strings.TrimPrefix(server.URL, "http://")
+	f.stop = f.startReconciler()
+	return f
+}
+
+// startReconciler starts a reconciler for the agent. It returns a function that ends it.
+func (f *fixture) startReconciler() (stop func()) {
 	configured := f.agent.Settings
 	configured.Backend = settings.Backend{Kind: settings.KindEngine, Address: f.engineAddress}
+	reconciler := replica.New(configured, f.desired, f.status, f.agent.Weights)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- replica.New(configured, f.desired, f.status, f.agent.Weights).Run(ctx) }()
-	t.Cleanup(func() {
+	go func() { ended <- reconciler.Run(ctx) }()
+	stop = sync.OnceFunc(func() {
 		cancel()
 		<-ended
 	})
-	return f
+	f.t.Cleanup(stop)
+	return stop
+}
+
+func (f *fixture) setIntercept(h http.HandlerFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.intercept = h
 }
 
 func (f *fixture) serveEngine(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
-	e := f.engine
+	var e http.Handler = f.engine
+	if f.intercept != nil {
+		e = f.intercept
+	}
 	f.mu.Unlock()
 	if r.URL.Path != engine.LoadModelPath {
 		e.ServeHTTP(w, r)
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -11,6 +11,7 @@
 	"github.com/bits-and-blooms/bitset"
 
 	"almondreel.example/almondreel/charts"
+	"almondreel.example/almondreel/internal/chunkstore"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/gateway"
@@ -118,14 +119,15 @@
 }
 
 // Done returns a channel that is closed when the version is held and verified,
-// or can never be: see Err.
+// or has failed: see Err.
 func (t *Transfer) Done() <-chan struct{} { return t.done }
 
 // Ended returns a channel that is closed when the transfer's context has ended
 // and all its goroutines have returned.
 func (t *Transfer) Ended() <-chan struct{} { return t.ended }
 
-// Err returns the error of a failed transfer (ErrWholeDigest), or nil.
+// Err returns the error of a failed transfer, or nil: ErrWholeDigest, or
+// chunkstore.ErrCorrupt if another transfer of the version can succeed.
 func (t *Transfer) Err() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -295,7 +297,7 @@
 		charts.Fire(t.machine, "Mismatch")
 		counter.Add("TransfersFailed.Whole", 1)
 		t.mu.Lock()
-		t.err = errors.Join(ErrWholeDigest, err)
+		t.err = verifyError(err)
 		t.mu.Unlock()
 		close(t.done)
 		return true
@@ -306,6 +308,14 @@
 	return true
 }
 
+// verifyError returns the transfer's error for an error of the store's Verify.
+func verifyError(err error) error {
+	if errors.Is(err, chunkstore.ErrCorrupt) {
+		return err
+	}
+	return errors.Join(ErrWholeDigest, err)
+}
+
 func (t *Transfer) inOwnRegion(p gateway.Peer) bool {
 	return p.Region == t.manager.options.Self.Region
 }
