replica: admit no requests while an engine loads another version

After an engine had answered a load order with a refusal, the agent took the version of before for the one that stays and admitted requests for it again, although the engine stated that it was loading: the refusal came after the order had been accepted. The version then changed in the middle of these requests. The same holds for an order of an agent that has ended. Tokens of the other version are noticed by their digest, so answers were cut off and resumed elsewhere, not mixed.

The status is closed while the engine states that it loads a version other than the one it serves.

TestOrderAcceptedAfterSilenceDoesNotServeOldPlacement and TestNewAgentVerifiesVersionOfEarlierAgentsOrder guard what held already: they fail (once each) if publishStatus asks neither the placement nor the agent's own verification.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -210,14 +210,17 @@
 }
 
 // publishStatus updates the agent's status. It is open only if the engine reports a
-// version that was verified in full and that the placement lets this instance serve.
+// version that was verified in full and that the placement lets this instance serve,
+// and loads no other: an order that was refused, or that another agent sent, may have
+// been accepted, and the version changes when its load ends.
 func (r *Reconciler) publishStatus() {
 	have, chunks := 0, 0
 	if r.transfer != nil {
 		have, chunks = r.transfer.Progress()
 	}
-	digest := r.engineState.Digest
-	open := !r.draining && r.failedReads < maxFailedReads && r.servable[digest] && r.verified[digest]
+	digest, loading := r.engineState.Digest, r.engineState.Loading
+	stays := loading == "" || loading == digest
+	open := !r.draining && stays && r.failedReads < maxFailedReads && r.servable[digest] && r.verified[digest]
 	r.status.Update(func(s *serving.Status) {
 		s.Open = open
 		s.Digest = digest
