replica: an order in flight ends when its engine has restarted

When an engine restarted between two readings of its state and the connection of a load order stayed open, the agent waited for the order's answer for up to ten minutes (orderTimeout), and the instance did not serve. Seen in a test whose connection is kept by a proxy in front of the engine; where both processes are on one instance the kernel closes it.

The order is cancelled when the engine states another start. It then counts as unanswered and is settled by the engine's state, as before.

TestRestartOfEngineEndsOrderInProgress failed on (not served within 15 s, twice) and passes, 3 of 3 under the race detector.

--- a/internal/replica/late_order_test.go
+++ b/internal/replica/late_order_test.go
@@ -173,3 +173,29 @@
 	require.Len(t, f.receivedOrders(), 1)
 	f.assertOrders()
 }
+
+// An engine restarted with an order in progress whose connection stayed open. The agent
+// waited for the answer for ten minutes.
+func TestRestartOfEngineEndsOrderInProgress(t *testing.T) {
+	f := newFixture(t, standinengine.Options{ChecksOrders: true}, 0)
+	e, received := f.engine, make(chan struct{})
+	f.setIntercept(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != engine.LoadModelPath {
+			e.ServeHTTP(w, r)
+			return
+		}
+		close(received)
+		<-r.Context().Done()
+	})
+	m := f.publish("1", 1)
+	f.place(m, 1)
+	select {
+	case <-received:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "no order")
+	}
+	f.replaceEngine(standinengine.Options{ChecksOrders: true})
+	f.setIntercept(nil)
+	f.awaitServing(m.Digest())
+	require.Zero(t, f.unverified.Load())
+}
--- a/internal/replica/order.go
+++ b/internal/replica/order.go
@@ -129,6 +129,14 @@
 	event.Log(event.LoadConfirmed, "Digest", r.plan.Digest)
 }
 
+// cancelOrder cancels the order in flight when the engine has restarted: its connection
+// may outlast the run of the engine that it was sent to. The engine's state settles it.
+func (r *Reconciler) cancelOrder() {
+	if r.order != nil {
+		r.order.cancel()
+	}
+}
+
 // finishOrder handles the end of the load order in flight. It cancels an order for a
 // version that is no longer placed, so that the order for the new one can be sent.
 func (r *Reconciler) finishOrder() {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -197,6 +197,7 @@
 	}
 	if r.engineState.Started != "" && r.engineState.Started != state.Started {
 		counter.Add("EngineRestarts", 1)
+		r.cancelOrder()
 	}
 	r.failedReads = 0
 	r.engineState = state
