replica: logs that lead from an instance to the loads of its engine

On own instances, events 3005 to 3008 named a digest and a fencing number, and no engine. An order that ended without an answer after another version had been placed left no line, nor did a refusal other than 409, such as 422 for wrong bytes. What the engine stated, and which version the agent admitted requests for, were not logged.

The lines name instance, engine, its start and the fencing number that it had accepted. Agents log 3007 and 3008 for each order, 3020 when what the engine states changes, and 2030 when the version changes that they admit requests for.

TestLogLeadsFromInstanceToLoads passes, also under the race detector; the lines that it asks for did not exist before.

--- a/internal/replica/order.go
+++ b/internal/replica/order.go
@@ -67,7 +67,7 @@
 		return
 	}
 	charts.Fire(r.machine, "Order")
-	event.Log(event.LoadOrdered, "Digest", r.plan.Digest, "FencingNumber", revision)
+	event.Log(event.LoadOrdered, r.engineFields("Digest", r.plan.Digest, "FencingNumber", revision)...)
 	r.sendOrder(ctx, engine.LoadModel{
 		Digest:        r.plan.Digest,
 		Whole:         m.Whole,
@@ -126,7 +126,7 @@
 	charts.Fire(r.machine, "Confirm")
 	r.draining = false
 	r.failedOrders = 0
-	event.Log(event.LoadConfirmed, "Digest", r.plan.Digest)
+	event.Log(event.LoadConfirmed, r.engineFields("Digest", r.plan.Digest)...)
 }
 
 // cancelOrder cancels the order in flight when the engine has restarted: its connection
@@ -153,6 +153,7 @@
 		return
 	}
 	r.order = nil
+	r.logOrderError(o)
 	if o.digest != r.plan.Digest || r.machine.State() != "Ordering" {
 		return
 	}
@@ -164,19 +165,32 @@
 	r.handleOrderError(o.err)
 }
 
+// logOrderError logs that order o got no answer or was refused, also if its version is no
+// longer placed: the engine may have accepted it.
+func (r *Reconciler) logOrderError(o *loadOrder) {
+	if o.err == nil {
+		return
+	}
+	fields := r.engineFields("Digest", o.digest)
+	var status *engine.StatusError
+	if errors.As(o.err, &status) {
+		event.Fail(event.OrderRefused, o.err, fields...)
+	} else {
+		event.Fail(event.LoadUnanswered, o.err, fields...)
+	}
+}
+
 func (r *Reconciler) handleOrderError(err error) {
 	var status *engine.StatusError
 	if !errors.As(err, &status) {
 		charts.Fire(r.machine, "NoAnswer")
 		counter.Add("OrderRetries.NoAnswer", 1)
-		event.Fail(event.LoadUnanswered, err, "Digest", r.plan.Digest)
 		return
 	}
 	charts.Fire(r.machine, "Refuse")
 	reason := "Failed"
 	if status.Code == statusSuperseded {
 		reason = "Refused"
-		event.Fail(event.OrderRefused, err, "Digest", r.plan.Digest)
 	}
 	counter.Add("OrderRetries."+reason, 1)
 	r.backOff()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -51,7 +51,8 @@
 	order          *loadOrder               // the load order in flight; nil: none
 	unsettled      unsettledOrder
 	engineState    engine.State
-	draining       bool // new requests are refused: a load order is in flight or about to be sent
+	served         manifest.Digest // version that requests are admitted for; empty: none
+	draining       bool            // new requests are refused: a load order is in flight or about to be sent
 	failedReads    int
 	polls          int
 	retryAt        time.Time // no load order is sent before this time
@@ -151,7 +152,7 @@
 // fetchAgain replaces the transfer of the plan's version, of which a stored chunk turned
 // corrupt and was dropped.
 func (r *Reconciler) fetchAgain(ctx context.Context) {
-	event.Log(event.StoredChunkCorrupt, "Digest", r.plan.Digest)
+	event.Log(event.StoredChunkCorrupt, r.engineFields("Digest", r.plan.Digest)...)
 	r.stopTransfer()
 	r.startTransfer(ctx)
 }
@@ -200,7 +201,11 @@
 		r.cancelOrder()
 	}
 	r.failedReads = 0
+	changed := r.engineState != state
 	r.engineState = state
+	if changed {
+		event.Log(event.EngineWeightsChanged, r.engineFields("Digest", state.Digest, "Loading", state.Loading)...)
+	}
 	r.polls++
 	if r.polls%pollsPerLoadRead != 1 {
 		return
@@ -222,6 +227,7 @@
 	digest, loading := r.engineState.Digest, r.engineState.Loading
 	stays := loading == "" || loading == digest
 	open := !r.draining && stays && r.failedReads < maxFailedReads && r.servable[digest] && r.verified[digest]
+	r.logServed(open)
 	r.status.Update(func(s *serving.Status) {
 		s.Open = open
 		s.Digest = digest
@@ -231,6 +237,29 @@
 	})
 }
 
+// logServed logs which version requests are admitted for, when that changes; empty: none.
+func (r *Reconciler) logServed(open bool) {
+	var served manifest.Digest
+	if open {
+		served = r.engineState.Digest
+	}
+	if served != r.served {
+		r.served = served
+		event.Log(event.ServerWeightsChanged, r.engineFields("Digest", served)...)
+	}
+}
+
+// engineFields returns the fields that name the engine, its run and the last order that
+// it is known to have accepted, followed by pairs.
+func (r *Reconciler) engineFields(pairs ...any) []any {
+	return append([]any{
+		"Server", r.settings.Name,
+		"Engine", r.settings.Backend.Address,
+		"Started", r.engineState.Started,
+		"Accepted", r.engineState.FencingNumber,
+	}, pairs...)
+}
+
 // weightsURL returns the URL from which the engine reads the weights of version d.
 func (r *Reconciler) weightsURL(d manifest.Digest) string {
 	address := r.settings.Listen
