--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,14 +5,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
 	"almondreel.example/almondreel/charts"
 	"almondreel.example/almondreel/internal/agent"
+	"almondreel.example/almondreel/internal/chunkstore"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/engine"
+	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/manifest"
 	"almondreel.example/almondreel/internal/serving"
 	"almondreel.example/almondreel/internal/settings"
@@ -48,7 +51,8 @@
 	order          *loadOrder               // the load order in flight; nil: none
 	unsettled      unsettledOrder
 	engineState    engine.State
-	draining       bool // new requests are refused: a load order is in flight or about to be sent
+	served         manifest.Digest // version that requests are admitted for; empty: none
+	draining       bool            // new requests are refused: a load order is in flight or about to be sent
 	failedReads    int
 	polls          int
 	retryAt        time.Time // no load order is sent before this time
@@ -76,7 +80,7 @@
 	for {
 		snapshot, changed := r.desired.Current()
 		r.applyPlacement(ctx, snapshot)
-		r.checkTransfer()
+		r.checkTransfer(ctx)
 		r.readEngine(ctx)
 		r.checkEngineState()
 		r.maybeOrderLoad(ctx, snapshot.Placement.Revision)
@@ -145,9 +149,17 @@
 	}
 }
 
+// fetchAgain replaces the transfer of the plan's version, of which a stored chunk turned
+// corrupt and was dropped.
+func (r *Reconciler) fetchAgain(ctx context.Context) {
+	event.Log(event.StoredChunkCorrupt, r.engineFields("Digest", r.plan.Digest)...)
+	r.stopTransfer()
+	r.startTransfer(ctx)
+}
+
 // checkTransfer handles the end of a transfer, and drops the stored versions that are
 // no longer needed.
-func (r *Reconciler) checkTransfer() {
+func (r *Reconciler) checkTransfer(ctx context.Context) {
 	if r.transfer == nil {
 		r.weights.Store.Retain(nil)
 		return
@@ -163,7 +175,12 @@
 	default:
 		return
 	}
-	if r.transfer.Err() != nil {
+	err := r.transfer.Err()
+	if errors.Is(err, chunkstore.ErrCorrupt) {
+		r.fetchAgain(ctx)
+		return
+	}
+	if err != nil {
 		charts.Fire(r.machine, "Mismatch")
 		return
 	}
@@ -181,9 +198,14 @@
 	}
 	if r.engineState.Started != "" && r.engineState.Started != state.Started {
 		counter.Add("EngineRestarts", 1)
+		r.cancelOrder()
 	}
 	r.failedReads = 0
+	changed := r.engineState != state
 	r.engineState = state
+	if changed {
+		event.Log(event.EngineWeightsChanged, r.engineFields("Digest", state.Digest, "Loading", state.Loading)...)
+	}
 	r.polls++
 	if r.polls%pollsPerLoadRead != 1 {
 		return
@@ -194,14 +216,18 @@
 }
 
 // publishStatus updates the agent's status. It is open only if the engine reports a
-// version that was verified in full and that the placement lets this instance serve.
+// version that was verified in full and that the placement lets this instance serve,
+// and loads no other: an order that was refused, or that another agent sent, may have
+// been accepted, and the version changes when its load ends.
 func (r *Reconciler) publishStatus() {
 	have, chunks := 0, 0
 	if r.transfer != nil {
 		have, chunks = r.transfer.Progress()
 	}
-	digest := r.engineState.Digest
-	open := !r.draining && r.failedReads < maxFailedReads && r.servable[digest] && r.verified[digest]
+	digest, loading := r.engineState.Digest, r.engineState.Loading
+	stays := loading == "" || loading == digest
+	open := !r.draining && stays && r.failedReads < maxFailedReads && r.servable[digest] && r.verified[digest]
+	r.logServed(open)
 	r.status.Update(func(s *serving.Status) {
 		s.Open = open
 		s.Digest = digest
@@ -211,6 +237,29 @@
 	})
 }
 
+// logServed logs which version requests are admitted for, when that changes; empty: none.
+func (r *Reconciler) logServed(open bool) {
+	var served manifest.Digest
+	if open {
+		served = r.engineState.Digest
+	}
+	if served != r.served {
+		r.served = served
+		event.Log(event.ServerWeightsChanged, r.engineFields("Digest", served)...)
+	}
+}
+
+// engineFields returns the fields that name the engine, its run and the last order that
+// it is known to have accepted, followed by pairs.
+func (r *Reconciler) engineFields(pairs ...any) []any {
+	return append([]any{
+		"Server", r.settings.Name,
+		"Engine", r.settings.Backend.Address,
+		"Started", r.engineState.Started,
+		"Accepted", r.engineState.FencingNumber,
+	}, pairs...)
+}
+
 // weightsURL returns the URL from which the engine reads the weights of version d.
 func (r *Reconciler) weightsURL(d manifest.Digest) string {
 	address := r.settings.Listen
