--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -142,7 +142,7 @@
 		served.Whole = served.Whole && a.Born == s.State.Born
 	}
 	if !verified && (isUnverified(t.unverifiedLoad(s.Address), s.State.Born, served.Version) ||
-		known && isUnverified(hostedrpc.UnverifiedLoad{Born: s.State.Born, Version: a.Unverified}, s.State.Born, served.Version)) {
+		known && isUnverified(hostedrpc.UnverifiedLoad{Born: a.UnverifiedBorn, Version: a.Unverified}, s.State.Born, served.Version)) {
 		served.Whole = false
 	}
 	out.Version, out.Ready = served.Version, served.Whole
--- a/internal/hosted/servers_test.go
+++ b/internal/hosted/servers_test.go
@@ -26,7 +26,7 @@
 	require.True(t, s.Serves(entry, service, now.Add(time.Minute)), "an agent that ends takes no engine out of use")
 
 	ordered := agent
-	ordered.Holding, ordered.Unverified = site.ServedWeights{}, 1
+	ordered.Holding, ordered.Unverified, ordered.UnverifiedBorn = site.ServedWeights{}, 1, agent.Born
 	s.Report(ordered, now.Add(2*time.Minute))
 	s.Expire(now.Add(3 * time.Minute))
 	require.False(t, s.Serves(entry, service, now.Add(3*time.Minute)))
@@ -46,7 +46,7 @@
 	service := site.Service{Engine: site.Engine{Slots: 4, Model: "m", Layers: 4}}
 	entry := site.Server{ID: "i-1", Address: "10.0.0.1:80", State: site.EngineState{Born: 5, Model: "m", Loaded: site.LayerRange{To: 4, Version: 1}}}
 	s := hosted.NewServers(hosted.NewView(8000))
-	s.Report(hostedrpc.Agent{Name: "side-1", EngineAddress: entry.Address, Unverified: 1}, now)
+	s.Report(hostedrpc.Agent{Name: "side-1", EngineAddress: entry.Address, Unverified: 1, UnverifiedBorn: 5}, now)
 	require.False(t, s.Serves(entry, service, now))
 }
 
--- a/internal/hostedrpc/messages.go
+++ b/internal/hostedrpc/messages.go
@@ -39,6 +39,7 @@
 	Change          Switchover
 	Switching       bool  // the engine takes no new requests while it replaces its weights
 	Unverified      int64 // oldest version that the engine may have loaded, or may still load, unverified; 0: none
+	UnverifiedBorn  int64 // start of the engine that Unverified is of, also while it does not answer
 	Found           bool  // the engine had loaded Holding when the agent started, by an order of the agent before
 	Pieces          Pieces
 	AgeMilliseconds int64 // age of the report
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -129,7 +129,8 @@
 // times until a version change.
 type agentState struct {
 	address, region, service, engine string
-	born, ready, change, unverified  int64
+	born, ready, change              int64
+	unverified, unverifiedBorn       int64
 	model                            string
 	version                          int64
 	whole, unknown, switching, found bool
@@ -138,7 +139,7 @@
 func stateOf(a hostedrpc.Agent) agentState {
 	return agentState{
 		address: a.Address, region: a.Region, service: a.Service, engine: a.EngineAddress,
-		born: a.Born, ready: a.Ready, change: a.Change.Version, unverified: a.Unverified,
+		born: a.Born, ready: a.Ready, change: a.Change.Version, unverified: a.Unverified, unverifiedBorn: a.UnverifiedBorn,
 		model: a.Holding.Model, version: a.Holding.Version, whole: a.Holding.Whole, unknown: a.HoldingUnknown, switching: a.Switching, found: a.Found,
 	}
 }
@@ -207,7 +208,7 @@
 
 // peerView returns a without the fields that other agents do not need.
 func peerView(a hostedrpc.Agent) hostedrpc.Agent {
-	a.EngineAddress, a.Ready, a.Change, a.Unverified, a.Found, a.AgeMilliseconds = "", 0, hostedrpc.Switchover{}, 0, false, 0
+	a.EngineAddress, a.Ready, a.Change, a.Unverified, a.UnverifiedBorn, a.Found, a.AgeMilliseconds = "", 0, hostedrpc.Switchover{}, 0, 0, false, 0
 	return a
 }
 
--- a/internal/registry/unverified.go
+++ b/internal/registry/unverified.go
@@ -22,14 +22,14 @@
 // beyond the agent's end, until an agent of the engine reports weights that it has verified.
 func (r *Agents) recordUnverified(a hostedrpc.Agent, at time.Time) {
 	known, ok := r.unverified[a.EngineAddress]
-	version := a.Unverified
-	if version == 0 {
-		version = a.Change.Version
+	load := hostedrpc.UnverifiedLoad{Born: a.UnverifiedBorn, Version: a.Unverified}
+	if load.Version == 0 {
+		load = hostedrpc.UnverifiedLoad{Born: a.Born, Version: a.Change.Version}
 	}
 	switch {
+	case load.Version != 0 && load.Born != 0:
+		r.unverified[a.EngineAddress] = unverified{load, at}
 	case a.Born == 0: // the engine did not answer
-	case version != 0:
-		r.unverified[a.EngineAddress] = unverified{hostedrpc.UnverifiedLoad{Born: a.Born, Version: version}, at}
 	case ok && (known.Born != a.Born || hasVerified(a)):
 		r.unverified[a.EngineAddress] = unverified{reportedAt: at}
 	}
--- a/internal/registry/unverified_test.go
+++ b/internal/registry/unverified_test.go
@@ -13,13 +13,14 @@
 // ended: the agent that starts next to it does not know of the order.
 func TestUnverifiedLoadOutlastsItsAgent(t *testing.T) {
 	a := newAgent(1)
-	ordered, announced, restarted, starting := a, a, a, a
-	ordered.Unverified = 2
+	ordered, announced, restarted, starting, silent := a, a, a, a, a
+	silent.Born, silent.Unverified, silent.UnverifiedBorn = 0, 2, a.Born
+	ordered.Unverified, ordered.UnverifiedBorn = 2, a.Born
 	announced.Change = hostedrpc.Switchover{Version: 2, StartMilliseconds: 300, EndMilliseconds: 840}
 	restarted.Born++
 	starting.HoldingUnknown = true
 	load := hostedrpc.UnverifiedLoad{Born: a.Born, Version: 2}
-	for name, last := range map[string]hostedrpc.Agent{"Ordered": ordered, "Announced": announced} {
+	for name, last := range map[string]hostedrpc.Agent{"Ordered": ordered, "Announced": announced, "Silent": silent} {
 		t.Run(name, func(t *testing.T) {
 			r := newRegistry(2)
 			r.Record(last, after(100), registry.Direct)
@@ -46,7 +47,7 @@
 func TestDoubtReachesGatewayThatStartedLater(t *testing.T) {
 	a := newAgent(1)
 	ordered := a
-	ordered.Unverified = 2
+	ordered.Unverified, ordered.UnverifiedBorn = 2, a.Born
 	known, started := newRegistry(1), newRegistry(2)
 	known.Record(ordered, after(100), registry.Direct)
 	known.Expire(after(5000))
@@ -59,7 +60,7 @@
 func TestRelayedReportOfAgentThatWasNotToldKeepsDoubt(t *testing.T) {
 	a := newAgent(1)
 	ordered := a
-	ordered.Unverified = a.Holding.Version
+	ordered.Unverified, ordered.UnverifiedBorn = a.Holding.Version, a.Born
 	r := newRegistry(1)
 	r.Record(ordered, after(100), registry.Direct)
 	r.Expire(after(5000))
@@ -73,7 +74,7 @@
 // the engine still holds the doubted one.
 func TestAnnouncementKeepsDoubtOfWhatEngineHolds(t *testing.T) {
 	a := newAgent(1)
-	a.Unverified = 2
+	a.Unverified, a.UnverifiedBorn = 2, a.Born
 	r := newRegistry(1)
 	r.Record(a, after(100), registry.Direct)
 	a.Change = hostedrpc.Switchover{Version: 3, StartMilliseconds: 0, EndMilliseconds: 340}
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -282,6 +282,9 @@
 		EngineAddress: a.EngineAddress, Switching: a.switching || a.state.Loading,
 		Unverified: a.unverifiedVersion(now), Found: a.loads.foundAtStart && a.state.Orders > 0,
 	}
+	if out.Unverified != 0 {
+		out.UnverifiedBorn = a.state.Born
+	}
 	out.Change = a.announced(now, out.Unverified)
 	if a.engineUp {
 		out.Born = a.state.Born
--- a/internal/weightsync/doubted_load_test.go
+++ b/internal/weightsync/doubted_load_test.go
@@ -42,7 +42,7 @@
 func newDoubtingGateway() *registry.Agents {
 	r := registry.New(1)
 	at := time.Now().Add(-time.Minute)
-	r.Record(hostedrpc.Agent{Name: "a", EngineAddress: "engine", Born: 1, Unverified: 2}, at, registry.Direct)
+	r.Record(hostedrpc.Agent{Name: "a", EngineAddress: "engine", Born: 1, Unverified: 2, UnverifiedBorn: 1}, at, registry.Direct)
 	r.Expire(time.Now())
 	return r
 }
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -94,6 +94,7 @@
 	gateways, engines int
 	firstVersion      int64 // loaded by engines at the start; 0: none
 	graceSeconds      int   // of gateways; 0: graceTime
+	warmUpMS          int   // time that a load takes; 0: none
 }
 
 // site is the daemons with the stand-ins around them.
@@ -108,6 +109,7 @@
 	gateways             []*daemon
 	engines              []*engine
 	configurationVersion int64
+	warmUpMS             int
 }
 
 // newSite returns an empty site with reserved ports for its daemons.
@@ -125,6 +127,7 @@
 func startSite(t *testing.T, o options) *site {
 	t.Helper()
 	s := newSite(t)
+	s.warmUpMS = o.warmUpMS
 	s.store, s.origin = standin.NewStore(), standin.NewOrigin()
 	origin := httptest.NewServer(s.origin)
 	t.Cleanup(origin.Close)
@@ -180,7 +183,7 @@
 	server := httptest.NewUnstartedServer(nil)
 	e := &engine{route: s.proxy(server.Listener.Addr().String())}
 	e.Engine = standin.NewEngine(standin.EngineOptions{
-		ID: fmt.Sprint("i-", n), Address: e.route.Address(), DataCentre: "north-a", EventMS: 5, FirstVersion: version,
+		ID: fmt.Sprint("i-", n), Address: e.route.Address(), DataCentre: "north-a", EventMS: 5, FirstVersion: version, WarmUpMS: s.warmUpMS,
 		OnCrash: func() { s.restartAfterCrash(e) },
 	})
 	server.Config.Handler = e.Engine
@@ -223,7 +226,7 @@
 // configure writes the next configuration, with these API keys, to the store.
 func (s *site) configure(keys ...string) {
 	s.configurationVersion++
-	s.store.Configure(standin.Configuration{Version: s.configurationVersion, Keys: keys, Origin: s.originAddress})
+	s.store.Configure(standin.Configuration{Version: s.configurationVersion, Keys: keys, Origin: s.originAddress, WarmUpMS: s.warmUpMS})
 }
 
 // send sends one stream request to a gateway and returns its outcome.
