--- a/internal/weightsync/other_paths_test.go
+++ b/internal/weightsync/other_paths_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/weightsync"
 )
@@ -135,8 +136,9 @@
 }
 
 // Guards against a load that counts as whole since nobody can verify it: the agent knows the
-// digests of the next version only.
+// digests of the next version only. The log and a counter tell of it once.
 func TestLoadOfUnknownVersionIsNotServed(t *testing.T) {
+	unknown := counter.Value("LoadsUnknown")
 	e := newSilentEngine(1)
 	e.orders, e.spoilt = 1, true
 	e.corrupt(3)
@@ -151,4 +153,5 @@
 		time.Sleep(time.Millisecond)
 	}
 	requireServedWhole(t, e, a, 2, time.Second)
+	require.Equal(t, unknown+1, counter.Value("LoadsUnknown"))
 }
--- a/internal/weightsync/verify.go
+++ b/internal/weightsync/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
@@ -23,11 +24,15 @@
 
 func idOf(s site.EngineState) loadID { return loadID{s.Born, s.Orders} }
 
+// errNoManifest reports a load of a version whose digests are not known.
+var errNoManifest = errors.New("the version's manifest is not known")
+
 // verification is what the agent knows of its engine's loads.
 type verification struct {
 	verified loadID // the last load that counts as whole
 	found    bool   // verified was complete when the agent first read the engine's state
 	spoilt   loadID // the last load that failed the check
+	unknown  loadID // the last load of a version whose digests were not known
 	// told is a load that the previous agent had not verified, as a gateway told before
 	// the engine answered. It is zero if there is none.
 	told hostedrpc.UnverifiedLoad
@@ -151,6 +156,9 @@
 	needed := a.unverified() && !time.Now().Before(a.loads.retryAt)
 	v := a.find(a.state.Model, a.state.Loaded.Version)
 	a.mu.Unlock()
+	if needed && v == nil {
+		a.logUnknown()
+	}
 	if !needed || v == nil {
 		return false
 	}
@@ -160,6 +168,20 @@
 	return true
 }
 
+// logUnknown logs once that a load can't be verified, as the agent does not know the
+// digests of its version.
+func (a *Agent) logUnknown() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id := idOf(a.state)
+	if a.loads.unknown == id {
+		return
+	}
+	a.loads.unknown = id
+	counter.Add("LoadsUnknown", 1)
+	event.Fail(event.LoadUnverified, errNoManifest, "Engine", a.EngineAddress, "Born", id.born, "Orders", id.orders, "Version", a.state.Loaded.Version)
+}
+
 // verifyLoad reads back the pieces of the version that the engine was last ordered to
 // load, and has accepted. If one is not intact, the engine is ordered to unload it. On an
 // error the load stays unverified. Callers hold stagingMu.
