schedule: divide the slots of engines exactly among the gateways

Each gateway could have its estimated share of an engine's slots plus one, and the least share of 0.1 adds up to 1.6 with sixteen gateways. Engines held up to 20 requests for 12 slots, and requests waited there, out of the order of priorities, for 340 to 380 ms until the first answer.

With exact shares the limits of all gateways add up to the slots and one. Among organisations of equal priority the route's priority decides, but a route that is served much less often than all goes first. On by the setting Scheduling.ExactShares, or if the least shares add up to more than one.

--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -79,7 +79,7 @@
 }
 
 func newGateway(s settings.HostedGateway) *gateway {
-	pools := proxy.NewPools(schedule.Options{Region: s.Region, ExtraSlots: extraSlots, RemotePenalty: remotePenalty})
+	pools := proxy.NewPools(schedule.Options{Region: s.Region, ExtraSlots: extraSlots, RemotePenalty: remotePenalty, ExactShares: s.Scheduling.ExactShares})
 	crashes := proxy.NewCrashDetector()
 	g := &gateway{settings: s, connLimiter: connlimit.New(s.Files), view: newSiteView(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
 	g.servers = newServerTable(g.view, s.Hosting, pools)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -298,6 +298,7 @@
 	rejectedBy, failedBy := e.failover.ended()
 	request := schedule.Request{
 		Priority:      e.priority,
+		RoutePriority: e.route.Priority,
 		Resumed:       e.response.begun(),
 		Retried:       e.serversTried > 0,
 		PromptMS:      e.promptMS(),
--- a/internal/schedule/latency.go
+++ b/internal/schedule/latency.go
@@ -30,4 +30,7 @@
 }
 
 // upper returns the milliseconds within which most responses start.
-func (e *latencyEstimate) upper() float64 { return e.mean + upperDeviations*e.deviation }
+func (e *latencyEstimate) upper() float64 { return e.within(upperDeviations) }
+
+// within returns the mean plus a number of deviations, in milliseconds.
+func (e *latencyEstimate) within(deviations float64) float64 { return e.mean + deviations*e.deviation }
--- a/internal/schedule/ratelimit.go
+++ b/internal/schedule/ratelimit.go
@@ -46,7 +46,7 @@
 	}
 	p.ownName, p.gateways = own, all
 	for _, s := range p.servers {
-		s.share = p.shareOf(s.rateLimit)
+		s.share, s.slotShare = p.shareOf(s.rateLimit), slotShare{}
 	}
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -30,6 +30,7 @@
 type Request struct {
 	ID            int64
 	Priority      int     // lower values go first
+	RoutePriority int     // decides among equal priorities with exact shares; lower values go first
 	Retried       bool    // an earlier attempt failed on a server
 	Resumed       bool    // part of its response was already sent to the caller
 	PromptMS      float64 // milliseconds that a server needs to process the prompt
@@ -43,6 +44,7 @@
 	Failed        []string  // IDs of servers that may have run it and did not complete it
 
 	submittedAt time.Time // set by Submit
+	rank        int       // among requests of equal priority; set by Submit and rankQueue
 }
 
 // Decision is the result of scheduling a Request: Start, Wait or Refuse.
@@ -75,6 +77,7 @@
 	Region        string  // region of the gateway
 	ExtraSlots    int     // requests sent to a server beyond its slots, to hide network latency
 	RemotePenalty float64 // added to the load of servers in other regions, as a fraction of their slots
+	ExactShares   bool    // the slots of engines are divided among the gateways
 }
 
 // Pool schedules the requests of one service. It is not safe for concurrent use.
@@ -91,7 +94,8 @@
 	departing    departures
 	endsAt       time.Time // when this gateway ends what still runs; zero: it is not stopping
 	ownName      string    // of this gateway
-	gateways     []string  // that share rate limits
+	gateways     []string  // that share rate limits and slots
+	starvation   starvation
 }
 
 type server struct {
@@ -108,6 +112,8 @@
 	superseded  bool      // a later start has its address
 	busyUntil   time.Time // the server asked for no requests until then
 
+	slotShare slotShare
+
 	rateLimit    RateLimit
 	share        limitShare
 	limitedSince time.Time // when the server first stated a rate limit
@@ -194,12 +200,15 @@
 )
 
 // share returns the fraction of a region's running requests that this gateway
-// sent; 1 until it is known.
+// sent. Until it is known, it is 1, or with exact shares the same for all gateways.
 func (p *Pool) share(region string) float64 {
 	share, ok := p.shares[region]
 	if !ok {
-		p.shares[region] = 1
-		return 1
+		share = 1
+		if p.exactShares() {
+			share = 1 / float64(max(1, len(p.gateways)))
+		}
+		p.shares[region] = share
 	}
 	return max(minShare, share)
 }
@@ -233,6 +242,8 @@
 		return refuseStopping(now), nil
 	}
 	r.submittedAt = now
+	p.starvation.count(now, r, false)
+	r.rank = p.rankOf(now, r)
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
 			return p.start(now, s, r), nil
@@ -409,7 +420,7 @@
 // latestStart returns the latest time at which a request can be sent to a server
 // and meet its target.
 func (p *Pool) latestStart(r Request) time.Time {
-	milliseconds := max(r.BaseLatencyMS, p.startLatency.upper()) + r.PromptMS
+	milliseconds := max(r.BaseLatencyMS, p.startMS()) + r.PromptMS
 	return r.AnswerBy.Add(-time.Duration(milliseconds * float64(time.Millisecond)))
 }
 
@@ -486,6 +497,7 @@
 	if len(p.queue) == 0 {
 		return nil
 	}
+	p.rankQueue(now)
 	slices.SortFunc(p.queue, func(a, b Request) int { return compareRequests(now, a, b) })
 	var out []Resolved
 	blocked := false
@@ -527,12 +539,13 @@
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(stage(a), stage(b)), cmp.Compare(a.Priority, b.Priority),
+	return cmp.Or(cmp.Compare(stage(a), stage(b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank, b.rank),
 		cmp.Compare(late(a), late(b)), a.AnswerBy.Compare(b.AnswerBy), cmp.Compare(a.ID, b.ID))
 }
 
 func (p *Pool) start(now time.Time, s *server, r Request) Start {
 	s.countSend(now)
+	p.starvation.count(now, r, true)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
 	return Start{Server: s.Server}
@@ -614,6 +627,9 @@
 // already has its share of the slots there plus one. The share never blocks the
 // gateway's first request on a server.
 func (p *Pool) full(now time.Time, s *server, r Request) bool {
+	if r.Generates && p.exactShares() {
+		return p.exceedsShare(now, s, r)
+	}
 	limit := float64(s.Slots + p.options.ExtraSlots)
 	if r.pastTarget(now) && !r.Resumed && !r.Retried {
 		limit = lateShare * float64(s.Slots)
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -25,6 +25,7 @@
 	ReadyListen     string      `yaml:"ReadyListen"`     // address for the platform's readiness probes
 	NeighbourListen string      `yaml:"NeighbourListen"` // address for net/rpc between gateways and agents, and metrics
 	Retries         RetryBudget `yaml:"Retries"`
+	Scheduling      Scheduling  `yaml:"Scheduling"`
 	Files           int         `yaml:"Files"`        // limit of open file descriptors, sockets included
 	GraceSeconds    float64     `yaml:"GraceSeconds"` // time from SIGTERM until the platform kills the process
 }
@@ -36,6 +37,14 @@
 	SpanSeconds float64 `yaml:"SpanSeconds"` // length of the window
 }
 
+// Scheduling selects how the gateways of a site share its engines.
+type Scheduling struct {
+	// ExactShares divides the slots of engines among the gateways, for sites whose callers
+	// compete for them. Sites with so many gateways that their least shares exceed the
+	// slots have it in any case.
+	ExactShares bool `yaml:"ExactShares"`
+}
+
 // HostedAgent is the settings file of almondreel-agent on a hosting platform.
 type HostedAgent struct {
 	Identity     `yaml:",inline"`
