Engine model: estimates from the published figures

Cause: a gateway knows of a prompt only how long its reading takes, so it cannot tell what a long prompt costs the requests that an engine already has, nor what an engine's passes cost a short one.

Change: the pure package internal/enginemodel computes, from the figures in the service's engine, a request's expected time to the first answer and the delay it imposes on others; Paces holds measured paces until a deadline. The platform package decodes the figures, X-Length-Hint and the maximum answer tokens of X-Token-Usage. A figure that is implausible or of a wrong type makes the figures unknown; the configuration stays readable. Nothing uses the estimates yet.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,8 +18,12 @@
 	Credential   string
 	Model        string
 	PromptTokens int
-	SharedParts  []string // IDs of the parts of the prompt that other requests may share, in order
-	AfterEvent   string   // resume the stream after this event ID; empty: from the start
+	// MaxAnswerTokens bounds the answer, and AnswerTokens is the caller's estimate of it,
+	// which is often far off; 0: unknown.
+	MaxAnswerTokens int
+	AnswerTokens    int
+	SharedParts     []string // IDs of the parts of the prompt that other requests may share, in order
+	AfterEvent      string   // resume the stream after this event ID; empty: from the start
 }
 
 // ForwardInfo is the information that a backend server gets in addition to the caller's
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -3,7 +3,11 @@
 // and the model versions to serve.
 package site
 
-import "strings"
+import (
+	"strings"
+
+	"almondreel.example/almondreel/internal/enginemodel"
+)
 
 // Kind says whether a route's requests may be repeated, and how they are answered.
 type Kind int
@@ -58,6 +62,7 @@
 	PieceBytes         int     // size of a piece
 	WarmUpMilliseconds float64 // time to load all layers
 	ReadPerMillisecond float64 // prompt tokens processed per millisecond
+	Figures            enginemodel.Figures
 }
 
 // Origin is the server that weights are downloaded from. Address is empty for other
