Schedule: choose the server by estimates

Cause: the choice by the number of requests and the milliseconds of pending prompts does not tell what a long prompt costs the requests beside it, and scales a gateway's own pending prompts by its share, which says nothing of the prompts that other gateways sent.

Change: with Options.Estimates and known figures, the pool chooses the server with the lowest sum of the expected time to the first answer and the delay imposed on others, the latter as far as the prompt is longer than usual. It keeps each server's prompts pending, requests running and their context, and measures paces by the time to the first answer, less what the region usually takes beyond the estimate. The queue is ordered by a time that is earlier for longer prompts. The time expected is counted as ExpectedFirstAnswerMilliseconds. Nothing sets the option yet; without it the choice is as before (tested).

--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -49,8 +49,9 @@
 
 // Prompt is what is known of a request before it runs.
 type Prompt struct {
-	Tokens       int // 0: unknown
-	AnswerTokens int // expected; 0: unknown
+	Tokens          int // 0: unknown
+	AnswerTokens    int // as the caller expects; 0: unknown
+	MaxAnswerTokens int // 0: unknown
 }
 
 // tokens returns the tokens of the prompt. Callers may state any number; one above
@@ -74,16 +75,20 @@
 }
 
 // answer returns the expected tokens of the answer. Estimates of callers are often far
-// off, so one that is above the usual counts as the mean of both.
+// off, so one that is above the usual counts as the mean of both. The maximum is no
+// estimate, but bounds the answer.
 func (f Figures) answer(p Prompt) float64 {
-	stated, usual := float64(p.AnswerTokens), f.usualAnswer()
+	expected, usual := float64(p.AnswerTokens), f.usualAnswer()
 	switch {
-	case stated <= 0:
-		return usual
-	case stated > usual:
-		return min((stated+usual)/2, maxAnswers*usual)
+	case expected <= 0:
+		expected = usual
+	case expected > usual:
+		expected = min((expected+usual)/2, maxAnswers*usual)
 	}
-	return stated
+	if p.MaxAnswerTokens > 0 {
+		expected = min(expected, float64(p.MaxAnswerTokens))
+	}
+	return expected
 }
 
 // maxAnswers bounds an expected answer, as a multiple of the usual one.
@@ -115,6 +120,22 @@
 	return l
 }
 
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{
+		Running: l.Running + o.Running, ContextTokens: l.ContextTokens + o.ContextTokens,
+		Pending: l.Pending + o.Pending, PendingTokens: l.PendingTokens + o.PendingTokens, PendingPairs: l.PendingPairs + o.PendingPairs,
+	}
+}
+
+// Minus returns the load without the part o of it.
+func (l Load) Minus(o Load) Load {
+	return Load{
+		Running: max(0, l.Running-o.Running), ContextTokens: max(0, l.ContextTokens-o.ContextTokens),
+		Pending: max(0, l.Pending-o.Pending), PendingTokens: max(0, l.PendingTokens-o.PendingTokens), PendingPairs: max(0, l.PendingPairs-o.PendingPairs),
+	}
+}
+
 func millionPairs(tokens float64) float64 { return tokens * tokens / 2 / 1e6 }
 
 // Estimate is the expected effect of sending a request to an engine. Times are in
--- a/internal/enginemodel/enginemodel_test.go
+++ b/internal/enginemodel/enginemodel_test.go
@@ -187,6 +187,9 @@
 			require.InDelta(t, usual.FirstAnswerMS, e.FirstAnswerMS, 1e-9, "%d answer tokens", answer)
 			require.InEpsilon(t, usual.AddedDelayMS, e.AddedDelayMS, 0.5, "%d answer tokens", answer)
 		}
+		for _, p := range []enginemodel.Prompt{{Tokens: 600, MaxAnswerTokens: 20}, {Tokens: 600, AnswerTokens: 5000, MaxAnswerTokens: 20}} {
+			require.Equal(t, f.Estimate(1, load, enginemodel.Prompt{Tokens: 600, AnswerTokens: 20}), f.Estimate(1, load, p), "the maximum bounds the answer")
+		}
 		f.UsualAnswer = 0
 		require.True(t, f.Known())
 		e := f.Estimate(1, load, enginemodel.Prompt{Tokens: 600})
--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -233,7 +233,7 @@
 		return
 	}
 	sv.configuration = c
-	event.Log(event.ConfigurationAdopted, "Version", c.Version, "Revision", i.Revision, "From", from)
+	event.Log(event.ConfigurationAdopted, "Version", c.Version, "Revision", i.Revision, "From", from, "UnknownFigures", c.UnknownFigures())
 }
 
 func (sv *siteView) applyVersion(i mirror.Item, from string) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -9,6 +9,7 @@
 	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/ending"
+	"almondreel.example/almondreel/internal/enginemodel"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/pause"
@@ -121,6 +122,9 @@
 	e.queueMS += time.Since(queuedAt).Milliseconds()
 	switch d := decision.(type) {
 	case schedule.Start:
+		if d.ExpectedMS > 0 {
+			counter.Observe("ExpectedFirstAnswerMilliseconds", int64(d.ExpectedMS))
+		}
 		verdict := e.handler.CrashDetector.Verdict(e.suspect)
 		if verdict == quarantine.Quarantined {
 			e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, e.promptMS())
@@ -308,6 +312,8 @@
 		Generates:     e.route.Generates,
 		Rejected:      slices.Concat(e.rejectedBy, rejectedBy),
 		Failed:        slices.Concat(e.failedBy, failedBy),
+		Prompt:        enginemodel.Prompt{Tokens: e.info.PromptTokens, AnswerTokens: e.info.AnswerTokens, MaxAnswerTokens: e.info.MaxAnswerTokens},
+		Figures:       e.service.Engine.Figures,
 	}
 	if e.route.Generates {
 		request.BaseLatencyMS = engineBaseLatencyMS
--- a/internal/schedule/bench_test.go
+++ b/internal/schedule/bench_test.go
@@ -62,3 +62,33 @@
 		})
 	}
 }
+
+// BenchmarkDecision measures the choice of a server by counts and by estimates, with
+// requests of this gateway and of others on all of them.
+func BenchmarkDecision(b *testing.B) {
+	for _, count := range []int{50, 600} {
+		for name, estimates := range map[string]bool{"Counts": false, "Estimates": true} {
+			b.Run(fmt.Sprint(name, "/", count), func(b *testing.B) {
+				p, list := schedule.NewPool(schedule.Options{Region: "region-0", Estimates: estimates}), makeServers(count)
+				p.SetServers(startTime, list)
+				running := map[string]int{}
+				for _, s := range list {
+					running[s.ID] = 3
+				}
+				p.SetOtherLoad(startTime, running)
+				request := promptRequest(900)
+				for range count {
+					if s, ok := decisionOf(p.Submit(startTime, request)).(schedule.Start); ok {
+						p.ResponseStarted(startTime, s.Server.ID, 100, request.PromptMS)
+					}
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					if s, ok := decisionOf(p.Submit(startTime, request)).(schedule.Start); ok {
+						p.Ended(startTime, s.Server.ID, schedule.Finished, request.PromptMS)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"almondreel.example/almondreel/internal/enginemodel"
 	"almondreel.example/almondreel/internal/outcome"
 )
 
@@ -41,15 +42,21 @@
 	Generates     bool      // runs on a model version, which may expire
 	Rejected      []string  // IDs of servers that did not run it
 	Failed        []string  // IDs of servers that may have run it and did not complete it
+	Prompt        enginemodel.Prompt
+	Figures       enginemodel.Figures // of the service's engines; not Known: no estimates are made
 
 	submittedAt time.Time // set by Submit
+	bySlack     bool      // set by Submit: queued by the latest time to start, not by target
 }
 
 // Decision is the result of scheduling a Request: Start, Wait or Refuse.
 type Decision interface{ decision() }
 
 // Start means that the request is to be sent to Server.
-type Start struct{ Server Server }
+type Start struct {
+	Server     Server
+	ExpectedMS float64 // estimated milliseconds from sending the request until its response starts; 0: no estimate
+}
 
 // Wait means that the request is queued. A later Resolved carries the decision.
 type Wait struct{}
@@ -75,6 +82,7 @@
 	Region        string  // region of the gateway
 	ExtraSlots    int     // requests sent to a server beyond its slots, to hide network latency
 	RemotePenalty float64 // added to the load of servers in other regions, as a fraction of their slots
+	Estimates     bool    // servers are chosen by estimates from the figures of their engines
 }
 
 // Pool schedules the requests of one service. It is not safe for concurrent use.
@@ -92,6 +100,7 @@
 	endsAt       time.Time // when this gateway ends what still runs; zero: it is not stopping
 	ownName      string    // of this gateway
 	gateways     []string  // that share rate limits
+	estimates    estimates
 }
 
 type server struct {
@@ -112,6 +121,8 @@
 	share        limitShare
 	limitedSince time.Time // when the server first stated a rate limit
 	nextSendAt   time.Time // when its rate limit allows this gateway's next request, on average
+
+	work ownWork
 }
 
 // NewPool returns a pool without servers.
@@ -232,7 +243,7 @@
 	if p.endsBeforeAnswer(now, r) {
 		return refuseStopping(now), nil
 	}
-	r.submittedAt = now
+	r.submittedAt, r.bySlack = now, p.estimated(r)
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
 			return p.start(now, s, r), nil
@@ -268,6 +279,7 @@
 func (p *Pool) ResponseStarted(now time.Time, id string, milliseconds, promptMS float64) {
 	p.startLatency.add(max(0, milliseconds-promptMS)) // the caller may have overstated the prompt
 	if s, ok := p.servers[id]; ok {
+		p.recordResponse(now, s, milliseconds, promptMS)
 		p.mergeSlowStart(now, s, SlowStart{Server: id, Milliseconds: milliseconds - promptMS, At: now})
 		s.pendingPromptMS = max(0, s.pendingPromptMS-promptMS)
 		s.failures, s.backoffUntil = 0, time.Time{}
@@ -297,6 +309,7 @@
 	if !ok {
 		return nil
 	}
+	p.recordEnd(s, promptMS)
 	s.ownRunning--
 	s.pendingPromptMS = max(0, s.pendingPromptMS-promptMS)
 	switch end {
@@ -528,14 +541,15 @@
 		return 0
 	}
 	return cmp.Or(cmp.Compare(stage(a), stage(b)), cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(late(a), late(b)), a.AnswerBy.Compare(b.AnswerBy), cmp.Compare(a.ID, b.ID))
+		cmp.Compare(late(a), late(b)), a.startBy().Compare(b.startBy()), cmp.Compare(a.ID, b.ID))
 }
 
 func (p *Pool) start(now time.Time, s *server, r Request) Start {
 	s.countSend(now)
+	expectedMS := p.recordStart(now, s, r)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
-	return Start{Server: s.Server}
+	return Start{Server: s.Server, ExpectedMS: expectedMS}
 }
 
 // StartElsewhere starts a request at once at a server that did not fail it, before those
@@ -574,11 +588,17 @@
 	var best *server
 	lowest := math.Inf(1)
 	newest := p.newestVersion()
+	estimated := p.estimated(r)
 	for _, s := range p.order {
 		if !p.available(now, s, r) || p.full(now, s, r) {
 			continue
 		}
-		load := p.estimateRunning(s)/float64(max(1, s.Slots)) + s.pendingPromptMS/p.share(s.Region)*promptLoadWeight
+		var load float64
+		if estimated {
+			load = p.estimatedLoad(now, s, r)
+		} else {
+			load = p.estimateRunning(s)/float64(max(1, s.Slots)) + s.pendingPromptMS/p.share(s.Region)*promptLoadWeight
+		}
 		if s.Region != p.options.Region {
 			load += p.options.RemotePenalty
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -152,6 +152,18 @@
 	return true
 }
 
+// UnknownFigures returns the number of services of which estimates cannot be made, because
+// the figures of their engines are missing or implausible.
+func (c *Configuration) UnknownFigures() int {
+	count := 0
+	for _, s := range c.Services {
+		if s.Engine.Slots > 0 && !s.Engine.Figures.Known() {
+			count++
+		}
+	}
+	return count
+}
+
 // Origin returns the origin of weights, or an empty Origin if no service is one.
 func (c *Configuration) Origin() Origin {
 	for _, s := range c.Services {
