--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -172,7 +172,7 @@
 
 // slackShare is the part of a prompt's reading time by which a request goes earlier in the
 // queue. At 0, a gateway alone with twice the load of its engines served prompts of 3,880
-// tokens a twelfth as often as all; at 1, it served them more often than short ones.
+// tokens a fourteenth as often as all; at 1, it served them more often than short ones.
 const slackShare = 0.6
 
 // startBy returns the time by which the queue is ordered: the target, or with estimates an
