--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -175,12 +175,17 @@
 // tokens a fourteenth as often as all; at 1, it served them more often than short ones.
 const slackShare = 0.6
 
+// maxSlackMS bounds the reading time that counts, since callers may overstate a prompt. It is
+// above the 196 ms of the longest known prompt at the slowest known engine; with 150 ms, such
+// prompts were starved at a gateway alone.
+const maxSlackMS = 250
+
 // startBy returns the time by which the queue is ordered: the target, or with estimates an
 // earlier time for longer prompts, which must start earlier to meet the same target.
 func (r Request) startBy() time.Time {
 	if !r.bySlack {
 		return r.AnswerBy
 	}
-	earlier := slackShare * min(r.PromptMS, maxPendingPromptMS) // callers may overstate a prompt
+	earlier := slackShare * min(r.PromptMS, maxSlackMS)
 	return r.AnswerBy.Add(-time.Duration(earlier * float64(time.Millisecond)))
 }
--- a/internal/schedule/estimate_simulation_test.go
+++ b/internal/schedule/estimate_simulation_test.go
@@ -12,12 +12,18 @@
 	"almondreel.example/almondreel/internal/schedule"
 )
 
-// passFigures are the published figures of a deployment.
+// passFigures are the published figures of a deployment, with a usual answer of our own.
 var passFigures = enginemodel.Figures{
 	StepMS: 7.4, RequestMS: 0.0387, ContextMSPerThousand: 0.0203, ReadPerMS: 31.9, PairsMSPerMillion: 0.733,
 	Chunk: 2048, Stride: 7, Slots: 12, UsualPrompt: 973, UsualAnswer: 106,
 }
 
+// slowPassFigures are those of another deployment, where reading takes longer.
+var slowPassFigures = enginemodel.Figures{
+	StepMS: 9.27, RequestMS: 0.0232, ContextMSPerThousand: 0.0322, ReadPerMS: 20.7, PairsMSPerMillion: 1.18,
+	Chunk: 2048, Stride: 5, Slots: 12, UsualPrompt: 1290, UsualAnswer: 106,
+}
+
 const (
 	longPrompt = 3880 // tokens
 	// networkMS is the latency of the simulated network, in each direction.
@@ -85,6 +91,12 @@
 	return sim
 }
 
+// withFigures changes the figures of the engines and what the gateways know of them.
+func (sim *passSimulation) withFigures(f enginemodel.Figures) *passSimulation {
+	sim.figures, sim.requestFigures = f, f
+	return sim
+}
+
 func (sim *passSimulation) after(milliseconds float64, run func()) {
 	heap.Push(&sim.events, event{sim.now.Add(time.Duration(milliseconds * float64(time.Millisecond))), run})
 }
