--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -3,7 +3,11 @@
 // and the model versions to serve.
 package site
 
-import "strings"
+import (
+	"strings"
+
+	"almondreel.example/almondreel/internal/enginemodel"
+)
 
 // Kind says whether a route's requests may be repeated, and how they are answered.
 type Kind int
@@ -58,6 +62,7 @@
 	PieceBytes         int     // size of a piece
 	WarmUpMilliseconds float64 // time to load all layers
 	ReadPerMillisecond float64 // prompt tokens processed per millisecond
+	Figures            enginemodel.Figures
 }
 
 // Origin is the server that weights are downloaded from. Address is empty for other
@@ -147,6 +152,18 @@
 	return true
 }
 
+// UnknownFigures returns the number of services of which estimates cannot be made, because
+// the figures of their engines are missing or implausible.
+func (c *Configuration) UnknownFigures() int {
+	count := 0
+	for _, s := range c.Services {
+		if s.Engine.Slots > 0 && !s.Engine.Figures.Known() {
+			count++
+		}
+	}
+	return count
+}
+
 // Origin returns the origin of weights, or an empty Origin if no service is one.
 func (c *Configuration) Origin() Origin {
 	for _, s := range c.Services {
