Home regions

Cause: a route or an organisation may name the regions that may serve its requests (allowed_regions); gateways sent them anywhere.

Change: platform decodes the lists. Null and an empty list allow any region; of a list that cannot be read whole the readable names count, anything else in place of a list allows none, and the rest of the configuration is adopted. internal/homeregion combines the lists, the pool checks the result for each choice of a server. The proxy computes it from the current configuration for each attempt and successor, and again once a slot is granted: a slot of an earlier configuration is given back. A new configuration is applied to the requests in the queue. If no server in the regions serves, the request is refused at once (NoAllowedRegion); the retry times are spread. Requests that wait for a region do not block others, neither in the queue nor in the estimate of its length. While bound requests wait for a region, or started there within two seconds, its servers count as more heavily loaded for unbound ones.

With the check after the grant removed TestSlotOfFormerConfigurationIsGivenBack fails, with that of successors TestSuccessorStaysInTheRegions, with that of the pool four tests of internal/schedule.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -43,6 +43,7 @@
 	TargetVersionChanged
 	PeerMessageRejected
 	ServerWeightsChanged
+	RegionUnknown
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -99,6 +100,7 @@
 	HandlerPanicked
 	SuccessorStarted
 	SuccessorEnded
+	SlotWithdrawn
 )
 
 var texts = map[Number]string{
@@ -140,6 +142,7 @@
 	TargetVersionChanged:  "target version of a model changed",
 	PeerMessageRejected:   "message of another process exceeds the limits: connection ended",
 	ServerWeightsChanged:  "weights that a backend server counts as serving changed",
+	RegionUnknown:         "configuration allows a region in which no data centre is",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
@@ -190,4 +193,5 @@
 	HandlerPanicked:     "request handler panicked",
 	SuccessorStarted:    "server is silent: another is asked to go on with the response",
 	SuccessorEnded:      "server does not go on with the response of a silent one",
+	SlotWithdrawn:       "slot given back before anything was sent: the server is no longer permitted",
 }
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -36,6 +36,9 @@
 
 	// weights holds what was last logged of each listed engine, by server ID. Only refresh uses it.
 	weights map[string]countedWeights
+
+	// applied is the configuration whose regions were last applied. Only refresh uses it.
+	applied *site.Configuration
 }
 
 // countedWeights is the version that an engine counts as serving, and where that is known
@@ -96,6 +99,7 @@
 	}
 	t.weights = weights
 	t.pools.SetServers(now, services)
+	t.applyRegions(now, c)
 	if count != t.listedCount {
 		t.listedCount = count
 		event.Log(event.ServersChanged, "Listed", count, "Revision", t.mirror.Revision())
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -56,6 +56,7 @@
 	TooLarge                  Reason = "TooLarge"
 	IdempotencyKeyMissing     Reason = "IdempotencyKeyMissing"
 	IdempotencyKeyReused      Reason = "IdempotencyKeyReused"
+	NoAllowedRegion           Reason = "NoAllowedRegion" // no server in an allowed region is serving
 	QueueFull                 Reason = "QueueFull"
 	ProjectedWaitTooLong      Reason = "ProjectedWaitTooLong"
 	NoReplicaServing          Reason = "NoReplicaServing"
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -49,6 +49,7 @@
 	bodyRead      bool // or reading it failed
 	suspect       suspectRequest
 	failover      failover
+	home          homeLimits
 
 	stall         silence.Timer    // of the current attempt
 	slot          schedule.Request // for a slot of the current attempt
@@ -117,10 +118,13 @@
 // acquireSlot waits for a slot and returns an attempt at its server, or nil and the outcome.
 func (e *exchange) acquireSlot(ctx context.Context) (*attempt, outcome.Outcome) {
 	queuedAt := time.Now()
-	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slot)
+	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slot, e.homeRegions)
 	e.queueMS += time.Since(queuedAt).Milliseconds()
 	switch d := decision.(type) {
 	case schedule.Start:
+		if e.withdraw(d.Server) {
+			return e.acquireSlot(ctx)
+		}
 		verdict := e.handler.CrashDetector.Verdict(e.suspect)
 		if verdict == quarantine.Quarantined {
 			e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, e.promptMS())
@@ -128,6 +132,7 @@
 		}
 		return e.newAttempt(ctx, d.Server, verdict), nil
 	case schedule.Refuse:
+		countRefusal(d)
 		return nil, e.refusedOrUnknown(outcome.Refused{Reason: d.Reason, RetryAt: d.RetryAt})
 	}
 	return nil, e.timedOut(ctx)
@@ -315,7 +320,7 @@
 	if !e.response.begun() {
 		request.AnswerMS = e.handler.answerTimes.LongestMS(e.route.Name, time.Now())
 	}
-	return request
+	return e.bind(request)
 }
 
 // promptMS returns how long an engine takes to process the prompt, in
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -101,7 +101,7 @@
 
 // slotRequest returns the request for a successor's slot. Callers hold mu.
 func (f *failover) slotRequest() schedule.Request {
-	r := f.request
+	r := f.exchange.bind(f.request)
 	r.Resumed, r.Retried = true, true
 	if f.exchange.response.begun() {
 		r.AnswerMS = 0 // a gateway that stops does not cut it sooner than it must
@@ -179,7 +179,9 @@
 		s.close()
 		s.release(s.schedulerEnd(end))
 	}()
-	end = s.open()
+	if end = notPermitted(); e.permitted(s.server) {
+		end = s.open()
+	}
 	if end == nil && s.empty && current != nil {
 		s.waitBehind(current)
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -207,6 +207,9 @@
 		return e.refuseMissing(outcome.Unauthorised), false
 	}
 	e.organisation = organisation.Name
+	if e.home.update(configuration, e).Bound {
+		counter.Add("HomeRequests", 1)
+	}
 	if !e.info.Deadline.IsZero() {
 		if !e.arrivedAt.Before(e.info.Deadline) {
 			return e.refuseNotReady(outcome.DeadlinePassed), false
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/homeregion"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/pause"
 	"almondreel.example/almondreel/internal/schedule"
@@ -22,7 +23,7 @@
 	mu      sync.Mutex
 	options schedule.Options
 	pools   map[string]*schedule.Pool
-	waiters map[int64]chan schedule.Decision
+	waiters map[int64]waiter
 	lastID  atomic.Int64
 	endsAt  time.Time // when this gateway ends what still runs; zero: it is not stopping
 	// ownName and gateways are the gateways that share rate limits.
@@ -32,7 +33,7 @@
 
 // NewPools returns an empty set of pools. Each pool is created with o.
 func NewPools(o schedule.Options) *Pools {
-	return &Pools{options: o, pools: map[string]*schedule.Pool{}, waiters: map[int64]chan schedule.Decision{}}
+	return &Pools{options: o, pools: map[string]*schedule.Pool{}, waiters: map[int64]waiter{}}
 }
 
 // SetServers replaces the servers of every service.
@@ -84,17 +85,19 @@
 	}
 }
 
-// acquire waits for a slot on a server. It returns a schedule.Start or
-// schedule.Refuse, or nil if ctx ended first.
-func (p *Pools) acquire(ctx context.Context, service string, request schedule.Request) schedule.Decision {
+// acquire waits for a slot on a server in the regions that home returns. It returns a
+// schedule.Start or schedule.Refuse, or nil if ctx ended first.
+func (p *Pools) acquire(ctx context.Context, service string, request schedule.Request, home func() homeregion.Allowed) schedule.Decision {
 	request.ID = p.lastID.Add(1)
 	queuedAt := time.Now()
 	p.mu.Lock()
+	allowed := home() // RefreshRegions, which has not seen this request, may have run before
+	request.Regions, request.Bound = allowed.Regions, allowed.Bound
 	decision, resolved := p.pool(service).Submit(queuedAt, request)
 	p.deliver(resolved)
-	waiter := make(chan schedule.Decision, 1)
+	granted := make(chan schedule.Decision, 1)
 	if _, waits := decision.(schedule.Wait); waits {
-		p.waiters[request.ID] = waiter
+		p.waiters[request.ID] = waiter{granted, home}
 	}
 	p.mu.Unlock()
 	if _, waits := decision.(schedule.Wait); !waits {
@@ -102,11 +105,11 @@
 	}
 	defer func() { counter.Observe("QueueMilliseconds", time.Since(queuedAt).Milliseconds()) }()
 	select {
-	case decision = <-waiter:
+	case decision = <-granted:
 		return decision
 	case <-ctx.Done():
 	}
-	return p.cancelWait(service, request, waiter)
+	return p.cancelWait(service, request, granted)
 }
 
 // startElsewhere takes a slot for a request at once, at a server that did not fail it. It
@@ -139,14 +142,14 @@
 
 // cancelWait removes a request from the queue. A slot that it was given in the
 // meantime is released.
-func (p *Pools) cancelWait(service string, request schedule.Request, waiter chan schedule.Decision) schedule.Decision {
+func (p *Pools) cancelWait(service string, request schedule.Request, granted <-chan schedule.Decision) schedule.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.waiters, request.ID)
 	pool := p.pool(service)
 	pool.Withdraw(request.ID)
 	select {
-	case decision := <-waiter:
+	case decision := <-granted:
 		if s, ok := decision.(schedule.Start); ok {
 			p.deliver(pool.Ended(time.Now(), s.Server.ID, schedule.Abandoned, request.PromptMS))
 		}
@@ -276,9 +279,9 @@
 // deliver sends decisions to the requests that wait for them. Callers hold mu.
 func (p *Pools) deliver(resolved []schedule.Resolved) {
 	for _, r := range resolved {
-		if waiter, ok := p.waiters[r.ID]; ok {
+		if w, ok := p.waiters[r.ID]; ok {
 			delete(p.waiters, r.ID)
-			waiter <- r.Decision
+			w.decision <- r.Decision
 		}
 	}
 }
--- /dev/null
+++ b/internal/proxy/regions.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"almondreel.example/almondreel/internal/counter"
+	"almondreel.example/almondreel/internal/event"
+	"almondreel.example/almondreel/internal/homeregion"
+	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/schedule"
+	"almondreel.example/almondreel/internal/site"
+)
+
+// homeLimits are the regions to which a request's route and organisation limit it, as the
+// last configuration that has them states. It is safe for concurrent use.
+type homeLimits struct {
+	mu                  sync.Mutex
+	route, organisation homeregion.Allowed
+}
+
+// update sets the limits that a configuration states for a request. A route or an
+// organisation that the configuration no longer has keeps its limit.
+func (l *homeLimits) update(c *site.Configuration, e *exchange) homeregion.Allowed {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if route, ok := c.Route(hostname(e.r.Host), e.r.URL.EscapedPath()); ok {
+		l.route = homeregion.Of(route.Regions)
+	}
+	organisation, ok := c.OrganisationByKey(e.info.Credential)
+	if !ok && e.organisation != "" { // its key was removed while the request runs
+		organisation, ok = c.OrganisationByName(e.organisation)
+	}
+	if ok {
+		l.organisation = homeregion.Of(organisation.Regions)
+	}
+	return l.route.And(l.organisation)
+}
+
+// homeRegions returns the regions in which the request may run, as the current
+// configuration states. The organisation counts if the caller is known.
+func (e *exchange) homeRegions() homeregion.Allowed {
+	return e.home.update(e.handler.View.Configuration(), e) // one is known since the request was admitted
+}
+
+// bind returns r with the regions in which the request may run now.
+func (e *exchange) bind(r schedule.Request) schedule.Request {
+	home := e.homeRegions()
+	r.Regions, r.Bound = home.Regions, home.Bound
+	return r
+}
+
+// withdraw gives a slot back if the request may no longer be sent to its server, since the
+// configuration changed after the slot was granted. It reports whether it did.
+func (e *exchange) withdraw(s schedule.Server) bool {
+	if e.permitted(s) {
+		return false
+	}
+	e.handler.Pools.release(e.service.Name, s.ID, schedule.Withdrawn, e.promptMS())
+	return true
+}
+
+// permitted reports whether the request may still be sent to a server that has a slot for
+// it.
+func (e *exchange) permitted(s schedule.Server) bool {
+	if e.handler.Pools.permits(e.service.Name, s.ID, e.bind(schedule.Request{})) {
+		return true
+	}
+	counter.Add("SlotsWithdrawn", 1)
+	event.Log(event.SlotWithdrawn, "Request", e.info.AttemptID, "Server", s.ID, "Region", s.Region)
+	return false
+}
+
+// notPermitted is the result of a successor whose server may no longer be sent the request.
+func notPermitted() result {
+	return rejected{reason: outcome.NoAllowedRegion, endState: schedule.Withdrawn, detail: "server is no longer permitted"}
+}
+
+// countRefusal counts a refusal that has to do with regions.
+func countRefusal(r schedule.Refuse) {
+	if r.Reason == outcome.NoAllowedRegion {
+		counter.Add("HomeRefusals", 1)
+	}
+}
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	decision chan schedule.Decision
+	home     func() homeregion.Allowed // regions in which it may run now; must not use Pools
+}
+
+// RefreshRegions applies the current configuration to the requests that wait for a slot.
+// It must be called after each change.
+func (p *Pools) RefreshRegions(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		p.deliver(pool.SetRegions(now, func(id int64) ([]string, bool) {
+			home := p.waiters[id].home()
+			return home.Regions, home.Bound
+		}))
+	}
+}
+
+// permits reports whether a request may still be sent to a server that has a slot for it.
+func (p *Pools) permits(service, server string, request schedule.Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool(service).Permits(server, request)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -41,6 +41,8 @@
 	Generates     bool      // runs on a model version, which may expire
 	Rejected      []string  // IDs of servers that did not run it
 	Failed        []string  // IDs of servers that may have run it and did not complete it
+	Regions       []string  // that may run it, if Bound
+	Bound         bool      // only Regions may run it; none if there are none
 
 	submittedAt time.Time // set by Submit
 }
@@ -92,6 +94,7 @@
 	endsAt       time.Time // when this gateway ends what still runs; zero: it is not stopping
 	ownName      string    // of this gateway
 	gateways     []string  // that share rate limits
+	regions      map[string]*regionRates
 }
 
 type server struct {
@@ -116,7 +119,7 @@
 
 // NewPool returns a pool without servers.
 func NewPool(o Options) *Pool {
-	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}}
+	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}, regions: map[string]*regionRates{}}
 }
 
 // SetServers replaces the list of servers. Requests that run on a server that is
@@ -232,6 +235,9 @@
 	if p.endsBeforeAnswer(now, r) {
 		return refuseStopping(now), nil
 	}
+	if p.excluded(r) {
+		return p.refuseExcluded(now, r), nil
+	}
 	r.submittedAt = now
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
@@ -288,6 +294,7 @@
 	TimedOut        // no response in time
 	Misdirected     // another server answered at the address
 	Superseded      // another server went on with the response
+	Withdrawn       // the slot was given back before anything was sent
 )
 
 // Ended records that an attempt at server id ended. promptMS is the PromptMS of the
@@ -302,6 +309,7 @@
 	switch end {
 	case Finished, Abandoned:
 		p.completions.add(now)
+		p.ratesOf(s.Region).completions.add(now)
 	case Unreachable, Rejected, Incomplete, TimedOut:
 		s.backOff(now, end)
 	case Misdirected:
@@ -385,6 +393,8 @@
 		switch {
 		case p.endsBeforeAnswer(now, r):
 			out = append(out, Resolved{r.ID, refuseStopping(now)})
+		case p.excluded(r):
+			out = append(out, Resolved{r.ID, p.refuseExcluded(now, r)})
 		case !r.Resumed && (p.allExpiring(now, r) || p.listed == 0):
 			out = append(out, Resolved{r.ID, p.refuseNoReplica(now, r)})
 		case !now.Before(p.waitDeadline(r)) || !r.Resumed && p.allBusy(now, r):
@@ -439,11 +449,11 @@
 func (p *Pool) checkQueueWait(now time.Time, r Request) (Decision, bool) {
 	ahead := 0
 	for _, queued := range p.queue {
-		if compareRequests(now, queued, r) < 0 {
+		if compareRequests(now, queued, r) < 0 && competes(queued, r) {
 			ahead++
 		}
 	}
-	rate := p.completions.perSecond(now)
+	rate := p.completionRate(now, r)
 	if rate <= 0 || ahead < minQueue {
 		return nil, false
 	}
@@ -481,21 +491,24 @@
 // dispatch starts queued requests while slots are free. A request past its target
 // that cannot start does not block those behind it: they may use slots that are
 // reserved for requests that can still meet their target. Neither does one that waits
-// for a server in backoff.
+// for a server in backoff, and one that may only run in some regions blocks only those that
+// may run in the same ones.
 func (p *Pool) dispatch(now time.Time) []Resolved {
 	if len(p.queue) == 0 {
 		return nil
 	}
 	slices.SortFunc(p.queue, func(a, b Request) int { return compareRequests(now, a, b) })
 	var out []Resolved
-	blocked := false
+	var waiting blocked
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
-		if blocked {
+		if waiting.covers(r) {
 			return false
 		}
 		s := p.chooseServer(now, r)
 		if s == nil {
-			blocked = !r.pastTarget(now) && !p.waitsForRecovery(now, r) && p.canServe(now, r)
+			if !r.pastTarget(now) && !p.waitsForRecovery(now, r) && p.canServe(now, r) {
+				waiting.add(r)
+			}
 			return false
 		}
 		out = append(out, Resolved{r.ID, p.start(now, s, r)})
@@ -533,6 +546,7 @@
 
 func (p *Pool) start(now time.Time, s *server, r Request) Start {
 	s.countSend(now)
+	p.countStart(now, s.Region, r)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
 	return Start{Server: s.Server}
@@ -573,7 +587,7 @@
 	}
 	var best *server
 	lowest := math.Inf(1)
-	newest := p.newestVersion()
+	newest, reserved := p.newestVersion(), p.reservations(now, r)
 	for _, s := range p.order {
 		if !p.available(now, s, r) || p.full(now, s, r) {
 			continue
@@ -582,6 +596,7 @@
 		if s.Region != p.options.Region {
 			load += p.options.RemotePenalty
 		}
+		load += reserved[s.Region]
 		if r.Resumed && s.Version < newest {
 			load += oldVersionPenalty
 		}
@@ -657,7 +672,7 @@
 // eligible reports whether the server can run the request, apart from busy times, the
 // pace of a rate limit and backoff.
 func (p *Pool) eligible(now time.Time, s *server, r Request) bool {
-	return s.Ready && !s.departing && !s.superseded && s.hasShare(now) && p.startsInTime(now, s, r)
+	return s.serving() && s.permits(r) && s.hasShare(now) && p.startsInTime(now, s, r)
 }
 
 // available reports whether the server may get the request now. After a backoff a
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -35,6 +35,8 @@
 	Public              bool
 	Resumable           bool
 	Generates           bool // requests carry a prompt for a model
+	// Regions may serve its requests; nil: any region, empty: none.
+	Regions []string
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -72,6 +74,8 @@
 	Keys        []string
 	Priority    int
 	HasPriority bool // Priority is configured
+	// Regions may serve its requests; nil: any region, empty: none.
+	Regions []string
 }
 
 // Limits bound what callers may send.
@@ -89,6 +93,7 @@
 	Organisations []Organisation
 	hosts         map[string][]int
 	keys          map[string]int
+	restricted    bool // a route or an organisation has Regions
 }
 
 // Index builds the look-up tables. It must be called once, before the configuration is
@@ -97,8 +102,10 @@
 	c.hosts, c.keys = map[string][]int{}, map[string]int{}
 	for i, r := range c.Routes {
 		c.hosts[r.Host] = append(c.hosts[r.Host], i)
+		c.restricted = c.restricted || r.Regions != nil
 	}
 	for i, o := range c.Organisations {
+		c.restricted = c.restricted || o.Regions != nil
 		for _, k := range o.Keys {
 			c.keys[k] = i
 		}
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -26,6 +26,9 @@
 const (
 	programs = "../../bin"
 	apiKey   = "key"
+	// The daemons are in the first of the data centres.
+	northernDataCentre = "north-a"
+	southernDataCentre = "south-a"
 	// versionMS is the VersionMS setting of the daemons: the time in which a newly named
 	// version must be served.
 	versionMS = 2000
@@ -95,6 +98,7 @@
 	firstVersion      int64 // loaded by engines at the start; 0: none
 	graceSeconds      int   // of gateways; 0: graceTime
 	warmUpMS          int   // time that a load takes; 0: none
+	southern          int   // the last of the engines, which are in the data centre south-a of the region south
 }
 
 // site is the daemons with the stand-ins around them.
@@ -110,6 +114,7 @@
 	engines              []*engine
 	configurationVersion int64
 	warmUpMS             int
+	northern             int // engines in north-a, before those in south-a
 }
 
 // newSite returns an empty site with reserved ports for its daemons.
@@ -127,7 +132,7 @@
 func startSite(t *testing.T, o options) *site {
 	t.Helper()
 	s := newSite(t)
-	s.warmUpMS = o.warmUpMS
+	s.warmUpMS, s.northern = o.warmUpMS, o.engines-o.southern
 	s.store, s.origin = standin.NewStore(), standin.NewOrigin()
 	origin := httptest.NewServer(s.origin)
 	t.Cleanup(origin.Close)
@@ -182,8 +187,12 @@
 func (s *site) startEngine(n int, version int64, controlAddresses []string) {
 	server := httptest.NewUnstartedServer(nil)
 	e := &engine{route: s.proxy(server.Listener.Addr().String())}
+	dataCentre := northernDataCentre
+	if n >= s.northern {
+		dataCentre = southernDataCentre
+	}
 	e.Engine = standin.NewEngine(standin.EngineOptions{
-		ID: fmt.Sprint("i-", n), Address: e.route.Address(), DataCentre: "north-a", EventMS: 5, FirstVersion: version, WarmUpMS: s.warmUpMS,
+		ID: fmt.Sprint("i-", n), Address: e.route.Address(), DataCentre: dataCentre, EventMS: 5, FirstVersion: version, WarmUpMS: s.warmUpMS,
 		OnCrash: func() { s.restartAfterCrash(e) },
 	})
 	server.Config.Handler = e.Engine
@@ -210,7 +219,7 @@
 // gateways and agents share, and runs the daemon until the test ends.
 func (s *site) startDaemon(p *daemon, store string, controlAddresses []string, ownSettings string) {
 	s.t.Helper()
-	text := fmt.Sprintf("Name: %s\nRegion: north\nDataCentre: north-a\nHosting:\n  Program: %s\n  Store: %q\n  MemoryMB: 64\n  VersionMS: %d\n  Gateways: [\"%s\"]\n  Places:\n    - {DataCentre: north-a, Region: north}\n",
+	text := fmt.Sprintf("Name: %s\nRegion: north\nDataCentre: north-a\nHosting:\n  Program: %s\n  Store: %q\n  MemoryMB: 64\n  VersionMS: %d\n  Gateways: [\"%s\"]\n  Places:\n    - {DataCentre: north-a, Region: north}\n    - {DataCentre: south-a, Region: south}\n",
 		p.name, p.program, store, versionMS, strings.Join(controlAddresses, "\", \""))
 	p.file = filepath.Join(s.t.TempDir(), p.name+".yaml")
 	require.NoError(s.t, os.WriteFile(p.file, []byte(ownSettings+text), 0o600))
