internal/schedule: requests are not copied to check their region

Cause: the check of a request's region copied the request for each server.

Change: it takes a pointer; the reservation is looked up only if there is one.

--- a/internal/schedule/regions.go
+++ b/internal/schedule/regions.go
@@ -9,7 +9,7 @@
 
 // allows reports whether the request may run in a region. The region of a server in a
 // data centre that the settings do not list is unknown and allowed to no bound request.
-func (r Request) allows(region string) bool {
+func (r *Request) allows(region string) bool {
 	return !r.Bound || region != "" && slices.Contains(r.Regions, region)
 }
 
@@ -18,13 +18,13 @@
 func (s *server) serving() bool { return s.Ready && !s.departing && !s.superseded }
 
 // permits reports whether the request may be sent to the server at all.
-func (s *server) permits(r Request) bool { return r.allows(s.Region) }
+func (s *server) permits(r *Request) bool { return r.allows(s.Region) }
 
 // Permits reports whether a request that was given a slot on server id may still be sent
 // there.
 func (p *Pool) Permits(id string, r Request) bool {
 	s, ok := p.servers[id]
-	return !ok || s.permits(r)
+	return !ok || s.permits(&r)
 }
 
 // SetRegions replaces the regions of the queued requests by what home returns for their
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -596,7 +596,9 @@
 		if s.Region != p.options.Region {
 			load += p.options.RemotePenalty
 		}
-		load += reserved[s.Region]
+		if reserved != nil {
+			load += reserved[s.Region]
+		}
 		if r.Resumed && s.Version < newest {
 			load += oldVersionPenalty
 		}
@@ -672,7 +674,7 @@
 // eligible reports whether the server can run the request, apart from busy times, the
 // pace of a rate limit and backoff.
 func (p *Pool) eligible(now time.Time, s *server, r Request) bool {
-	return s.serving() && s.permits(r) && s.hasShare(now) && p.startsInTime(now, s, r)
+	return s.serving() && s.permits(&r) && s.hasShare(now) && p.startsInTime(now, s, r)
 }
 
 // available reports whether the server may get the request now. After a backoff a
--- a/internal/schedule/slowstart.go
+++ b/internal/schedule/slowstart.go
@@ -77,7 +77,7 @@
 func (p *Pool) allExpiring(now time.Time, r Request) bool {
 	ready := false
 	for _, s := range p.order {
-		if !s.serving() || !s.permits(r) {
+		if !s.serving() || !s.permits(&r) {
 			continue
 		}
 		if p.startsInTime(now, s, r) {
