Evacuation of a data centre

Cause: nothing kept requests from the servers of a data centre that operators want to empty, short of removing every server's entry.

Change: while the key op/evacuate/ZONE exists, whatever its value, the servers of that data centre get no request. The set of evacuated data centres comes from the mirror, as every other item. The pool checks it with the regions, for each choice of a server; a slot that was granted before is given back before the request is sent. If all servers that could serve a request are evacuated, it is refused at once (DataCentreEvacuated, Retry-After 1 to 1.4 s). A resumed request waits as long as before, since a refusal would cut its response. Responses at evacuated servers are completed.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -44,6 +44,9 @@
 	PeerMessageRejected
 	ServerWeightsChanged
 	RegionUnknown
+	DataCentreEvacuated
+	EvacuationEnded
+	EvacuationUnknown
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -143,6 +146,9 @@
 	PeerMessageRejected:   "message of another process exceeds the limits: connection ended",
 	ServerWeightsChanged:  "weights that a backend server counts as serving changed",
 	RegionUnknown:         "configuration allows a region in which no data centre is",
+	DataCentreEvacuated:   "data centre evacuated: no new requests to its backend servers",
+	EvacuationEnded:       "evacuation of a data centre ended",
+	EvacuationUnknown:     "evacuation of an unknown data centre ignored",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
--- a/internal/hosted/export_test.go
+++ b/internal/hosted/export_test.go
@@ -30,6 +30,9 @@
 // Listed returns the number of listed servers.
 func (v View) Listed() int { return len(v.view.listedServers(time.Now())) }
 
+// Evacuated reports whether a data centre is evacuated.
+func (v View) Evacuated(dataCentre string) bool { return v.view.isEvacuated(dataCentre) }
+
 // AnswerUntil returns when a stop that began at a time ends the requests in progress.
 func AnswerUntil(began time.Time, grace time.Duration) time.Time {
 	return newStopTimes(began, grace).answer
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -39,6 +39,8 @@
 
 	// applied is the configuration whose regions were last applied. Only refresh uses it.
 	applied *site.Configuration
+	// evacuationLog is used by refresh alone.
+	evacuationLog evacuationLog
 }
 
 // countedWeights is the version that an engine counts as serving, and where that is known
@@ -100,6 +102,7 @@
 	t.weights = weights
 	t.pools.SetServers(now, services)
 	t.applyRegions(now, c)
+	t.evacuationLog.record(t.evacuations(), t.hosting.Places, t.mirror.Revision())
 	if count != t.listedCount {
 		t.listedCount = count
 		event.Log(event.ServersChanged, "Listed", count, "Revision", t.mirror.Revision())
@@ -126,6 +129,7 @@
 	out := schedule.Server{
 		ID: s.ID, Address: s.Address, Region: t.hosting.Region(s.DataCentre),
 		Slots: max(1, s.Slots), StartUnixMS: s.State.Born, Ready: true,
+		Evacuated: t.isEvacuated(s.DataCentre),
 	}
 	if service.Engine.Slots == 0 {
 		return out, fromEntry
--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -61,9 +61,10 @@
 	expired         map[string]expiredServer // by store key; entries expired while the store was down
 	startedAt       time.Time
 	storeDown       bool
-	storeFailedAt   time.Time // the last call that failed
-	storeReturnedAt time.Time // the store last answered again after a failure
-	confirmedAt     time.Time // when the mirror was last known to be current
+	storeFailedAt   time.Time       // the last call that failed
+	storeReturnedAt time.Time       // the store last answered again after a failure
+	confirmedAt     time.Time       // when the mirror was last known to be current
+	evacuated       map[string]bool // data centres
 	changed         chan struct{}
 	storeRole       func() followerRole // this process's role in following the store
 }
@@ -88,7 +89,7 @@
 	return &siteView{
 		store: store, mirror: mirror.New(), startedAt: time.Now(),
 		versions: map[string]site.Version{}, rollouts: rollout.NewTracker(versionMS),
-		servers: map[string]site.Server{}, expired: map[string]expiredServer{},
+		servers: map[string]site.Server{}, expired: map[string]expiredServer{}, evacuated: map[string]bool{},
 		changed: make(chan struct{}, 1), storeRole: func() followerRole { return primaryFollower },
 	}
 }
@@ -207,6 +208,8 @@
 			sv.applyVersion(i, from)
 		case platform.IsServer(i.Key):
 			sv.applyServer(i)
+		case platform.IsEvacuation(i.Key):
+			sv.applyEvacuation(i)
 		}
 	}
 	sv.notify()
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -56,7 +56,8 @@
 	TooLarge                  Reason = "TooLarge"
 	IdempotencyKeyMissing     Reason = "IdempotencyKeyMissing"
 	IdempotencyKeyReused      Reason = "IdempotencyKeyReused"
-	NoAllowedRegion           Reason = "NoAllowedRegion" // no server in an allowed region is serving
+	NoAllowedRegion           Reason = "NoAllowedRegion"     // no server in an allowed region is serving
+	DataCentreEvacuated       Reason = "DataCentreEvacuated" // all serving servers are in evacuated data centres
 	QueueFull                 Reason = "QueueFull"
 	ProjectedWaitTooLong      Reason = "ProjectedWaitTooLong"
 	NoReplicaServing          Reason = "NoReplicaServing"
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -51,7 +51,7 @@
 }
 
 // withdraw gives a slot back if the request may no longer be sent to its server, since the
-// configuration changed after the slot was granted. It reports whether it did.
+// configuration changed or its data centre was evacuated after the slot was granted. It reports whether it did.
 func (e *exchange) withdraw(s schedule.Server) bool {
 	if e.permitted(s) {
 		return false
@@ -73,13 +73,16 @@
 
 // notPermitted is the result of a successor whose server may no longer be sent the request.
 func notPermitted() result {
-	return rejected{reason: outcome.NoAllowedRegion, endState: schedule.Withdrawn, detail: "server is no longer permitted"}
+	return rejected{reason: outcome.BackendRefused, endState: schedule.Withdrawn, detail: "server is no longer permitted"}
 }
 
-// countRefusal counts a refusal that has to do with regions.
+// countRefusal counts a refusal because of regions or evacuations.
 func countRefusal(r schedule.Refuse) {
-	if r.Reason == outcome.NoAllowedRegion {
+	switch r.Reason {
+	case outcome.NoAllowedRegion:
 		counter.Add("HomeRefusals", 1)
+	case outcome.DataCentreEvacuated:
+		counter.Add("EvacuationRefusals", 1)
 	}
 }
 
--- a/internal/schedule/regions.go
+++ b/internal/schedule/regions.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"almondreel.example/almondreel/internal/outcome"
 )
 
 // allows reports whether the request may run in a region. The region of a server in a
@@ -17,9 +15,6 @@
 // backoff.
 func (s *server) serving() bool { return s.Ready && !s.departing && !s.superseded }
 
-// permits reports whether the request may be sent to the server at all.
-func (s *server) permits(r *Request) bool { return r.allows(s.Region) }
-
 // Permits reports whether a request that was given a slot on server id may still be sent
 // there.
 func (p *Pool) Permits(id string, r Request) bool {
@@ -36,34 +31,6 @@
 	return p.Tick(now)
 }
 
-// excluded reports whether no server that may run the request is serving. A resumed
-// request, which would be cut, is excluded only if no region is allowed: servers of an
-// allowed region may come back while it waits.
-func (p *Pool) excluded(r Request) bool {
-	if !r.Bound || r.Resumed && len(r.Regions) > 0 {
-		return false
-	}
-	return !slices.ContainsFunc(p.order, func(s *server) bool { return s.serving() && r.allows(s.Region) })
-}
-
-const (
-	// excludedSpread times the ID of a request, modulo excludedTurns, is added to the retry
-	// delay, so that callers that were refused together do not return together.
-	excludedSpread = 25 * time.Millisecond
-	excludedTurns  = 16
-)
-
-// refuseExcluded refuses a request that is excluded. It takes no turn of the retry times
-// of other refusals, whose callers wait for slots. Without an allowed region only another
-// configuration helps.
-func (p *Pool) refuseExcluded(now time.Time, r Request) Refuse {
-	delay := noReplicaDelay + excludedSpread*time.Duration(r.ID%excludedTurns)
-	if len(r.Regions) == 0 {
-		delay = maxRetryDelay
-	}
-	return Refuse{Reason: outcome.NoAllowedRegion, RetryAt: now.Add(delay)}
-}
-
 // regionRates counts what happens in a region.
 type regionRates struct {
 	completions rateWindow
--- a/internal/schedule/regions_test.go
+++ b/internal/schedule/regions_test.go
@@ -50,7 +50,8 @@
 	require.LessOrEqual(t, refuse.RetryAt.Sub(now), 2*time.Second, "callers wait at most a third of their time")
 }
 
-// Guards against any path by which a request is started in a region that it may not run in:
+// Guards against any path by which a request is started in a region that it may not run in,
+// or at an evacuated server:
 // at once, from the queue, resumed, beside a silent server, as a probe, or after its
 // regions, the servers or their state have changed.
 func TestBoundRequestStartsOnlyInItsRegions(t *testing.T) {
@@ -66,6 +67,7 @@
 				return
 			}
 			running = append(running, start.Server.ID)
+			require.False(t, start.Server.Evacuated, "seed %d, request %d", seed, id)
 			if limit := limits[id]; limit != nil {
 				require.Contains(t, limit, start.Server.Region, "seed %d, request %d", seed, id)
 				require.NotEmpty(t, start.Server.Region, "seed %d: the region of the server is unknown", seed)
@@ -91,7 +93,7 @@
 			case 0:
 				var servers []schedule.Server
 				for n := range rng.IntN(6) {
-					servers = append(servers, schedule.Server{ID: fmt.Sprint("i-", n), Region: regions[rng.IntN(len(regions))], Slots: 1 + rng.IntN(3), Ready: rng.IntN(4) > 0})
+					servers = append(servers, schedule.Server{ID: fmt.Sprint("i-", n), Region: regions[rng.IntN(len(regions))], Slots: 1 + rng.IntN(3), Ready: rng.IntN(4) > 0, Evacuated: rng.IntN(4) == 0})
 				}
 				checkAll(p.SetServers(now, servers))
 			case 1:
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -24,6 +24,7 @@
 	Version     int64     // of the weights that it serves; 0 for a service without a model
 	ServesUntil time.Time // no request may start on Version from then on; zero: no limit
 	Ready       bool      // accepts new requests
+	Evacuated   bool      // its data centre is evacuated: it gets no requests
 }
 
 // Request is a request to be scheduled on a backend server.
@@ -95,6 +96,7 @@
 	ownName      string    // of this gateway
 	gateways     []string  // that share rate limits
 	regions      map[string]*regionRates
+	evacuation   bool // a listed server is evacuated
 }
 
 type server struct {
@@ -125,7 +127,7 @@
 // SetServers replaces the list of servers. Requests that run on a server that is
 // no longer listed are counted until they end.
 func (p *Pool) SetServers(now time.Time, list []Server) []Resolved {
-	p.listed = len(list)
+	p.listed, p.evacuation = len(list), hasEvacuated(list)
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
@@ -235,8 +237,8 @@
 	if p.endsBeforeAnswer(now, r) {
 		return refuseStopping(now), nil
 	}
-	if p.excluded(r) {
-		return p.refuseExcluded(now, r), nil
+	if reason, ok := p.excluded(r); ok {
+		return refuseExcluded(now, r, reason), nil
 	}
 	r.submittedAt = now
 	if len(p.queue) == 0 || r.Resumed {
@@ -390,11 +392,12 @@
 func (p *Pool) Tick(now time.Time) []Resolved {
 	var out []Resolved
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
+		excluded, isExcluded := p.excluded(r)
 		switch {
 		case p.endsBeforeAnswer(now, r):
 			out = append(out, Resolved{r.ID, refuseStopping(now)})
-		case p.excluded(r):
-			out = append(out, Resolved{r.ID, p.refuseExcluded(now, r)})
+		case isExcluded:
+			out = append(out, Resolved{r.ID, refuseExcluded(now, r, excluded)})
 		case !r.Resumed && (p.allExpiring(now, r) || p.listed == 0):
 			out = append(out, Resolved{r.ID, p.refuseNoReplica(now, r)})
 		case !now.Before(p.waitDeadline(r)) || !r.Resumed && p.allBusy(now, r):
