--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -43,6 +43,10 @@
 	TargetVersionChanged
 	PeerMessageRejected
 	ServerWeightsChanged
+	RegionUnknown
+	DataCentreEvacuated
+	EvacuationEnded
+	EvacuationUnknown
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -99,6 +103,7 @@
 	HandlerPanicked
 	SuccessorStarted
 	SuccessorEnded
+	SlotWithdrawn
 )
 
 var texts = map[Number]string{
@@ -140,6 +145,10 @@
 	TargetVersionChanged:  "target version of a model changed",
 	PeerMessageRejected:   "message of another process exceeds the limits: connection ended",
 	ServerWeightsChanged:  "weights that a backend server counts as serving changed",
+	RegionUnknown:         "configuration allows a region in which no data centre is",
+	DataCentreEvacuated:   "data centre evacuated: no new requests to its backend servers",
+	EvacuationEnded:       "evacuation of a data centre ended",
+	EvacuationUnknown:     "evacuation of an unknown data centre ignored",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
@@ -190,4 +199,5 @@
 	HandlerPanicked:     "request handler panicked",
 	SuccessorStarted:    "server is silent: another is asked to go on with the response",
 	SuccessorEnded:      "server does not go on with the response of a silent one",
+	SlotWithdrawn:       "slot given back before anything was sent: the server is no longer permitted",
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -25,6 +25,7 @@
 	Version     int64     // of the weights that it serves; 0 for a service without a model
 	ServesUntil time.Time // no request may start on Version from then on; zero: no limit
 	Ready       bool      // accepts new requests
+	Evacuated   bool      // its data centre is evacuated: it gets no requests
 }
 
 // Request is a request to be scheduled on a backend server.
@@ -45,6 +46,8 @@
 	Failed        []string  // IDs of servers that may have run it and did not complete it
 	Prompt        enginemodel.Prompt
 	Figures       enginemodel.Figures // of the service's engines; not Known: no estimates are made
+	Regions       []string            // that may run it, if Bound
+	Bound         bool                // only Regions may run it; none if there are none
 
 	submittedAt time.Time // set by Submit
 	rank        int       // among requests of equal priority; set by Submit and rankQueue
@@ -105,6 +108,8 @@
 	gateways     []string  // that share rate limits and slots
 	starvation   starvation
 	estimates    estimates
+	regions      map[string]*regionRates
+	evacuation   bool // a listed server is evacuated
 }
 
 type server struct {
@@ -133,13 +138,13 @@
 
 // NewPool returns a pool without servers.
 func NewPool(o Options) *Pool {
-	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}}
+	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}, regions: map[string]*regionRates{}}
 }
 
 // SetServers replaces the list of servers. Requests that run on a server that is
 // no longer listed are counted until they end.
 func (p *Pool) SetServers(now time.Time, list []Server) []Resolved {
-	p.listed = len(list)
+	p.listed, p.evacuation = len(list), hasEvacuated(list)
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
@@ -252,6 +257,9 @@
 	if p.endsBeforeAnswer(now, r) {
 		return refuseStopping(now), nil
 	}
+	if reason, ok := p.excluded(r); ok {
+		return refuseExcluded(now, r, reason), nil
+	}
 	r.submittedAt, r.bySlack = now, p.estimated(r)
 	p.starvation.count(now, r, false)
 	r.rank = p.rankOf(now, r)
@@ -311,6 +319,7 @@
 	TimedOut        // no response in time
 	Misdirected     // another server answered at the address
 	Superseded      // another server went on with the response
+	Withdrawn       // the slot was given back before anything was sent
 )
 
 // Ended records that an attempt at server id ended. promptMS is the PromptMS of the
@@ -326,6 +335,7 @@
 	switch end {
 	case Finished, Abandoned:
 		p.completions.add(now)
+		p.ratesOf(s.Region).completions.add(now)
 	case Unreachable, Rejected, Incomplete, TimedOut:
 		s.backOff(now, end)
 	case Misdirected:
@@ -406,9 +416,12 @@
 func (p *Pool) Tick(now time.Time) []Resolved {
 	var out []Resolved
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
+		excluded, isExcluded := p.excluded(r)
 		switch {
 		case p.endsBeforeAnswer(now, r):
 			out = append(out, Resolved{r.ID, refuseStopping(now)})
+		case isExcluded:
+			out = append(out, Resolved{r.ID, refuseExcluded(now, r, excluded)})
 		case !r.Resumed && (p.allExpiring(now, r) || p.listed == 0):
 			out = append(out, Resolved{r.ID, p.refuseNoReplica(now, r)})
 		case !now.Before(p.waitDeadline(r)) || !r.Resumed && p.allBusy(now, r):
@@ -463,11 +476,11 @@
 func (p *Pool) checkQueueWait(now time.Time, r Request) (Decision, bool) {
 	ahead := 0
 	for _, queued := range p.queue {
-		if compareRequests(now, queued, r) < 0 {
+		if compareRequests(now, queued, r) < 0 && competes(queued, r) {
 			ahead++
 		}
 	}
-	rate := p.completions.perSecond(now)
+	rate := p.completionRate(now, r)
 	if rate <= 0 || ahead < minQueue {
 		return nil, false
 	}
@@ -505,7 +518,8 @@
 // dispatch starts queued requests while slots are free. A request past its target
 // that cannot start does not block those behind it: they may use slots that are
 // reserved for requests that can still meet their target. Neither does one that waits
-// for a server in backoff.
+// for a server in backoff, and one that may only run in some regions blocks only those that
+// may run in the same ones.
 func (p *Pool) dispatch(now time.Time) []Resolved {
 	if len(p.queue) == 0 {
 		return nil
@@ -513,14 +527,16 @@
 	p.rankQueue(now)
 	slices.SortFunc(p.queue, func(a, b Request) int { return compareRequests(now, a, b) })
 	var out []Resolved
-	blocked := false
+	var waiting blocked
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
-		if blocked {
+		if waiting.covers(r) {
 			return false
 		}
 		s := p.chooseServer(now, r)
 		if s == nil {
-			blocked = !r.pastTarget(now) && !p.waitsForRecovery(now, r) && p.canServe(now, r)
+			if !r.pastTarget(now) && !p.waitsForRecovery(now, r) && p.canServe(now, r) {
+				waiting.add(r)
+			}
 			return false
 		}
 		out = append(out, Resolved{r.ID, p.start(now, s, r)})
@@ -560,6 +576,7 @@
 	s.countSend(now)
 	p.starvation.count(now, r, true)
 	expectedMS := p.recordStart(now, s, r)
+	p.countStart(now, s.Region, r)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
 	return Start{Server: s.Server, ExpectedMS: expectedMS}
@@ -600,7 +617,7 @@
 	}
 	var best *server
 	lowest := math.Inf(1)
-	newest := p.newestVersion()
+	newest, reserved := p.newestVersion(), p.reservations(now, r)
 	estimated := p.estimated(r)
 	for _, s := range p.order {
 		if !p.available(now, s, r) || p.full(now, s, r) {
@@ -615,6 +632,9 @@
 		if s.Region != p.options.Region {
 			load += p.options.RemotePenalty
 		}
+		if reserved != nil {
+			load += reserved[s.Region]
+		}
 		if r.Resumed && s.Version < newest {
 			load += oldVersionPenalty
 		}
@@ -693,7 +713,7 @@
 // eligible reports whether the server can run the request, apart from busy times, the
 // pace of a rate limit and backoff.
 func (p *Pool) eligible(now time.Time, s *server, r Request) bool {
-	return s.Ready && !s.departing && !s.superseded && s.hasShare(now) && p.startsInTime(now, s, r)
+	return s.serving() && s.permits(&r) && s.hasShare(now) && p.startsInTime(now, s, r)
 }
 
 // available reports whether the server may get the request now. After a backoff a
