--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -46,6 +46,8 @@
 	// BusyUntil is the time until which a server that rejected the request is to
 	// receive no others; zero: the response gives none.
 	BusyUntil time.Time
+	// ColdUntil is the time until which the server is cold; zero: the response gives none.
+	ColdUntil time.Time
 }
 
 // HeaderCodec translates between the types of this package and the HTTP headers of
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -1,5 +1,7 @@
 package settings
 
+import "fmt"
+
 // Hosting holds the settings common to daemons on a hosting platform, which fills
 // in the templates in deploy/. Addresses are IP:port.
 type Hosting struct {
@@ -27,6 +29,14 @@
 	Retries         RetryBudget `yaml:"Retries"`
 	Files           int         `yaml:"Files"`        // limit of open file descriptors, sockets included
 	GraceSeconds    float64     `yaml:"GraceSeconds"` // time from SIGTERM until the platform kills the process
+	ColdStart       ColdStart   `yaml:"ColdStart"`    // without it cold engines are not limited
+}
+
+// ColdStart limits the requests of all gateways together to a cold engine. Within any
+// second it receives at most the number that it accepts times Overage, plus Tolerance.
+type ColdStart struct {
+	Overage   float64 `yaml:"Overage"`   // above 0
+	Tolerance float64 `yaml:"Tolerance"` // requests
 }
 
 // RetryBudget limits the retries of all gateways together within a time window.
@@ -97,6 +107,7 @@
 	c.require(g.Retries.SpanSeconds > 0 && g.Retries.SpanSeconds <= maxDurationMS/1000, "Retries.SpanSeconds", "seconds, above 0, at most ten minutes")
 	c.require(g.Files >= minFiles && g.Files <= maxFiles, "Files", "a number, 64 or more")
 	c.require(g.GraceSeconds > 0 && g.GraceSeconds <= maxDurationMS/1000, "GraceSeconds", "seconds, above 0, at most ten minutes")
+	c.coldStart(g.ColdStart)
 	return c.err()
 }
 
@@ -124,6 +135,19 @@
 	c.milliseconds("Hosting.VersionMS", h.VersionMS)
 }
 
+const (
+	maxColdOverage   = 1000
+	maxColdTolerance = 1 << 20
+)
+
+func (c *checker) coldStart(s ColdStart) {
+	c.require(s.Overage >= 0 && s.Overage <= maxColdOverage, "ColdStart.Overage", fmt.Sprintf("a factor from 0 to %d", maxColdOverage))
+	c.require(s.Tolerance >= 0 && s.Tolerance <= maxColdTolerance, "ColdStart.Tolerance", fmt.Sprintf("a number of requests from 0 to %d", maxColdTolerance))
+	if s.Tolerance > 0 {
+		c.require(s.Overage != 0, "ColdStart.Overage", fmt.Sprintf("a factor above 0 beside Tolerance %g: Overage %g switches the limit off", s.Tolerance, s.Overage))
+	}
+}
+
 func (c *checker) milliseconds(key string, milliseconds int) {
 	c.require(milliseconds > 0 && milliseconds <= maxDurationMS, key, "milliseconds, above 0, at most ten minutes")
 }
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -53,6 +53,10 @@
 		{"Files: 4100", "Files: 12", "key Files"},
 		{"Region: north}", `Region: ""}`, "key Hosting.Places[0].Region"},
 		{"GraceSeconds: 7.5", "GraceSeconds: 7.5\nDrainS: 2", "key DrainS"},
+		{"Files: 4100", "Files: 4100\nColdStart: {Overage: -1, Tolerance: 5}", "key ColdStart.Overage"},
+		{"Files: 4100", "Files: 4100\nColdStart: {Overage: .nan, Tolerance: 5}", "key ColdStart.Overage"},
+		{"Files: 4100", "Files: 4100\nColdStart: {Overage: 1.5, Tolerance: .inf}", "key ColdStart.Tolerance"},
+		{"Files: 4100", "Files: 4100\nColdStart: {Overage: 0, Tolerance: 5}", "a factor above 0 beside Tolerance 5: Overage 0 "},
 	} {
 		require.Contains(t, hostedGateway, c.from)
 		file := writeSettings(t, strings.Replace(hostedGateway, c.from, c.to, 1))
@@ -60,3 +64,17 @@
 		require.ErrorContains(t, err, c.want)
 	}
 }
+
+// Guards against settings for cold engines that are not read, and against their absence
+// being an error.
+func TestColdStartSettingsAreOptional(t *testing.T) {
+	g, err := settings.LoadHostedGateway(writeSettings(t, hostedGateway))
+	require.NoError(t, err)
+	require.Zero(t, g.ColdStart)
+	g, err = settings.LoadHostedGateway(writeSettings(t, hostedGateway+"ColdStart:\n  Overage: 1.5\n  Tolerance: 5\n"))
+	require.NoError(t, err)
+	require.Equal(t, settings.ColdStart{Overage: 1.5, Tolerance: 5}, g.ColdStart)
+	g, err = settings.LoadHostedGateway(writeSettings(t, hostedGateway+"ColdStart:\n  Overage: 1.5\n  Tolerance: \n"))
+	require.NoError(t, err)
+	require.Equal(t, settings.ColdStart{Overage: 1.5}, g.ColdStart)
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -44,9 +44,16 @@
 
 // Service is a group of backend servers.
 type Service struct {
-	Name   string
-	Engine Engine
-	Origin Origin
+	Name      string
+	Engine    Engine
+	Origin    Origin
+	ColdStart ColdStart
+}
+
+// ColdStart describes a service's backend servers while they are cold.
+type ColdStart struct {
+	Milliseconds float64 // duration of a start
+	PerSecond    float64 // requests that a cold server accepts from all gateways; 0: any number
 }
 
 // Engine describes a service's model engines. Slots is 0 for a service without engines.
@@ -87,6 +94,7 @@
 	Services      map[string]Service
 	Limits        Limits
 	Organisations []Organisation
+	Implausible   []string // fields whose values are not used as they are
 	hosts         map[string][]int
 	keys          map[string]int
 }
@@ -177,6 +185,10 @@
 	Slots      int
 	Draining   bool
 	State      EngineState // of its engine
+	// ColdRemainingMS is for how many milliseconds it remains cold, from when the entry was
+	// written.
+	ColdRemainingMS float64
+	Implausible     string // a field whose value is not used as it is; empty: none
 }
 
 // Version is a model version that operators have announced.
