Cold engines: gateways limit the requests to them

Cause: an engine that becomes cold during traffic crashes under the usual load.

Change: the pool asks the shares of internal/coldstart wherever it asks the rate limit that a server states; both apply, so the lower rate counts. The divisor is the highest number of gateways alive at the same time. Without the setting nothing is limited.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -43,6 +43,9 @@
 	TargetVersionChanged
 	PeerMessageRejected
 	ServerWeightsChanged
+	ServerCold
+	ServerNotCold
+	FieldImplausible
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -140,6 +143,9 @@
 	TargetVersionChanged:  "target version of a model changed",
 	PeerMessageRejected:   "message of another process exceeds the limits: connection ended",
 	ServerWeightsChanged:  "weights that a backend server counts as serving changed",
+	ServerCold:            "backend server became cold: its requests are limited",
+	ServerNotCold:         "backend server is no longer cold",
+	FieldImplausible:      "metadata store entry has a field with an implausible value",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -38,6 +38,7 @@
 	gateways    map[string]*gateway   // by address
 	regionLoads map[string]regionLoad // running requests by region, without the own one
 	peak        int                   // most gateways that were alive at the same time
+	peakAlive   []hostedrpc.Gateway   // the last gateways that were that many
 
 	relays   map[string]bool // names of the relays of all regions
 	relaysAt time.Time       // when relays was computed
@@ -264,7 +265,9 @@
 			out = append(out, alive)
 		}
 	}
-	t.peak = max(t.peak, len(out))
+	if len(out) >= t.peak {
+		t.peak, t.peakAlive = len(out), slices.Clone(out)
+	}
 	return out
 }
 
@@ -281,3 +284,14 @@
 // this one, and at least the number in the settings. A shared budget is divided by
 // the peak because gateways that are gone have already spent their part.
 func (t *Table) PeakAlive() int { return max(t.peak, len(t.seeds)) }
+
+// Known returns the addresses of the gateways that were alive when most were, including this
+// one, and of those in the settings. They do not change when contact to gateways is lost.
+func (t *Table) Known() []string {
+	addresses := slices.Clone(t.seeds)
+	for _, g := range t.peakAlive {
+		addresses = append(addresses, g.Address)
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -212,3 +212,19 @@
 		})
 	}
 }
+
+// Guards against a set of known gateways that shrinks when a gateway loses contact: it would
+// take more than its share of what the gateways divide among themselves.
+func TestKnownGatewaysOutlastLossOfContact(t *testing.T) {
+	s := newSimulation(t, 3, 2)
+	s.runRounds(12)
+	before := s.tables[0].Known()
+	require.Len(t, before, 6)
+	for n := 1; n < 6; n++ {
+		s.down[n] = true
+	}
+	s.runRounds(300)
+	require.Len(t, s.tables[0].Alive(s.now), 1)
+	require.Equal(t, before, s.tables[0].Known())
+	require.Equal(t, 6, s.tables[0].PeakAlive())
+}
--- a/internal/hosted/export_test.go
+++ b/internal/hosted/export_test.go
@@ -55,3 +55,26 @@
 	scheduled, _ := s.table.scheduledServer(now, entry, service)
 	return scheduled.Ready
 }
+
+// LogImplausible logs fields with implausible values and reports whether it did.
+func (v View) LogImplausible(key, fields string) bool { return v.view.logImplausible(key, fields) }
+
+// ColdDeadlines exposes until when servers are cold, by store key.
+type ColdDeadlines struct{ deadlines coldDeadlines }
+
+// NewColdDeadlines returns deadlines of no servers.
+func NewColdDeadlines() ColdDeadlines { return ColdDeadlines{coldDeadlines{}} }
+
+// Record applies an entry.
+func (d ColdDeadlines) Record(key string, entry site.Server, now time.Time) {
+	d.deadlines.record(key, entry, now)
+}
+
+// Remove applies the deletion of an entry.
+func (d ColdDeadlines) Remove(key string) { d.deadlines.remove(key) }
+
+// Prune removes deadlines of deleted entries that have passed.
+func (d ColdDeadlines) Prune(now time.Time) { d.deadlines.prune(now) }
+
+// Until returns the deadline of a server; zero: it is not cold.
+func (d ColdDeadlines) Until(key string) time.Time { return d.deadlines[key].until }
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -10,6 +10,7 @@
 
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/callerconn"
+	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/connlimit"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
@@ -79,10 +80,12 @@
 }
 
 func newGateway(s settings.HostedGateway) *gateway {
-	pools := proxy.NewPools(schedule.Options{Region: s.Region, ExtraSlots: extraSlots, RemotePenalty: remotePenalty})
+	coldStart := coldstart.Options{Overage: s.ColdStart.Overage, Tolerance: s.ColdStart.Tolerance}
+	pools := proxy.NewPools(schedule.Options{Region: s.Region, ExtraSlots: extraSlots, RemotePenalty: remotePenalty, ColdStart: coldStart})
 	crashes := proxy.NewCrashDetector()
 	g := &gateway{settings: s, connLimiter: connlimit.New(s.Files), view: newSiteView(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
 	g.servers = newServerTable(g.view, s.Hosting, pools)
+	g.servers.limitsCold = coldStart.Enabled()
 	own := hostedrpc.Gateway{Name: s.Name, Address: s.NeighbourListen, Region: s.Region}
 	g.gossip = newGossiper(g.servers, own, s.Hosting.Gateways, crashes)
 	g.view.storeRole = g.gossip.storeRole
--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/ages"
+	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/crashreport"
 	"almondreel.example/almondreel/internal/event"
@@ -54,6 +55,7 @@
 	newAddresses chan string                // addresses for which no call loop runs yet
 	pullUntil    time.Time                  // one call may pull store items alone until then
 	compressed   map[string]compressedValue // by key
+	startup      coldstart.Startup
 }
 
 // peer is another gateway that this one calls. Only the goroutine of its call loop
@@ -68,6 +70,7 @@
 	gs := &gossiper{
 		servers: servers, own: own, crashes: c, table: gossip.New(own, seeds, time.Now()),
 		peers: map[string]*peer{}, newAddresses: make(chan string, 64), compressed: map[string]compressedValue{},
+		startup: coldstart.NewStartup(time.Now()),
 	}
 	for _, s := range seeds {
 		gs.addGateways(hostedrpc.Gateway{Address: s})
@@ -307,6 +310,12 @@
 	gs.mu.Unlock()
 	gs.servers.pools.SetOtherLoad(now, running)
 	gs.servers.pools.SetGateways(gs.own.Name, gs.liveNames(now))
+	if gs.servers.limitsCold {
+		gs.mu.Lock()
+		gateways := gs.coldGateways(now)
+		gs.mu.Unlock()
+		gs.servers.pools.SetColdGateways(now, gateways)
+	}
 }
 
 // storeFollowers is the number of gateways that follow the store on behalf of all:
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/ages"
+	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/proxy"
@@ -36,6 +37,9 @@
 
 	// weights holds what was last logged of each listed engine, by server ID. Only refresh uses it.
 	weights map[string]countedWeights
+
+	limitsCold bool                            // the settings limit requests to cold engines
+	cold       map[string]coldstart.ColdEngine // as last logged, by server ID. Only refresh uses it.
 }
 
 // countedWeights is the version that an engine counts as serving, and where that is known
@@ -82,13 +86,14 @@
 	services := map[string][]schedule.Server{}
 	weights := make(map[string]countedWeights, len(t.weights))
 	count := 0
-	for _, s := range t.siteView.listedServers(now) {
+	for key, s := range t.siteView.listedServers(now) {
 		service, ok := c.Services[s.Service]
 		if !ok || s.Draining {
 			continue
 		}
 		count++
 		scheduled, source := t.scheduledServer(now, s, service)
+		scheduled.ColdUntil, scheduled.ColdPerSecond = t.coldUntil(key), service.ColdStart.PerSecond
 		services[s.Service] = append(services[s.Service], scheduled)
 		if service.Engine.Slots > 0 {
 			weights[s.ID] = t.logWeights(s, scheduled, source)
@@ -96,6 +101,7 @@
 	}
 	t.weights = weights
 	t.pools.SetServers(now, services)
+	t.logCold(now)
 	if count != t.listedCount {
 		t.listedCount = count
 		event.Log(event.ServersChanged, "Listed", count, "Revision", t.mirror.Revision())
--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -65,6 +66,8 @@
 	storeReturnedAt time.Time // the store last answered again after a failure
 	confirmedAt     time.Time // when the mirror was last known to be current
 	changed         chan struct{}
+	cold            coldDeadlines
+	implausible     map[string]string   // fields with implausible values, as last logged, by store key
 	storeRole       func() followerRole // this process's role in following the store
 }
 
@@ -89,6 +92,7 @@
 		store: store, mirror: mirror.New(), startedAt: time.Now(),
 		versions: map[string]site.Version{}, rollouts: rollout.NewTracker(versionMS),
 		servers: map[string]site.Server{}, expired: map[string]expiredServer{},
+		cold: coldDeadlines{}, implausible: map[string]string{},
 		changed: make(chan struct{}, 1), storeRole: func() followerRole { return primaryFollower },
 	}
 }
@@ -233,6 +237,7 @@
 		return
 	}
 	sv.configuration = c
+	sv.logImplausible(i.Key, strings.Join(c.Implausible, " "))
 	event.Log(event.ConfigurationAdopted, "Version", c.Version, "Revision", i.Revision, "From", from)
 }
 
@@ -267,11 +272,15 @@
 	}
 	if !i.Deleted && err == nil {
 		sv.servers[i.Key] = s
+		sv.cold.record(i.Key, s, time.Now())
+		sv.logImplausible(i.Key, s.Implausible)
 		delete(sv.expired, i.Key)
 		return
 	}
 	previous, ok := sv.servers[i.Key]
 	delete(sv.servers, i.Key)
+	sv.cold.remove(i.Key)
+	sv.logImplausible(i.Key, "")
 	if ok && i.Deleted && !previous.Draining && sv.mayLackEntries(time.Now()) {
 		sv.expired[i.Key] = expiredServer{previous, time.Now().Add(expiredServerGrace)}
 	}
@@ -300,6 +309,7 @@
 func (sv *siteView) listedServers(now time.Time) map[string]site.Server {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
+	sv.cold.prune(now)
 	out := maps.Clone(sv.servers)
 	for key, e := range sv.expired {
 		if !sv.mayLackEntries(now) || now.After(e.until) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -146,6 +146,7 @@
 	a.recordServerState(info)
 	if response.StatusCode != http.StatusMisdirectedRequest { // another server may run at the address
 		a.recordRateLimit(info)
+		a.recordCold(info)
 	}
 	foreign := info.AttemptID != "" && info.AttemptID != e.info.AttemptID
 	switch {
@@ -209,6 +210,14 @@
 	}
 }
 
+// recordCold applies until when a response states that the server is cold.
+func (a *attempt) recordCold(r ResponseInfo) {
+	if !r.ColdUntil.IsZero() {
+		e, s := a.exchange, a.server
+		e.handler.Pools.markCold(e.service.Name, s.ID, s.StartUnixMS, r.ColdUntil)
+	}
+}
+
 // rejectionEnd returns how the scheduler records a rejection. Status 421 means that
 // another server runs at the address, or that it serves another version if one was
 // expected; any other status means that the server is full.
--- /dev/null
+++ b/internal/proxy/coldstart.go
@@ -0,0 +1,56 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"almondreel.example/almondreel/internal/coldstart"
+	"almondreel.example/almondreel/internal/schedule"
+)
+
+// acquireInTime is acquire, but waits again if the slot was granted at a cold server and the
+// time by which the request had to be sent has passed, as after a suspension of the process.
+func (p *Pools) acquireInTime(ctx context.Context, service string, request schedule.Request) schedule.Decision {
+	for {
+		decision := p.acquire(ctx, service, request)
+		start, ok := decision.(schedule.Start)
+		if !ok || start.SendBy.IsZero() || !time.Now().After(start.SendBy) {
+			return decision
+		}
+		p.release(service, start.Server.ID, schedule.Superseded, request.PromptMS)
+	}
+}
+
+// markCold records that a server stated in a response until when it is cold.
+func (p *Pools) markCold(service, server string, startUnixMS int64, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(service).MarkCold(time.Now(), server, startUnixMS, until)
+}
+
+// SetColdGateways sets the gateways that share the rates of cold servers.
+func (p *Pools) SetColdGateways(now time.Time, g coldstart.Gateways) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.coldGateways = g
+	for _, pool := range p.pools {
+		pool.SetColdGateways(now, g)
+	}
+}
+
+// ColdServers returns the servers that are cold, by service, and the counts of requests to
+// cold servers since the last call.
+func (p *Pools) ColdServers(now time.Time) (map[string][]coldstart.ColdEngine, coldstart.Counts) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	servers, total := map[string][]coldstart.ColdEngine{}, coldstart.Counts{}
+	for name, pool := range p.pools {
+		if cold := pool.ColdServers(now); len(cold) > 0 {
+			servers[name] = cold
+		}
+		counts := pool.TakeColdCounts()
+		total.Sends += counts.Sends
+		total.Deferred += counts.Deferred
+	}
+	return servers, total
+}
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/pause"
@@ -28,6 +29,8 @@
 	// ownName and gateways are the gateways that share rate limits.
 	ownName  string
 	gateways []string
+	// coldGateways are those that share the rates of cold servers.
+	coldGateways coldstart.Gateways
 }
 
 // NewPools returns an empty set of pools. Each pool is created with o.
@@ -265,6 +268,7 @@
 	if !ok {
 		pool = schedule.NewPool(p.options)
 		pool.SetGateways(p.ownName, p.gateways)
+		pool.SetColdGateways(time.Now(), p.coldGateways)
 		if !p.endsAt.IsZero() {
 			pool.Stop(time.Now(), p.endsAt) // nothing is queued in a new pool
 		}
--- a/internal/schedule/ratelimit.go
+++ b/internal/schedule/ratelimit.go
@@ -136,16 +136,23 @@
 }
 
 // hasShare reports whether this gateway may send requests to a server, as far as its rate
-// limit is concerned.
-func (s *server) hasShare(now time.Time) bool { return !s.limited(now) || s.share.perSecond > 0 }
+// limit and its rate while it is cold are concerned.
+func (s *server) hasShare(now time.Time) bool {
+	return (!s.limited(now) || s.share.perSecond > 0) && s.hasColdShare(now)
+}
 
 // restsUntil returns the time until which a server is to get no requests from this
-// gateway, because it asked for that or because of its rate limit.
+// gateway, because it asked for that, because of its rate limit or because it is cold. If
+// several apply, the lower rate counts.
 func (s *server) restsUntil(now time.Time) time.Time {
-	if sendAt := s.nextSendAt.Add(-sendTolerance); s.limited(now) && sendAt.After(s.busyUntil) {
-		return sendAt
+	until := s.busyUntil
+	if sendAt := s.nextSendAt.Add(-sendTolerance); s.limited(now) && sendAt.After(until) {
+		until = sendAt
+	}
+	if coldUntil := s.coldUntil(now); coldUntil.After(until) {
+		until = coldUntil
 	}
-	return s.busyUntil
+	return until
 }
 
 // countSend takes a request from this gateway's share of a server's rate.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/outcome"
 )
 
@@ -24,6 +25,9 @@
 	Version     int64     // of the weights that it serves; 0 for a service without a model
 	ServesUntil time.Time // no request may start on Version from then on; zero: no limit
 	Ready       bool      // accepts new requests
+
+	ColdUntil     time.Time // it is cold until then; zero: it is not
+	ColdPerSecond float64   // requests that it accepts from all gateways while it is cold; 0: any number
 }
 
 // Request is a request to be scheduled on a backend server.
@@ -49,7 +53,10 @@
 type Decision interface{ decision() }
 
 // Start means that the request is to be sent to Server.
-type Start struct{ Server Server }
+type Start struct {
+	Server Server
+	SendBy time.Time // the request must be on its way by then, or not be sent; zero: any time
+}
 
 // Wait means that the request is queued. A later Resolved carries the decision.
 type Wait struct{}
@@ -75,6 +82,8 @@
 	Region        string  // region of the gateway
 	ExtraSlots    int     // requests sent to a server beyond its slots, to hide network latency
 	RemotePenalty float64 // added to the load of servers in other regions, as a fraction of their slots
+
+	ColdStart coldstart.Options // of cold servers
 }
 
 // Pool schedules the requests of one service. It is not safe for concurrent use.
@@ -92,6 +101,7 @@
 	endsAt       time.Time // when this gateway ends what still runs; zero: it is not stopping
 	ownName      string    // of this gateway
 	gateways     []string  // that share rate limits
+	cold         *coldstart.Limiter
 }
 
 type server struct {
@@ -112,11 +122,13 @@
 	share        limitShare
 	limitedSince time.Time // when the server first stated a rate limit
 	nextSendAt   time.Time // when its rate limit allows this gateway's next request, on average
+
+	cold *coldstart.Engine // nil: cold servers are not limited
 }
 
 // NewPool returns a pool without servers.
 func NewPool(o Options) *Pool {
-	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}}
+	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}, cold: coldstart.NewLimiter(o.ColdStart)}
 }
 
 // SetServers replaces the list of servers. Requests that run on a server that is
@@ -142,8 +154,10 @@
 		}
 		existing.Server = s
 		existing.departing = p.departing.covers(s)
+		p.setCold(now, existing)
 	}
 	p.departing.prune(now, listed)
+	p.cold.Prune(now, listed)
 	for id, s := range p.servers {
 		if !listed[id] {
 			s.Ready = false
@@ -233,6 +247,7 @@
 		return refuseStopping(now), nil
 	}
 	r.submittedAt = now
+	p.countDeferred(now, r)
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
 			return p.start(now, s, r), nil
@@ -535,7 +550,7 @@
 	s.countSend(now)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
-	return Start{Server: s.Server}
+	return Start{Server: s.Server, SendBy: s.countColdSend(now)}
 }
 
 // StartElsewhere starts a request at once at a server that did not fail it, before those
