--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -92,9 +92,11 @@
 // options describe a site.
 type options struct {
 	gateways, engines int
-	firstVersion      int64 // loaded by engines at the start; 0: none
-	graceSeconds      int   // of gateways; 0: graceTime
-	warmUpMS          int   // time that a load takes; 0: none
+	firstVersion      int64   // loaded by engines at the start; 0: none
+	graceSeconds      int     // of gateways; 0: graceTime
+	warmUpMS          int     // time that a load takes; 0: none
+	coldPerSecond     float64 // requests per second that a cold engine accepts; 0: any number
+	coldStart         string  // ColdStart setting of gateways; empty: none
 }
 
 // site is the daemons with the stand-ins around them.
@@ -110,6 +112,7 @@
 	engines              []*engine
 	configurationVersion int64
 	warmUpMS             int
+	coldPerSecond        float64
 }
 
 // newSite returns an empty site with reserved ports for its daemons.
@@ -127,7 +130,7 @@
 func startSite(t *testing.T, o options) *site {
 	t.Helper()
 	s := newSite(t)
-	s.warmUpMS = o.warmUpMS
+	s.warmUpMS, s.coldPerSecond = o.warmUpMS, o.coldPerSecond
 	s.store, s.origin = standin.NewStore(), standin.NewOrigin()
 	origin := httptest.NewServer(s.origin)
 	t.Cleanup(origin.Close)
@@ -148,7 +151,11 @@
 	for _, g := range s.gateways {
 		g.storeEndpoint = s.store.NewEndpoint()
 		g.storeRoute = s.proxy(s.listen(httptest.NewUnstartedServer(g.storeEndpoint)))
-		s.startDaemon(g, g.storeRoute.Address(), controlAddresses, gatewaySettings(g, o.graceSeconds))
+		own := gatewaySettings(g, o.graceSeconds)
+		if o.coldStart != "" {
+			own += "ColdStart: " + o.coldStart + "\n"
+		}
+		s.startDaemon(g, g.storeRoute.Address(), controlAddresses, own)
 	}
 	return s
 }
@@ -226,7 +233,7 @@
 // configure writes the next configuration, with these API keys, to the store.
 func (s *site) configure(keys ...string) {
 	s.configurationVersion++
-	s.store.Configure(standin.Configuration{Version: s.configurationVersion, Keys: keys, Origin: s.originAddress, WarmUpMS: s.warmUpMS})
+	s.store.Configure(standin.Configuration{Version: s.configurationVersion, Keys: keys, Origin: s.originAddress, WarmUpMS: s.warmUpMS, ColdPerSecond: s.coldPerSecond})
 }
 
 // send sends one stream request to a gateway and returns its outcome.
