Cold engines: refuse at once what their rate cannot serve in time

Cause: when all servers have just become cold, the completions of the second before do not say how many requests can start, so callers waited in vain. A slot that was given back unsent still cost a part of the rate.

Change: if all servers that can run a request are cold, the estimate of its wait goes by their shares. An unsent request is taken back.

--- a/internal/coldstart/limiter.go
+++ b/internal/coldstart/limiter.go
@@ -162,6 +162,21 @@
 	return now.Add(SendTimeout)
 }
 
+// ReturnSend takes back a request that was counted but is not sent.
+func (e *Engine) ReturnSend(now time.Time) {
+	e.advance(now)
+	if e.limited {
+		e.tokens = min(e.share.burst, e.tokens+1)
+	}
+}
+
+// ShareRate returns the requests per second that this gateway may send to the engine, and
+// false if they are not limited.
+func (e *Engine) ShareRate(now time.Time) (float64, bool) {
+	e.advance(now)
+	return e.share.perSecond, e.limited
+}
+
 // advance brings the bucket to the time now.
 func (e *Engine) advance(now time.Time) {
 	if !e.Cold(now) {
--- a/internal/proxy/coldstart.go
+++ b/internal/proxy/coldstart.go
@@ -17,10 +17,19 @@
 		if !ok || start.SendBy.IsZero() || !time.Now().After(start.SendBy) {
 			return decision
 		}
-		p.release(service, start.Server.ID, schedule.Superseded, request.PromptMS)
+		p.returnSlot(service, start.Server.ID, request.PromptMS)
 	}
 }
 
+// returnSlot frees the slot of a request that was not sent.
+func (p *Pools) returnSlot(service, server string, promptMS float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, now := p.pool(service), time.Now()
+	pool.ReturnColdSend(now, server)
+	p.deliver(pool.Ended(now, server, schedule.Superseded, promptMS))
+}
+
 // markCold records that a server stated in a response until when it is cold.
 func (p *Pools) markCold(service, server string, startUnixMS int64, until time.Time) {
 	p.mu.Lock()
--- a/internal/schedule/coldstart.go
+++ b/internal/schedule/coldstart.go
@@ -31,6 +31,9 @@
 
 // countDeferred counts a request that a cold server could run if its rate allowed it now.
 func (p *Pool) countDeferred(now time.Time, r Request) {
+	if !p.options.ColdStart.Enabled() {
+		return
+	}
 	deferred := slices.ContainsFunc(p.order, func(s *server) bool {
 		return s.cold != nil && s.cold.Cold(now) && s.Ready && s.cold.SendAt(now).After(now) && !p.full(now, s, r)
 	})
@@ -39,6 +42,39 @@
 	}
 }
 
+// ReturnColdSend takes back the start of a request at a server, which was not sent because
+// its SendBy had passed.
+func (p *Pool) ReturnColdSend(now time.Time, id string) {
+	if s, ok := p.servers[id]; ok && s.cold != nil {
+		s.cold.ReturnSend(now)
+	}
+}
+
+// startRate estimates how many queued requests start per second: as many as complete, or as
+// the rates of the servers allow if all that can run r are cold. When servers have just
+// become cold, the completions are those of before.
+func (p *Pool) startRate(now time.Time, r Request) float64 {
+	completions := p.completions.perSecond(now)
+	if !p.options.ColdStart.Enabled() {
+		return completions
+	}
+	sum := 0.0
+	for _, s := range p.order {
+		if !p.eligible(now, s, r) {
+			continue
+		}
+		rate, limited := s.cold.ShareRate(now)
+		if !limited {
+			return completions
+		}
+		sum += rate
+	}
+	if sum == 0 {
+		return completions
+	}
+	return sum
+}
+
 // countColdSend counts a request that is sent to a server, and returns the time by which it
 // must be on its way; zero: any time.
 func (s *server) countColdSend(now time.Time) time.Time {
--- a/internal/schedule/coldstart_test.go
+++ b/internal/schedule/coldstart_test.go
@@ -200,3 +200,59 @@
 	require.Zero(t, p.TakeColdCounts())
 	require.Empty(t, p.ColdServers(now))
 }
+
+// Guards against requests that wait in vain at a gateway whose servers have all just become
+// cold: the completions of before do not say how many can start. Those that the rate cannot
+// serve in time are refused at once.
+func TestRequestsBeyondColdRateAreRefusedAtOnce(t *testing.T) {
+	now := startTime
+	p := newColdPools(now, 1, []schedule.Server{coldServer("cold", time.Time{})})[0]
+	request := func(id int64) schedule.Request {
+		return schedule.Request{ID: id, ArrivedAt: now, AnswerBy: now.Add(500 * time.Millisecond), Deadline: now.Add(3 * time.Second)}
+	}
+	for n := range 300 {
+		d, _ := p.Submit(now, request(int64(n)))
+		require.IsType(t, schedule.Start{}, d)
+		_ = p.Ended(now, "cold", schedule.Finished, 0)
+	}
+	now = now.Add(3 * time.Second)
+	_ = p.SetServers(now, []schedule.Server{coldServer("cold", now.Add(time.Minute))})
+	started, waiting := 0, 0
+	for n := range 300 {
+		d, _ := p.Submit(now, request(int64(1000+n)))
+		switch d.(type) {
+		case schedule.Start:
+			started++
+		case schedule.Wait:
+			waiting++
+		}
+	}
+	t.Logf("%d started, %d waiting", started, waiting)
+	require.Positive(t, started)
+	require.Positive(t, waiting)
+	require.LessOrEqual(t, waiting, coldPerSecond/2+2, "of those that the rate serves within 500 ms")
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		for _, r := range p.Tick(now) {
+			_, ok := r.Decision.(schedule.Start)
+			require.True(t, ok, "%#v", r)
+			waiting--
+		}
+	}
+	require.Zero(t, waiting)
+}
+
+// Guards against a rate that is lost with requests that were not sent in time.
+func TestUnsentRequestIsTakenBack(t *testing.T) {
+	now := startTime
+	p := newColdPools(now, 44, []schedule.Server{coldServer("cold", now.Add(time.Minute))})[0]
+	r := schedule.Request{ID: 1, ArrivedAt: now, AnswerBy: now.Add(time.Millisecond)}
+	d, _ := p.Submit(now, r)
+	require.Equal(t, now.Add(coldstart.SendTimeout), d.(schedule.Start).SendBy)
+	p.ReturnColdSend(now, "cold")
+	_ = p.Ended(now, "cold", schedule.Superseded, 0)
+	d, _ = p.Submit(now, r)
+	require.IsType(t, schedule.Start{}, d)
+	d, _ = p.Submit(now, r)
+	require.IsType(t, schedule.Refuse{}, d)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -458,7 +458,7 @@
 			ahead++
 		}
 	}
-	rate := p.completions.perSecond(now)
+	rate := p.startRate(now, r)
 	if rate <= 0 || ahead < minQueue {
 		return nil, false
 	}
