--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -47,6 +47,9 @@
 	DataCentreEvacuated
 	EvacuationEnded
 	EvacuationUnknown
+	ServerCold
+	ServerNotCold
+	FieldImplausible
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -149,6 +152,9 @@
 	DataCentreEvacuated:   "data centre evacuated: no new requests to its backend servers",
 	EvacuationEnded:       "evacuation of a data centre ended",
 	EvacuationUnknown:     "evacuation of an unknown data centre ignored",
+	ServerCold:            "backend server became cold: its requests are limited",
+	ServerNotCold:         "backend server is no longer cold",
+	FieldImplausible:      "metadata store entry has a field with an implausible value",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/ages"
+	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/proxy"
@@ -41,6 +42,8 @@
 	applied *site.Configuration
 	// evacuationLog is used by refresh alone.
 	evacuationLog evacuationLog
+	limitsCold    bool                            // the settings limit requests to cold engines
+	cold          map[string]coldstart.ColdEngine // as last logged, by server ID. Only refresh uses it.
 }
 
 // countedWeights is the version that an engine counts as serving, and where that is known
@@ -87,13 +90,14 @@
 	services := map[string][]schedule.Server{}
 	weights := make(map[string]countedWeights, len(t.weights))
 	count := 0
-	for _, s := range t.siteView.listedServers(now) {
+	for key, s := range t.siteView.listedServers(now) {
 		service, ok := c.Services[s.Service]
 		if !ok || s.Draining {
 			continue
 		}
 		count++
 		scheduled, source := t.scheduledServer(now, s, service)
+		scheduled.ColdUntil, scheduled.ColdPerSecond = t.coldUntil(key), service.ColdStart.PerSecond
 		services[s.Service] = append(services[s.Service], scheduled)
 		if service.Engine.Slots > 0 {
 			weights[s.ID] = t.logWeights(s, scheduled, source)
@@ -103,6 +107,7 @@
 	t.pools.SetServers(now, services)
 	t.applyRegions(now, c)
 	t.evacuationLog.record(t.evacuations(), t.hosting.Places, t.mirror.Revision())
+	t.logCold(now)
 	if count != t.listedCount {
 		t.listedCount = count
 		event.Log(event.ServersChanged, "Listed", count, "Revision", t.mirror.Revision())
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/enginemodel"
 	"almondreel.example/almondreel/internal/outcome"
 )
@@ -26,6 +27,9 @@
 	ServesUntil time.Time // no request may start on Version from then on; zero: no limit
 	Ready       bool      // accepts new requests
 	Evacuated   bool      // its data centre is evacuated: it gets no requests
+
+	ColdUntil     time.Time // it is cold until then; zero: it is not
+	ColdPerSecond float64   // requests that it accepts from all gateways while it is cold; 0: any number
 }
 
 // Request is a request to be scheduled on a backend server.
@@ -60,7 +64,8 @@
 // Start means that the request is to be sent to Server.
 type Start struct {
 	Server     Server
-	ExpectedMS float64 // estimated milliseconds from sending the request until its response starts; 0: no estimate
+	ExpectedMS float64   // estimated milliseconds from sending the request until its response starts; 0: no estimate
+	SendBy     time.Time // the request must be on its way by then, or not be sent; zero: any time
 }
 
 // Wait means that the request is queued. A later Resolved carries the decision.
@@ -89,6 +94,8 @@
 	RemotePenalty float64 // added to the load of servers in other regions, as a fraction of their slots
 	ExactShares   bool    // the slots of engines are divided among the gateways
 	Estimates     bool    // servers are chosen by estimates from the figures of their engines
+
+	ColdStart coldstart.Options // of cold servers
 }
 
 // Pool schedules the requests of one service. It is not safe for concurrent use.
@@ -110,6 +117,7 @@
 	estimates    estimates
 	regions      map[string]*regionRates
 	evacuation   bool // a listed server is evacuated
+	cold         *coldstart.Limiter
 }
 
 type server struct {
@@ -134,11 +142,12 @@
 	nextSendAt   time.Time // when its rate limit allows this gateway's next request, on average
 
 	work ownWork
+	cold *coldstart.Engine // nil: cold servers are not limited
 }
 
 // NewPool returns a pool without servers.
 func NewPool(o Options) *Pool {
-	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}, regions: map[string]*regionRates{}}
+	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}, regions: map[string]*regionRates{}, cold: coldstart.NewLimiter(o.ColdStart)}
 }
 
 // SetServers replaces the list of servers. Requests that run on a server that is
@@ -164,8 +173,10 @@
 		}
 		existing.Server = s
 		existing.departing = p.departing.covers(s)
+		p.setCold(now, existing)
 	}
 	p.departing.prune(now, listed)
+	p.cold.Prune(now, listed)
 	for id, s := range p.servers {
 		if !listed[id] {
 			s.Ready = false
@@ -263,6 +274,7 @@
 	r.submittedAt, r.bySlack = now, p.estimated(r)
 	p.starvation.count(now, r, false)
 	r.rank = p.rankOf(now, r)
+	p.countDeferred(now, r)
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
 			return p.start(now, s, r), nil
@@ -480,7 +492,7 @@
 			ahead++
 		}
 	}
-	rate := p.completionRate(now, r)
+	rate := p.startRate(now, r)
 	if rate <= 0 || ahead < minQueue {
 		return nil, false
 	}
@@ -579,7 +591,7 @@
 	p.countStart(now, s.Region, r)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
-	return Start{Server: s.Server, ExpectedMS: expectedMS}
+	return Start{Server: s.Server, ExpectedMS: expectedMS, SendBy: s.countColdSend(now)}
 }
 
 // StartElsewhere starts a request at once at a server that did not fail it, before those
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -95,10 +95,12 @@
 // options describe a site.
 type options struct {
 	gateways, engines int
-	firstVersion      int64 // loaded by engines at the start; 0: none
-	graceSeconds      int   // of gateways; 0: graceTime
-	warmUpMS          int   // time that a load takes; 0: none
-	southern          int   // the last of the engines, which are in the data centre south-a of the region south
+	firstVersion      int64   // loaded by engines at the start; 0: none
+	graceSeconds      int     // of gateways; 0: graceTime
+	warmUpMS          int     // time that a load takes; 0: none
+	southern          int     // the last of the engines, which are in the data centre south-a of the region south
+	coldPerSecond     float64 // requests per second that a cold engine accepts; 0: any number
+	coldStart         string  // ColdStart setting of gateways; empty: none
 }
 
 // site is the daemons with the stand-ins around them.
@@ -115,6 +117,7 @@
 	configurationVersion int64
 	warmUpMS             int
 	northern             int // engines in north-a, before those in south-a
+	coldPerSecond        float64
 }
 
 // newSite returns an empty site with reserved ports for its daemons.
@@ -133,6 +136,7 @@
 	t.Helper()
 	s := newSite(t)
 	s.warmUpMS, s.northern = o.warmUpMS, o.engines-o.southern
+	s.coldPerSecond = o.coldPerSecond
 	s.store, s.origin = standin.NewStore(), standin.NewOrigin()
 	origin := httptest.NewServer(s.origin)
 	t.Cleanup(origin.Close)
@@ -153,7 +157,11 @@
 	for _, g := range s.gateways {
 		g.storeEndpoint = s.store.NewEndpoint()
 		g.storeRoute = s.proxy(s.listen(httptest.NewUnstartedServer(g.storeEndpoint)))
-		s.startDaemon(g, g.storeRoute.Address(), controlAddresses, gatewaySettings(g, o.graceSeconds))
+		own := gatewaySettings(g, o.graceSeconds)
+		if o.coldStart != "" {
+			own += "ColdStart: " + o.coldStart + "\n"
+		}
+		s.startDaemon(g, g.storeRoute.Address(), controlAddresses, own)
 	}
 	return s
 }
@@ -235,7 +243,7 @@
 // configure writes the next configuration, with these API keys, to the store.
 func (s *site) configure(keys ...string) {
 	s.configurationVersion++
-	s.store.Configure(standin.Configuration{Version: s.configurationVersion, Keys: keys, Origin: s.originAddress, WarmUpMS: s.warmUpMS})
+	s.store.Configure(standin.Configuration{Version: s.configurationVersion, Keys: keys, Origin: s.originAddress, WarmUpMS: s.warmUpMS, ColdPerSecond: s.coldPerSecond})
 }
 
 // send sends one stream request to a gateway and returns its outcome.
