A gateway that was stopped sends nothing until it has caught up

Cause: a gateway that was stopped for longer than evacuate_ms sent what waited for it to engines of a data centre that was evacuated meanwhile: its view was older than the evacuation.

Slots that were granted before the pause are given back. Without the setting nothing changes. Next to the store's answer there is no sign to release the requests earlier: answers that were received before the pause look recent when they are read after it.

--- a/internal/hosted/evacuation.go
+++ b/internal/hosted/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/event"
@@ -70,3 +71,23 @@
 	l.logged = evacuated
 	counter.Set("EvacuatedDataCentres", count)
 }
+
+// guardPauses lets no request start after a pause of the process until it has caught up
+// with the store. A pause counts from half of the time in which evacuations must be in
+// force; the other half is for changes to reach the process.
+func (t *serverTable) guardPauses(now time.Time) {
+	if t.evacuateMS == 0 {
+		return
+	}
+	previous := t.pauseGuard.Until()
+	t.pauseGuard = t.pauseGuard.Next(now, now.Add(time.Duration(t.evacuateMS/2)*time.Millisecond))
+	if until := t.pauseGuard.Until(); until.After(previous) {
+		t.startsHeld = false
+		t.pools.SetStartsUntil(now, until)
+		return
+	}
+	if !t.startsHeld {
+		t.startsHeld = true
+		counter.Add("StartsHeld", 1)
+	}
+}
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -83,6 +83,7 @@
 	crashes := proxy.NewCrashDetector()
 	g := &gateway{settings: s, connLimiter: connlimit.New(s.Files), view: newSiteView(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
 	g.servers = newServerTable(g.view, s.Hosting, pools)
+	g.servers.evacuateMS = s.EvacuateMS
 	own := hostedrpc.Gateway{Name: s.Name, Address: s.NeighbourListen, Region: s.Region}
 	g.gossip = newGossiper(g.servers, own, s.Hosting.Gateways, crashes)
 	g.view.storeRole = g.gossip.storeRole
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -8,6 +8,7 @@
 	"almondreel.example/almondreel/internal/ages"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
+	"almondreel.example/almondreel/internal/pauseguard"
 	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/internal/registry"
 	"almondreel.example/almondreel/internal/schedule"
@@ -39,8 +40,11 @@
 
 	// applied is the configuration whose regions were last applied. Only refresh uses it.
 	applied *site.Configuration
-	// evacuationLog is used by refresh alone.
+	// Only refresh uses the following.
 	evacuationLog evacuationLog
+	pauseGuard    pauseguard.Guard
+	startsHeld    bool // by pauseGuard
+	evacuateMS    int  // 0: no limit
 }
 
 // countedWeights is the version that an engine counts as serving, and where that is known
@@ -102,6 +106,7 @@
 	t.weights = weights
 	t.pools.SetServers(now, services)
 	t.applyRegions(now, c)
+	t.guardPauses(now)
 	t.evacuationLog.record(t.evacuations(), t.hosting.Places, t.mirror.Revision())
 	if count != t.listedCount {
 		t.listedCount = count
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -26,6 +26,8 @@
 	waiters map[int64]waiter
 	lastID  atomic.Int64
 	endsAt  time.Time // when this gateway ends what still runs; zero: it is not stopping
+	// startsUntil is when the servers may be out of date; zero: no limit.
+	startsUntil time.Time
 	// ownName and gateways are the gateways that share rate limits.
 	ownName  string
 	gateways []string
@@ -268,6 +270,7 @@
 	if !ok {
 		pool = schedule.NewPool(p.options)
 		pool.SetGateways(p.ownName, p.gateways)
+		pool.SetStartsUntil(time.Now(), p.startsUntil)
 		if !p.endsAt.IsZero() {
 			pool.Stop(time.Now(), p.endsAt) // nothing is queued in a new pool
 		}
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -105,9 +105,20 @@
 	}
 }
 
+// SetStartsUntil sets the time from which on no request is sent to a server until it is
+// set again; zero: no limit.
+func (p *Pools) SetStartsUntil(now, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.startsUntil = until
+	for _, pool := range p.pools {
+		p.deliver(pool.SetStartsUntil(now, until))
+	}
+}
+
 // permits reports whether a request may still be sent to a server that has a slot for it.
 func (p *Pools) permits(service, server string, request schedule.Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pool(service).Permits(server, request)
+	return p.pool(service).Permits(time.Now(), server, request)
 }
--- a/internal/schedule/evacuation.go
+++ b/internal/schedule/evacuation.go
@@ -15,6 +15,18 @@
 // permits reports whether the request may be sent to the server at all.
 func (s *server) permits(r *Request) bool { return !s.Evacuated && r.allows(s.Region) }
 
+// SetStartsUntil sets the time from which on no request is started until it is set again,
+// since evacuations may have been missed.
+func (p *Pool) SetStartsUntil(now, until time.Time) []Resolved {
+	p.startsUntil = until
+	return p.dispatch(now)
+}
+
+// outdated reports whether no request may be started now.
+func (p *Pool) outdated(now time.Time) bool {
+	return !p.startsUntil.IsZero() && now.After(p.startsUntil)
+}
+
 // excluded reports whether no server that may run the request is serving, and why: its
 // regions, or that the data centres of the others are evacuated. A resumed request, which
 // would be cut, is excluded only if no region is allowed: servers may come back while it
--- a/internal/schedule/evacuation_test.go
+++ b/internal/schedule/evacuation_test.go
@@ -40,8 +40,8 @@
 	requireRefusal(t, decisionOf(p.Submit(now, boundRequest(7, now, "west"))), outcome.NoAllowedRegion, now)
 	_, ok := p.StartElsewhere(now, boundRequest(8, now, "north"))
 	require.False(t, ok)
-	require.False(t, p.Permits("north", unboundRequest(9, now)), "a slot that was granted before")
-	require.True(t, p.Permits("south", unboundRequest(9, now)))
+	require.False(t, p.Permits(now, "north", unboundRequest(9, now)), "a slot that was granted before")
+	require.True(t, p.Permits(now, "south", unboundRequest(9, now)))
 
 	p.SetServers(now, evacuate(regionServers(4, "north", "south"), "north", "south"))
 	resolved := p.Tick(now)
@@ -67,6 +67,25 @@
 	require.Equal(t, map[string]int{"south": 3}, startsAt(t, p, later, 3))
 }
 
+// Guards against requests that are started while the servers may be out of date, and
+// against those that are not started any more once they are not.
+func TestNothingStartsWhileServersMayBeOutdated(t *testing.T) {
+	p := regionPool(4, "north")
+	until := startTime.Add(time.Second)
+	require.Empty(t, p.SetStartsUntil(startTime, until))
+	require.Equal(t, 1, startsAt(t, p, until, 1)["north"])
+	later := until.Add(time.Millisecond)
+	require.False(t, p.Permits(later, "north", unboundRequest(1, later)), "a slot that was granted before")
+	require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(later, unboundRequest(2, later))))
+	resumed := unboundRequest(3, later)
+	resumed.Resumed = true
+	require.IsType(t, schedule.Wait{}, decisionOf(p.Submit(later, resumed)))
+	_, ok := p.StartElsewhere(later, unboundRequest(4, later))
+	require.False(t, ok)
+	require.Empty(t, p.SetServers(later, regionServers(4, "north")))
+	require.Len(t, p.SetStartsUntil(later, later.Add(time.Second)), 2)
+}
+
 // Guards against a response that is cut because all servers are evacuated for a moment.
 func TestResumedRequestOutlastsEvacuation(t *testing.T) {
 	p := schedule.NewPool(schedule.Options{})
--- a/internal/schedule/regions.go
+++ b/internal/schedule/regions.go
@@ -17,9 +17,9 @@
 
 // Permits reports whether a request that was given a slot on server id may still be sent
 // there.
-func (p *Pool) Permits(id string, r Request) bool {
+func (p *Pool) Permits(now time.Time, id string, r Request) bool {
 	s, ok := p.servers[id]
-	return !ok || s.permits(&r)
+	return (!ok || s.permits(&r)) && !p.outdated(now)
 }
 
 // SetRegions replaces the regions of the queued requests by what home returns for their
--- a/internal/schedule/regions_test.go
+++ b/internal/schedule/regions_test.go
@@ -266,9 +266,9 @@
 func TestSlotOfFormerRegionIsGivenBack(t *testing.T) {
 	p := regionPool(1, "north", "south")
 	start := decisionOf(p.Submit(startTime, boundRequest(1, startTime, "north"))).(schedule.Start)
-	require.True(t, p.Permits(start.Server.ID, boundRequest(1, startTime, "north")))
-	require.False(t, p.Permits(start.Server.ID, boundRequest(1, startTime, "south")))
-	require.False(t, p.Permits(start.Server.ID, boundRequest(1, startTime)))
+	require.True(t, p.Permits(startTime, start.Server.ID, boundRequest(1, startTime, "north")))
+	require.False(t, p.Permits(startTime, start.Server.ID, boundRequest(1, startTime, "south")))
+	require.False(t, p.Permits(startTime, start.Server.ID, boundRequest(1, startTime)))
 	p.Ended(startTime, start.Server.ID, schedule.Withdrawn, 0)
 	require.Equal(t, "north", decisionOf(p.Submit(startTime, boundRequest(2, startTime, "north"))).(schedule.Start).Server.ID)
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -96,7 +96,8 @@
 	ownName      string    // of this gateway
 	gateways     []string  // that share rate limits
 	regions      map[string]*regionRates
-	evacuation   bool // a listed server is evacuated
+	evacuation   bool      // a listed server is evacuated
+	startsUntil  time.Time // no request may start later, as the servers may be out of date; zero: no limit
 }
 
 type server struct {
@@ -585,7 +586,7 @@
 // chooseServer returns the available server with the lowest load, or nil if there is
 // none.
 func (p *Pool) chooseServer(now time.Time, r Request) *server {
-	if p.endsBeforeAnswer(now, r) {
+	if p.endsBeforeAnswer(now, r) || p.outdated(now) {
 		return nil
 	}
 	var best *server
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -27,6 +27,7 @@
 	Retries         RetryBudget `yaml:"Retries"`
 	Files           int         `yaml:"Files"`        // limit of open file descriptors, sockets included
 	GraceSeconds    float64     `yaml:"GraceSeconds"` // time from SIGTERM until the platform kills the process
+	EvacuateMS      int         `yaml:"EvacuateMS"`   // milliseconds from which an evacuated data centre gets no request, also from a gateway that was stopped meanwhile; 0: no limit
 }
 
 // RetryBudget limits the retries of all gateways together within a time window.
@@ -84,6 +85,9 @@
 	minMemoryMB   = 16
 	maxMemoryMB   = 1 << 20
 	maxDurationMS = 10 * 60 * 1000
+	// minEvacuateMS leaves half for the time in which a change reaches all gateways, and half
+	// for a pause of one, which a busy machine must not cause.
+	minEvacuateMS = 2000
 )
 
 func (g HostedGateway) check(c checker) error {
@@ -96,6 +100,7 @@
 	c.require(g.Retries.Besides >= 0, "Retries.Besides", "a number, 0 or more")
 	c.require(g.Retries.SpanSeconds > 0 && g.Retries.SpanSeconds <= maxDurationMS/1000, "Retries.SpanSeconds", "seconds, above 0, at most ten minutes")
 	c.require(g.Files >= minFiles && g.Files <= maxFiles, "Files", "a number, 64 or more")
+	c.require(g.EvacuateMS == 0 || g.EvacuateMS >= minEvacuateMS && g.EvacuateMS <= maxDurationMS, "EvacuateMS", "milliseconds, 0 or 2000 to 600000")
 	c.require(g.GraceSeconds > 0 && g.GraceSeconds <= maxDurationMS/1000, "GraceSeconds", "seconds, above 0, at most ten minutes")
 	return c.err()
 }
--- a/test/hosting/evacuation_test.go
+++ b/test/hosting/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 // startEvacuationSite starts a site with engines in two data centres and load on both.
 func startEvacuationSite(t *testing.T) *site {
 	t.Helper()
-	s := startSite(t, options{gateways: 2, engines: 4, southern: 2, firstVersion: 1})
+	s := startSite(t, options{gateways: 2, engines: 4, southern: 2, firstVersion: 1, evacuateMS: int(evacuateTime.Milliseconds())})
 	for gateway := range s.gateways {
 		s.waitForVersion(gateway, 1, 10*time.Second)
 	}
@@ -110,3 +111,21 @@
 	s.eventually(evacuateTime, "the south serves again", func() bool { return ranSince(s.southernRuns(), inForce) })
 	s.requireRefusedDidNotRun(stop())
 }
+
+// Guards against a gateway that was stopped for longer than evacuateTime, and sends what
+// waited for it to a data centre whose evacuation it has not heard of yet.
+func TestResumedGatewaySendsNothingToEvacuatedDataCentre(t *testing.T) {
+	s := startEvacuationSite(t)
+	stop := s.load(16)
+	s.eventually(5*time.Second, "requests run in the south", func() bool { return len(s.southernRuns()) > 10 })
+	process := s.gateways[1].command.Process
+	require.NoError(t, process.Signal(syscall.SIGSTOP))
+	s.evacuate(southernDataCentre)
+	inForce := time.Now().Add(evacuateTime)
+	time.Sleep(evacuateTime + 500*time.Millisecond) // callers of the stopped gateway go on sending
+	require.NoError(t, process.Signal(syscall.SIGCONT))
+	s.eventually(evacuateTime, "the gateway serves again", func() bool { return s.send(1, apiKey).Status == http.StatusOK })
+	time.Sleep(time.Second)
+	stop()
+	requireNoRunsSince(t, s.southernRuns(), inForce)
+}
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -99,6 +99,15 @@
 	graceSeconds      int   // of gateways; 0: graceTime
 	warmUpMS          int   // time that a load takes; 0: none
 	southern          int   // the last of the engines, which are in the data centre south-a of the region south
+	evacuateMS        int   // of gateways; 0: no limit
+}
+
+// evacuateSetting returns the setting of gateways for evacuations, if there is one.
+func (o options) evacuateSetting() string {
+	if o.evacuateMS == 0 {
+		return ""
+	}
+	return fmt.Sprintf("EvacuateMS: %d\n", o.evacuateMS)
 }
 
 // site is the daemons with the stand-ins around them.
@@ -153,7 +162,7 @@
 	for _, g := range s.gateways {
 		g.storeEndpoint = s.store.NewEndpoint()
 		g.storeRoute = s.proxy(s.listen(httptest.NewUnstartedServer(g.storeEndpoint)))
-		s.startDaemon(g, g.storeRoute.Address(), controlAddresses, gatewaySettings(g, o.graceSeconds))
+		s.startDaemon(g, g.storeRoute.Address(), controlAddresses, gatewaySettings(g, o.graceSeconds)+o.evacuateSetting())
 	}
 	return s
 }
