--- a/internal/enginemodel/paces.go
+++ b/internal/enginemodel/paces.go
@@ -19,9 +19,10 @@
 	// rest allows for load that is not known here.
 	minPace = 0.5
 	maxPace = 4
-	// paceTTL is how long a measurement counts. Slow periods last from fractions of a
-	// second to seconds.
-	paceTTL = 2 * time.Second
+	// paceTTL is how long a measurement counts. Some engines are slow again and again, for
+	// fractions of a second each time, and one of many gateways sends an engine a request
+	// only every few seconds.
+	paceTTL = 15 * time.Second
 	// paceWeight is the weight of one measurement.
 	paceWeight = 0.4
 	// jitterMS is added to both measured and expected times, so that the jitter of the
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -9,6 +9,7 @@
 	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
+	"almondreel.example/almondreel/internal/pauseguard"
 	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/internal/registry"
 	"almondreel.example/almondreel/internal/schedule"
@@ -40,10 +41,13 @@
 
 	// applied is the configuration whose regions were last applied. Only refresh uses it.
 	applied *site.Configuration
-	// evacuationLog is used by refresh alone.
+	// Only refresh uses the following.
 	evacuationLog evacuationLog
 	limitsCold    bool                            // the settings limit requests to cold engines
 	cold          map[string]coldstart.ColdEngine // as last logged, by server ID. Only refresh uses it.
+	pauseGuard    pauseguard.Guard
+	startsHeld    bool // by pauseGuard
+	evacuateMS    int  // 0: no limit
 }
 
 // countedWeights is the version that an engine counts as serving, and where that is known
@@ -106,6 +110,7 @@
 	t.weights = weights
 	t.pools.SetServers(now, services)
 	t.applyRegions(now, c)
+	t.guardPauses(now)
 	t.evacuationLog.record(t.evacuations(), t.hosting.Places, t.mirror.Revision())
 	t.logCold(now)
 	if count != t.listedCount {
--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -9,6 +9,7 @@
 
 // estimates is what a pool has learned for its estimates. Options.Estimates enables them.
 type estimates struct {
+	enabled  bool // it stays so once it is, since what runs is counted from then on
 	paces    enginemodel.Paces
 	overhead map[string]latencyEstimate // by region: time to the first answer beyond the estimate
 	reading  latencyEstimate            // time to read a prompt
@@ -44,7 +45,14 @@
 )
 
 // estimated reports whether the server for a request is chosen by estimates.
-func (p *Pool) estimated(r Request) bool { return p.options.Estimates && r.Figures.Known() }
+func (p *Pool) estimated(r Request) bool { return p.estimates.enabled && r.Figures.Known() }
+
+// enableEstimates enables estimates if the options ask for them, or if the gateways have
+// exact shares because there are many. Each of these sees few requests of an engine, so
+// counts say little about it.
+func (p *Pool) enableEstimates() {
+	p.estimates.enabled = p.estimates.enabled || p.options.Estimates || p.crowded()
+}
 
 // estimatedLoad returns the cost of running a request on a server, in the unit of
 // chooseServer: the request's expected time to the first answer, and the delay that it
@@ -97,7 +105,7 @@
 // recordStart records that a request is sent to a server. It returns the expected time
 // until its response starts, or 0 if there is no estimate.
 func (p *Pool) recordStart(now time.Time, s *server, r Request) float64 {
-	if !p.options.Estimates {
+	if !p.estimates.enabled {
 		return 0
 	}
 	started := pendingPrompt{promptMS: r.PromptMS, pending: enginemodel.Load{Pending: 1}, running: enginemodel.Load{Running: 1}}
@@ -141,10 +149,10 @@
 
 // recordEnd records that a request has ended. promptMS is 0 if its response had started.
 func (p *Pool) recordEnd(s *server, promptMS float64) {
-	if !p.options.Estimates {
+	if !p.estimates.enabled {
 		return
 	}
-	p.estimates.running--
+	p.estimates.running = max(0, p.estimates.running-1) // it may have started before
 	if started := s.work.load.Running; promptMS == 0 && started >= 1 {
 		// Which of them has ended is not known.
 		s.work.load = s.work.load.Minus(enginemodel.Load{Running: 1, ContextTokens: s.work.load.ContextTokens / started})
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -118,6 +118,7 @@
 	regions      map[string]*regionRates
 	evacuation   bool // a listed server is evacuated
 	cold         *coldstart.Limiter
+	startsUntil  time.Time // no request may start later, as the servers may be out of date; zero: no limit
 }
 
 type server struct {
@@ -147,7 +148,9 @@
 
 // NewPool returns a pool without servers.
 func NewPool(o Options) *Pool {
-	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}, regions: map[string]*regionRates{}, cold: coldstart.NewLimiter(o.ColdStart)}
+	p := &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}, regions: map[string]*regionRates{}, cold: coldstart.NewLimiter(o.ColdStart)}
+	p.enableEstimates()
+	return p
 }
 
 // SetServers replaces the list of servers. Requests that run on a server that is
@@ -624,7 +627,7 @@
 // chooseServer returns the available server with the lowest load, or nil if there is
 // none.
 func (p *Pool) chooseServer(now time.Time, r Request) *server {
-	if p.endsBeforeAnswer(now, r) {
+	if p.endsBeforeAnswer(now, r) || p.outdated(now) {
 		return nil
 	}
 	var best *server
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -27,9 +27,10 @@
 
 // exactShares reports whether the slots of engines are divided among the gateways: if the
 // options ask for it, or if the gateways' minimum shares add up to more than one.
-func (p *Pool) exactShares() bool {
-	return p.options.ExactShares || minShare*float64(len(p.gateways)) > 1
-}
+func (p *Pool) exactShares() bool { return p.options.ExactShares || p.crowded() }
+
+// crowded reports whether the gateways' minimum shares add up to more than one.
+func (p *Pool) crowded() bool { return minShare*float64(len(p.gateways)) > 1 }
 
 // slotShare returns the requests that this gateway may always have at a server. All
 // gateways that know of each other divide the slots alike; the remainder goes to the first
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -101,6 +101,15 @@
 	southern          int     // the last of the engines, which are in the data centre south-a of the region south
 	coldPerSecond     float64 // requests per second that a cold engine accepts; 0: any number
 	coldStart         string  // ColdStart setting of gateways; empty: none
+	evacuateMS        int     // of gateways; 0: no limit
+}
+
+// evacuateSetting returns the setting of gateways for evacuations, if there is one.
+func (o options) evacuateSetting() string {
+	if o.evacuateMS == 0 {
+		return ""
+	}
+	return fmt.Sprintf("EvacuateMS: %d\n", o.evacuateMS)
 }
 
 // site is the daemons with the stand-ins around them.
@@ -157,7 +166,7 @@
 	for _, g := range s.gateways {
 		g.storeEndpoint = s.store.NewEndpoint()
 		g.storeRoute = s.proxy(s.listen(httptest.NewUnstartedServer(g.storeEndpoint)))
-		own := gatewaySettings(g, o.graceSeconds)
+		own := gatewaySettings(g, o.graceSeconds) + o.evacuateSetting()
 		if o.coldStart != "" {
 			own += "ColdStart: " + o.coldStart + "\n"
 		}
