Cold engines: test of a gateway that is suspended

Cause: a gateway that resumes has requests in its queue and slots that were granted before.

Change: a test with the programs suspends one of three gateways for 1.5 s while all engines are cold and all gateways have more requests than these accept.

--- a/test/hosting/coldstart_test.go
+++ b/test/hosting/coldstart_test.go
@@ -8,10 +8,13 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"almondreel.example/almondreel/internal/pause"
 )
 
 const (
@@ -101,6 +104,48 @@
 	}
 }
 
+// Guards against a backlog that a suspended gateway sends at once when it resumes: requests in
+// its queue, and those that had a slot but were not on their way. All engines are cold and all
+// gateways have more requests than the engines accept.
+func TestResumedGatewayKeepsColdBound(t *testing.T) {
+	s := startSite(t, options{
+		gateways: 3, engines: 2, firstVersion: 1, coldPerSecond: coldPerSecond,
+		coldStart: fmt.Sprintf("{Overage: %g, Tolerance: %d}", coldOverage, coldTolerance),
+	})
+	for n := range s.gateways {
+		s.waitForVersion(n, 1, 10*time.Second)
+	}
+	time.Sleep(coldSettledIn)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	const callers = 30
+	for n := range callers {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			for pause.For(ctx, 50*time.Millisecond) {
+				_ = s.send(n%len(s.gateways), apiKey)
+			}
+		}()
+	}
+	var stopped, resumed error
+	suspended := make(chan struct{})
+	go func() {
+		defer close(suspended)
+		time.Sleep(coldLearnedIn + 500*time.Millisecond)
+		stopped = s.gateways[1].command.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(1500 * time.Millisecond) // longer than its bucket takes to fill
+		resumed = s.gateways[1].command.Process.Signal(syscall.SIGCONT)
+	}()
+	s.requireColdBound(s.engines...)
+	<-suspended
+	require.NoError(t, stopped)
+	require.NoError(t, resumed)
+	cancel()
+	for range callers {
+		<-ended
+	}
+}
+
 // Guards against any effect of cold engines on gateways whose settings do not mention them.
 func TestColdEngineIsNotLimitedWithoutSettings(t *testing.T) {
 	s := startSite(t, options{gateways: 1, engines: 1, firstVersion: 1, coldPerSecond: 0.5})
