Exact shares: gateways that stop take no share; cold engines that start later are used at once

A gateway that stops counts as alive for its grace period, and its share of the slots stayed unused meanwhile. It now tells the others that it is leaving.

A gateway that has just started sent nothing to any cold engine for 1.15 s, since the process before it may have. That cannot be so for an engine that was listed later. While it learns of the others it divides the bound by 16 gateways, not 32.

--- a/internal/coldstart/limiter.go
+++ b/internal/coldstart/limiter.go
@@ -11,6 +11,7 @@
 	options  Options
 	gateways Gateways
 	engines  map[string]*Engine
+	listedAt time.Time // when the first engines were listed
 	counts   Counts
 }
 
@@ -29,6 +30,7 @@
 	limiter     *Limiter
 	id          string
 	perSecond   float64 // that it accepts while it is cold; 0: any number
+	isNew       bool    // it was not in the first list
 	listedUntil time.Time
 	statedUntil time.Time // by its responses
 	recent      sendCount
@@ -65,9 +67,12 @@
 	if !l.options.Enabled() {
 		return nil
 	}
+	if l.listedAt.IsZero() {
+		l.listedAt = now
+	}
 	e, ok := l.engines[id]
 	if !ok {
-		e = &Engine{limiter: l, id: id, perSecond: perSecond}
+		e = &Engine{limiter: l, id: id, perSecond: perSecond, isNew: now.After(l.listedAt)}
 		l.engines[id] = e
 	}
 	e.advance(now)
@@ -140,7 +145,8 @@
 	case e.tokens < 1-roundingError:
 		at = now.Add(duration((1 - e.tokens) / e.share.perSecond))
 	}
-	if from := e.limiter.gateways.SendFrom; from.After(now) && from.After(at) {
+	// The process before this one cannot have sent to an engine that started later.
+	if from := e.limiter.gateways.SendFrom; !e.isNew && from.After(now) && from.After(at) {
 		at = from
 	}
 	if at.After(e.Until()) {
--- a/internal/coldstart/share.go
+++ b/internal/coldstart/share.go
@@ -50,7 +50,7 @@
 	minBurst = 20 * time.Millisecond
 	// startingGateways is the number of gateways among which a gateway that does not know
 	// the others yet divides the bound.
-	startingGateways = 32
+	startingGateways = 16
 	// settleDelay is the time from the first contact to another gateway until this one uses
 	// its whole share. Lists of gateways are passed on every 400 ms, twice between regions;
 	// after 800 ms all gateways have reduced their shares because of this one.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -104,6 +104,9 @@
 	}
 }
 
+// SetLeaving records that this gateway is stopping, which it tells the others.
+func (t *Table) SetLeaving() { t.own.Leaving = true }
+
 // RecordAnswer records that a gateway answered a call.
 func (t *Table) RecordAnswer(address string, now time.Time) {
 	if g, ok := t.gateways[address]; ok {
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -185,6 +185,7 @@
 	times := newStopTimes(began, time.Duration(g.settings.GraceSeconds*float64(time.Second)))
 	g.stopTimes.Store(&times)
 	g.draining.Store(true)
+	g.gossip.setLeaving()
 	g.handler.EndBy(times.answer)
 	event.Log(event.DrainStarted, "Running", g.handler.Running())
 	pause.For(ctx, time.Until(times.accept))
--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -285,6 +285,26 @@
 	return names
 }
 
+// slotSharers returns the names of the gateways among which slots are divided: those that
+// are not stopping, and this one.
+func (gs *gossiper) slotSharers(now time.Time) []string {
+	names := []string{}
+	for _, g := range gs.liveGateways(now) {
+		if !g.Leaving || g.Name == gs.own.Name {
+			names = append(names, g.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// setLeaving tells the other gateways that this one is stopping.
+func (gs *gossiper) setLeaving() {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	gs.table.SetLeaving()
+}
+
 // gatewaysIfChanged returns the gateways that are alive, or nil if their digest equals
 // digest.
 func (gs *gossiper) gatewaysIfChanged(digest uint64, now time.Time) []hostedrpc.Gateway {
@@ -310,6 +330,7 @@
 	gs.mu.Unlock()
 	gs.servers.pools.SetOtherLoad(now, running)
 	gs.servers.pools.SetGateways(gs.own.Name, gs.liveNames(now))
+	gs.servers.pools.SetSlotSharers(gs.slotSharers(now))
 	if gs.servers.limitsCold {
 		gs.mu.Lock()
 		gateways := gs.coldGateways(now)
--- a/internal/hostedrpc/messages.go
+++ b/internal/hostedrpc/messages.go
@@ -156,6 +156,7 @@
 	Address         string
 	Region          string
 	AgeMilliseconds int64 // since it was last known to be alive
+	Leaving         bool  // it is stopping and soon takes no requests
 }
 
 // VersionAge is how long ago operators announced a version. If Found, the gateway found
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -32,6 +32,7 @@
 	// ownName and gateways are the gateways that share rate limits.
 	ownName  string
 	gateways []string
+	sharers  []string // gateways among which the slots of engines are divided
 	// coldGateways are those that share the rates of cold servers.
 	coldGateways coldstart.Gateways
 }
@@ -227,6 +228,16 @@
 	return out
 }
 
+// SetSlotSharers sets the gateways among which the slots of engines are divided.
+func (p *Pools) SetSlotSharers(names []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sharers = names
+	for _, pool := range p.pools {
+		pool.SetSlotSharers(names)
+	}
+}
+
 // SetGateways sets the gateways that share rate limits, and which of them this one is.
 func (p *Pools) SetGateways(own string, all []string) {
 	p.mu.Lock()
@@ -273,6 +284,7 @@
 	if !ok {
 		pool = schedule.NewPool(p.options)
 		pool.SetGateways(p.ownName, p.gateways)
+		pool.SetSlotSharers(p.sharers)
 		pool.SetColdGateways(time.Now(), p.coldGateways)
 		pool.SetStartsUntil(time.Now(), p.startsUntil)
 		if !p.endsAt.IsZero() {
--- a/internal/schedule/ratelimit.go
+++ b/internal/schedule/ratelimit.go
@@ -45,9 +45,8 @@
 		return
 	}
 	p.ownName, p.gateways = own, all
-	p.enableEstimates()
 	for _, s := range p.servers {
-		s.share, s.slotShare = p.shareOf(s.rateLimit), slotShare{}
+		s.share = p.shareOf(s.rateLimit)
 	}
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -112,7 +112,8 @@
 	departing    departures
 	endsAt       time.Time // when this gateway ends what still runs; zero: it is not stopping
 	ownName      string    // of this gateway
-	gateways     []string  // that share rate limits and slots
+	gateways     []string  // that share rate limits
+	sharers      []string  // gateways among which the slots of engines are divided
 	starvation   starvation
 	estimates    estimates
 	regions      map[string]*regionRates
@@ -236,7 +237,7 @@
 	if !ok {
 		share = 1
 		if p.exactShares() {
-			share = 1 / float64(max(1, len(p.gateways)))
+			share = 1 / float64(max(1, len(p.sharers)))
 		}
 		p.shares[region] = share
 	}
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -30,13 +30,25 @@
 func (p *Pool) exactShares() bool { return p.options.ExactShares || p.crowded() }
 
 // crowded reports whether the gateways' minimum shares add up to more than one.
-func (p *Pool) crowded() bool { return minShare*float64(len(p.gateways)) > 1 }
+func (p *Pool) crowded() bool { return minShare*float64(len(p.sharers)) > 1 }
+
+// SetSlotSharers sets the names of the gateways among which slots are divided.
+func (p *Pool) SetSlotSharers(names []string) {
+	if slices.Equal(names, p.sharers) {
+		return
+	}
+	p.sharers = names
+	p.enableEstimates()
+	for _, s := range p.servers {
+		s.slotShare = slotShare{}
+	}
+}
 
 // slotShare returns the requests that this gateway may always have at a server. All
 // gateways that know of each other divide the slots alike; the remainder goes to the first
 // ones by rendezvous hashing.
 func (p *Pool) slotShare(s *server) int {
-	if s.slotShare.gateways != len(p.gateways) || s.slotShare.slots != s.Slots {
+	if s.slotShare.slots != s.Slots {
 		s.slotShare = p.divideSlots(s)
 	}
 	return s.slotShare.own
@@ -44,16 +56,15 @@
 
 // slotShare is this gateway's share of a server's slots.
 type slotShare struct {
-	own      int
-	slots    int // that were divided
-	gateways int // among which they were divided; 0: not yet
+	own   int
+	slots int // that were divided; 0: none yet
 }
 
 func (p *Pool) divideSlots(s *server) slotShare {
-	gateways := max(1, len(p.gateways))
+	gateways := max(1, len(p.sharers))
 	slots := s.Slots + queuedPerServer
-	share := slotShare{own: slots / gateways, slots: s.Slots, gateways: len(p.gateways)}
-	if rest := slots % gateways; rest > 0 && slices.Contains(rendezvous.Top(s.ID, p.gateways, rest), p.ownName) {
+	share := slotShare{own: slots / gateways, slots: s.Slots}
+	if rest := slots % gateways; rest > 0 && slices.Contains(rendezvous.Top(s.ID, p.sharers, rest), p.ownName) {
 		share.own++
 	}
 	return share
--- a/internal/schedule/shares_test.go
+++ b/internal/schedule/shares_test.go
@@ -21,6 +21,7 @@
 	for _, name := range names {
 		pool := schedule.NewPool(schedule.Options{Region: "north", ExtraSlots: 2, ExactShares: exact})
 		pool.SetGateways(name, names)
+		pool.SetSlotSharers(names)
 		pool.SetServers(time.Unix(1000, 0), servers)
 		pools = append(pools, pool)
 	}
