schedule: requests of a gateway without a share of the slots

Cause: with exact shares, a gateway whose share of an engine's slots was 0 could not exceed it, since one request divided by the gateway's usual fraction (at least 0.1) is already above four fifths of twelve slots. A gateway whose share was 0 at every engine refused all its requests while the engines were idle: with fewer slots than gateways, or with few engines left by an evacuation. It needs no setting, since more than ten gateways have exact shares.

Change: such a gateway may have one request at an engine whose known requests are below the limit of borrowed slots.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -633,9 +633,9 @@
 	var best *server
 	lowest := math.Inf(1)
 	newest, reserved := p.newestVersion(), p.reservations(now, r)
-	estimated := p.estimated(r)
+	estimated, shareless := p.estimated(r), p.hasNoShare(now, r)
 	for _, s := range p.order {
-		if !p.available(now, s, r) || p.full(now, s, r) {
+		if !p.available(now, s, r) || p.full(now, s, r) && !(shareless && p.hasRoom(now, s, r)) {
 			continue
 		}
 		var load float64
--- a/internal/schedule/shares_test.go
+++ b/internal/schedule/shares_test.go
@@ -145,3 +145,47 @@
 		require.Greater(t, float64(served[route])/float64(asked[route]), all/4, "route priority %d of %v", route, served)
 	}
 }
+
+// Load: fewer slots than gateways, and one request at a time at each gateway. Guards against
+// a gateway that refuses all its requests while the servers are idle, because its share of
+// the slots of every server is 0.
+func TestGatewayWithoutAShareIsServed(t *testing.T) {
+	evacuated := engines(8)
+	for n := range evacuated[1:] {
+		evacuated[n+1].Evacuated = true
+	}
+	small := engines(1)
+	small[0].Slots = 4
+	for name, c := range map[string]struct {
+		exact    bool
+		gateways int
+		servers  []schedule.Server
+	}{
+		"one server, set":               {true, 8, small},
+		"one server, many gateways":     {false, 16, engines(1)},
+		"one data centre not evacuated": {false, 16, evacuated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			for n, pool := range sharingPools(c.exact, c.gateways, c.servers) {
+				decision, _ := pool.Submit(now, generation(1, now))
+				require.IsType(t, schedule.Start{}, decision, "gateway %d", n)
+			}
+		})
+	}
+}
+
+// Guards against gateways without a share that send more requests to a busy server.
+func TestGatewayWithoutAShareLeavesBusyServersAlone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	started := 0
+	for _, pool := range sharingPools(false, 16, engines(1)) {
+		pool.SetOtherLoad(now, map[string]int{"engine-0": 12})
+		if d, _ := pool.Submit(now, generation(1, now)); d != nil {
+			if _, ok := d.(schedule.Start); ok {
+				started++
+			}
+		}
+	}
+	require.Equal(t, 13, started, "the gateways that have a share")
+}
