schedule: bound the pending prompts in borrowed slots

Cause: with exact shares, the bound of 150 ms on the prompts that are pending at an engine held only while the gateway was within its share. Beyond it, up to four fifths of the slots could get long prompts at once, each of which waits for those before it.

Change: the bound holds for borrowed slots as well.

--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -65,8 +65,11 @@
 	if r.pastTarget(now) && !r.Resumed && !r.Retried && running >= lateShare*float64(s.Slots) {
 		return true
 	}
+	if s.ownRunning > 0 && s.pendingPromptMS > maxPendingPromptMS {
+		return true
+	}
 	if s.ownRunning < p.slotShare(s) {
-		return s.ownRunning > 0 && s.pendingPromptMS > maxPendingPromptMS
+		return false
 	}
 	// The other gateways may start as many requests now as this one.
 	withThis := float64(s.ownRunning+1) / p.share(s.Region)
--- a/internal/schedule/shares_test.go
+++ b/internal/schedule/shares_test.go
@@ -189,3 +189,30 @@
 	}
 	require.Equal(t, 13, started, "the gateways that have a share")
 }
+
+// Load: long prompts at a gateway that exceeds its share of the slots, as the others are
+// idle. Guards against prompts that wait for each other at an engine beyond what may be
+// pending there, because the bound holds only within the share.
+func TestBorrowedSlotsBoundPendingPrompts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := sharingPools(true, 4, engines(4))[0]
+	for id := range int64(12) {
+		decision, _ := pool.Submit(now, generation(id+1, now))
+		require.IsType(t, schedule.Start{}, decision)
+		pool.ResponseStarted(now, decision.(schedule.Start).Server.ID, 100, 1)
+	}
+	for range 50 {
+		pool.SetOtherLoad(now, map[string]int{})
+	}
+	pending := map[string]float64{}
+	for id := range int64(24) {
+		r := generation(id+100, now)
+		r.PromptMS = 100
+		decision, _ := pool.Submit(now, r)
+		if s, ok := decision.(schedule.Start); ok {
+			require.LessOrEqual(t, pending[s.Server.ID], 150.0, s.Server.ID)
+			pending[s.Server.ID] += r.PromptMS
+		}
+	}
+	require.Len(t, pending, 4, "slots are borrowed")
+}
