schedule: slots that others leave at a small site

Cause: a gateway updates its fraction of a region's requests only while at least eight run there. With exact shares a small site has no room for eight, so the fraction stayed at that of an even division and no gateway could exceed its share: one that had all the load of four used one or two of six slots.

Change: under exact shares the fraction is updated with fewer requests, too, while requests wait.

Result: TestGatewayBorrowsSlotsAtSmallSite failed with 1 of 6 slots and passes with at least 4; the other tests of the package pass.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -211,7 +211,7 @@
 		totals[s.Region] += float64(s.ownRunning + s.otherRunning)
 	}
 	for region, total := range totals {
-		if total >= minRunningForShare {
+		if total >= minRunningForShare || total > 0 && p.waitsForShare() {
 			p.shares[region] += shareWeight * (own[region]/total - p.share(region))
 		}
 	}
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -76,6 +76,11 @@
 	return max(running, withThis) >= borrowShare*float64(s.Slots)
 }
 
+// waitsForShare reports whether requests wait, under exact shares, so that this gateway's
+// fraction of the running requests is representative even if there are few: a small site
+// has no room for more.
+func (p *Pool) waitsForShare() bool { return len(p.queue) > 0 && p.exactShares() }
+
 // hasNoShare reports whether exact shares leave this gateway no slot of any server that is
 // available for the request. With more gateways than slots, it may have shares only of
 // servers that are evacuated, cold or in other regions, or none at all.
--- a/internal/schedule/shares_test.go
+++ b/internal/schedule/shares_test.go
@@ -216,3 +216,24 @@
 	}
 	require.Len(t, pending, 4, "slots are borrowed")
 }
+
+// Load: all requests at one of four gateways, and a server with few slots. Guards against
+// slots that nobody may use at a site that is too small to run the requests from which a
+// gateway usually learns its share of the load.
+func TestGatewayBorrowsSlotsAtSmallSite(t *testing.T) {
+	now := time.Unix(1000, 0)
+	servers := engines(1)
+	servers[0].Slots = 6
+	for n, pool := range sharingPools(true, 4, servers) {
+		started := startedByServer([]*schedule.Pool{pool}, 12)["engine-0"]
+		for range 50 { // the others report that they have nothing running
+			for _, r := range pool.SetOtherLoad(now, map[string]int{}) {
+				if _, ok := r.Decision.(schedule.Start); ok {
+					started++
+				}
+			}
+		}
+		require.GreaterOrEqual(t, started, 4, "four fifths of six slots, gateway %d", n)
+		require.LessOrEqual(t, started, 7, "gateway %d", n)
+	}
+}
