--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -76,14 +76,45 @@
 	if r.pastTarget(now) && !r.Resumed && !r.Retried && running >= lateShare*float64(s.Slots) {
 		return true
 	}
+	if s.ownRunning > 0 && s.pendingPromptMS > maxPendingPromptMS {
+		return true
+	}
 	if s.ownRunning < p.slotShare(s) {
-		return s.ownRunning > 0 && s.pendingPromptMS > maxPendingPromptMS
+		return false
 	}
 	// The other gateways may start as many requests now as this one.
 	withThis := float64(s.ownRunning+1) / p.share(s.Region)
 	return max(running, withThis) >= borrowShare*float64(s.Slots)
 }
 
+// waitsForShare reports whether requests wait, under exact shares, so that this gateway's
+// fraction of the running requests is representative even if there are few: a small site
+// has no room for more.
+func (p *Pool) waitsForShare() bool { return len(p.queue) > 0 && p.exactShares() }
+
+// hasNoShare reports whether exact shares leave this gateway no slot of any server that is
+// available for the request. With more gateways than slots, it may have shares only of
+// servers that are evacuated, cold or in other regions, or none at all.
+func (p *Pool) hasNoShare(now time.Time, r Request) bool {
+	if !r.Generates || !p.exactShares() {
+		return false
+	}
+	return !slices.ContainsFunc(p.order, func(s *server) bool {
+		return p.available(now, s, r) && p.slotShare(s) > 0
+	})
+}
+
+// hasRoom reports whether a gateway without a share may have one request at a server. All
+// such gateways may start one at the same time, so it is only one, and only while the known
+// requests are below the limit of borrowed slots.
+func (p *Pool) hasRoom(now time.Time, s *server, r Request) bool {
+	fraction := borrowShare
+	if r.pastTarget(now) {
+		fraction = lateShare
+	}
+	return s.ownRunning == 0 && float64(s.otherRunning) < fraction*float64(s.Slots)
+}
+
 // startMS returns the milliseconds in which servers are expected to start a response,
 // excluding prompt processing.
 func (p *Pool) startMS() float64 {
--- a/internal/schedule/shares_test.go
+++ b/internal/schedule/shares_test.go
@@ -146,3 +146,95 @@
 		require.Greater(t, float64(served[route])/float64(asked[route]), all/4, "route priority %d of %v", route, served)
 	}
 }
+
+// Load: fewer slots than gateways, and one request at a time at each gateway. Guards against
+// a gateway that refuses all its requests while the servers are idle, because its share of
+// the slots of every server is 0.
+func TestGatewayWithoutAShareIsServed(t *testing.T) {
+	evacuated := engines(8)
+	for n := range evacuated[1:] {
+		evacuated[n+1].Evacuated = true
+	}
+	small := engines(1)
+	small[0].Slots = 4
+	for name, c := range map[string]struct {
+		exact    bool
+		gateways int
+		servers  []schedule.Server
+	}{
+		"one server, set":               {true, 8, small},
+		"one server, many gateways":     {false, 16, engines(1)},
+		"one data centre not evacuated": {false, 16, evacuated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			for n, pool := range sharingPools(c.exact, c.gateways, c.servers) {
+				decision, _ := pool.Submit(now, generation(1, now))
+				require.IsType(t, schedule.Start{}, decision, "gateway %d", n)
+			}
+		})
+	}
+}
+
+// Guards against gateways without a share that send more requests to a busy server.
+func TestGatewayWithoutAShareLeavesBusyServersAlone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	started := 0
+	for _, pool := range sharingPools(false, 16, engines(1)) {
+		pool.SetOtherLoad(now, map[string]int{"engine-0": 12})
+		if d, _ := pool.Submit(now, generation(1, now)); d != nil {
+			if _, ok := d.(schedule.Start); ok {
+				started++
+			}
+		}
+	}
+	require.Equal(t, 13, started, "the gateways that have a share")
+}
+
+// Load: long prompts at a gateway that exceeds its share of the slots, as the others are
+// idle. Guards against prompts that wait for each other at an engine beyond what may be
+// pending there, because the bound holds only within the share.
+func TestBorrowedSlotsBoundPendingPrompts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := sharingPools(true, 4, engines(4))[0]
+	for id := range int64(12) {
+		decision, _ := pool.Submit(now, generation(id+1, now))
+		require.IsType(t, schedule.Start{}, decision)
+		pool.ResponseStarted(now, decision.(schedule.Start).Server.ID, 100, 1)
+	}
+	for range 50 {
+		pool.SetOtherLoad(now, map[string]int{})
+	}
+	pending := map[string]float64{}
+	for id := range int64(24) {
+		r := generation(id+100, now)
+		r.PromptMS = 100
+		decision, _ := pool.Submit(now, r)
+		if s, ok := decision.(schedule.Start); ok {
+			require.LessOrEqual(t, pending[s.Server.ID], 150.0, s.Server.ID)
+			pending[s.Server.ID] += r.PromptMS
+		}
+	}
+	require.Len(t, pending, 4, "slots are borrowed")
+}
+
+// Load: all requests at one of four gateways, and a server with few slots. Guards against
+// slots that nobody may use at a site that is too small to run the requests from which a
+// gateway usually learns its share of the load.
+func TestGatewayBorrowsSlotsAtSmallSite(t *testing.T) {
+	now := time.Unix(1000, 0)
+	servers := engines(1)
+	servers[0].Slots = 6
+	for n, pool := range sharingPools(true, 4, servers) {
+		started := startedByServer([]*schedule.Pool{pool}, 12)["engine-0"]
+		for range 50 { // the others report that they have nothing running
+			for _, r := range pool.SetOtherLoad(now, map[string]int{}) {
+				if _, ok := r.Decision.(schedule.Start); ok {
+					started++
+				}
+			}
+		}
+		require.GreaterOrEqual(t, started, 4, "four fifths of six slots, gateway %d", n)
+		require.LessOrEqual(t, started, 7, "gateway %d", n)
+	}
+}
