hosted: record unverified loads in the platform's store

Cause: only gateways remembered which load an agent had not verified. If the agent was killed with its order on its way and all gateways restarted before its successor came, they went by the engine's entry, which names the version and not what the engine took.

Change: an agent keeps one key of the store, unverified-loads/ADDRESS of its engine, equal to the load that it has not verified: written from before the order, version 0 once the load is verified. Gateways that have heard neither of the doubt nor of its end go by the record, and tell the next agent.

A load takes two calls to the store.

--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -66,6 +66,8 @@
 	confirmedAt     time.Time // when the mirror was last known to be current
 	changed         chan struct{}
 	storeRole       func() followerRole // this process's role in following the store
+
+	recordedLoads map[string]hostedrpc.UnverifiedLoad // by engine address
 }
 
 // followerRole is a process's role in following the store on behalf of all.
@@ -88,7 +90,7 @@
 	return &siteView{
 		store: store, mirror: mirror.New(), startedAt: time.Now(),
 		versions: map[string]site.Version{}, rollouts: rollout.NewTracker(versionMS),
-		servers: map[string]site.Server{}, expired: map[string]expiredServer{},
+		servers: map[string]site.Server{}, expired: map[string]expiredServer{}, recordedLoads: map[string]hostedrpc.UnverifiedLoad{},
 		changed: make(chan struct{}, 1), storeRole: func() followerRole { return primaryFollower },
 	}
 }
@@ -207,6 +209,8 @@
 			sv.applyVersion(i, from)
 		case platform.IsServer(i.Key):
 			sv.applyServer(i)
+		case platform.IsUnverifiedLoad(i.Key):
+			sv.applyUnverifiedLoad(i)
 		}
 	}
 	sv.notify()
--- a/internal/weightsync/verify.go
+++ b/internal/weightsync/verify.go
@@ -152,10 +152,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.engineAwaited && l.Version != 0 {
-		a.loads.told = l
+		a.loads.told, a.record.held = l, l
 	}
 	if a.loads.foundAtStart && isLoad(a.state, l) {
-		a.loads.verified, a.loads.foundAtStart = loadID{}, false
+		a.loads.verified, a.loads.foundAtStart, a.record.held = loadID{}, false, l
 	}
 }
 
