--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -54,6 +54,7 @@
 	mirror *mirror.Mirror
 
 	mu              sync.Mutex
+	recordedLoads   map[string]hostedrpc.UnverifiedLoad // by engine address
 	configuration   *site.Configuration
 	versions        map[string]site.Version // by model
 	rollouts        *rollout.Tracker
@@ -66,8 +67,6 @@
 	confirmedAt     time.Time // when the mirror was last known to be current
 	changed         chan struct{}
 	storeRole       func() followerRole // this process's role in following the store
-
-	recordedLoads map[string]hostedrpc.UnverifiedLoad // by engine address
 }
 
 // followerRole is a process's role in following the store on behalf of all.
@@ -88,9 +87,9 @@
 
 func newSiteView(store *platform.Store, versionMS int) *siteView {
 	return &siteView{
-		store: store, mirror: mirror.New(), startedAt: time.Now(),
+		store: store, mirror: mirror.New(), startedAt: time.Now(), recordedLoads: map[string]hostedrpc.UnverifiedLoad{},
 		versions: map[string]site.Version{}, rollouts: rollout.NewTracker(versionMS),
-		servers: map[string]site.Server{}, expired: map[string]expiredServer{}, recordedLoads: map[string]hostedrpc.UnverifiedLoad{},
+		servers: map[string]site.Server{}, expired: map[string]expiredServer{},
 		changed: make(chan struct{}, 1), storeRole: func() followerRole { return primaryFollower },
 	}
 }
@@ -203,14 +202,14 @@
 	defer sv.mu.Unlock()
 	for _, i := range sv.mirror.Current(items) {
 		switch {
+		case platform.IsUnverifiedLoad(i.Key):
+			sv.applyUnverifiedLoad(i)
 		case platform.IsConfiguration(i.Key):
 			sv.applyConfiguration(i, from)
 		case platform.IsVersion(i.Key):
 			sv.applyVersion(i, from)
 		case platform.IsServer(i.Key):
 			sv.applyServer(i)
-		case platform.IsUnverifiedLoad(i.Key):
-			sv.applyUnverifiedLoad(i)
 		}
 	}
 	sv.notify()
