--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -43,6 +43,13 @@
 	TargetVersionChanged
 	PeerMessageRejected
 	ServerWeightsChanged
+	RegionUnknown
+	DataCentreEvacuated
+	EvacuationEnded
+	EvacuationUnknown
+	ServerCold
+	ServerNotCold
+	FieldImplausible
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -100,6 +107,7 @@
 	HandlerPanicked
 	SuccessorStarted
 	SuccessorEnded
+	SlotWithdrawn
 )
 
 var texts = map[Number]string{
@@ -141,6 +149,13 @@
 	TargetVersionChanged:  "target version of a model changed",
 	PeerMessageRejected:   "message of another process exceeds the limits: connection ended",
 	ServerWeightsChanged:  "weights that a backend server counts as serving changed",
+	RegionUnknown:         "configuration allows a region in which no data centre is",
+	DataCentreEvacuated:   "data centre evacuated: no new requests to its backend servers",
+	EvacuationEnded:       "evacuation of a data centre ended",
+	EvacuationUnknown:     "evacuation of an unknown data centre ignored",
+	ServerCold:            "backend server became cold: its requests are limited",
+	ServerNotCold:         "backend server is no longer cold",
+	FieldImplausible:      "metadata store entry has a field with an implausible value",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
@@ -192,4 +207,5 @@
 	HandlerPanicked:     "request handler panicked",
 	SuccessorStarted:    "server is silent: another is asked to go on with the response",
 	SuccessorEnded:      "server does not go on with the response of a silent one",
+	SlotWithdrawn:       "slot given back before anything was sent: the server is no longer permitted",
 }
--- a/internal/hosted/export_test.go
+++ b/internal/hosted/export_test.go
@@ -30,6 +30,9 @@
 // Listed returns the number of listed servers.
 func (v View) Listed() int { return len(v.view.listedServers(time.Now())) }
 
+// Evacuated reports whether a data centre is evacuated.
+func (v View) Evacuated(dataCentre string) bool { return v.view.isEvacuated(dataCentre) }
+
 // AnswerUntil returns when a stop that began at a time ends the requests in progress.
 func AnswerUntil(began time.Time, grace time.Duration) time.Time {
 	return newStopTimes(began, grace).answer
@@ -55,3 +58,26 @@
 	scheduled, _ := s.table.scheduledServer(now, entry, service)
 	return scheduled.Ready
 }
+
+// LogImplausible logs fields with implausible values and reports whether it did.
+func (v View) LogImplausible(key, fields string) bool { return v.view.logImplausible(key, fields) }
+
+// ColdDeadlines exposes until when servers are cold, by store key.
+type ColdDeadlines struct{ deadlines coldDeadlines }
+
+// NewColdDeadlines returns deadlines of no servers.
+func NewColdDeadlines() ColdDeadlines { return ColdDeadlines{coldDeadlines{}} }
+
+// Record applies an entry.
+func (d ColdDeadlines) Record(key string, entry site.Server, now time.Time) {
+	d.deadlines.record(key, entry, now)
+}
+
+// Remove applies the deletion of an entry.
+func (d ColdDeadlines) Remove(key string) { d.deadlines.remove(key) }
+
+// Prune removes deadlines of deleted entries that have passed.
+func (d ColdDeadlines) Prune(now time.Time) { d.deadlines.prune(now) }
+
+// Until returns the deadline of a server; zero: it is not cold.
+func (d ColdDeadlines) Until(key string) time.Time { return d.deadlines[key].until }
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/ages"
+	"almondreel.example/almondreel/internal/coldstart"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
+	"almondreel.example/almondreel/internal/pauseguard"
 	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/internal/registry"
 	"almondreel.example/almondreel/internal/schedule"
@@ -36,6 +38,16 @@
 
 	// weights holds what was last logged of each listed engine, by server ID. Only refresh uses it.
 	weights map[string]countedWeights
+
+	// applied is the configuration whose regions were last applied. Only refresh uses it.
+	applied *site.Configuration
+	// Only refresh uses the following.
+	evacuationLog evacuationLog
+	limitsCold    bool                            // the settings limit requests to cold engines
+	cold          map[string]coldstart.ColdEngine // as last logged, by server ID. Only refresh uses it.
+	pauseGuard    pauseguard.Guard
+	startsHeld    bool // by pauseGuard
+	evacuateMS    int  // 0: no limit
 }
 
 // countedWeights is the version that an engine counts as serving, and where that is known
@@ -82,13 +94,14 @@
 	services := map[string][]schedule.Server{}
 	weights := make(map[string]countedWeights, len(t.weights))
 	count := 0
-	for _, s := range t.siteView.listedServers(now) {
+	for key, s := range t.siteView.listedServers(now) {
 		service, ok := c.Services[s.Service]
 		if !ok || s.Draining {
 			continue
 		}
 		count++
 		scheduled, source := t.scheduledServer(now, s, service)
+		scheduled.ColdUntil, scheduled.ColdPerSecond = t.coldUntil(key), service.ColdStart.PerSecond
 		services[s.Service] = append(services[s.Service], scheduled)
 		if service.Engine.Slots > 0 {
 			weights[s.ID] = t.logWeights(s, scheduled, source)
@@ -96,6 +109,10 @@
 	}
 	t.weights = weights
 	t.pools.SetServers(now, services)
+	t.applyRegions(now, c)
+	t.guardPauses(now)
+	t.evacuationLog.record(t.evacuations(), t.hosting.Places, t.mirror.Revision())
+	t.logCold(now)
 	if count != t.listedCount {
 		t.listedCount = count
 		event.Log(event.ServersChanged, "Listed", count, "Revision", t.mirror.Revision())
@@ -122,6 +139,7 @@
 	out := schedule.Server{
 		ID: s.ID, Address: s.Address, Region: t.hosting.Region(s.DataCentre),
 		Slots: max(1, s.Slots), StartUnixMS: s.State.Born, Ready: true,
+		Evacuated: t.isEvacuated(s.DataCentre),
 	}
 	if service.Engine.Slots == 0 {
 		return out, fromEntry
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -9,6 +9,7 @@
 	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/ending"
+	"almondreel.example/almondreel/internal/enginemodel"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/outcome"
 	"almondreel.example/almondreel/internal/pause"
@@ -49,6 +50,7 @@
 	bodyRead      bool // or reading it failed
 	suspect       suspectRequest
 	failover      failover
+	home          homeLimits
 
 	stall         silence.Timer    // of the current attempt
 	slot          schedule.Request // for a slot of the current attempt
@@ -117,10 +119,16 @@
 // acquireSlot waits for a slot and returns an attempt at its server, or nil and the outcome.
 func (e *exchange) acquireSlot(ctx context.Context) (*attempt, outcome.Outcome) {
 	queuedAt := time.Now()
-	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slot)
+	decision := e.handler.Pools.acquireInTime(ctx, e.service.Name, e.slot, e.homeRegions)
 	e.queueMS += time.Since(queuedAt).Milliseconds()
 	switch d := decision.(type) {
 	case schedule.Start:
+		if e.withdraw(d.Server) {
+			return e.acquireSlot(ctx)
+		}
+		if d.ExpectedMS > 0 {
+			counter.Observe("ExpectedFirstAnswerMilliseconds", int64(d.ExpectedMS))
+		}
 		verdict := e.handler.CrashDetector.Verdict(e.suspect)
 		if verdict == quarantine.Quarantined {
 			e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, e.promptMS())
@@ -128,6 +136,7 @@
 		}
 		return e.newAttempt(ctx, d.Server, verdict), nil
 	case schedule.Refuse:
+		countRefusal(d)
 		return nil, e.refusedOrUnknown(outcome.Refused{Reason: d.Reason, RetryAt: d.RetryAt})
 	}
 	return nil, e.timedOut(ctx)
@@ -298,6 +307,7 @@
 	rejectedBy, failedBy := e.failover.ended()
 	request := schedule.Request{
 		Priority:      e.priority,
+		RoutePriority: e.route.Priority,
 		Resumed:       e.response.begun(),
 		Retried:       e.serversTried > 0,
 		PromptMS:      e.promptMS(),
@@ -308,6 +318,8 @@
 		Generates:     e.route.Generates,
 		Rejected:      slices.Concat(e.rejectedBy, rejectedBy),
 		Failed:        slices.Concat(e.failedBy, failedBy),
+		Prompt:        enginemodel.Prompt{Tokens: e.info.PromptTokens, AnswerTokens: e.info.AnswerTokens, MaxAnswerTokens: e.info.MaxAnswerTokens},
+		Figures:       e.service.Engine.Figures,
 	}
 	if e.route.Generates {
 		request.BaseLatencyMS = engineBaseLatencyMS
@@ -315,7 +327,7 @@
 	if !e.response.begun() {
 		request.AnswerMS = e.handler.answerTimes.LongestMS(e.route.Name, time.Now())
 	}
-	return request
+	return e.bind(request)
 }
 
 // promptMS returns how long an engine takes to process the prompt, in
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,8 +18,12 @@
 	Credential   string
 	Model        string
 	PromptTokens int
-	SharedParts  []string // IDs of the parts of the prompt that other requests may share, in order
-	AfterEvent   string   // resume the stream after this event ID; empty: from the start
+	// MaxAnswerTokens bounds the answer, and AnswerTokens is the caller's estimate of it,
+	// which is often far off; 0: unknown.
+	MaxAnswerTokens int
+	AnswerTokens    int
+	SharedParts     []string // IDs of the parts of the prompt that other requests may share, in order
+	AfterEvent      string   // resume the stream after this event ID; empty: from the start
 }
 
 // ForwardInfo is the information that a backend server gets in addition to the caller's
@@ -46,6 +50,8 @@
 	// BusyUntil is the time until which a server that rejected the request is to
 	// receive no others; zero: the response gives none.
 	BusyUntil time.Time
+	// ColdUntil is the time until which the server is cold; zero: the response gives none.
+	ColdUntil time.Time
 }
 
 // HeaderCodec translates between the types of this package and the HTTP headers of
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -11,6 +11,8 @@
 	"slices"
 	"time"
 
+	"almondreel.example/almondreel/internal/coldstart"
+	"almondreel.example/almondreel/internal/enginemodel"
 	"almondreel.example/almondreel/internal/outcome"
 )
 
@@ -24,12 +26,17 @@
 	Version     int64     // of the weights that it serves; 0 for a service without a model
 	ServesUntil time.Time // no request may start on Version from then on; zero: no limit
 	Ready       bool      // accepts new requests
+	Evacuated   bool      // its data centre is evacuated: it gets no requests
+
+	ColdUntil     time.Time // it is cold until then; zero: it is not
+	ColdPerSecond float64   // requests that it accepts from all gateways while it is cold; 0: any number
 }
 
 // Request is a request to be scheduled on a backend server.
 type Request struct {
 	ID            int64
 	Priority      int     // lower values go first
+	RoutePriority int     // decides among equal priorities with exact shares; lower values go first
 	Retried       bool    // an earlier attempt failed on a server
 	Resumed       bool    // part of its response was already sent to the caller
 	PromptMS      float64 // milliseconds that a server needs to process the prompt
@@ -41,15 +48,25 @@
 	Generates     bool      // runs on a model version, which may expire
 	Rejected      []string  // IDs of servers that did not run it
 	Failed        []string  // IDs of servers that may have run it and did not complete it
+	Prompt        enginemodel.Prompt
+	Figures       enginemodel.Figures // of the service's engines; not Known: no estimates are made
+	Regions       []string            // that may run it, if Bound
+	Bound         bool                // only Regions may run it; none if there are none
 
 	submittedAt time.Time // set by Submit
+	rank        int       // among requests of equal priority; set by Submit and rankQueue
+	bySlack     bool      // set by Submit: queued by the latest time to start, not by target
 }
 
 // Decision is the result of scheduling a Request: Start, Wait or Refuse.
 type Decision interface{ decision() }
 
 // Start means that the request is to be sent to Server.
-type Start struct{ Server Server }
+type Start struct {
+	Server     Server
+	ExpectedMS float64   // estimated milliseconds from sending the request until its response starts; 0: no estimate
+	SendBy     time.Time // the request must be on its way by then, or not be sent; zero: any time
+}
 
 // Wait means that the request is queued. A later Resolved carries the decision.
 type Wait struct{}
@@ -75,6 +92,10 @@
 	Region        string  // region of the gateway
 	ExtraSlots    int     // requests sent to a server beyond its slots, to hide network latency
 	RemotePenalty float64 // added to the load of servers in other regions, as a fraction of their slots
+	ExactShares   bool    // the slots of engines are divided among the gateways
+	Estimates     bool    // servers are chosen by estimates from the figures of their engines
+
+	ColdStart coldstart.Options // of cold servers
 }
 
 // Pool schedules the requests of one service. It is not safe for concurrent use.
@@ -91,7 +112,13 @@
 	departing    departures
 	endsAt       time.Time // when this gateway ends what still runs; zero: it is not stopping
 	ownName      string    // of this gateway
-	gateways     []string  // that share rate limits
+	gateways     []string  // that share rate limits and slots
+	starvation   starvation
+	estimates    estimates
+	regions      map[string]*regionRates
+	evacuation   bool // a listed server is evacuated
+	cold         *coldstart.Limiter
+	startsUntil  time.Time // no request may start later, as the servers may be out of date; zero: no limit
 }
 
 type server struct {
@@ -108,21 +135,28 @@
 	superseded  bool      // a later start has its address
 	busyUntil   time.Time // the server asked for no requests until then
 
+	slotShare slotShare
+
 	rateLimit    RateLimit
 	share        limitShare
 	limitedSince time.Time // when the server first stated a rate limit
 	nextSendAt   time.Time // when its rate limit allows this gateway's next request, on average
+
+	work ownWork
+	cold *coldstart.Engine // nil: cold servers are not limited
 }
 
 // NewPool returns a pool without servers.
 func NewPool(o Options) *Pool {
-	return &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}}
+	p := &Pool{options: o, servers: map[string]*server{}, shares: map[string]float64{}, departing: departures{}, regions: map[string]*regionRates{}, cold: coldstart.NewLimiter(o.ColdStart)}
+	p.enableEstimates()
+	return p
 }
 
 // SetServers replaces the list of servers. Requests that run on a server that is
 // no longer listed are counted until they end.
 func (p *Pool) SetServers(now time.Time, list []Server) []Resolved {
-	p.listed = len(list)
+	p.listed, p.evacuation = len(list), hasEvacuated(list)
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
@@ -142,8 +176,10 @@
 		}
 		existing.Server = s
 		existing.departing = p.departing.covers(s)
+		p.setCold(now, existing)
 	}
 	p.departing.prune(now, listed)
+	p.cold.Prune(now, listed)
 	for id, s := range p.servers {
 		if !listed[id] {
 			s.Ready = false
@@ -194,12 +230,15 @@
 )
 
 // share returns the fraction of a region's running requests that this gateway
-// sent; 1 until it is known.
+// sent. Until it is known, it is 1, or with exact shares the same for all gateways.
 func (p *Pool) share(region string) float64 {
 	share, ok := p.shares[region]
 	if !ok {
-		p.shares[region] = 1
-		return 1
+		share = 1
+		if p.exactShares() {
+			share = 1 / float64(max(1, len(p.gateways)))
+		}
+		p.shares[region] = share
 	}
 	return max(minShare, share)
 }
@@ -232,7 +271,13 @@
 	if p.endsBeforeAnswer(now, r) {
 		return refuseStopping(now), nil
 	}
-	r.submittedAt = now
+	if reason, ok := p.excluded(r); ok {
+		return refuseExcluded(now, r, reason), nil
+	}
+	r.submittedAt, r.bySlack = now, p.estimated(r)
+	p.starvation.count(now, r, false)
+	r.rank = p.rankOf(now, r)
+	p.countDeferred(now, r)
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
 			return p.start(now, s, r), nil
@@ -268,6 +313,7 @@
 func (p *Pool) ResponseStarted(now time.Time, id string, milliseconds, promptMS float64) {
 	p.startLatency.add(max(0, milliseconds-promptMS)) // the caller may have overstated the prompt
 	if s, ok := p.servers[id]; ok {
+		p.recordResponse(now, s, milliseconds, promptMS)
 		p.mergeSlowStart(now, s, SlowStart{Server: id, Milliseconds: milliseconds - promptMS, At: now})
 		s.pendingPromptMS = max(0, s.pendingPromptMS-promptMS)
 		s.failures, s.backoffUntil = 0, time.Time{}
@@ -288,6 +334,7 @@
 	TimedOut        // no response in time
 	Misdirected     // another server answered at the address
 	Superseded      // another server went on with the response
+	Withdrawn       // the slot was given back before anything was sent
 )
 
 // Ended records that an attempt at server id ended. promptMS is the PromptMS of the
@@ -297,11 +344,13 @@
 	if !ok {
 		return nil
 	}
+	p.recordEnd(s, promptMS)
 	s.ownRunning--
 	s.pendingPromptMS = max(0, s.pendingPromptMS-promptMS)
 	switch end {
 	case Finished, Abandoned:
 		p.completions.add(now)
+		p.ratesOf(s.Region).completions.add(now)
 	case Unreachable, Rejected, Incomplete, TimedOut:
 		s.backOff(now, end)
 	case Misdirected:
@@ -382,9 +431,12 @@
 func (p *Pool) Tick(now time.Time) []Resolved {
 	var out []Resolved
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
+		excluded, isExcluded := p.excluded(r)
 		switch {
 		case p.endsBeforeAnswer(now, r):
 			out = append(out, Resolved{r.ID, refuseStopping(now)})
+		case isExcluded:
+			out = append(out, Resolved{r.ID, refuseExcluded(now, r, excluded)})
 		case !r.Resumed && (p.allExpiring(now, r) || p.listed == 0):
 			out = append(out, Resolved{r.ID, p.refuseNoReplica(now, r)})
 		case !now.Before(p.waitDeadline(r)) || !r.Resumed && p.allBusy(now, r):
@@ -409,7 +461,7 @@
 // latestStart returns the latest time at which a request can be sent to a server
 // and meet its target.
 func (p *Pool) latestStart(r Request) time.Time {
-	milliseconds := max(r.BaseLatencyMS, p.startLatency.upper()) + r.PromptMS
+	milliseconds := max(r.BaseLatencyMS, p.startMS()) + r.PromptMS
 	return r.AnswerBy.Add(-time.Duration(milliseconds * float64(time.Millisecond)))
 }
 
@@ -439,11 +491,11 @@
 func (p *Pool) checkQueueWait(now time.Time, r Request) (Decision, bool) {
 	ahead := 0
 	for _, queued := range p.queue {
-		if compareRequests(now, queued, r) < 0 {
+		if compareRequests(now, queued, r) < 0 && competes(queued, r) {
 			ahead++
 		}
 	}
-	rate := p.completions.perSecond(now)
+	rate := p.startRate(now, r)
 	if rate <= 0 || ahead < minQueue {
 		return nil, false
 	}
@@ -481,21 +533,25 @@
 // dispatch starts queued requests while slots are free. A request past its target
 // that cannot start does not block those behind it: they may use slots that are
 // reserved for requests that can still meet their target. Neither does one that waits
-// for a server in backoff.
+// for a server in backoff, and one that may only run in some regions blocks only those that
+// may run in the same ones.
 func (p *Pool) dispatch(now time.Time) []Resolved {
 	if len(p.queue) == 0 {
 		return nil
 	}
+	p.rankQueue(now)
 	slices.SortFunc(p.queue, func(a, b Request) int { return compareRequests(now, a, b) })
 	var out []Resolved
-	blocked := false
+	var waiting blocked
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
-		if blocked {
+		if waiting.covers(r) {
 			return false
 		}
 		s := p.chooseServer(now, r)
 		if s == nil {
-			blocked = !r.pastTarget(now) && !p.waitsForRecovery(now, r) && p.canServe(now, r)
+			if !r.pastTarget(now) && !p.waitsForRecovery(now, r) && p.canServe(now, r) {
+				waiting.add(r)
+			}
 			return false
 		}
 		out = append(out, Resolved{r.ID, p.start(now, s, r)})
@@ -527,15 +583,18 @@
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(stage(a), stage(b)), cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(late(a), late(b)), a.AnswerBy.Compare(b.AnswerBy), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(stage(a), stage(b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank, b.rank),
+		cmp.Compare(late(a), late(b)), a.startBy().Compare(b.startBy()), cmp.Compare(a.ID, b.ID))
 }
 
 func (p *Pool) start(now time.Time, s *server, r Request) Start {
 	s.countSend(now)
+	p.starvation.count(now, r, true)
+	expectedMS := p.recordStart(now, s, r)
+	p.countStart(now, s.Region, r)
 	s.ownRunning++
 	s.pendingPromptMS += r.PromptMS
-	return Start{Server: s.Server}
+	return Start{Server: s.Server, ExpectedMS: expectedMS, SendBy: s.countColdSend(now)}
 }
 
 // StartElsewhere starts a request at once at a server that did not fail it, before those
@@ -568,20 +627,29 @@
 // chooseServer returns the available server with the lowest load, or nil if there is
 // none.
 func (p *Pool) chooseServer(now time.Time, r Request) *server {
-	if p.endsBeforeAnswer(now, r) {
+	if p.endsBeforeAnswer(now, r) || p.outdated(now) {
 		return nil
 	}
 	var best *server
 	lowest := math.Inf(1)
-	newest := p.newestVersion()
+	newest, reserved := p.newestVersion(), p.reservations(now, r)
+	estimated := p.estimated(r)
 	for _, s := range p.order {
 		if !p.available(now, s, r) || p.full(now, s, r) {
 			continue
 		}
-		load := p.estimateRunning(s)/float64(max(1, s.Slots)) + s.pendingPromptMS/p.share(s.Region)*promptLoadWeight
+		var load float64
+		if estimated {
+			load = p.estimatedLoad(now, s, r)
+		} else {
+			load = p.estimateRunning(s)/float64(max(1, s.Slots)) + s.pendingPromptMS/p.share(s.Region)*promptLoadWeight
+		}
 		if s.Region != p.options.Region {
 			load += p.options.RemotePenalty
 		}
+		if reserved != nil {
+			load += reserved[s.Region]
+		}
 		if r.Resumed && s.Version < newest {
 			load += oldVersionPenalty
 		}
@@ -614,6 +682,9 @@
 // already has its share of the slots there plus one. The share never blocks the
 // gateway's first request on a server.
 func (p *Pool) full(now time.Time, s *server, r Request) bool {
+	if r.Generates && p.exactShares() {
+		return p.exceedsShare(now, s, r)
+	}
 	limit := float64(s.Slots + p.options.ExtraSlots)
 	if r.pastTarget(now) && !r.Resumed && !r.Retried {
 		limit = lateShare * float64(s.Slots)
@@ -657,7 +728,7 @@
 // eligible reports whether the server can run the request, apart from busy times, the
 // pace of a rate limit and backoff.
 func (p *Pool) eligible(now time.Time, s *server, r Request) bool {
-	return s.Ready && !s.departing && !s.superseded && s.hasShare(now) && p.startsInTime(now, s, r)
+	return s.serving() && s.permits(&r) && s.hasShare(now) && p.startsInTime(now, s, r)
 }
 
 // available reports whether the server may get the request now. After a backoff a
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -1,5 +1,7 @@
 package settings
 
+import "fmt"
+
 // Hosting holds the settings common to daemons on a hosting platform, which fills
 // in the templates in deploy/. Addresses are IP:port.
 type Hosting struct {
@@ -25,8 +27,18 @@
 	ReadyListen     string      `yaml:"ReadyListen"`     // address for the platform's readiness probes
 	NeighbourListen string      `yaml:"NeighbourListen"` // address for net/rpc between gateways and agents, and metrics
 	Retries         RetryBudget `yaml:"Retries"`
+	Scheduling      Scheduling  `yaml:"Scheduling"`
 	Files           int         `yaml:"Files"`        // limit of open file descriptors, sockets included
 	GraceSeconds    float64     `yaml:"GraceSeconds"` // time from SIGTERM until the platform kills the process
+	ColdStart       ColdStart   `yaml:"ColdStart"`    // without it cold engines are not limited
+	EvacuateMS      int         `yaml:"EvacuateMS"`   // milliseconds from which an evacuated data centre gets no request, also from a gateway that was stopped meanwhile; 0: no limit
+}
+
+// ColdStart limits the requests of all gateways together to a cold engine. Within any
+// second it receives at most the number that it accepts times Overage, plus Tolerance.
+type ColdStart struct {
+	Overage   float64 `yaml:"Overage"`   // above 0
+	Tolerance float64 `yaml:"Tolerance"` // requests
 }
 
 // RetryBudget limits the retries of all gateways together within a time window.
@@ -36,6 +48,18 @@
 	SpanSeconds float64 `yaml:"SpanSeconds"` // length of the window
 }
 
+// Scheduling selects how the gateways of a site share its engines.
+type Scheduling struct {
+	// ExactShares divides the slots of engines among the gateways, for sites whose callers
+	// compete for them. Sites with so many gateways that their least shares exceed the
+	// slots have it in any case.
+	ExactShares bool `yaml:"ExactShares"`
+	// Estimates chooses engines by the expected time to the first answer and the delay of
+	// what runs there, by the engines' published figures. Sites with that many gateways
+	// have it in any case.
+	Estimates bool `yaml:"Estimates"`
+}
+
 // HostedAgent is the settings file of almondreel-agent on a hosting platform.
 type HostedAgent struct {
 	Identity     `yaml:",inline"`
@@ -84,6 +108,9 @@
 	minMemoryMB   = 16
 	maxMemoryMB   = 1 << 20
 	maxDurationMS = 10 * 60 * 1000
+	// minEvacuateMS leaves half for the time in which a change reaches all gateways, and half
+	// for a pause of one, which a busy machine must not cause.
+	minEvacuateMS = 2000
 )
 
 func (g HostedGateway) check(c checker) error {
@@ -96,7 +123,9 @@
 	c.require(g.Retries.Besides >= 0, "Retries.Besides", "a number, 0 or more")
 	c.require(g.Retries.SpanSeconds > 0 && g.Retries.SpanSeconds <= maxDurationMS/1000, "Retries.SpanSeconds", "seconds, above 0, at most ten minutes")
 	c.require(g.Files >= minFiles && g.Files <= maxFiles, "Files", "a number, 64 or more")
+	c.require(g.EvacuateMS == 0 || g.EvacuateMS >= minEvacuateMS && g.EvacuateMS <= maxDurationMS, "EvacuateMS", "milliseconds, 0 or 2000 to 600000")
 	c.require(g.GraceSeconds > 0 && g.GraceSeconds <= maxDurationMS/1000, "GraceSeconds", "seconds, above 0, at most ten minutes")
+	c.coldStart(g.ColdStart)
 	return c.err()
 }
 
@@ -124,6 +153,19 @@
 	c.milliseconds("Hosting.VersionMS", h.VersionMS)
 }
 
+const (
+	maxColdOverage   = 1000
+	maxColdTolerance = 1 << 20
+)
+
+func (c *checker) coldStart(s ColdStart) {
+	c.require(s.Overage >= 0 && s.Overage <= maxColdOverage, "ColdStart.Overage", fmt.Sprintf("a factor from 0 to %d", maxColdOverage))
+	c.require(s.Tolerance >= 0 && s.Tolerance <= maxColdTolerance, "ColdStart.Tolerance", fmt.Sprintf("a number of requests from 0 to %d", maxColdTolerance))
+	if s.Tolerance > 0 {
+		c.require(s.Overage != 0, "ColdStart.Overage", fmt.Sprintf("a factor above 0 beside Tolerance %g: Overage %g switches the limit off", s.Tolerance, s.Overage))
+	}
+}
+
 func (c *checker) milliseconds(key string, milliseconds int) {
 	c.require(milliseconds > 0 && milliseconds <= maxDurationMS, key, "milliseconds, above 0, at most ten minutes")
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -3,7 +3,11 @@
 // and the model versions to serve.
 package site
 
-import "strings"
+import (
+	"strings"
+
+	"almondreel.example/almondreel/internal/enginemodel"
+)
 
 // Kind says whether a route's requests may be repeated, and how they are answered.
 type Kind int
@@ -35,6 +39,8 @@
 	Public              bool
 	Resumable           bool
 	Generates           bool // requests carry a prompt for a model
+	// Regions may serve its requests; nil: any region, empty: none.
+	Regions []string
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -44,9 +50,16 @@
 
 // Service is a group of backend servers.
 type Service struct {
-	Name   string
-	Engine Engine
-	Origin Origin
+	Name      string
+	Engine    Engine
+	Origin    Origin
+	ColdStart ColdStart
+}
+
+// ColdStart describes a service's backend servers while they are cold.
+type ColdStart struct {
+	Milliseconds float64 // duration of a start
+	PerSecond    float64 // requests that a cold server accepts from all gateways; 0: any number
 }
 
 // Engine describes a service's model engines. Slots is 0 for a service without engines.
@@ -58,6 +71,7 @@
 	PieceBytes         int     // size of a piece
 	WarmUpMilliseconds float64 // time to load all layers
 	ReadPerMillisecond float64 // prompt tokens processed per millisecond
+	Figures            enginemodel.Figures
 }
 
 // Origin is the server that weights are downloaded from. Address is empty for other
@@ -72,6 +86,8 @@
 	Keys        []string
 	Priority    int
 	HasPriority bool // Priority is configured
+	// Regions may serve its requests; nil: any region, empty: none.
+	Regions []string
 }
 
 // Limits bound what callers may send.
@@ -87,8 +103,10 @@
 	Services      map[string]Service
 	Limits        Limits
 	Organisations []Organisation
+	Implausible   []string // fields whose values are not used as they are
 	hosts         map[string][]int
 	keys          map[string]int
+	restricted    bool // a route or an organisation has Regions
 }
 
 // Index builds the look-up tables. It must be called once, before the configuration is
@@ -97,8 +115,10 @@
 	c.hosts, c.keys = map[string][]int{}, map[string]int{}
 	for i, r := range c.Routes {
 		c.hosts[r.Host] = append(c.hosts[r.Host], i)
+		c.restricted = c.restricted || r.Regions != nil
 	}
 	for i, o := range c.Organisations {
+		c.restricted = c.restricted || o.Regions != nil
 		for _, k := range o.Keys {
 			c.keys[k] = i
 		}
@@ -147,6 +167,18 @@
 	return true
 }
 
+// UnknownFigures returns the number of services of which estimates cannot be made, because
+// the figures of their engines are missing or implausible.
+func (c *Configuration) UnknownFigures() int {
+	count := 0
+	for _, s := range c.Services {
+		if s.Engine.Slots > 0 && !s.Engine.Figures.Known() {
+			count++
+		}
+	}
+	return count
+}
+
 // Origin returns the origin of weights, or an empty Origin if no service is one.
 func (c *Configuration) Origin() Origin {
 	for _, s := range c.Services {
@@ -177,6 +209,10 @@
 	Slots      int
 	Draining   bool
 	State      EngineState // of its engine
+	// ColdRemainingMS is for how many milliseconds it remains cold, from when the entry was
+	// written.
+	ColdRemainingMS float64
+	Implausible     string // a field whose value is not used as it is; empty: none
 }
 
 // Version is a model version that operators have announced.
--- a/test/hosting/site_test.go
+++ b/test/hosting/site_test.go
@@ -26,6 +26,9 @@
 const (
 	programs = "../../bin"
 	apiKey   = "key"
+	// The daemons are in the first of the data centres.
+	northernDataCentre = "north-a"
+	southernDataCentre = "south-a"
 	// versionMS is the VersionMS setting of the daemons: the time in which a newly named
 	// version must be served.
 	versionMS = 2000
@@ -92,9 +95,21 @@
 // options describe a site.
 type options struct {
 	gateways, engines int
-	firstVersion      int64 // loaded by engines at the start; 0: none
-	graceSeconds      int   // of gateways; 0: graceTime
-	warmUpMS          int   // time that a load takes; 0: none
+	firstVersion      int64   // loaded by engines at the start; 0: none
+	graceSeconds      int     // of gateways; 0: graceTime
+	warmUpMS          int     // time that a load takes; 0: none
+	southern          int     // the last of the engines, which are in the data centre south-a of the region south
+	coldPerSecond     float64 // requests per second that a cold engine accepts; 0: any number
+	coldStart         string  // ColdStart setting of gateways; empty: none
+	evacuateMS        int     // of gateways; 0: no limit
+}
+
+// evacuateSetting returns the setting of gateways for evacuations, if there is one.
+func (o options) evacuateSetting() string {
+	if o.evacuateMS == 0 {
+		return ""
+	}
+	return fmt.Sprintf("EvacuateMS: %d\n", o.evacuateMS)
 }
 
 // site is the daemons with the stand-ins around them.
@@ -110,6 +125,8 @@
 	engines              []*engine
 	configurationVersion int64
 	warmUpMS             int
+	northern             int // engines in north-a, before those in south-a
+	coldPerSecond        float64
 }
 
 // newSite returns an empty site with reserved ports for its daemons.
@@ -127,7 +144,8 @@
 func startSite(t *testing.T, o options) *site {
 	t.Helper()
 	s := newSite(t)
-	s.warmUpMS = o.warmUpMS
+	s.warmUpMS, s.northern = o.warmUpMS, o.engines-o.southern
+	s.coldPerSecond = o.coldPerSecond
 	s.store, s.origin = standin.NewStore(), standin.NewOrigin()
 	origin := httptest.NewServer(s.origin)
 	t.Cleanup(origin.Close)
@@ -148,7 +166,11 @@
 	for _, g := range s.gateways {
 		g.storeEndpoint = s.store.NewEndpoint()
 		g.storeRoute = s.proxy(s.listen(httptest.NewUnstartedServer(g.storeEndpoint)))
-		s.startDaemon(g, g.storeRoute.Address(), controlAddresses, gatewaySettings(g, o.graceSeconds))
+		own := gatewaySettings(g, o.graceSeconds) + o.evacuateSetting()
+		if o.coldStart != "" {
+			own += "ColdStart: " + o.coldStart + "\n"
+		}
+		s.startDaemon(g, g.storeRoute.Address(), controlAddresses, own)
 	}
 	return s
 }
@@ -182,8 +204,12 @@
 func (s *site) startEngine(n int, version int64, controlAddresses []string) {
 	server := httptest.NewUnstartedServer(nil)
 	e := &engine{route: s.proxy(server.Listener.Addr().String())}
+	dataCentre := northernDataCentre
+	if n >= s.northern {
+		dataCentre = southernDataCentre
+	}
 	e.Engine = standin.NewEngine(standin.EngineOptions{
-		ID: fmt.Sprint("i-", n), Address: e.route.Address(), DataCentre: "north-a", EventMS: 5, FirstVersion: version, WarmUpMS: s.warmUpMS,
+		ID: fmt.Sprint("i-", n), Address: e.route.Address(), DataCentre: dataCentre, EventMS: 5, FirstVersion: version, WarmUpMS: s.warmUpMS,
 		OnCrash: func() { s.restartAfterCrash(e) },
 	})
 	server.Config.Handler = e.Engine
@@ -210,7 +236,7 @@
 // gateways and agents share, and runs the daemon until the test ends.
 func (s *site) startDaemon(p *daemon, store string, controlAddresses []string, ownSettings string) {
 	s.t.Helper()
-	text := fmt.Sprintf("Name: %s\nRegion: north\nDataCentre: north-a\nHosting:\n  Program: %s\n  Store: %q\n  MemoryMB: 64\n  VersionMS: %d\n  Gateways: [\"%s\"]\n  Places:\n    - {DataCentre: north-a, Region: north}\n",
+	text := fmt.Sprintf("Name: %s\nRegion: north\nDataCentre: north-a\nHosting:\n  Program: %s\n  Store: %q\n  MemoryMB: 64\n  VersionMS: %d\n  Gateways: [\"%s\"]\n  Places:\n    - {DataCentre: north-a, Region: north}\n    - {DataCentre: south-a, Region: south}\n",
 		p.name, p.program, store, versionMS, strings.Join(controlAddresses, "\", \""))
 	p.file = filepath.Join(s.t.TempDir(), p.name+".yaml")
 	require.NoError(s.t, os.WriteFile(p.file, []byte(ownSettings+text), 0o600))
@@ -226,7 +252,7 @@
 // configure writes the next configuration, with these API keys, to the store.
 func (s *site) configure(keys ...string) {
 	s.configurationVersion++
-	s.store.Configure(standin.Configuration{Version: s.configurationVersion, Keys: keys, Origin: s.originAddress, WarmUpMS: s.warmUpMS})
+	s.store.Configure(standin.Configuration{Version: s.configurationVersion, Keys: keys, Origin: s.originAddress, WarmUpMS: s.warmUpMS, ColdPerSecond: s.coldPerSecond})
 }
 
 // send sends one stream request to a gateway and returns its outcome.
