--- a/internal/weightsync/record.go
+++ b/internal/weightsync/record.go
@@ -20,7 +20,7 @@
 var ErrRecordRefused = errors.New("record of unverified load was refused")
 
 // Records is a client of the store in which unverified loads are recorded by engine
-// address. A load of version 0 removes the record.
+// address. A load of version 0 deletes the record.
 type Records interface {
 	RecordUnverified(ctx context.Context, engine string, l hostedrpc.UnverifiedLoad) error
 }
