--- a/Makefile
+++ b/Makefile
@@ -26,11 +26,13 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
 # Unit tests, then end-to-end tests on the real programs. The tool's cache of
-# results does not know the programs, so the latter always run.
+# results does not know the programs, so the latter always run. Those with hostile clients
+# run last and alone: they measure memory.
 test: build
 	@grep -E '^(test|day|run):' KNOWN-RED.txt || true
 	go test $(SKIP) ./bench/... ./charts/... ./docs/... ./internal/... ./pkg/... $(PROGRAM_DIRS)
-	go test $(SKIP) -count 1 -p 3 ./platform/... ./test/...
+	go test $(SKIP) -count 1 -p 3 ./platform/... $$(go list ./test/... | grep -v /test/hostile)
+	go test $(SKIP) -count 1 -p 1 ./test/hostile
 
 # The same unit tests under the race detector.
 race: build
