Test hostile clients: take wire names from platform/caller

Cause: TestWireNamesAppearOnlyInPlatform found them in test/hostile.

The loads are the same, without the headers for the model and the token counts, which the routes do not need.

Result: TestWireNamesAppearOnlyInPlatform passes.

--- a/test/hostile/hosted_test.go
+++ b/test/hostile/hosted_test.go
@@ -119,9 +119,7 @@
 			require.Eventually(t, ordinary, answerTimeout, 50*time.Millisecond)
 		}
 	}
-	header := func(key string) string {
-		return "Host: " + standin.Host + "\r\nAuthorization: Token " + key + "\r\nX-Attempt-Id: hostile\r\nX-Model: " + standin.Model + "\r\nX-Token-Usage: 10,10\r\nX-Deadline-Ms: 10000\r\n"
-	}
+	header := func(key string) string { return caller.HeaderLines("hostile", key, "10000") }
 	return program{"gateway", gatewayMB, gateway.pid, restart(gateway, answered), answered, []target{
 			{name: "served", address: callers, path: standin.StreamPath + "x", header: header(apiKey), body: "a"},
 			{name: "no route", address: callers, path: "/none", header: header(apiKey), body: "a"},
