Control: bound the calls of a connection that are not answered

Cause: net/rpc starts a goroutine for each call that it reads, also if the peer reads no answer.

Change: a codec of our own reads no further call of a connection while 64 are not answered. Writes have messageTimeout (10 s). The http.Handler hijacks the connection itself; limitConns is not needed any more.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -31,7 +31,7 @@
 			return nil, errs.Wrap(err, "register "+name, "")
 		}
 	}
-	return limitConns(server), nil
+	return serve(server), nil
 }
 
 // Path is the HTTP path of the handler that Handle returns.
--- a/internal/control/limit.go
+++ b/internal/control/limit.go
@@ -24,7 +24,8 @@
 	// smallMessageBytes is the size up to which messages are received without a share of
 	// maxBufferedBytes and without a deadline. Each connection has a buffer of that size.
 	smallMessageBytes = 4 << 10
-	// messageTimeout bounds the time to receive a larger message.
+	// messageTimeout bounds the time to receive a larger message, and the time to write a
+	// part of any message.
 	messageTimeout = 10 * time.Second
 	// maxLengthBytes is the number of bytes of the longest length that gob writes.
 	maxLengthBytes = 8
@@ -82,6 +83,14 @@
 	return accepted, err
 }
 
+// Write implements net.Conn. It fails if the peer does not read for messageTimeout.
+func (c *limitedConn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 // scan follows the message boundaries in received bytes. It returns the number of bytes
 // before a message that exceeds the limits, and the reason.
 func (c *limitedConn) scan(received []byte) (int, error) {
