Connection limit: bound active and taken over connections

Cause: only idle connections were evicted. A connection that was evicted as it became idle got a new read deadline from net/http and was counted as closing until the idle timeout.

Change: at most 1.2 times the allowed connections are tracked; a new one waits 0.2 s for evicted ones to close, whose deadlines are set again, and is closed if there is no room. A connection is not evicted by its own change to idle. Limiters for probes and net/rpc; a Listener that reports the end of connections that net/rpc has taken over.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -27,18 +28,27 @@
 	// refused callers are told to close their connection. They retry on a new
 	// connection anyway.
 	nearLimitShare = 0.75
+	// closingShare bounds the tracked connections, with those that are active or closing,
+	// as a share of the allowed ones. A new connection above it is closed.
+	closingShare = 1.2
+	// maxRoomWait bounds the wait of a new connection for evicted ones to close.
+	maxRoomWait = 200 * time.Millisecond
+	// roomCheckInterval is the time between attempts to close them.
+	roomCheckInterval = 10 * time.Millisecond
 )
 
 // Limiter tracks and limits the connections of an http.Server. It is safe for
 // concurrent use.
 type Limiter struct {
 	maxConnections, maxRequests int
+	maxTracked                  int
 
 	mu             sync.Mutex
 	connections    map[net.Conn]*connection
 	idle           map[string]*list.List // of *connection, by caller address, longest idle first
 	activeRequests int
-	closing        int // evicted connections that have not closed yet
+	closing        int           // evicted connections that have not closed yet
+	removed        chan struct{} // receives a value when a connection is no longer tracked
 }
 
 type connection struct {
@@ -50,16 +60,98 @@
 
 // New returns a limiter for a process that may have files file descriptors open.
 func New(files int) *Limiter {
-	sockets := float64(max(files-reservedFiles, reservedFiles))
+	return NewFixed(int(callerShare*sockets(files)), int(requestShare*sockets(files)))
+}
+
+// NewWithin returns a limiter for a process that may have files file descriptors open and
+// memory for maxConnections connections of callers.
+func NewWithin(files, maxConnections int) *Limiter {
+	connections := min(int(callerShare*sockets(files)), maxConnections)
+	return NewFixed(connections, int(requestShare/callerShare*float64(connections)))
+}
+
+// NewFixed returns a limiter for at most maxConnections connections, of which maxRequests
+// may have a request in progress.
+func NewFixed(maxConnections, maxRequests int) *Limiter {
 	return &Limiter{
-		maxConnections: int(callerShare * sockets), maxRequests: int(requestShare * sockets),
-		connections: map[net.Conn]*connection{}, idle: map[string]*list.List{},
+		maxConnections: maxConnections, maxRequests: maxRequests, maxTracked: int(closingShare * float64(maxConnections)),
+		connections: map[net.Conn]*connection{}, idle: map[string]*list.List{}, removed: make(chan struct{}, 1),
 	}
 }
 
+// sockets returns the number of sockets of a process that may have files file descriptors
+// open.
+func sockets(files int) float64 { return float64(max(files-reservedFiles, reservedFiles)) }
+
+const (
+	// probeConnections is the number of connections for readiness probes.
+	probeConnections = 16
+	// controlShare is the fraction of the sockets for connections of gateways and agents.
+	controlShare = 0.15
+	// minControlConnections lets the processes of a small site connect to a process with
+	// few files.
+	minControlConnections = 64
+)
+
+// NewProbes returns a limiter for the listener of readiness probes.
+func NewProbes() *Limiter { return NewFixed(probeConnections, probeConnections) }
+
+// NewControl returns a limiter for the listener of net/rpc and metrics of a process that
+// may have files file descriptors open. Its connections must be accepted by a Listener.
+func NewControl(files int) *Limiter {
+	most := max(minControlConnections, int(controlShare*sockets(files)))
+	return NewFixed(most, most)
+}
+
+// Listener tells a Limiter of the end of connections that the http.Server no longer
+// tracks, as net/rpc has taken them over.
+type Listener struct {
+	net.Listener
+	Limiter *Limiter
+}
+
+// Accept waits for the next connection.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: c, limiter: l.Limiter}, nil
+}
+
+type trackedConn struct {
+	net.Conn
+	limiter *Limiter
+}
+
+// NetConn returns the connection that c wraps.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite closes the sending side, if the connection can do that. net/http does so
+// before it closes the connection.
+func (c *trackedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	err := c.Conn.Close()
+	c.limiter.Track(c, http.StateClosed)
+	return err
+}
+
 // Track records a change of a connection's state. It is the ConnState hook of an
 // http.Server.
 func (l *Limiter) Track(c net.Conn, s http.ConnState) {
+	if s == http.StateNew && !l.waitForRoom(time.Now().Add(maxRoomWait)) {
+		counter.Add("CallerConnectionsRejected", 1)
+		_ = c.Close() // the http.Server ends with an error of its first read
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch s {
@@ -73,14 +165,53 @@
 	case http.StateIdle:
 		if conn, ok := l.connections[c]; ok {
 			l.activeRequests--
+			l.evictIdle() // not this one: the http.Server sets its read deadline next
 			l.markIdle(conn)
-			l.evictIdle()
 		}
-	case http.StateHijacked, http.StateClosed:
+	case http.StateHijacked:
+		if _, ok := c.(*trackedConn); !ok {
+			l.remove(c)
+		}
+	case http.StateClosed:
 		l.remove(c)
 	}
 }
 
+// waitForRoom waits while there is no room for a new connection and evicted ones are
+// closing, at most until deadline. The http.Server accepts no other connection meanwhile.
+// It reports whether there is room.
+func (l *Limiter) waitForRoom(deadline time.Time) bool {
+	for {
+		l.mu.Lock()
+		l.evictIdle()
+		full, closing := len(l.connections) >= l.maxTracked, l.closing > 0
+		if full && closing {
+			l.expireEvicted()
+		}
+		l.mu.Unlock()
+		if !full || !closing || !time.Now().Before(deadline) {
+			return !full
+		}
+		timer := time.NewTimer(roomCheckInterval)
+		select {
+		case <-l.removed:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// expireEvicted sets the read deadlines of evicted connections again. The http.Server may
+// have set another one meanwhile, as of a connection that has just become idle. Callers
+// hold mu.
+func (l *Limiter) expireEvicted() {
+	for _, conn := range l.connections {
+		if conn.evicted {
+			_ = conn.SetReadDeadline(time.Now()) // fails if the connection has closed
+		}
+	}
+}
+
 // callerAddress returns the IP address of a connection's peer.
 func callerAddress(c net.Conn) string {
 	address := c.RemoteAddr().String()
@@ -141,6 +272,10 @@
 	}
 	l.removeIdle(conn)
 	delete(l.connections, c)
+	select {
+	case l.removed <- struct{}{}:
+	default:
+	}
 }
 
 // evictIdle evicts idle connections while there are too many connections. Each time
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -173,3 +173,50 @@
 	}
 	require.Eventually(t, func() bool { return !limiter.Full() }, 2*time.Second, time.Millisecond)
 }
+
+// Guards against requests in progress that use up the sockets, as their connections are
+// not idle. Once they end, new connections are served.
+func TestConnectionsBeyondThoseInProgressAreClosed(t *testing.T) {
+	const opened, bound = 2 * maxConnections, 120
+	var requestTime atomic.Int64
+	requestTime.Store(int64(time.Second))
+	_, address, running := newCountingServer(t, &requestTime)
+	for range opened {
+		_, _ = fmt.Fprintf(dial(t, address), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	require.LessOrEqual(t, running.Load(), int64(bound))
+	require.Eventually(t, func() bool { return sendRequest(dial(t, address)) }, 10*time.Second, 50*time.Millisecond)
+}
+
+// Guards against connections that net/rpc has taken over and that are no longer counted.
+func TestTakenOverConnectionsAreCounted(t *testing.T) {
+	const bound = 12
+	limiter := connlimit.NewFixed(10, 10)
+	var taken atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		taken.Add(1)
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	}))
+	s.Listener = connlimit.Listener{Listener: s.Listener, Limiter: limiter}
+	s.Config.ConnState = limiter.Track
+	s.Start()
+	t.Cleanup(s.Close)
+	address := s.Listener.Addr().String()
+	var conns []net.Conn
+	for range 2 * bound {
+		c := dial(t, address)
+		_, _ = fmt.Fprintf(c, "CONNECT / HTTP/1.0\r\n\r\n")
+		conns = append(conns, c)
+	}
+	time.Sleep(100 * time.Millisecond)
+	require.LessOrEqual(t, taken.Load(), int64(bound))
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	require.Eventually(t, func() bool { return limiter.Active() == 0 }, 5*time.Second, 5*time.Millisecond)
+}
