--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -10,12 +10,18 @@
 	"os"
 	"sync"
 
+	"almondreel.example/almondreel/internal/callermemory"
 	"almondreel.example/almondreel/internal/outcome"
 )
 
-// Listener records the errors of the connections that it accepts. The http.Server must
-// have Context as its ConnContext.
-type Listener struct{ net.Listener }
+// Listener records the errors of the connections that it accepts, and bounds the headers
+// of requests. The http.Server must have Context as its ConnContext, and call Track in its
+// ConnState hook.
+type Listener struct {
+	net.Listener
+	// Memory accounts for long headers; nil: they are not accounted for.
+	Memory *callermemory.Account
+}
 
 // Accept waits for the next connection.
 func (l Listener) Accept() (net.Conn, error) {
@@ -23,13 +29,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, header: header{account: l.Memory}}, nil
 }
 
 type conn struct {
 	net.Conn
 
 	mu       sync.Mutex
+	header   header
 	readErr  error // the last one
 	writeErr error // the first one
 }
@@ -37,9 +44,12 @@
 // Read reads from the connection and records an error.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if headerErr := c.header.read(p[:n], c.Conn); headerErr != nil {
+		n, err = 0, headerErr
+	}
 	if err != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.readErr = err
 	}
 	return n, err
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -57,6 +57,7 @@
 	IdempotencyKeyMissing     Reason = "IdempotencyKeyMissing"
 	IdempotencyKeyReused      Reason = "IdempotencyKeyReused"
 	QueueFull                 Reason = "QueueFull"
+	MemoryExhausted           Reason = "MemoryExhausted" // for the requests of all callers
 	ProjectedWaitTooLong      Reason = "ProjectedWaitTooLong"
 	NoReplicaServing          Reason = "NoReplicaServing"
 	ReplicaBusy               Reason = "ReplicaBusy"
