Settings: check the sum of the limits against the memory

Cause: limits that together exceed the instance's memory were accepted.

Change: CallerMemoryMB (hosted gateway, default a fifth of MemoryMB) and MemoryMB (own instances, default none).

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -48,6 +48,7 @@
 	c.require(g.GraceSeconds >= 0 && g.GraceSeconds <= maxGraceSeconds, "GraceSeconds",
 		fmt.Sprintf("a number of seconds from 0 to %d", maxGraceSeconds))
 	c.organisations(g.Organisations)
+	c.memory(g.MemoryMB, max(g.MaxBodyBytes, defaultBodyBytes))
 	return c.err()
 }
 
@@ -79,6 +80,7 @@
 	c.rate("Link.DownBytesPerSecond", a.Link.DownBytesPerSecond)
 	c.rate("Link.UpBytesPerSecond", a.Link.UpBytesPerSecond)
 	c.rate("Link.RegionBytesPerSecond", a.Link.RegionBytesPerSecond)
+	c.memory(a.MemoryMB, defaultBodyBytes)
 	return c.err()
 }
 
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -27,6 +27,9 @@
 	Retries         RetryBudget `yaml:"Retries"`
 	Files           int         `yaml:"Files"`        // limit of open file descriptors, sockets included
 	GraceSeconds    float64     `yaml:"GraceSeconds"` // time from SIGTERM until the platform kills the process
+	// CallerMemoryMB is the memory for the bodies and long headers of callers' requests, in
+	// megabytes; 0: a fifth of MemoryMB.
+	CallerMemoryMB int `yaml:"CallerMemoryMB"`
 }
 
 // RetryBudget limits the retries of all gateways together within a time window.
@@ -97,6 +100,7 @@
 	c.require(g.Retries.SpanSeconds > 0 && g.Retries.SpanSeconds <= maxDurationMS/1000, "Retries.SpanSeconds", "seconds, above 0, at most ten minutes")
 	c.require(g.Files >= minFiles && g.Files <= maxFiles, "Files", "a number, 64 or more")
 	c.require(g.GraceSeconds > 0 && g.GraceSeconds <= maxDurationMS/1000, "GraceSeconds", "seconds, above 0, at most ten minutes")
+	g.checkMemory(&c)
 	return c.err()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,7 @@
 	Organisations []Organisation `yaml:"Organisations"`
 	MaxBodyBytes  int64          `yaml:"MaxBodyBytes"` // limit of a request's body; 0 means 1 MiB
 	GraceSeconds  float64        `yaml:"GraceSeconds"` // time from SIGTERM until the process is killed; 0: it is not
+	MemoryMB      int            `yaml:"MemoryMB"`     // memory limit of the process, in megabytes; 0: it has none
 }
 
 // Backend describes the backend server that an agent manages.
@@ -68,6 +69,7 @@
 	Origin    string  `yaml:"Origin"`    // origin of model weights
 	Store     string  `yaml:"Store"`     // weight store; empty: none
 	Link      Link    `yaml:"Link"`
+	MemoryMB  int     `yaml:"MemoryMB"` // memory limit of the process, in megabytes; 0: it has none
 }
 
 // Address returns the address at which other processes reach the gateway's control
