Connection limit: close the quietest net/rpc connection to make room

Cause: test/hostile, connections over net/rpc that stop half-way: 600 clients held all connections for net/rpc, so that metrics were not answered during the attack.

Change: if there are too many connections and none is idle, the one that net/rpc has taken over and that has received nothing for the longest, at least 1 s, is closed. Peers connect again on demand.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondreel.example/almondreel/internal/counter"
@@ -33,6 +34,10 @@
 	closingShare = 1.2
 	// maxRoomWait bounds the wait of a new connection for evicted ones to close.
 	maxRoomWait = 200 * time.Millisecond
+	// takenOverAge is the time for which a connection that net/rpc has taken over may
+	// receive nothing before it can be closed to make room. Agents and gateways in use
+	// send several times a second.
+	takenOverAge = time.Second
 	// roomCheckInterval is the time between attempts to close them.
 	roomCheckInterval = 10 * time.Millisecond
 )
@@ -56,6 +61,7 @@
 	address     string
 	idleElement *list.Element // in the list of idle connections; nil if it is in none
 	evicted     bool
+	takenOver   *trackedConn // nil: by nobody
 }
 
 // New returns a limiter for a process that may have files file descriptors open.
@@ -121,7 +127,15 @@
 
 type trackedConn struct {
 	net.Conn
-	limiter *Limiter
+	limiter  *Limiter
+	lastRead atomic.Int64 // Unix time in nanoseconds
+}
+
+// Read reads from the connection.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.lastRead.Store(time.Now().UnixNano())
+	return n, err
 }
 
 // NetConn returns the connection that c wraps.
@@ -169,8 +183,11 @@
 			l.markIdle(conn)
 		}
 	case http.StateHijacked:
-		if _, ok := c.(*trackedConn); !ok {
+		tracked, ok := c.(*trackedConn)
+		if conn := l.connections[c]; !ok || conn == nil {
 			l.remove(c)
+		} else {
+			conn.takenOver = tracked
 		}
 	case http.StateClosed:
 		l.remove(c)
@@ -292,6 +309,31 @@
 		_ = conn.SetReadDeadline(time.Now()) // fails if the connection has closed
 		counter.Add("CallerConnectionsShed", 1)
 	}
+	l.evictTakenOver()
+}
+
+// evictTakenOver closes a connection that net/rpc has taken over, if there are too many
+// connections and no idle one. It takes the one that has received nothing for the longest.
+// Its peer connects again if it needs it. Callers hold mu.
+func (l *Limiter) evictTakenOver() {
+	if len(l.connections)-l.closing <= l.maxConnections {
+		return
+	}
+	var victim *connection
+	oldest := time.Now().Add(-takenOverAge).UnixNano()
+	for _, conn := range l.connections {
+		if conn.takenOver != nil && !conn.evicted && conn.takenOver.lastRead.Load() < oldest {
+			victim, oldest = conn, conn.takenOver.lastRead.Load()
+		}
+	}
+	if victim == nil {
+		return
+	}
+	victim.evicted = true
+	l.closing++
+	l.activeRequests--
+	_ = victim.takenOver.Conn.Close() // net/rpc fails to read, and closes the trackedConn
+	counter.Add("CallerConnectionsShed", 1)
 }
 
 // largestIdleGroup returns the idle connections of the address that has the most.
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -215,6 +215,13 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	require.LessOrEqual(t, taken.Load(), int64(bound))
+	require.Eventually(t, func() bool { // one that receives nothing makes room
+		before := taken.Load()
+		conns = append(conns, dial(t, address))
+		_, _ = fmt.Fprintf(conns[len(conns)-1], "CONNECT / HTTP/1.0\r\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+		return taken.Load() > before
+	}, 10*time.Second, 50*time.Millisecond)
 	for _, c := range conns {
 		_ = c.Close()
 	}
