Bound what callers make gateways and agents hold

Change: both forms reserve bodies from the account before they are read, and refuse with MemoryExhausted (503, Retry-After) before a slot or a retry is taken; an own agent refuses with ReplicaBusy. A gateway with too many requests evicts the heaviest that is being received. All listeners bound their connections and header lines; probes, metrics and net/rpc read no bodies; pieces must make progress within 10 s for each chunk. A hosted gateway's header limit is 24 KiB instead of 64 KiB.

--- a/internal/backendproxy/proxy.go
+++ b/internal/backendproxy/proxy.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -17,6 +16,7 @@
 
 	"almondreel.example/almondreel/internal/agent"
 	"almondreel.example/almondreel/internal/atmostonce"
+	"almondreel.example/almondreel/internal/callermemory"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/event"
@@ -44,6 +44,7 @@
 	// cancels holds the attempts to cancel in the backend server. If it is full a
 	// cancel is dropped; the attempt's connection is closed in any case.
 	cancels chan string
+	memory  *callermemory.Account // for the bodies of dispatches
 
 	mu              sync.Mutex
 	runningSuspects int
@@ -58,6 +59,7 @@
 		backend: s.Backend,
 		tracker: tracker,
 		client:  atmostonce.NewClient(),
+		memory:  callermemory.New(s.BodyMemoryBytes()),
 		engine:  engine.NewClient(s.Backend.Address),
 		cancels: make(chan string, maxCancels),
 	}
@@ -80,9 +82,17 @@
 // held until writeGrace after the request's deadline at the latest.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	_ = controller.SetWriteDeadline(time.Now().Add(bodyTimeout + writeGrace))
-	req, err := parse(w, r)
+	now := time.Now()
+	_ = controller.SetReadDeadline(now.Add(bodyTimeout))
+	_ = controller.SetWriteDeadline(now.Add(bodyTimeout + writeGrace))
+	memory := p.memory.Open(callermemory.Body, now, func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer memory.Release()
+	req, err := parse(w, r, memory)
+	if !memory.Received() || errors.Is(err, callermemory.ErrExhausted) {
+		_ = controller.SetReadDeadline(time.Now()) // net/http would read the rest of the body
+		p.refuse(w, req, outcome.ReplicaBusy)
+		return
+	}
 	if err != nil { // the read deadline stays set for the unread rest of the body
 		p.refuse(w, req, outcome.Malformed)
 		return
@@ -105,7 +115,7 @@
 
 // parse reads the headers and the whole body, so that no slot is held while a
 // body arrives.
-func parse(w http.ResponseWriter, r *http.Request) (dispatchRequest, error) {
+func parse(w http.ResponseWriter, r *http.Request, memory *callermemory.Holder) (dispatchRequest, error) {
 	h := r.Header
 	req := dispatchRequest{
 		requestID: h.Get(agent.HeaderRequestID),
@@ -128,7 +138,7 @@
 	if req.priority, err = parseOptionalInt(h.Get(agent.HeaderPriority)); err != nil {
 		return req, err
 	}
-	req.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	req.body, err = memory.ReadAll(r.Context(), http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, maxBodyBytes, time.Time{})
 	return req, err
 }
 
--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"almondreel.example/almondreel/internal/callerconn"
+	"almondreel.example/almondreel/internal/callermemory"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
 	"almondreel.example/almondreel/internal/dispatch"
@@ -26,10 +27,11 @@
 const (
 	defaultMaxBodyBytes = 1 << 20
 	maxKeyBytes         = 256
-	maxBodyMemoryBytes  = 64 << 20 // memory for the bodies of requests in progress
 	defaultAnswerTime   = 30 * time.Second
 	shutdownRetryDelay  = 2 * time.Second
 	bodyTimeout         = 10 * time.Second
+	// discardTimeout bounds reading a body that does not fit into the memory for bodies.
+	discardTimeout = time.Second
 )
 
 // Recorder is called with the record of each request of a known organisation. It
@@ -60,16 +62,17 @@
 	// look-up reveals nothing about a credential.
 	organisations map[[sha256.Size]byte]settings.Organisation
 
-	mu        sync.Mutex
-	draining  bool
-	running   int
-	bodyBytes int64
-	drained   chan struct{} // closed once draining is set and no request is in progress
+	memory *callermemory.Account // for the bodies of requests in progress
+
+	mu       sync.Mutex
+	draining bool
+	running  int
+	drained  chan struct{} // closed once draining is set and no request is in progress
 }
 
 // NewHandler returns a handler that accepts requests.
 func NewHandler(o Options) *Handler {
-	h := &Handler{options: o, mux: http.NewServeMux(), maxBodyBytes: o.Settings.MaxBodyBytes, drained: make(chan struct{})}
+	h := &Handler{options: o, mux: http.NewServeMux(), maxBodyBytes: o.Settings.MaxBodyBytes, memory: callermemory.New(o.Settings.BodyMemoryBytes()), drained: make(chan struct{})}
 	h.organisations = map[[sha256.Size]byte]settings.Organisation{}
 	for _, organisation := range o.Settings.Organisations {
 		h.organisations[sha256.Sum256([]byte(organisation.Key))] = organisation
@@ -138,6 +141,9 @@
 	return h.drained
 }
 
+// Memory returns the account of the memory for requests.
+func (h *Handler) Memory() *callermemory.Account { return h.memory }
+
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int {
 	h.mu.Lock()
@@ -145,24 +151,6 @@
 	return h.running
 }
 
-// reserve takes bytes from the memory for request bodies, or returns false if not
-// enough is left.
-func (h *Handler) reserve(bytes int64) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.bodyBytes+bytes > maxBodyMemoryBytes {
-		return false
-	}
-	h.bodyBytes += bytes
-	return true
-}
-
-func (h *Handler) release(bytes int64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.bodyBytes -= bytes
-}
-
 // authenticate returns the organisation whose credential the request carries.
 func (h *Handler) authenticate(r *http.Request) (settings.Organisation, bool) {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -13,6 +13,8 @@
 	"github.com/google/uuid"
 
 	"almondreel.example/almondreel/internal/attempt"
+	"almondreel.example/almondreel/internal/callerconn"
+	"almondreel.example/almondreel/internal/callermemory"
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
@@ -24,7 +26,9 @@
 	defaultMaxTokens = 16
 	maxTokens        = 1 << 16
 	busyRetryDelay   = time.Second
-	initialBodyBytes = 2 << 10
+	// decodedCopies is the number of copies of a completion's body that exist at the same
+	// time while it is decoded and encoded for the engine, with the body itself.
+	decodedCopies = 4
 )
 
 // completion is the body of a completion request. Other keys are refused.
@@ -42,7 +46,7 @@
 	body                 []byte
 	key                  string
 	deadline             time.Time // zero: the class's answer time applies
-	reserved             int64     // bytes taken from the memory for bodies
+	memory               *callermemory.Holder
 }
 
 // admit checks the credential, headers and body, and passes the request to handle.
@@ -57,10 +61,14 @@
 	}
 	a.organisationSettings = organisation
 	a.organisation = organisation.Name
-	defer func() { h.release(a.reserved) }()
+	defer func() {
+		if a.memory != nil {
+			a.memory.Release()
+		}
+	}()
 	if reason := a.readRequest(r); reason != "" {
 		refused := outcome.Refused{Reason: reason}
-		if reason == outcome.QueueFull {
+		if reason == outcome.MemoryExhausted {
 			refused.RetryAt = limit.Jittered(time.Now(), busyRetryDelay)
 		}
 		a.refuse(refused)
@@ -94,16 +102,25 @@
 
 func (a *admittedRequest) readWholeBody(r *http.Request) outcome.Reason {
 	controller := http.NewResponseController(a.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	err := a.readBody(http.MaxBytesReader(a.writer, r.Body, a.handler.maxBodyBytes))
+	now := time.Now()
+	deadline := now.Add(bodyTimeout)
+	_ = controller.SetReadDeadline(deadline)
+	a.memory = a.handler.memory.Open(callermemory.Body, now, func() { _ = controller.SetReadDeadline(time.Now()) })
+	body, err := a.memory.ReadAll(r.Context(), http.MaxBytesReader(a.writer, r.Body, a.handler.maxBodyBytes), r.ContentLength, a.handler.maxBodyBytes, deadline)
+	a.body = body
+	received := a.memory.Received()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case !received:
+		a.memory.Release()
+		return outcome.MemoryExhausted
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
 		return ""
-	case err == errNoMemory:
-		a.handler.discardBody(a.writer, r)
-		return outcome.QueueFull
+	case errors.Is(err, callermemory.ErrExhausted):
+		a.memory.Release()
+		callerconn.DiscardBody(a.writer, r, a.handler.maxBodyBytes, now.Add(discardTimeout))
+		return outcome.MemoryExhausted
 	case errors.As(err, &tooLarge):
 		return outcome.TooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded): // the deadline stays, as net/http reads on before it responds
@@ -114,34 +131,6 @@
 	return outcome.Malformed
 }
 
-// errNoMemory reports that request bodies in progress use all the memory for them.
-var errNoMemory = errors.New("memory for request bodies is exhausted")
-
-// readBody reads the body to its end. It reserves memory as bytes arrive, so that a
-// caller that announces a large body and sends nothing takes little memory.
-func (a *admittedRequest) readBody(body io.Reader) error {
-	for {
-		if len(a.body) == cap(a.body) {
-			grown := max(initialBodyBytes, 2*cap(a.body))
-			if !a.handler.reserve(int64(grown - cap(a.body))) {
-				return errNoMemory
-			}
-			a.reserved += int64(grown - cap(a.body))
-			larger := make([]byte, len(a.body), grown)
-			copy(larger, a.body)
-			a.body = larger
-		}
-		n, err := body.Read(a.body[len(a.body):cap(a.body)])
-		a.body = a.body[:len(a.body)+n]
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // attemptRequest builds the request to dispatch to a replica of the class, or returns
 // the reason to refuse it.
 func (a *admittedRequest) attemptRequest(class operator.Class, body []byte) (attempt.Request, outcome.Reason) {
@@ -173,6 +162,10 @@
 
 func (h *Handler) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	h.admit(w, r, func(a *admittedRequest) {
+		if a.memory.Reserve(decodedCopies*int64(len(a.body)), time.Now()) != callermemory.Granted {
+			a.refuse(outcome.Refused{Reason: outcome.MemoryExhausted, RetryAt: limit.Jittered(time.Now(), busyRetryDelay)})
+			return
+		}
 		c, reason := parseCompletion(a.body)
 		a.class = c.Model
 		if reason != "" {
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -12,6 +12,8 @@
 
 	"almondreel.example/almondreel/internal/agent"
 	"almondreel.example/almondreel/internal/backendproxy"
+	"almondreel.example/almondreel/internal/callerconn"
+	"almondreel.example/almondreel/internal/connlimit"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
@@ -41,6 +43,7 @@
 // progress.
 func RunAgent(s settings.Agent, received *signals.Signals) error {
 	defer logsink.Start(os.Stderr).Stop()
+	limitMemory(s.MemoryMB)
 	a := newAgent(s)
 	server, err := a.newHTTPServer()
 	if err != nil {
@@ -50,6 +53,7 @@
 	if err != nil {
 		return errs.Wrap(err, "listen", s.Listen)
 	}
+	listener = limitPeers(listener, server, connlimit.New(openFiles()))
 	tree := supervisor.NewTree("almondreel-agent")
 	// Task names appear in the log. The task "door" is the backend proxy.
 	tree.Add("heartbeat", a.heartbeat.Run)
@@ -97,14 +101,16 @@
 	}
 	mux := http.NewServeMux()
 	a.weights.Register(mux)
-	mux.Handle(agent.DispatchPath, a.backendProxy)
 	mux.Handle(control.Path, rpcHandler)
 	mux.Handle("GET /metrics", counter.Handler())
 	mux.Handle("GET "+serving.Path, a.status.Handler())
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /ready", a.ready)
+	withBodies := http.NewServeMux()
+	withBodies.Handle(agent.DispatchPath, a.backendProxy)
+	withBodies.Handle("/", callerconn.WithoutBodies(mux, shortResponseTimeout))
 	return &http.Server{
-		Handler:           mux,
+		Handler:           withBodies,
 		ReadHeaderTimeout: agentHeaderTimeout,
 		IdleTimeout:       agentIdleTimeout,
 		MaxHeaderBytes:    agentHeaderBytes,
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -11,6 +11,7 @@
 	"almondreel.example/almondreel/internal/callerapi"
 	"almondreel.example/almondreel/internal/callerconn"
 	"almondreel.example/almondreel/internal/claims"
+	"almondreel.example/almondreel/internal/connlimit"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/desired"
@@ -62,6 +63,7 @@
 // RunGateway runs the gateway with settings s until a signal to stop is received. Then it
 // refuses new requests, completes those in progress and stops.
 func RunGateway(s settings.Gateway, received *signals.Signals) error {
+	limitMemory(s.MemoryMB)
 	g := newGateway(s)
 	sink := logsink.Start(os.Stderr)
 	defer func() { sink.StopBy(g.flushBy()) }()
@@ -77,11 +79,14 @@
 	if err != nil {
 		return err
 	}
+	callerServer, controlServer := newCallerServer(g.callerHandler), newServer(callerconn.WithoutBodies(handler, shortResponseTimeout))
+	callerListener = limitCallers(callerListener, callerServer, g.callerHandler.Memory())
+	controlListener = limitPeers(controlListener, controlServer, connlimit.NewControl(openFiles()))
 	tree := supervisor.NewTree(s.Name)
 	// Task names appear in the log. The task "spread" distributes state to other
 	// gateways and agents, and "suspicion" replicates the quarantine table.
-	tree.Add("callers", supervisor.Serve(callerconn.Listener{Listener: callerListener}, newCallerServer(g.callerHandler), g.shutDownCallers))
-	tree.Add("control", supervisor.Serve(controlListener, newServer(handler), shutDown))
+	tree.Add("callers", supervisor.Serve(callerListener, callerServer, g.shutDownCallers))
+	tree.Add("control", supervisor.Serve(controlListener, controlServer, shutDown))
 	tree.Add("spread", g.stateSync.Run)
 	tree.Add("planner", g.planner.Run)
 	tree.Add("suspicion", g.quarantineSync.Run)
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/bounded"
+	"almondreel.example/almondreel/internal/callerconn"
+	"almondreel.example/almondreel/internal/connlimit"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
@@ -61,6 +63,12 @@
 	deprioritiseTime = time.Second
 	pieceIdleTimeout = 20 * time.Second
 	peerDialTimeout  = 400 * time.Millisecond
+	// pieceResponseTimeout bounds the time until the first bytes of a piece are written,
+	// which waits until others have been sent.
+	pieceResponseTimeout = time.Minute
+	// pieceConnections is the number of connections of other agents. Each agent has two at
+	// most, and asks few others at a time.
+	pieceConnections = 128
 )
 
 // agent reports an engine's state to a gateway and passes the replies to the component
@@ -104,8 +112,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", a.weights.Handler())
 	mux.Handle("GET /metrics", counter.Handler())
-	server := newServer(mux)
+	server := newServer(callerconn.WithoutBodies(mux, pieceResponseTimeout))
 	server.IdleTimeout = pieceIdleTimeout
+	limiter := connlimit.NewFixed(pieceConnections, pieceConnections)
+	server.ConnState = callerconn.Hook(limiter.Track)
+	listener = callerconn.Listener{Listener: listener}
 	tree := supervisor.NewTree(s.Name)
 	tree.Add("pieces", supervisor.Serve(listener, server, shutdown))
 	tree.Add("weights", a.weights.Run)
--- a/internal/hosted/gateway.go
+++ b/internal/hosted/gateway.go
@@ -10,6 +10,7 @@
 
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/callerconn"
+	"almondreel.example/almondreel/internal/callermemory"
 	"almondreel.example/almondreel/internal/connlimit"
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/counter"
@@ -31,7 +32,10 @@
 	// that a caller within those limits is not disconnected.
 	headerTimeout     = 20 * time.Second
 	callerIdleTimeout = 90 * time.Second
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes    = 24 << 10
+	// shortResponseTimeout bounds the time to write the response to a probe or a request
+	// for metrics.
+	shortResponseTimeout = 10 * time.Second
 	// extraSlots is the number of requests sent to an engine beyond its slots. They
 	// wait at the engine until a slot frees, which hides the network latency.
 	extraSlots = 2
@@ -55,6 +59,7 @@
 	stopTimes    atomic.Pointer[stopTimes] // nil before the drain
 	callerServer *http.Server
 	connLimiter  *connlimit.Limiter
+	callerMemory *callermemory.Account
 }
 
 // RunGateway runs a gateway until a signal to stop is received, then drains it. Each
@@ -81,42 +86,48 @@
 func newGateway(s settings.HostedGateway) *gateway {
 	pools := proxy.NewPools(schedule.Options{Region: s.Region, ExtraSlots: extraSlots, RemotePenalty: remotePenalty})
 	crashes := proxy.NewCrashDetector()
-	g := &gateway{settings: s, connLimiter: connlimit.New(s.Files), view: newSiteView(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
+	g := &gateway{settings: s, connLimiter: connlimit.NewWithin(s.Files, s.MaxCallerConnections()), callerMemory: callermemory.New(s.CallerMemoryBytes()), view: newSiteView(platform.NewStore(s.Hosting.Store), s.Hosting.VersionMS)}
 	g.servers = newServerTable(g.view, s.Hosting, pools)
 	own := hostedrpc.Gateway{Name: s.Name, Address: s.NeighbourListen, Region: s.Region}
 	g.gossip = newGossiper(g.servers, own, s.Hosting.Gateways, crashes)
 	g.view.storeRole = g.gossip.storeRole
 	retries := proxy.RetryBudget{Ratio: s.Retries.Share, Base: s.Retries.Besides, WindowMS: int(s.Retries.SpanSeconds * 1000), Gateways: g.gossip.peakGateways}
-	g.handler = proxy.NewHandler(proxy.Options{View: g.servers, HeaderCodec: platform.HeaderCodec{}, Pools: pools, CrashDetector: crashes, RetryBudget: retries, Admission: g.connLimiter, ResponseMemory: bounded.NewMemoryBudget(responseMemoryBytes(s.Hosting.MemoryMB))})
+	g.handler = proxy.NewHandler(proxy.Options{View: g.servers, HeaderCodec: platform.HeaderCodec{}, Pools: pools, CrashDetector: crashes, RetryBudget: retries, Admission: g.connLimiter, CallerMemory: g.callerMemory, ResponseMemory: bounded.NewMemoryBudget(s.ResponseMemoryBytes())})
 	return g
 }
 
 // addListeners opens the listeners and adds the tasks that serve them to tree.
 func (g *gateway) addListeners(tree *supervisor.Tree) error {
-	calls, err := control.Handle(map[string]any{hostedrpc.ServiceName: receiver{g.gossip}})
+	rpcHandler, err := control.Handle(map[string]any{hostedrpc.ServiceName: receiver{g.gossip}})
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(control.Path, calls)
+	mux.Handle(control.Path, rpcHandler)
 	mux.Handle("GET /metrics", counter.Handler())
 	g.callerServer = newServer(http.HandlerFunc(g.serveCaller))
-	g.callerServer.ConnState = g.connLimiter.Track
+	g.callerServer.ConnState = callerconn.Hook(g.connLimiter.Track)
 	g.callerServer.ConnContext = callerconn.Context
+	probes, calls := connlimit.NewProbes(), connlimit.NewControl(g.settings.Files)
+	probeServer, controlServer := newServer(callerconn.WithoutBodies(http.HandlerFunc(g.ready), shortResponseTimeout)), newServer(callerconn.WithoutBodies(mux, shortResponseTimeout))
+	probeServer.ConnState, controlServer.ConnState = callerconn.Hook(probes.Track), callerconn.Hook(calls.Track)
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
+		limiter       *connlimit.Limiter // nil for callers: the server's hook tracks all of their connections
 	}{
-		{"callers", g.settings.CallerListen, g.callerServer},
-		{"readiness", g.settings.ReadyListen, newServer(http.HandlerFunc(g.ready))},
-		{"rpc", g.settings.NeighbourListen, newServer(mux)},
+		{"callers", g.settings.CallerListen, g.callerServer, nil},
+		{"readiness", g.settings.ReadyListen, probeServer, probes},
+		{"rpc", g.settings.NeighbourListen, controlServer, calls},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return errs.Wrap(err, "listen for "+l.name, l.address)
 		}
-		if l.server == g.callerServer {
-			listener = callerconn.Listener{Listener: listener}
+		if l.limiter == nil {
+			listener = callerconn.Listener{Listener: listener, Memory: g.callerMemory}
+		} else {
+			listener = connlimit.Listener{Listener: callerconn.Listener{Listener: listener}, Limiter: l.limiter}
 		}
 		tree.Add(l.name, supervisor.Serve(listener, l.server, g.shutdown))
 	}
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -17,19 +17,9 @@
 	// gcPercent is the heap growth between collections in per cent. Heaps are small,
 	// and peak memory costs more than processor time.
 	gcPercent = 40
-	// responseMemoryShare is the share of the process's memory limit for buffered
-	// responses. Their buffers double as they grow, and are freed only at the next
-	// collection.
-	responseMemoryShare = 0.08
-	megabyte            = 1 << 20
+	megabyte  = 1 << 20
 )
 
-// responseMemoryBytes returns the memory for buffered responses, in bytes, of a process
-// limited to megabytes.
-func responseMemoryBytes(megabytes int) int64 {
-	return int64(responseMemoryShare * float64(megabytes) * megabyte)
-}
-
 // limitMemory tunes the garbage collector to keep the process below megabytes.
 func limitMemory(megabytes int) {
 	debug.SetGCPercent(gcPercent)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/callerconn"
+	"almondreel.example/almondreel/internal/callermemory"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/ending"
 	"almondreel.example/almondreel/internal/event"
@@ -46,7 +47,8 @@
 	priority      int
 	configVersion int64
 	body          []byte
-	bodyRead      bool // or reading it failed
+	bodyRead      bool                 // or reading it failed
+	memory        *callermemory.Holder // of body; nil if there is none
 	suspect       suspectRequest
 	failover      failover
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -19,6 +19,7 @@
 	"almondreel.example/almondreel/internal/atmostonce"
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/callerconn"
+	"almondreel.example/almondreel/internal/callermemory"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/ending"
 	"almondreel.example/almondreel/internal/errs"
@@ -57,6 +58,8 @@
 	Admission     Admission
 	// ResponseMemory bounds the memory that buffered backend responses use in total.
 	ResponseMemory *bounded.MemoryBudget
+	// CallerMemory bounds the memory that requests use in total until they end.
+	CallerMemory *callermemory.Account
 }
 
 // Admission reports whether the gateway has capacity for more requests and
@@ -125,6 +128,7 @@
 	defer h.running.Add(-1)
 	e := &exchange{handler: h, response: callerResponse{w: w, codec: h.HeaderCodec}, r: r, arrivedAt: time.Now()}
 	defer e.recoverPanic()
+	defer e.releaseMemory()
 	e.firstCallAt = e.arrivedAt
 	e.info = h.HeaderCodec.ParseRequest(r.Header, e.arrivedAt)
 	refused, ok := e.admit(w)
@@ -170,15 +174,19 @@
 	// writeGrace is how long after the request's deadline the response may still be
 	// written. A caller that reads nothing must not hold a connection forever.
 	writeGrace = 2 * time.Second
+	// maxResponseTime bounds the time from the arrival to the end of the response to a
+	// request without a deadline. Routes have timeouts of minutes at most.
+	maxResponseTime = time.Hour
 )
 
 // setWriteDeadline bounds writes to a caller that reads slowly or not at all:
 // they fail once writeGrace has passed after the request's deadline.
 func (e *exchange) setWriteDeadline(w http.ResponseWriter) {
-	if e.deadline.IsZero() {
-		return
+	deadline := e.deadline
+	if deadline.IsZero() {
+		deadline = e.arrivedAt.Add(maxResponseTime)
 	}
-	if err := http.NewResponseController(w).SetWriteDeadline(e.deadline.Add(writeGrace)); err != nil {
+	if err := http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace)); err != nil {
 		counter.Add("WriteDeadlinesUnset", 1)
 	}
 }
@@ -190,6 +198,7 @@
 		return e.refuseNotReady(outcome.ShuttingDown), false
 	}
 	if e.handler.Admission.Full() {
+		e.handler.CallerMemory.Evict(e.arrivedAt)
 		return outcome.Refused{Reason: outcome.QueueFull, RetryAt: e.arrivedAt.Add(pause.Jitter(overloadRetryDelay))}, false
 	}
 	configuration := e.handler.View.Configuration()
@@ -230,7 +239,16 @@
 	if err := controller.SetReadDeadline(e.bodyDeadline()); err != nil {
 		counter.Add("ReadDeadlinesUnset", 1)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, e.r.Body, maxBytes))
+	// The read fails once the request is evicted. SetReadDeadline may be called then.
+	e.memory = e.handler.CallerMemory.Open(callermemory.Body, e.arrivedAt, func() { _ = controller.SetReadDeadline(time.Now()) })
+	body, err := e.memory.ReadAll(e.r.Context(), http.MaxBytesReader(w, e.r.Body, maxBytes), e.r.ContentLength, maxBytes, e.bodyDeadline())
+	if errors.Is(err, callermemory.ErrExhausted) {
+		e.bodyRead = false
+		return e.refuseNoMemory(), false
+	}
+	if !e.memory.Received() {
+		return e.refuseNoMemory(), false
+	}
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{}) // an error was counted at the first call
 	}
@@ -244,6 +262,19 @@
 	return nil, true
 }
 
+// refuseNoMemory refuses a request whose body does not fit into the memory for requests.
+func (e *exchange) refuseNoMemory() outcome.Outcome {
+	e.releaseMemory()
+	return outcome.Refused{Reason: outcome.MemoryExhausted, RetryAt: time.Now().Add(pause.Jitter(overloadRetryDelay))}
+}
+
+// releaseMemory frees the memory for the request's body.
+func (e *exchange) releaseMemory() {
+	if e.memory != nil {
+		e.memory.Release()
+	}
+}
+
 // bodyDeadline returns the time until which the request's body must have been read.
 func (e *exchange) bodyDeadline() time.Time {
 	latest := e.arrivedAt.Add(bodyReadTimeout)
@@ -253,10 +284,11 @@
 	return e.info.Deadline
 }
 
-// discardBody reads the body of a request that is refused unread.
+// discardBody reads the body of a request that is refused unread. If connections are
+// short, it does so for minDiscardTime only.
 func (e *exchange) discardBody(w http.ResponseWriter) {
 	deadline := e.bodyDeadline()
-	if earliest := e.arrivedAt.Add(minDiscardTime); deadline.Before(earliest) {
+	if earliest := e.arrivedAt.Add(minDiscardTime); deadline.Before(earliest) || e.handler.Admission.NearLimit() {
 		deadline = earliest
 	}
 	callerconn.DiscardBody(w, e.r, maxBodyBytes(e.handler.View.Configuration()), deadline)
--- a/internal/weightsync/peers.go
+++ b/internal/weightsync/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/gob"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -158,13 +159,22 @@
 // the same link by 4 ms at most, at 7.6 Mbit/s.
 const uploadChunkBytes = 4 << 10
 
+// uploadProgressTimeout bounds the time to write a chunk. Uploads are sent one after
+// another, so that a receiver that reads nothing would hold up all others.
+const uploadProgressTimeout = 10 * time.Second
+
 // send writes data at the limiter's rate. On an error the body stays shorter
 // than its Content-Length, which the receiver detects.
 func send(ctx context.Context, w http.ResponseWriter, limiter *rate.Limiter, data []byte) error {
+	controller := http.NewResponseController(w)
 	for chunk := range slices.Chunk(data, uploadChunkBytes) {
 		if err := limiter.WaitN(ctx, len(chunk)); err != nil {
 			return err
 		}
+		// A ResponseWriter without deadlines is one of a test.
+		if err := controller.SetWriteDeadline(time.Now().Add(uploadProgressTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			return err
+		}
 		if _, err := w.Write(chunk); err != nil {
 			return err
 		}
