--- a/test/hostile/attack_test.go
+++ b/test/hostile/attack_test.go
@@ -190,12 +190,13 @@
 	// sendTimeout bounds the sending of one case. A process that stops reading, or closes
 	// the connection, does no harm.
 	sendTimeout = 2 * time.Second
-	// holdTime is how long the connections stay open after that.
+	// holdTime is the least time for which the connections stay open after that.
 	holdTime = 300 * time.Millisecond
 )
 
-// run has the clients attack a target, and closes their connections in the end.
-func (a attack) run(t target) {
+// run has the clients attack a target, calls held while their connections are open, and
+// closes them.
+func (a attack) run(t target, held func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
@@ -217,6 +218,7 @@
 		}
 	}
 	time.Sleep(holdTime)
+	held()
 	for _, c := range open {
 		_ = c.Close()
 	}
--- a/test/hostile/hosted_test.go
+++ b/test/hostile/hosted_test.go
@@ -103,11 +103,12 @@
 	agent := startHosted(t, dir, "almondreel-agent", settings("almondreel-agent", "agent-0", agentMB,
 		fmt.Sprintf("PieceListen: %q\nLinkMegabits: 100\nBackend: {Kind: Engine, Service: %s, Address: %q}\n", pieces, standin.EngineService, engineAddress)))
 
+	probes := func() bool { return answers(ready, "/ready") && answers(neighbours, "/metrics") }
 	answered := func() bool {
 		c := caller.New(callers)
 		defer c.Close()
 		o := c.Send(context.Background(), standin.StreamPath+"x", "ordinary", apiKey, time.Now().Add(3*time.Second))
-		return o.Status == http.StatusOK && caller.Ready(ready) && answers(neighbours, "/metrics")
+		return o.Status == http.StatusOK && probes()
 	}
 	agentAnswers := func() bool { return answers(pieces, "/metrics") }
 	require.Eventually(t, answered, answerTimeout, 50*time.Millisecond)
@@ -120,14 +121,14 @@
 		}
 	}
 	header := func(key string) string { return caller.HeaderLines("hostile", key, "10000") }
-	return program{"gateway", gatewayMB, gateway.pid, restart(gateway, answered), answered, []target{
+	return program{"gateway", gatewayMB, gateway.pid, restart(gateway, answered), answered, probes, []target{
 			{name: "served", address: callers, path: standin.StreamPath + "x", header: header(apiKey), body: "a"},
 			{name: "no route", address: callers, path: "/none", header: header(apiKey), body: "a"},
 			{name: "wrong key", address: callers, path: standin.StreamPath + "x", header: header("wrong"), body: "a"},
 			{name: "readiness", address: ready, path: "/ready", header: "Host: h\r\n", body: "a"},
 			{name: "control", address: neighbours, path: "/metrics", header: "Host: h\r\n", body: "a"},
 			{name: "rpc", address: neighbours, method: hostedrpc.MethodFollow, call: hostedrpc.FollowRequest{Service: "s", WaitMilliseconds: 2000}},
-		}}, program{"agent", agentMB, agent.pid, restart(agent, agentAnswers), agentAnswers, []target{
+		}}, program{"agent", agentMB, agent.pid, restart(agent, agentAnswers), agentAnswers, agentAnswers, []target{
 			{name: "served", address: pieces, path: "/pieces/m/1/1", header: "Host: h\r\n", body: "a"},
 			{name: "no route", address: pieces, path: "/none", header: "Host: h\r\n", body: "a"},
 			{name: "metrics", address: pieces, path: "/metrics", header: "Host: h\r\n", body: "a"},
--- a/test/hostile/hostile_test.go
+++ b/test/hostile/hostile_test.go
@@ -40,7 +40,9 @@
 	// ordinary sends an ordinary request that the process takes part in, and reports
 	// whether it was answered.
 	ordinary func() bool
-	targets  []target
+	// probes reports whether readiness and metrics are answered.
+	probes  func() bool
+	targets []target
 }
 
 // target is a path of a listener.
@@ -92,7 +94,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	peaks := watch(ctx, p.pid())
-	a.run(target)
+	probed := false
+	a.run(target, func() {
+		for deadline := time.Now().Add(answerTimeout); !probed && time.Now().Before(deadline); {
+			probed = p.probes()
+		}
+	})
 	cancel()
 	peak := <-peaks
 	t.Logf("%s, %d clients: %d MB of %d, %d descriptors of %d", p.name, a.clients, peak.residentMB, p.memoryMB, peak.openFiles, files)
@@ -105,6 +112,9 @@
 	if peak.openFiles >= files {
 		t.Errorf("open descriptors: %d, limit %d", peak.openFiles, files)
 	}
+	if !probed {
+		t.Error("readiness and metrics are not answered during the attack")
+	}
 	require.Eventually(t, p.ordinary, answerTimeout, 50*time.Millisecond, "an ordinary request is not answered")
 }
 
