--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -59,6 +59,7 @@
 	NoAllowedRegion           Reason = "NoAllowedRegion"     // no server in an allowed region is serving
 	DataCentreEvacuated       Reason = "DataCentreEvacuated" // all serving servers are in evacuated data centres
 	QueueFull                 Reason = "QueueFull"
+	MemoryExhausted           Reason = "MemoryExhausted" // for the requests of all callers
 	ProjectedWaitTooLong      Reason = "ProjectedWaitTooLong"
 	NoReplicaServing          Reason = "NoReplicaServing"
 	ReplicaBusy               Reason = "ReplicaBusy"
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -32,6 +32,9 @@
 	GraceSeconds    float64     `yaml:"GraceSeconds"` // time from SIGTERM until the platform kills the process
 	ColdStart       ColdStart   `yaml:"ColdStart"`    // without it cold engines are not limited
 	EvacuateMS      int         `yaml:"EvacuateMS"`   // milliseconds from which an evacuated data centre gets no request, also from a gateway that was stopped meanwhile; 0: no limit
+	// CallerMemoryMB is the memory for the bodies and long headers of callers' requests, in
+	// megabytes; 0: a fifth of MemoryMB.
+	CallerMemoryMB int `yaml:"CallerMemoryMB"`
 }
 
 // ColdStart limits the requests of all gateways together to a cold engine. Within any
@@ -126,6 +129,7 @@
 	c.require(g.EvacuateMS == 0 || g.EvacuateMS >= minEvacuateMS && g.EvacuateMS <= maxDurationMS, "EvacuateMS", "milliseconds, 0 or 2000 to 600000")
 	c.require(g.GraceSeconds > 0 && g.GraceSeconds <= maxDurationMS/1000, "GraceSeconds", "seconds, above 0, at most ten minutes")
 	c.coldStart(g.ColdStart)
+	g.checkMemory(&c)
 	return c.err()
 }
 
