--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -81,7 +81,6 @@
 	LoadSpoilt
 	UnloadFailed
 	StoredChunkCorrupt
-	RecordFailed
 )
 
 // Events of requests: 4000 to 4099.
@@ -184,7 +183,6 @@
 	LoadSpoilt:           "engine may have loaded corrupt pieces: ordering it to unload them",
 	UnloadFailed:         "engine did not unload corrupt pieces: ordering it again",
 	StoredChunkCorrupt:   "stored chunk turned corrupt: fetching it again",
-	RecordFailed:         "unverified load not recorded in the store, or its record not removed",
 
 	RequestRefused:      "request refused, not run",
 	RequestFailed:       "request failed",
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -102,7 +102,7 @@
 	a.weights = weightsync.NewAgent(weightsync.Options{
 		Name: s.Name, Address: s.PieceListen, Region: s.Region, Service: s.Backend.Service,
 		EngineAddress: s.Backend.Address, RolloutMilliseconds: s.Hosting.VersionMS, LinkMegabits: s.LinkMegabits,
-		Engine: platform.NewEngine(s.Backend.Address), Origin: platform.NewOrigin(), Records: a.store,
+		Engine: platform.NewEngine(s.Backend.Address), Origin: platform.NewOrigin(),
 		Peers: weightsync.NewPeerClient(newPeerClient()),
 	})
 	listener, err := net.Listen("tcp", s.PieceListen)
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -200,6 +200,14 @@
 	return t.agents.ByEngine(engineAddress)
 }
 
+// unverifiedLoad returns a load of an engine that its agent had not verified when it last
+// reported.
+func (t *serverTable) unverifiedLoad(engineAddress string) hostedrpc.UnverifiedLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.agents.Unverified(engineAddress)
+}
+
 // applyReport applies a report that an agent sent to this gateway.
 func (t *serverTable) applyReport(a hostedrpc.Agent, now time.Time) {
 	t.mu.Lock()
--- a/internal/hosted/siteview.go
+++ b/internal/hosted/siteview.go
@@ -55,7 +55,6 @@
 	mirror *mirror.Mirror
 
 	mu              sync.Mutex
-	recordedLoads   map[string]hostedrpc.UnverifiedLoad // by engine address
 	configuration   *site.Configuration
 	versions        map[string]site.Version // by model
 	rollouts        *rollout.Tracker
@@ -91,7 +90,7 @@
 
 func newSiteView(store *platform.Store, versionMS int) *siteView {
 	return &siteView{
-		store: store, mirror: mirror.New(), startedAt: time.Now(), recordedLoads: map[string]hostedrpc.UnverifiedLoad{},
+		store: store, mirror: mirror.New(), startedAt: time.Now(),
 		versions: map[string]site.Version{}, rollouts: rollout.NewTracker(versionMS),
 		servers: map[string]site.Server{}, expired: map[string]expiredServer{}, evacuated: map[string]bool{},
 		cold: coldDeadlines{}, implausible: map[string]string{},
@@ -207,8 +206,6 @@
 	defer sv.mu.Unlock()
 	for _, i := range sv.mirror.Current(items) {
 		switch {
-		case platform.IsUnverifiedLoad(i.Key):
-			sv.applyUnverifiedLoad(i)
 		case platform.IsConfiguration(i.Key):
 			sv.applyConfiguration(i, from)
 		case platform.IsVersion(i.Key):
--- a/internal/registry/unverified.go
+++ b/internal/registry/unverified.go
@@ -15,7 +15,6 @@
 // agent has verified it; the entry then keeps out older reports of it.
 type unverified struct {
 	hostedrpc.UnverifiedLoad
-	verified   hostedrpc.UnverifiedLoad // the last load that an agent of the engine has verified
 	reportedAt time.Time
 }
 
@@ -29,13 +28,10 @@
 	}
 	switch {
 	case load.Version != 0 && load.Born != 0:
-		r.unverified[a.EngineAddress] = unverified{UnverifiedLoad: load, reportedAt: at}
+		r.unverified[a.EngineAddress] = unverified{load, at}
 	case a.Born == 0: // the engine did not answer
-	case hasVerified(a):
-		verified := hostedrpc.UnverifiedLoad{Born: a.Born, Version: a.Holding.Version}
-		r.unverified[a.EngineAddress] = unverified{verified: verified, reportedAt: at}
-	case ok && known.Born != a.Born:
-		r.unverified[a.EngineAddress] = unverified{verified: known.verified, reportedAt: at}
+	case ok && (known.Born != a.Born || hasVerified(a)):
+		r.unverified[a.EngineAddress] = unverified{reportedAt: at}
 	}
 }
 
@@ -54,7 +50,7 @@
 		if e, ok := r.entries[r.agentByEngine[l.Engine]]; ok && e.At.After(at) && (hasVerified(e.Agent) || e.Unverified != 0) {
 			continue // the agent that reports knows more
 		}
-		r.unverified[l.Engine] = unverified{UnverifiedLoad: l.UnverifiedLoad, reportedAt: at}
+		r.unverified[l.Engine] = unverified{l.UnverifiedLoad, at}
 	}
 }
 
@@ -77,13 +73,6 @@
 	return r.unverified[engine].UnverifiedLoad
 }
 
-// HasVerified reports whether an agent of an engine has reported the load, or a later one of
-// the same start of the engine, as verified.
-func (r *Agents) HasVerified(engine string, l hostedrpc.UnverifiedLoad) bool {
-	verified := r.unverified[engine].verified
-	return verified.Version != 0 && verified.Born == l.Born && verified.Version >= l.Version
-}
-
 func (r *Agents) expireUnverified(now time.Time) {
 	for engine, u := range r.unverified {
 		if now.Sub(u.reportedAt) > unverifiedTTL {
--- a/internal/registry/unverified_test.go
+++ b/internal/registry/unverified_test.go
@@ -7,7 +7,6 @@
 
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/registry"
-	"almondreel.example/almondreel/internal/site"
 )
 
 // Guards against an engine whose load nobody doubts once the agent that ordered it has
@@ -108,24 +107,3 @@
 	require.True(t, ok)
 	require.EqualValues(t, 340, report.Change.EndMilliseconds)
 }
-
-// Guards against a load that is doubted by a record in the store which is older than the
-// agent's check, and against a check of an older load or start that vouches for it.
-func TestReportedCheckOutlastsItsAgent(t *testing.T) {
-	a := newAgent(1)
-	load := hostedrpc.UnverifiedLoad{Born: a.Born, Version: a.Holding.Version}
-	r := newRegistry(0)
-	found := a
-	found.Found = true
-	r.Record(found, after(0), registry.Direct)
-	require.False(t, r.HasVerified(a.EngineAddress, load), "the agent has found the load and not verified it")
-	r.Record(a, after(100), registry.Direct)
-	empty := a
-	empty.Holding = site.ServedWeights{}
-	r.Record(empty, after(200), registry.Direct)
-	r.Expire(after(60000))
-	require.True(t, r.HasVerified(a.EngineAddress, load))
-	require.False(t, r.HasVerified(a.EngineAddress, hostedrpc.UnverifiedLoad{Born: a.Born, Version: load.Version + 1}))
-	require.False(t, r.HasVerified(a.EngineAddress, hostedrpc.UnverifiedLoad{Born: a.Born + 1, Version: load.Version}))
-	require.False(t, r.HasVerified("other", hostedrpc.UnverifiedLoad{}))
-}
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -58,7 +58,6 @@
 	Engine              Engine
 	Origin              Origin
 	Peers               *PeerClient
-	Records             Records // nil: unverified loads are not recorded
 }
 
 // Agent fetches, stages and loads the weights of one engine. It is safe for
@@ -73,7 +72,6 @@
 	wanted        hostedrpc.Wanted
 	state         site.EngineState
 	loads         verification
-	record        record
 	engineUp      bool // the engine answered the last read of its state
 	engineAwaited bool // the engine has not answered since this agent started
 	members       map[string]member
@@ -139,7 +137,7 @@
 
 // Run fetches, stages and loads weights until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
-	tasks := []func(context.Context){a.pollEngine, a.reconcileLoop, a.recordLoop, a.manifestLoop, a.stageLoop}
+	tasks := []func(context.Context){a.pollEngine, a.reconcileLoop, a.manifestLoop, a.stageLoop}
 	for n := range maxFetchers {
 		tasks = append(tasks, func(ctx context.Context) { a.fetchLoop(ctx, n >= maxFetchersServing) })
 	}
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -264,15 +264,15 @@
 }
 
 const (
-	// maxReportWait bounds the wait for a gateway and the store to hear of an order before it
-	// is sent: two reports. They may be away.
+	// maxReportWait bounds the wait for a gateway to hear of an order before it is sent: two
+	// reports. Gateways may be away.
 	maxReportWait = 150 * time.Millisecond
 	reportPoll    = 5 * time.Millisecond
 )
 
 // awaitReport returns once a gateway has received a report of the order that is about to be
-// sent and the store holds its record, or after maxReportWait. If this agent is killed then,
-// gateways know that the load has to be verified, also if all of them restart.
+// sent, or after maxReportWait. If this agent is killed then, gateways remember that the
+// load has to be verified.
 func (a *Agent) awaitReport(ctx context.Context, version int64) {
 	until := time.Now().Add(maxReportWait)
 	for !a.hasReported(version) && time.Now().Before(until) && pause.For(ctx, reportPoll) {
@@ -282,7 +282,7 @@
 func (a *Agent) hasReported(version int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.reported != 0 && a.reported <= version && a.hasRecorded(version)
+	return a.reported != 0 && a.reported <= version
 }
 
 // Reported records that a gateway has received a report.
--- a/internal/weightsync/verify.go
+++ b/internal/weightsync/verify.go
@@ -152,10 +152,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.engineAwaited && l.Version != 0 {
-		a.loads.told, a.record.held = l, l
+		a.loads.told = l
 	}
 	if a.loads.foundAtStart && isLoad(a.state, l) {
-		a.loads.verified, a.loads.foundAtStart, a.record.held = loadID{}, false, l
+		a.loads.verified, a.loads.foundAtStart = loadID{}, false
 	}
 }
 
