Exact shares: less work where they are off; live gateways are listed once

The counts behind the ranks of routes were kept for every request, though only exact shares read them. The fields that come from the settings stand apart from those that only refresh uses, as limitsCold is read elsewhere.

--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -276,23 +276,20 @@
 }
 
 // liveNames returns the names of the gateways that are alive, this one included.
-func (gs *gossiper) liveNames(now time.Time) []string {
-	names := []string{}
-	for _, g := range gs.liveGateways(now) {
-		names = append(names, g.Name)
-	}
-	slices.Sort(names)
-	return names
+func (gs *gossiper) liveNames(now time.Time) []string { return sortedNames(gs.liveGateways(now)) }
+
+// slotSharers returns the gateways of live among which slots are divided: those that are
+// not stopping, and this one.
+func (gs *gossiper) slotSharers(live []hostedrpc.Gateway) []hostedrpc.Gateway {
+	return slices.DeleteFunc(slices.Clone(live), func(g hostedrpc.Gateway) bool {
+		return g.Leaving && g.Name != gs.own.Name
+	})
 }
 
-// slotSharers returns the names of the gateways among which slots are divided: those that
-// are not stopping, and this one.
-func (gs *gossiper) slotSharers(now time.Time) []string {
+func sortedNames(gateways []hostedrpc.Gateway) []string {
 	names := []string{}
-	for _, g := range gs.liveGateways(now) {
-		if !g.Leaving || g.Name == gs.own.Name {
-			names = append(names, g.Name)
-		}
+	for _, g := range gateways {
+		names = append(names, g.Name)
 	}
 	slices.Sort(names)
 	return names
@@ -329,8 +326,9 @@
 	running := gs.table.OtherLoad(now)
 	gs.mu.Unlock()
 	gs.servers.pools.SetOtherLoad(now, running)
-	gs.servers.pools.SetGateways(gs.own.Name, gs.liveNames(now))
-	gs.servers.pools.SetSlotSharers(gs.slotSharers(now))
+	live := gs.liveGateways(now)
+	gs.servers.pools.SetGateways(gs.own.Name, sortedNames(live))
+	gs.servers.pools.SetSlotSharers(sortedNames(gs.slotSharers(live)))
 	if gs.servers.limitsCold {
 		gs.mu.Lock()
 		gateways := gs.coldGateways(now)
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -32,6 +32,9 @@
 	hosting settings.Hosting
 	pools   *proxy.Pools
 
+	limitsCold bool // the settings limit requests to cold engines
+	evacuateMS int  // 0: no limit
+
 	mu          sync.Mutex
 	agents      *registry.Agents
 	listedCount int
@@ -43,11 +46,9 @@
 	applied *site.Configuration
 	// Only refresh uses the following.
 	evacuationLog evacuationLog
-	limitsCold    bool                            // the settings limit requests to cold engines
-	cold          map[string]coldstart.ColdEngine // as last logged, by server ID. Only refresh uses it.
+	cold          map[string]coldstart.ColdEngine // as last logged, by server ID
 	pauseGuard    pauseguard.Guard
 	startsHeld    bool // by pauseGuard
-	evacuateMS    int  // 0: no limit
 }
 
 // countedWeights is the version that an engine counts as serving, and where that is known
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -276,7 +276,7 @@
 		return refuseExcluded(now, r, reason), nil
 	}
 	r.submittedAt, r.bySlack = now, p.estimated(r)
-	p.starvation.count(now, r, false)
+	p.countForRank(now, r, false)
 	r.rank = p.rankOf(now, r)
 	p.countDeferred(now, r)
 	if len(p.queue) == 0 || r.Resumed {
@@ -590,7 +590,7 @@
 
 func (p *Pool) start(now time.Time, s *server, r Request) Start {
 	s.countSend(now)
-	p.starvation.count(now, r, true)
+	p.countForRank(now, r, true)
 	expectedMS := p.recordStart(now, s, r)
 	p.countStart(now, s.Region, r)
 	s.ownRunning++
--- a/internal/schedule/starvation.go
+++ b/internal/schedule/starvation.go
@@ -60,6 +60,13 @@
 	return rates.started.perSecond(now)/asked < starvedShare*s.all.started.perSecond(now)/all
 }
 
+// countForRank counts a request for the ranks, which only exact shares use.
+func (p *Pool) countForRank(now time.Time, r Request, started bool) {
+	if p.exactShares() {
+		p.starvation.count(now, r, started)
+	}
+}
+
 // rankQueue sets the rank of the queued requests among those of equal priority.
 func (p *Pool) rankQueue(now time.Time) {
 	if !p.exactShares() {
