--- a/internal/callermemory/callermemory_test.go
+++ b/internal/callermemory/callermemory_test.go
@@ -111,11 +111,31 @@
 	require.ErrorIs(t, err, errRead)
 }
 
+// Guards against the allocation of bodies that callers announce and do not send.
+func TestReadAllAllocatesWhatArrives(t *testing.T) {
+	a := callermemory.New(megabyte)
+	largest := 0
+	stalled := readerFunc(func(p []byte) (int, error) { largest = max(largest, len(p)); return 0, errRead })
+	_, err := a.Open(callermemory.Body, time.Now(), notEvicted(t)).ReadAll(t.Context(), stalled, 512*kilobyte, megabyte, time.Time{})
+	require.ErrorIs(t, err, errRead)
+	require.LessOrEqual(t, largest, 64*kilobyte+1)
+}
+
+// Guards against a temporary refusal of a body that is too large at any time.
+func TestTooLargeBodyFailsForItsLengthWhenMemoryIsExhausted(t *testing.T) {
+	a := callermemory.New(megabyte)
+	require.Equal(t, callermemory.Granted, a.Open(callermemory.Body, time.Now(), notEvicted(t)).Reserve(800*kilobyte, time.Now()))
+	body := io.MultiReader(io.LimitReader(endlessReader, megabyte), errorReader)
+	_, err := a.Open(callermemory.Body, time.Now(), notEvicted(t)).ReadAll(t.Context(), body, 8*megabyte, megabyte, time.Time{})
+	require.ErrorIs(t, err, errRead)
+}
+
 type readerFunc func([]byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
 
 var (
-	errRead               = errors.New("read")
-	errorReader io.Reader = iotest.ErrReader(errRead)
+	errRead                 = errors.New("read")
+	endlessReader io.Reader = readerFunc(func(p []byte) (int, error) { return len(p), nil })
+	errorReader   io.Reader = iotest.ErrReader(errRead)
 )
--- a/internal/callermemory/read.go
+++ b/internal/callermemory/read.go
@@ -48,18 +48,34 @@
 
 // ReadAll reads a body to its end. length is the length that the caller has announced, -1
 // if none; maxBytes is the length that r yields at most before it fails. Memory is reserved before it is
-// filled: at once if the length is known, else as the body grows.
+// filled: at once if the length is known, else as the body grows. It is allocated only
+// once a part has arrived, as a caller may announce a body and send none. A body that is
+// announced as longer than maxBytes is read into one small buffer until r fails, so that it
+// is refused for its length also when the memory is exhausted.
 func (h *Holder) ReadAll(ctx context.Context, r io.Reader, length, maxBytes int64, deadline time.Time) ([]byte, error) {
-	size, reserved := length, int64(0)
-	if length < 0 || length > maxBytes { // the latter is not read to its end
-		size = min(firstBytes, maxBytes)
+	if length > maxBytes {
+		return nil, h.readTooLarge(ctx, r, deadline)
+	}
+	announced := length >= 0
+	size, reserved := min(firstBytes, maxBytes), int64(0)
+	if announced {
+		size = min(length, smallBytes)
+		reserved = size + 1
+		if length > size {
+			reserved += length + 1
+		}
+		if err := h.Wait(ctx, reserved, deadline); err != nil {
+			return nil, err
+		}
 	}
 	var body []byte
 	for {
 		// The byte beyond the body lets its end be read without another buffer.
-		reserved += size + 1
-		if err := h.Wait(ctx, reserved, deadline); err != nil {
-			return nil, err
+		if !announced {
+			reserved += size + 1
+			if err := h.Wait(ctx, reserved, deadline); err != nil {
+				return nil, err
+			}
 		}
 		grown := make([]byte, len(body), size+1)
 		copy(grown, body)
@@ -74,6 +90,24 @@
 				return nil, err
 			}
 		}
+		if announced && size < length {
+			size = length
+			continue
+		}
+		announced = false // the body is longer than announced
 		size = min(growth*size, maxBytes)
 	}
 }
+
+// readTooLarge reads a body that is not kept until r fails.
+func (h *Holder) readTooLarge(ctx context.Context, r io.Reader, deadline time.Time) error {
+	if err := h.Wait(ctx, firstBytes, deadline); err != nil {
+		return err
+	}
+	buffer := make([]byte, firstBytes)
+	for {
+		if _, err := r.Read(buffer); err != nil {
+			return err
+		}
+	}
+}
