--- a/internal/backendproxy/engine_fuzz_test.go
+++ b/internal/backendproxy/engine_fuzz_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -38,12 +39,17 @@
 	}
 	f.Add(http.StatusServiceUnavailable, []byte(done))
 	f.Add(http.StatusInternalServerError, []byte(token+done))
-	var status int
-	var body []byte
+	type engineAnswer struct {
+		status int
+		body   []byte
+	}
+	// Atomic: the proxy may drop a connection before the handler has read the answer.
+	var current atomic.Pointer[engineAnswer]
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		w.WriteHeader(status)
-		_, _ = w.Write(body)
+		a := current.Load()
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.body)
 	}))
 	f.Cleanup(backend.Close)
 	p, tracker := newProxy(backend, settings.KindEngine, fuzzDigest)
@@ -51,7 +57,7 @@
 		if answerStatus < 200 || answerStatus > 599 {
 			return
 		}
-		status, body = answerStatus, answerBody
+		current.Store(&engineAnswer{answerStatus, answerBody})
 		answer := testDispatch{attempt: "a1", digest: string(fuzzDigest), deadline: year2100, body: []byte(`{"prompt":"x"}`)}.sendTo(p)
 		forwarded, err := io.ReadAll(answer.Body)
 		require.NoError(t, err)
