--- a/internal/callermemory/callermemory_test.go
+++ b/internal/callermemory/callermemory_test.go
@@ -118,7 +118,7 @@
 	stalled := readerFunc(func(p []byte) (int, error) { largest = max(largest, len(p)); return 0, errRead })
 	_, err := a.Open(callermemory.Body, time.Now(), notEvicted(t)).ReadAll(t.Context(), stalled, 512*kilobyte, megabyte, time.Time{})
 	require.ErrorIs(t, err, errRead)
-	require.LessOrEqual(t, largest, 64*kilobyte+1)
+	require.LessOrEqual(t, largest, 4*kilobyte+1)
 }
 
 // Guards against a temporary refusal of a body that is too large at any time.
--- a/internal/callermemory/read.go
+++ b/internal/callermemory/read.go
@@ -48,8 +48,8 @@
 
 // ReadAll reads a body to its end. length is the length that the caller has announced, -1
 // if none; maxBytes is the length that r yields at most before it fails. Memory is reserved before it is
-// filled: at once if the length is known, else as the body grows. It is allocated only
-// once a part has arrived, as a caller may announce a body and send none. A body that is
+// filled: at once if the length is known, else as the body grows. A long body is allocated
+// only once a part of it has arrived, as a caller may announce one and send none. A body that is
 // announced as longer than maxBytes is read into one small buffer until r fails, so that it
 // is refused for its length also when the memory is exhausted.
 func (h *Holder) ReadAll(ctx context.Context, r io.Reader, length, maxBytes int64, deadline time.Time) ([]byte, error) {
@@ -59,11 +59,12 @@
 	announced := length >= 0
 	size, reserved := min(firstBytes, maxBytes), int64(0)
 	if announced {
-		size = min(length, smallBytes)
-		reserved = size + 1
-		if length > size {
-			reserved += length + 1
+		if length <= smallBytes {
+			size = length
+		} else {
+			reserved = size + 1
 		}
+		reserved += length + 1
 		if err := h.Wait(ctx, reserved, deadline); err != nil {
 			return nil, err
 		}
