--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -37,6 +37,7 @@
 	ID            int64
 	Priority      int     // lower values go first
 	RoutePriority int     // decides among equal priorities with exact shares; lower values go first
+	Organisation  string  // of the caller; empty: unknown
 	Retried       bool    // an earlier attempt failed on a server
 	Resumed       bool    // part of its response was already sent to the caller
 	PromptMS      float64 // milliseconds that a server needs to process the prompt
