Exact shares: starved organisations go first until they have caught up

Under lasting overload the order by the organisation's priority left the least urgent organisations with almost nothing. Requests are now also counted by organisation; one that is started less than 0.4 times as often as all requests goes first, by age, until it has caught up. Organisations with fewer than four requests per second are evaluated over 30 s, relative to all requests of the same time. The table holds at most 1,024 organisations and drops those without a request for a minute. Without exact shares nothing changes.

TestOrganisationsWithoutRequestsAreDropped fails if nothing is dropped. The tests of priorities and starvation of routes are unchanged.

internal/schedule passes, also with -race (334 s); ./docs passes; internal/proxy has no tests.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -310,6 +310,7 @@
 	request := schedule.Request{
 		Priority:      e.priority,
 		RoutePriority: e.route.Priority,
+		Organisation:  e.organisation,
 		Resumed:       e.response.begun(),
 		Retried:       e.serversTried > 0,
 		PromptMS:      e.promptMS(),
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -56,6 +56,7 @@
 
 	submittedAt time.Time // set by Submit
 	rank        int       // among requests of equal priority; set by Submit and rankQueue
+	starved     bool      // its organisation is; set by Submit and rankQueue
 	bySlack     bool      // set by Submit: queued by the latest time to start, not by target
 }
 
@@ -278,7 +279,7 @@
 	}
 	r.submittedAt, r.bySlack = now, p.estimated(r)
 	p.countForRank(now, r, false)
-	r.rank = p.rankOf(now, r)
+	r = p.ranked(now, r)
 	p.countDeferred(now, r)
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
@@ -565,10 +566,11 @@
 // pastTarget reports whether the request's target has passed.
 func (r Request) pastTarget(now time.Time) bool { return now.After(r.AnswerBy) }
 
-// compareRequests orders the queue: resumed requests, then retried ones, then by
-// priority, with requests past their target last, and by target. If slots are
-// scarce, a caller that was refused before therefore comes after new ones: in the
-// opposite order all requests would miss their target.
+// compareRequests orders the queue: resumed requests, then retried ones, then those of
+// starved organisations by age, then by priority, with requests past their target last, and
+// by target. If slots are scarce, a caller that was refused before therefore comes after new
+// ones: in the opposite order all requests would miss their target. A request past its target
+// has no precedence even if its organisation is starved, since its answer would be late.
 func compareRequests(now time.Time, a, b Request) int {
 	stage := func(r Request) int {
 		switch {
@@ -585,7 +587,18 @@
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(stage(a), stage(b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank, b.rank),
+	if order := cmp.Compare(stage(a), stage(b)); order != 0 {
+		return order
+	}
+	switch firstA, firstB := a.starved && late(a) == 0, b.starved && late(b) == 0; {
+	case firstA && firstB:
+		return cmp.Or(a.ArrivedAt.Compare(b.ArrivedAt), cmp.Compare(a.ID, b.ID))
+	case firstA:
+		return -1
+	case firstB:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank, b.rank),
 		cmp.Compare(late(a), late(b)), a.startBy().Compare(b.startBy()), cmp.Compare(a.ID, b.ID))
 }
 
@@ -749,12 +762,15 @@
 	current  float64 // events of the current second
 }
 
-func (w *rateWindow) advance(now time.Time) {
+func (w *rateWindow) advance(now time.Time) { w.advanceBy(now, time.Second) }
+
+// advanceBy is advance for windows of another length.
+func (w *rateWindow) advanceBy(now time.Time, length time.Duration) {
 	switch elapsed := now.Sub(w.openedAt); {
-	case elapsed >= 2*time.Second:
+	case elapsed >= 2*length:
 		w.openedAt, w.previous, w.current = now, 0, 0
-	case elapsed >= time.Second:
-		w.openedAt, w.previous, w.current = w.openedAt.Add(time.Second), w.current, 0
+	case elapsed >= length:
+		w.openedAt, w.previous, w.current = w.openedAt.Add(length), w.current, 0
 	}
 }
 
--- a/internal/schedule/starvation.go
+++ b/internal/schedule/starvation.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// With exact shares the priority of the route decides among requests of equal priority of
-// the organisation. Under a long overload the least urgent routes would then get nothing,
-// so a route priority that is served much less often than all others goes first until it
-// has caught up.
+// With exact shares the queue is ordered by the priority of the organisation, then by that of
+// the route. Under a long overload the least urgent ones would then get nothing. Therefore an
+// organisation that is served much less often than all others goes first until it has caught
+// up, and so does a route priority among requests of equal priority of the organisation.
 
 const (
 	// starvedShare is the fraction of the rate at which all requests are started, below
@@ -18,11 +18,12 @@
 // routeRates counts the requests of one route priority.
 type routeRates struct{ asked, started rateWindow }
 
-// starvation tells which route priorities are starved. It counts requests once, whatever
-// number of servers they are sent to.
+// starvation tells which route priorities and organisations are starved. It counts requests
+// once, whatever number of servers they are sent to.
 type starvation struct {
-	rates map[int]*routeRates // by route priority
-	all   routeRates
+	rates         map[int]*routeRates // by route priority
+	all           routeRates
+	organisations organisationTable
 }
 
 func (s *starvation) count(now time.Time, r Request, started bool) {
@@ -44,6 +45,7 @@
 			counted.asked.add(now)
 		}
 	}
+	s.organisations.count(now, r.Organisation, started)
 }
 
 // starved reports whether requests of a route priority are started much less often than
@@ -67,16 +69,23 @@
 	}
 }
 
-// rankQueue sets the rank of the queued requests among those of equal priority.
+// rankQueue ranks the queued requests.
 func (p *Pool) rankQueue(now time.Time) {
 	if !p.exactShares() {
 		return
 	}
 	for i := range p.queue {
-		p.queue[i].rank = p.rankOf(now, p.queue[i])
+		p.queue[i] = p.ranked(now, p.queue[i])
 	}
 }
 
+// ranked returns a request with its rank, and with whether its organisation is starved.
+func (p *Pool) ranked(now time.Time, r Request) Request {
+	r.rank = p.rankOf(now, r)
+	r.starved = p.exactShares() && p.starvation.organisations.starved(now, r.Organisation)
+	return r
+}
+
 // rankOf returns the rank of a request among those of equal priority: 0 without exact
 // shares.
 func (p *Pool) rankOf(now time.Time, r Request) int {
--- a/internal/schedule/starvation_test.go
+++ b/internal/schedule/starvation_test.go
@@ -23,6 +23,7 @@
 	requests      map[int64]shortageRequest
 	asked, served map[string]int // by class of request; "all": of all requests
 	next          int64
+	anonymous     bool // requests do not name their organisation
 }
 
 type organisation struct {
@@ -54,9 +55,12 @@
 }
 
 func newShortage(gateways, engineCount int, organisations []organisation) *shortage {
+	return newShortageOf(sharingPools(true, gateways, engines(engineCount)), organisations)
+}
+
+func newShortageOf(pools []*schedule.Pool, organisations []organisation) *shortage {
 	sim := &shortage{
-		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(5, 11)), organisations: organisations,
-		pools:    sharingPools(true, gateways, engines(engineCount)),
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(5, 11)), organisations: organisations, pools: pools,
 		requests: map[int64]shortageRequest{}, asked: map[string]int{}, served: map[string]int{},
 	}
 	sim.every(10*time.Millisecond, func() {
@@ -103,6 +107,12 @@
 		}
 	}
 	next()
+	sim.advance(seconds)
+}
+
+// advance runs the simulation for some seconds.
+func (sim *shortage) advance(seconds float64) {
+	until := sim.now.Add(time.Duration(seconds * float64(time.Second)))
 	for sim.events[0].at.Before(until) {
 		e := heap.Pop(&sim.events).(event)
 		sim.now = e.at
@@ -116,11 +126,18 @@
 	from, gateway := sim.pickOrganisation(), sim.random.IntN(len(sim.pools))
 	r := generation(sim.next, sim.now)
 	r.Organisation, r.Priority, r.RoutePriority = from.name, from.priority, sim.random.IntN(3)
+	if sim.anonymous {
+		r.Organisation = ""
+	}
 	classes := []string{"all", from.name, fmt.Sprint("priority ", from.priority), fmt.Sprint("route priority ", r.RoutePriority)}
 	for _, class := range classes {
 		sim.asked[class]++
 	}
 	sim.requests[r.ID] = shortageRequest{gateway, classes}
+	sim.start(gateway, r)
+}
+
+func (sim *shortage) start(gateway int, r schedule.Request) {
 	decision, others := sim.pools[gateway].Submit(sim.now, r)
 	sim.take(gateway, append(others, schedule.Resolved{ID: r.ID, Decision: decision}))
 }
@@ -204,3 +221,74 @@
 		}
 	}
 }
+
+// Guards against organisations that are never protected, because the table of organisations
+// is full of those that no longer send requests.
+func TestOrganisationsWithoutRequestsAreDropped(t *testing.T) {
+	sim := newShortage(1, 8, unequalOrganisations(func(n int) int { return n % 3 }))
+	for n := range 3000 {
+		r := generation(int64(-1-n), sim.now)
+		r.Organisation = fmt.Sprint("former organisation ", n)
+		sim.start(0, r)
+		sim.pools[0].Withdraw(r.ID)
+	}
+	sim.advance(61)
+	sim.load(30, 2*13*8/holdSeconds)
+	for _, o := range sim.organisations {
+		require.GreaterOrEqual(t, sim.share(o.name), sim.share("all")/4, o.name)
+	}
+}
+
+// Guards against a change of the order at gateways without exact shares.
+func TestWithoutExactSharesOrganisationsAreNotProtected(t *testing.T) {
+	served := func(anonymous bool) map[string]int {
+		sim := newShortageOf(sharingPools(false, 4, engines(8)), unequalOrganisations(func(n int) int { return n % 3 }))
+		sim.anonymous = anonymous
+		sim.load(10, 2*13*8/holdSeconds)
+		return sim.served
+	}
+	require.Equal(t, served(true), served(false))
+}
+
+// Guards against an organisation that is served as often as others and still goes before
+// more urgent ones.
+func TestOnlyStarvedOrganisationGoesFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		unserved int // earlier requests of the less urgent organisation
+		first    int64
+	}{
+		"served":  {0, 1},
+		"starved": {20, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			pool := sharingPools(true, 1, engines(1))[0]
+			submit := func(id int64, organisation string, priority int) schedule.Decision {
+				r := generation(id, now)
+				r.Organisation, r.Priority = organisation, priority
+				decision, _ := pool.Submit(now, r)
+				return decision
+			}
+			for n := range int64(13) {
+				organisation := "urgent"
+				if n == 0 {
+					organisation = "other"
+				}
+				require.IsType(t, schedule.Start{}, submit(100+n, organisation, 0))
+			}
+			for n := range int64(c.unserved) {
+				submit(200+n, "other", 2)
+				pool.Withdraw(200 + n)
+			}
+			require.IsType(t, schedule.Wait{}, submit(1, "urgent", 0))
+			require.IsType(t, schedule.Wait{}, submit(2, "other", 2))
+			var started []int64
+			for range 2 {
+				for _, r := range pool.Ended(now, "engine-0", schedule.Finished, 1) {
+					started = append(started, r.ID)
+				}
+			}
+			require.Equal(t, []int64{c.first, 3 - c.first}, started)
+		})
+	}
+}
