Exact shares: choosing a server walks the servers once

hasNoShare walked all servers, with their availability, before each choice of a server, and the choice did so again. The loop that chooses now also finds whether an available server has a share, and keeps the best server with room apart until it knows. If a server with room and one that is not full have the same load, the latter is chosen, where it was the first by ID.

The new test fails, with TestExactSharesAddUpToTheSlots, if the room of servers before the first one with a share is used.

--- a/internal/schedule/bench_test.go
+++ b/internal/schedule/bench_test.go
@@ -92,3 +92,27 @@
 		}
 	}
 }
+
+// BenchmarkSubmitWithoutShare submits at a gateway that has no share of the slots of any
+// server, as at a site with more gateways than slots.
+func BenchmarkSubmitWithoutShare(b *testing.B) {
+	names := []string{}
+	for n := range 40 {
+		names = append(names, fmt.Sprint("gateway-", n))
+	}
+	for _, count := range poolSizes {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			p := schedule.NewPool(schedule.Options{Region: "region-0", ExactShares: true})
+			p.SetGateways("gateway-without-share", names)
+			p.SetSlotSharers(names)
+			p.SetServers(startTime, makeServers(count))
+			b.ReportAllocs()
+			for b.Loop() {
+				decision, _ := p.Submit(startTime, generation(1, startTime))
+				if s, ok := decision.(schedule.Start); ok {
+					p.Ended(startTime, s.Server.ID, schedule.Finished, 0)
+				}
+			}
+		})
+	}
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -640,17 +640,24 @@
 const promptLoadWeight = 1.0 / 400
 
 // chooseServer returns the available server with the lowest load, or nil if there is
-// none.
+// none. Under exact shares a gateway that has no share of any available server also uses
+// those that are full by its share but have room.
 func (p *Pool) chooseServer(now time.Time, r Request) *server {
 	if p.endsBeforeAnswer(now, r) || p.outdated(now) {
 		return nil
 	}
-	var best *server
-	lowest := math.Inf(1)
+	var best, roomy *server // of those that are not full, and of those that are but have room
+	lowest, lowestRoomy := math.Inf(1), math.Inf(1)
 	newest, reserved := p.newestVersion(), p.reservations(now, r)
-	estimated, shareless := p.estimated(r), p.hasNoShare(now, r)
+	estimated := p.estimated(r)
+	shared := !r.Generates || !p.exactShares() // whether servers that are full are out of question
 	for _, s := range p.order {
-		if !p.available(now, s, r) || p.full(now, s, r) && !(shareless && p.hasRoom(now, s, r)) {
+		if !p.available(now, s, r) {
+			continue
+		}
+		shared = shared || p.slotShare(s) > 0
+		full := p.full(now, s, r)
+		if full && (shared || !p.hasRoom(now, s, r)) {
 			continue
 		}
 		var load float64
@@ -674,10 +681,16 @@
 		case slices.Contains(r.Rejected, s.ID):
 			load += rejectedPenalty
 		}
-		if load < lowest {
+		switch {
+		case full && load < lowestRoomy:
+			roomy, lowestRoomy = s, load
+		case !full && load < lowest:
 			best, lowest = s, load
 		}
 	}
+	if !shared && lowestRoomy < lowest {
+		best = roomy
+	}
 	if best != nil && slices.Contains(r.Failed, best.ID) && p.waitsForRecovery(now, r) {
 		return nil
 	}
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -92,19 +92,9 @@
 // has no room for more.
 func (p *Pool) waitsForShare() bool { return len(p.queue) > 0 && p.exactShares() }
 
-// hasNoShare reports whether exact shares leave this gateway no slot of any server that is
-// available for the request. With more gateways than slots, it may have shares only of
-// servers that are evacuated, cold or in other regions, or none at all.
-func (p *Pool) hasNoShare(now time.Time, r Request) bool {
-	if !r.Generates || !p.exactShares() {
-		return false
-	}
-	return !slices.ContainsFunc(p.order, func(s *server) bool {
-		return p.available(now, s, r) && p.slotShare(s) > 0
-	})
-}
-
-// hasRoom reports whether a gateway without a share may have one request at a server. All
+// hasRoom reports whether a gateway that has no share of any available server may have one
+// request at a server. With more gateways than slots, it may have shares only of servers that
+// are evacuated, cold or in other regions, or none at all. All
 // such gateways may start one at the same time, so it is only one, and only while the known
 // requests are below the limit of borrowed slots.
 func (p *Pool) hasRoom(now time.Time, s *server, r Request) bool {
--- a/internal/schedule/shares_test.go
+++ b/internal/schedule/shares_test.go
@@ -238,3 +238,35 @@
 		require.LessOrEqual(t, started, 7, "gateway %d", n)
 	}
 }
+
+// Load: two requests at a gateway that has a share of the last server only. Guards against a
+// gateway that exceeds its share of the servers before it as if it had none at all.
+func TestGatewayWithAShareOfTheLastServerUsesNoRoomElsewhere(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hasShare := func(gateway int, s schedule.Server) bool {
+		pool := sharingPools(true, 16, []schedule.Server{s})[gateway]
+		pool.SetOtherLoad(now, map[string]int{s.ID: 12})
+		decision, _ := pool.Submit(now, generation(1, now))
+		_, started := decision.(schedule.Start)
+		return started
+	}
+	servers, tested := engines(2), 0
+	for gateway, pool := range sharingPools(true, 16, servers) {
+		if hasShare(gateway, servers[0]) || !hasShare(gateway, servers[1]) {
+			continue
+		}
+		tested++
+		decision, _ := pool.Submit(now, generation(1, now))
+		require.IsType(t, schedule.Start{}, decision)
+		require.Equal(t, servers[1].ID, decision.(schedule.Start).Server.ID)
+		decision, _ = pool.Submit(now, generation(2, now))
+		require.IsType(t, schedule.Wait{}, decision)
+
+		evacuated := engines(2)
+		evacuated[1].Evacuated = true
+		resolved := pool.SetServers(now, evacuated)
+		require.Len(t, resolved, 1, "no available server has a share")
+		require.Equal(t, servers[0].ID, resolved[0].Decision.(schedule.Start).Server.ID)
+	}
+	require.Positive(t, tested)
+}
