Exact shares: counters and events of starvation and of borrowed slots

Nothing told an operator whom a shortage starves, what the protection costs, or whether slots stay unused because of the shares. StarvedStarts counts requests that started before others only because their organisation or route priority was starved, BorrowedStarts those beyond the gateway's share, ShareDeferred those queued while an engine had a free slot of another gateway. Events 2038 and 2039 name an organisation or route priority that became starved or has caught up, with the rates, once a second at the most. Without exact shares the counters stay 0.

internal/schedule, internal/hosted, internal/event and ./docs pass; internal/hosted with -race, and the tests of organisations and counters of internal/schedule with -race, pass. The programs' tests were not run.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -50,6 +50,8 @@
 	ServerCold
 	ServerNotCold
 	FieldImplausible
+	StarvationBegan
+	StarvationEnded
 )
 
 // Events of the distribution of weights: 3000 to 3099.
@@ -155,6 +157,8 @@
 	ServerCold:            "backend server became cold: its requests are limited",
 	ServerNotCold:         "backend server is no longer cold",
 	FieldImplausible:      "metadata store entry has a field with an implausible value",
+	StarvationBegan:       "requests of an organisation or route priority are starved: they go first",
+	StarvationEnded:       "starved organisation or route priority has caught up",
 
 	TransferStarted:      "transfer of a model started",
 	TransferVerified:     "transfer complete and verified",
--- a/internal/hosted/export_test.go
+++ b/internal/hosted/export_test.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/mirror"
 	"almondreel.example/almondreel/internal/registry"
+	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/internal/site"
 	"almondreel.example/almondreel/platform"
@@ -81,3 +83,19 @@
 
 // Until returns the deadline of a server; zero: it is not cold.
 func (d ColdDeadlines) Until(key string) time.Time { return d.deadlines[key].until }
+
+// StarvationLog exposes which changes of starvation are logged.
+type StarvationLog struct{ log starvationLog }
+
+// Next returns the event to be logged, the rate that it names and the number of others; 0 if
+// there is none.
+func (l *StarvationLog) Next(now time.Time, services map[string][]schedule.ServedRate) (event.Number, schedule.ServedRate, int) {
+	if !l.log.due(now) {
+		return 0, schedule.ServedRate{}, 0
+	}
+	c, ok := l.log.next(now, services)
+	if !ok {
+		return 0, schedule.ServedRate{}, 0
+	}
+	return c.number, c.rate, c.others
+}
--- a/internal/hosted/servers.go
+++ b/internal/hosted/servers.go
@@ -47,6 +47,7 @@
 	// Only refresh uses the following.
 	evacuationLog evacuationLog
 	cold          map[string]coldstart.ColdEngine // as last logged, by server ID
+	starvationLog starvationLog
 	pauseGuard    pauseguard.Guard
 	startsHeld    bool // by pauseGuard
 }
@@ -114,6 +115,7 @@
 	t.guardPauses(now)
 	t.evacuationLog.record(t.evacuations(), t.hosting.Places, t.mirror.Revision())
 	t.logCold(now)
+	t.recordShortage(now)
 	if count != t.listedCount {
 		t.listedCount = count
 		event.Log(event.ServersChanged, "Listed", count, "Revision", t.mirror.Revision())
--- a/internal/schedule/organisations.go
+++ b/internal/schedule/organisations.go
@@ -108,17 +108,27 @@
 
 // owed returns the requests that an organisation is behind its protected rate.
 func (t *organisationTable) owed(now time.Time, r *organisationRates) float64 {
-	if asked := r.asked.perSecond(now); asked >= minAskedPerSecond {
-		return owedOf(asked, r.started.perSecond(now), t.all.asked.perSecond(now), t.all.started.perSecond(now))
+	rate, seconds := t.rate(now, r)
+	if rate.AllAskedPerSecond <= 0 {
+		return 0
 	}
-	return owedOf(r.askedLately.count(now), r.startedLately.count(now), t.all.askedLately.count(now), t.all.startedLately.count(now))
+	protected := starvedOrganisationShare * rate.AskedPerSecond * min(1, rate.AllStartedPerSecond/rate.AllAskedPerSecond)
+	return (protected - rate.StartedPerSecond) * seconds
 }
 
-func owedOf(asked, started, allAsked, allStarted float64) float64 {
-	if allAsked <= 0 {
-		return 0
+// rate returns the rates by which an organisation is evaluated, and the seconds over which
+// they were counted.
+func (t *organisationTable) rate(now time.Time, r *organisationRates) (rate ServedRate, seconds float64) {
+	if asked := r.asked.perSecond(now); asked >= minAskedPerSecond {
+		return ServedRate{
+			AskedPerSecond: asked, StartedPerSecond: r.started.perSecond(now),
+			AllAskedPerSecond: t.all.asked.perSecond(now), AllStartedPerSecond: t.all.started.perSecond(now),
+		}, 1
 	}
-	return starvedOrganisationShare*asked*min(1, allStarted/allAsked) - started
+	return ServedRate{
+		AskedPerSecond: r.askedLately.perSecond(now), StartedPerSecond: r.startedLately.perSecond(now),
+		AllAskedPerSecond: t.all.askedLately.perSecond(now), AllStartedPerSecond: t.all.startedLately.perSecond(now),
+	}, organisationWindow.Seconds()
 }
 
 // longWindow counts the events of the last organisationWindow.
@@ -129,7 +139,8 @@
 	w.window.current++
 }
 
-func (w *longWindow) count(now time.Time) float64 {
+func (w *longWindow) perSecond(now time.Time) float64 {
 	w.window.advanceBy(now, organisationWindow)
-	return w.window.current + w.window.previous*(1-now.Sub(w.window.openedAt).Seconds()/organisationWindow.Seconds())
+	seconds := organisationWindow.Seconds()
+	return (w.window.current + w.window.previous*(1-now.Sub(w.window.openedAt).Seconds()/seconds)) / seconds
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -117,6 +117,7 @@
 	gateways     []string  // that share rate limits
 	sharers      []string  // gateways among which the slots of engines are divided
 	starvation   starvation
+	shortage     ShortageCounts // since TakeShortageCounts
 	estimates    estimates
 	regions      map[string]*regionRates
 	evacuation   bool // a listed server is evacuated
@@ -303,6 +304,9 @@
 		decision = s.Decision
 		return true
 	})
+	if _, waits := decision.(Wait); waits {
+		p.countShareWait(now, r)
+	}
 	return decision, others
 }
 
@@ -546,7 +550,9 @@
 	slices.SortFunc(p.queue, func(a, b Request) int { return compareRequests(now, a, b) })
 	var out []Resolved
 	var waiting blocked
+	next := 0 // index of the request behind r; DeleteFunc moves none from there on
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
+		next++
 		if waiting.covers(r) {
 			return false
 		}
@@ -557,6 +563,7 @@
 			}
 			return false
 		}
+		p.countStarvedStart(now, r, p.queue[next:])
 		out = append(out, Resolved{r.ID, p.start(now, s, r)})
 		return true
 	})
@@ -605,6 +612,7 @@
 func (p *Pool) start(now time.Time, s *server, r Request) Start {
 	s.countSend(now)
 	p.countForRank(now, r, true)
+	p.countBorrowed(s, r)
 	expectedMS := p.recordStart(now, s, r)
 	p.countStart(now, s.Region, r)
 	s.ownRunning++
