--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -37,6 +37,7 @@
 	ID            int64
 	Priority      int     // lower values go first
 	RoutePriority int     // decides among equal priorities with exact shares; lower values go first
+	Organisation  string  // of the caller; empty: unknown
 	Retried       bool    // an earlier attempt failed on a server
 	Resumed       bool    // part of its response was already sent to the caller
 	PromptMS      float64 // milliseconds that a server needs to process the prompt
@@ -55,6 +56,7 @@
 
 	submittedAt time.Time // set by Submit
 	rank        int       // among requests of equal priority; set by Submit and rankQueue
+	starved     bool      // its organisation is; set by Submit and rankQueue
 	bySlack     bool      // set by Submit: queued by the latest time to start, not by target
 }
 
@@ -115,6 +117,7 @@
 	gateways     []string  // that share rate limits
 	sharers      []string  // gateways among which the slots of engines are divided
 	starvation   starvation
+	shortage     ShortageCounts // since TakeShortageCounts
 	estimates    estimates
 	regions      map[string]*regionRates
 	evacuation   bool // a listed server is evacuated
@@ -277,7 +280,7 @@
 	}
 	r.submittedAt, r.bySlack = now, p.estimated(r)
 	p.countForRank(now, r, false)
-	r.rank = p.rankOf(now, r)
+	r = p.ranked(now, r)
 	p.countDeferred(now, r)
 	if len(p.queue) == 0 || r.Resumed {
 		if s := p.chooseServer(now, r); s != nil {
@@ -301,6 +304,9 @@
 		decision = s.Decision
 		return true
 	})
+	if _, waits := decision.(Wait); waits {
+		p.countShareWait(now, r)
+	}
 	return decision, others
 }
 
@@ -544,7 +550,9 @@
 	slices.SortFunc(p.queue, func(a, b Request) int { return compareRequests(now, a, b) })
 	var out []Resolved
 	var waiting blocked
+	next := 0 // index of the request behind r; DeleteFunc moves none from there on
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
+		next++
 		if waiting.covers(r) {
 			return false
 		}
@@ -555,6 +563,7 @@
 			}
 			return false
 		}
+		p.countStarvedStart(now, r, p.queue[next:])
 		out = append(out, Resolved{r.ID, p.start(now, s, r)})
 		return true
 	})
@@ -564,10 +573,11 @@
 // pastTarget reports whether the request's target has passed.
 func (r Request) pastTarget(now time.Time) bool { return now.After(r.AnswerBy) }
 
-// compareRequests orders the queue: resumed requests, then retried ones, then by
-// priority, with requests past their target last, and by target. If slots are
-// scarce, a caller that was refused before therefore comes after new ones: in the
-// opposite order all requests would miss their target.
+// compareRequests orders the queue: resumed requests, then retried ones, then those of
+// starved organisations by age, then by priority, with requests past their target last, and
+// by target. If slots are scarce, a caller that was refused before therefore comes after new
+// ones: in the opposite order all requests would miss their target. A request past its target
+// has no precedence even if its organisation is starved, since its answer would be late.
 func compareRequests(now time.Time, a, b Request) int {
 	stage := func(r Request) int {
 		switch {
@@ -584,13 +594,25 @@
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(stage(a), stage(b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank, b.rank),
+	if order := cmp.Compare(stage(a), stage(b)); order != 0 {
+		return order
+	}
+	switch firstA, firstB := a.starved && late(a) == 0, b.starved && late(b) == 0; {
+	case firstA && firstB:
+		return cmp.Or(a.ArrivedAt.Compare(b.ArrivedAt), cmp.Compare(a.ID, b.ID))
+	case firstA:
+		return -1
+	case firstB:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank, b.rank),
 		cmp.Compare(late(a), late(b)), a.startBy().Compare(b.startBy()), cmp.Compare(a.ID, b.ID))
 }
 
 func (p *Pool) start(now time.Time, s *server, r Request) Start {
 	s.countSend(now)
 	p.countForRank(now, r, true)
+	p.countBorrowed(s, r)
 	expectedMS := p.recordStart(now, s, r)
 	p.countStart(now, s.Region, r)
 	s.ownRunning++
@@ -626,17 +648,24 @@
 const promptLoadWeight = 1.0 / 400
 
 // chooseServer returns the available server with the lowest load, or nil if there is
-// none.
+// none. Under exact shares a gateway that has no share of any available server also uses
+// those that are full by its share but have room.
 func (p *Pool) chooseServer(now time.Time, r Request) *server {
 	if p.endsBeforeAnswer(now, r) || p.outdated(now) {
 		return nil
 	}
-	var best *server
-	lowest := math.Inf(1)
+	var best, roomy *server // of those that are not full, and of those that are but have room
+	lowest, lowestRoomy := math.Inf(1), math.Inf(1)
 	newest, reserved := p.newestVersion(), p.reservations(now, r)
-	estimated, shareless := p.estimated(r), p.hasNoShare(now, r)
+	estimated := p.estimated(r)
+	shared := !r.Generates || !p.exactShares() // whether servers that are full are out of question
 	for _, s := range p.order {
-		if !p.available(now, s, r) || p.full(now, s, r) && !(shareless && p.hasRoom(now, s, r)) {
+		if !p.available(now, s, r) {
+			continue
+		}
+		shared = shared || p.slotShare(s) > 0
+		full := p.full(now, s, r)
+		if full && (shared || !p.hasRoom(now, s, r)) {
 			continue
 		}
 		var load float64
@@ -660,10 +689,16 @@
 		case slices.Contains(r.Rejected, s.ID):
 			load += rejectedPenalty
 		}
-		if load < lowest {
+		switch {
+		case full && load < lowestRoomy:
+			roomy, lowestRoomy = s, load
+		case !full && load < lowest:
 			best, lowest = s, load
 		}
 	}
+	if !shared && lowestRoomy < lowest {
+		best = roomy
+	}
 	if best != nil && slices.Contains(r.Failed, best.ID) && p.waitsForRecovery(now, r) {
 		return nil
 	}
@@ -748,12 +783,15 @@
 	current  float64 // events of the current second
 }
 
-func (w *rateWindow) advance(now time.Time) {
+func (w *rateWindow) advance(now time.Time) { w.advanceBy(now, time.Second) }
+
+// advanceBy is advance for windows of another length.
+func (w *rateWindow) advanceBy(now time.Time, length time.Duration) {
 	switch elapsed := now.Sub(w.openedAt); {
-	case elapsed >= 2*time.Second:
+	case elapsed >= 2*length:
 		w.openedAt, w.previous, w.current = now, 0, 0
-	case elapsed >= time.Second:
-		w.openedAt, w.previous, w.current = w.openedAt.Add(time.Second), w.current, 0
+	case elapsed >= length:
+		w.openedAt, w.previous, w.current = w.openedAt.Add(length), w.current, 0
 	}
 }
 
