Estimates: gateways prefer different engines

Gateways see counts that are up to a gossip round old. With estimates they all chose the same engines in that time. The cost of an engine now has a factor of 1 to 2 that differs by engine and gateway. A gateway alone chooses as before.

The simulation of passes can send requests to which exact shares apply; those of other tests are unchanged.

--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"almondreel.example/almondreel/internal/enginemodel"
 )
 
@@ -37,6 +39,8 @@
 	// occupancyMS is added for a full server, and in proportion for others. Other gateways'
 	// counts are up to a gossip round old, so a server that looks nearly full may be full.
 	occupancyMS = 100
+	// preferenceSpread is the range of the factors by which gateways prefer servers.
+	preferenceSpread = 1
 	// unreadShare is the fraction of running requests whose responses have not started, as
 	// long as this gateway runs too few to tell: 1.5 passes of 7 steps and 106 steps.
 	unreadShare = 0.09
@@ -69,7 +73,21 @@
 		imposed := e.AddedDelayMS - e.RunningDelayMS + inPauses
 		cost += excess * min(imposed, pauseTargetMS*(load.Running+load.Pending))
 	}
-	return cost * promptLoadWeight
+	return cost * p.preference(s) * promptLoadWeight
+}
+
+// preference returns a factor of a server's cost, from 1 to 1 + preferenceSpread, which differs
+// between gateways. Counts of running requests are up to a gossip round old, so gateways that
+// see the same costs would all send to the same servers in that time.
+func (p *Pool) preference(s *server) float64 {
+	if len(p.sharers) < 2 {
+		return 1
+	}
+	if s.preference == 0 {
+		hash := xxhash.Sum64String(s.ID + "\x00" + p.ownName)
+		s.preference = 1 + preferenceSpread*float64(hash>>11)/(1<<53)
+	}
+	return s.preference
 }
 
 // figuresOf returns the figures of a server for a request.
--- a/internal/schedule/estimate_simulation_test.go
+++ b/internal/schedule/estimate_simulation_test.go
@@ -37,6 +37,7 @@
 	figures enginemodel.Figures
 	// requestFigures are the figures that the gateways know.
 	requestFigures enginemodel.Figures
+	generates      bool // the requests are for engines, so that exact shares apply
 	pools          []*schedule.Pool
 	engines        []*passEngine
 	events         events
@@ -137,7 +138,7 @@
 	r := &passRequest{gateway: gateway, prompt: prompt, answer: answer, arrivedAt: sim.now, request: schedule.Request{
 		ID: sim.next, PromptMS: float64(prompt) / sim.figures.ReadPerMS, BaseLatencyMS: 110, ArrivedAt: sim.now,
 		AnswerBy: sim.now.Add(target), Deadline: sim.now.Add(6 * time.Second),
-		Prompt: enginemodel.Prompt{Tokens: prompt}, Figures: sim.requestFigures,
+		Prompt: enginemodel.Prompt{Tokens: prompt}, Figures: sim.requestFigures, Generates: sim.generates,
 	}}
 	sim.requests[r.request.ID] = r
 	sim.submitted = append(sim.submitted, r)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -146,8 +146,9 @@
 	limitedSince time.Time // when the server first stated a rate limit
 	nextSendAt   time.Time // when its rate limit allows this gateway's next request, on average
 
-	work ownWork
-	cold *coldstart.Engine // nil: cold servers are not limited
+	work       ownWork
+	preference float64           // 0: not computed yet
+	cold       *coldstart.Engine // nil: cold servers are not limited
 }
 
 // NewPool returns a pool without servers.
