Soak of planned stops: cold engines, evacuations and home regions

Cold engines, evacuations and home regions had separate tests only, beside no stops, drains, versions or odd entries. Checked from when all gateways must know: the requests a cold engine gets within a second, arrivals in evacuated data centres, arrivals outside the regions, and refusals that name an evacuation or a region without one. The last engine is left out, whose entry the odd entries replace.

--- a/test/hosting/coldstart_test.go
+++ b/test/hosting/coldstart_test.go
@@ -21,6 +21,8 @@
 	coldPerSecond = 8
 	coldOverage   = 1.5
 	coldTolerance = 2
+	// coldBound is the number of requests that a cold engine may get within a second.
+	coldBound = int(coldPerSecond*coldOverage + coldTolerance)
 	// coldLearnedIn is the time from the entry of a cold engine until all gateways must know
 	// of it. The store's changes reach them within 400 ms.
 	coldLearnedIn = time.Second
@@ -90,20 +92,26 @@
 				got = append(got, at)
 			}
 		}
-		most := 0
-		for first := range got {
-			last := first
-			for last < len(got) && got[last].Sub(got[first]) < time.Second {
-				last++
-			}
-			most = max(most, last-first)
-		}
+		most := mostPerSecond(got)
 		s.t.Logf("cold engine %d: %d requests in %s, at most %d within a second", n, len(got), end.Sub(began), most)
-		require.LessOrEqual(s.t, float64(most), coldPerSecond*coldOverage+coldTolerance)
+		require.LessOrEqual(s.t, most, coldBound)
 		require.GreaterOrEqual(s.t, float64(len(got)), coldPerSecond*end.Sub(began).Seconds()/2, "the rate is left unused")
 	}
 }
 
+// mostPerSecond returns the largest number of requests within a second, by their times in order.
+func mostPerSecond(at []time.Time) int {
+	most := 0
+	for first := range at {
+		last := first
+		for last < len(at) && at[last].Sub(at[first]) < time.Second {
+			last++
+		}
+		most = max(most, last-first)
+	}
+	return most
+}
+
 // Guards against a backlog that a suspended gateway sends at once when it resumes: requests in
 // its queue, and those that had a slot but were not on their way. All engines are cold and all
 // gateways have more requests than the engines accept.
--- a/test/hosting/stopcheck_test.go
+++ b/test/hosting/stopcheck_test.go
@@ -281,17 +281,21 @@
 	s.t.Helper()
 	j := s.newJudge(gateways)
 	problems := map[string][]string{} // by kind
-	answered, refused, unanswered, late, ended, withdrawn := 0, 0, 0, 0, 0, 0
+	answered, refused, excluded, unanswered, late, ended, withdrawn, further := 0, 0, 0, 0, 0, 0, 0, 0
 	for _, o := range s.outcomes {
 		if p := j.problem(o); p != "" {
 			problems[p] = append(problems[p], fmt.Sprintf("%s (key %s, budget %q) to %s: status %d, %v, body %q, began %s, sent %s, ended %s, runs %s%s", o.Attempt, o.key, o.budget, o.gateway,
 				o.Status, o.Err, o.Body, o.began.Format(logTimeLayout), o.Sent.Format(logTimeLayout), o.ended.Format(logTimeLayout), describe(j.runs[o.Attempt]), j.surroundings(o)))
 		}
 		switch {
+		case strings.HasPrefix(o.Attempt, burstPrefix), o.began.After(s.injected.calmSince):
+			further++
 		case o.answered():
 			answered++
 		case o.halfClosed, o.Status == http.StatusNotFound, o.Status == http.StatusUnauthorized:
 			withdrawn++
+		case s.noEngineRemained(o):
+			excluded++
 		case o.refused():
 			refused++
 		case j.versionEnded(o):
@@ -302,6 +306,7 @@
 			unanswered++
 		}
 	}
+	s.addLoadProblems(problems)
 	stops := 0
 	for _, p := range append(gateways, agents...) {
 		stops += p.Stops()
@@ -309,13 +314,13 @@
 			problems[p.Name+" did not end as it must"] = lines
 		}
 	}
-	s.t.Logf("grace period %v, %d processes, %d stops, %d configurations, %d requests: %d answered, %d refused, %d withdrawn or not allowed, %d without an answer, %d past their deadline, %d unknown beside the end of a version, %d kinds of problems",
-		s.grace, len(gateways)+len(agents), stops, s.configurationVersion, len(s.outcomes), answered, refused, withdrawn, unanswered, late, ended, len(problems))
+	s.t.Logf("grace period %v, %d processes, %d stops, %d configurations, %d requests: %d answered, %d refused, %d refused since no engine remained, %d of burst callers or after the last stop, %d withdrawn or not allowed, %d without an answer, %d past their deadline, %d unknown beside the end of a version, %d kinds of problems",
+		s.grace, len(gateways)+len(agents), stops, s.configurationVersion, len(s.outcomes), answered, refused, excluded, further, withdrawn, unanswered, late, ended, len(problems))
 	for kind, lines := range problems {
 		s.t.Logf("%d times: %s:\n%s", len(lines), kind, strings.Join(lines[:min(maxShownProblems, len(lines))], "\n"))
 	}
 	require.Zero(s.t, len(problems), "kinds of problems")
-	require.Greater(s.t, answered, (len(s.outcomes)-withdrawn)/10)
+	require.Greater(s.t, answered, (len(s.outcomes)-withdrawn-excluded-further)/10)
 }
 
 // surroundings returns the silences, named versions and stops beside o, and what its gateway
--- a/test/hosting/stopsoak_changes_test.go
+++ b/test/hosting/stopsoak_changes_test.go
@@ -24,6 +24,7 @@
 type plannedConfigurations struct {
 	mu      sync.Mutex
 	written []writtenConfiguration
+	bound   homeBinding // of the next configurations
 }
 
 // writtenConfiguration is a configuration with the time in which it was the store's.
@@ -32,13 +33,18 @@
 	from, to time.Time // to is zero for the last one
 }
 
+// inForce reports whether w may have been in force at some time of a request.
+func (w writtenConfiguration) inForce(began, ended time.Time) bool {
+	return !ended.Before(w.from) && (w.to.IsZero() || began.Before(w.to.Add(configurationTime)))
+}
+
 // inForce returns the configurations that may have been in force at some time of a request.
 func (p *plannedConfigurations) inForce(began, ended time.Time) []standin.Configuration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var found []standin.Configuration
 	for _, w := range p.written {
-		if !ended.Before(w.from) && (w.to.IsZero() || began.Before(w.to.Add(configurationTime))) {
+		if w.inForce(began, ended) {
 			found = append(found, w.Configuration)
 		}
 	}
@@ -47,11 +53,18 @@
 
 // writeConfiguration writes the next configuration to the store.
 func (s *plannedSoak) writeConfiguration(c standin.Configuration) {
+	s.configurations.mu.Lock()
+	defer s.configurations.mu.Unlock()
+	s.writeNext(c)
+}
+
+// writeNext writes the next configuration, with the current binding, to the store. Callers
+// hold the mutex of s.configurations.
+func (s *plannedSoak) writeNext(c standin.Configuration) {
 	p := &s.configurations
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	s.configurationVersion++
-	c.Version = s.configurationVersion
+	c.Version, c.ColdPerSecond = s.configurationVersion, s.coldPerSecond
+	c.TenantRegions, c.Regions, c.RegionsPrefix = p.bound.tenant, p.bound.route, p.bound.prefix
 	c.Keys, c.WithoutRoutes, c.Split = slices.Clone(c.Keys), slices.Clone(c.WithoutRoutes), slices.Clone(c.Split)
 	from := time.Now()
 	s.store.Configure(c)
--- a/test/hosting/stopsoak_test.go
+++ b/test/hosting/stopsoak_test.go
@@ -23,8 +23,9 @@
 // This soak test does planned work only: every process is stopped and restarted at random
 // times, in ways that overlap, while the configuration and the version change, also in storms,
 // engines are drained and restarted, sound servers are silent for about a second while others
-// refuse requests, and another writer puts odd entries into the store. Nothing fails by
-// itself, so each request must be answered completely, be refused truthfully, or not run.
+// refuse requests, and another writer puts odd entries into the store. Engines become cold,
+// data centres are evacuated and requests are bound to regions. Nothing fails by itself, so
+// each request must be answered completely, be refused truthfully, or not run.
 
 const (
 	// plannedTime is how long processes are stopped in one run; the last stops end later.
@@ -139,7 +140,7 @@
 	}
 	grace := graces[rand.New(rand.NewPCG(seed, 5000)).IntN(len(graces))]
 	size.graceSeconds = grace
-	s := &plannedSoak{site: startSite(t, size), seed: seed, version: 1, grace: time.Duration(grace) * time.Second}
+	s := &plannedSoak{site: startSite(t, withLoad(size)), seed: seed, version: 1, grace: time.Duration(grace) * time.Second}
 	s.startSpare()
 	s.writeConfiguration(s.firstConfiguration())
 	for n := range s.gateways {
@@ -156,9 +157,15 @@
 func eventMS(n int) int { return []int{5, 40, slowEventMS}[n%3] }
 
 // doPlannedWork stops and restarts the programs, beside changes, silent servers and odd
-// entries, until ctx ends and the last stops are over.
+// entries, until ctx ends and the last stops are over. Cold engines, evacuations and bindings to
+// regions go on for calmTime after that.
 func (s *plannedSoak) doPlannedWork(ctx context.Context, programs []*plannedstop.Program) {
-	var work sync.WaitGroup
+	loadCtx, endLoad := context.WithCancel(s.t.Context())
+	defer endLoad()
+	var work, load sync.WaitGroup
+	load.Go(func() { s.makeEnginesCold(loadCtx, s.newRand(2006)) })
+	load.Go(func() { s.evacuateDataCentres(loadCtx, s.newRand(2007)) })
+	load.Go(func() { s.bindToRegions(loadCtx, s.newRand(2008)) })
 	maxWait := plannedstop.MaxWait(len(programs))
 	for n, p := range programs {
 		work.Go(func() {
@@ -179,6 +186,10 @@
 		work.Go(func() { s.drainEngines(ctx, drained[n:min(n+enginesPerDrain, len(drained))], s.newRand(n+1000)) })
 	}
 	work.Wait()
+	s.injected.calmSince = time.Now()
+	pause.For(loadCtx, calmTime)
+	endLoad()
+	load.Wait()
 }
 
 // startTimeout is the time in which a large site must serve.
@@ -192,6 +203,7 @@
 	grace          time.Duration
 	spare          *standin.Service
 	configurations plannedConfigurations
+	injected       plannedLoad
 
 	mu       sync.Mutex
 	outcomes []plannedOutcome
@@ -318,6 +330,7 @@
 			e.Crash(false)
 			time.Sleep(down)
 			e.Restart()
+			s.listRestarted(e)
 		}
 		e.Register(s.store, false)
 	}
