--- a/test/hosting/stopsoak_test.go
+++ b/test/hosting/stopsoak_test.go
@@ -186,7 +186,9 @@
 		work.Go(func() { s.drainEngines(ctx, drained[n:min(n+enginesPerDrain, len(drained))], s.newRand(n+1000)) })
 	}
 	work.Wait()
+	s.injected.mu.Lock()
 	s.injected.calmSince = time.Now()
+	s.injected.mu.Unlock()
 	pause.For(loadCtx, calmTime)
 	endLoad()
 	load.Wait()
