Replica: the test of an order accepted late holds back the next order

The stand-in now holds back orders after the late one until the test has seen the former version loaded. All checks stay. An accepted late order at an engine that checks orders fails the test at once instead of after 5 s.

--- a/internal/replica/late_order_test.go
+++ b/internal/replica/late_order_test.go
@@ -80,7 +80,9 @@
 
 // The engine was silent when an order was sent, another version was placed meanwhile, and
 // the engine accepts the former order while it loads the placed version. The status may open
-// for the placed version only.
+// for the placed version only. An engine that doesn't check orders gets the next order only
+// once the former version was seen loaded: a backoff of 250 to 750 ms comes before that order,
+// which otherwise could end the load of 500 ms.
 func TestOrderAcceptedAfterSilenceDoesNotServeOldPlacement(t *testing.T) {
 	const silence = 3500 * time.Millisecond
 	for _, checksOrders := range []bool{true, false} {
@@ -92,6 +94,10 @@
 			Server: f.engine,
 			late:   engine.LoadModel{Digest: second.Digest(), Whole: second.Whole, Source: f.originURL("2"), FencingNumber: 2},
 			wake:   make(chan struct{}),
+			resume: make(chan struct{}),
+		}
+		if checksOrders {
+			close(e.resume) // it refuses the former order
 		}
 		f.setIntercept(e.ServeHTTP)
 		f.place(second, 2)
@@ -105,7 +111,11 @@
 		for time.Now().Before(until) {
 			s := f.status.Status()
 			require.False(t, s.Open && s.Digest != third.Digest(), "status is open for %s", s.Digest)
-			secondLoaded = secondLoaded || s.Digest == second.Digest()
+			if !secondLoaded && s.Digest == second.Digest() {
+				secondLoaded = true
+				require.False(t, checksOrders, "the former order was accepted")
+				close(e.resume)
+			}
 			time.Sleep(2 * time.Millisecond)
 		}
 		require.Equal(t, !checksOrders, secondLoaded)
@@ -116,12 +126,14 @@
 }
 
 // silentEngine is silent from an order for the version of late until wake closes. It
-// accepts that order once it loads another version.
+// accepts that order once it loads another version, and later ones once resume closes.
 type silentEngine struct {
 	*standinengine.Server
-	late   engine.LoadModel
-	silent atomic.Bool
-	wake   chan struct{}
+	late     engine.LoadModel
+	silent   atomic.Bool
+	accepted atomic.Bool // late was passed to Server
+	wake     chan struct{}
+	resume   chan struct{}
 }
 
 func (e *silentEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -133,6 +145,13 @@
 		}
 		body, _ := json.Marshal(e.late)
 		r.Body = io.NopCloser(bytes.NewReader(body))
+		e.accepted.Store(true)
+	} else if r.URL.Path == engine.LoadModelPath && e.accepted.Load() {
+		select {
+		case <-e.resume:
+		case <-r.Context().Done():
+			return
+		}
 	}
 	if e.silent.Load() {
 		<-e.wake
