Gateways: loads are judged by the current gateways

updatePoolLoads passed the loads of the other gateways to the pools before the gateways themselves. Each new load dispatches queued requests, so the first one after a change of the gateways was judged by the former shares of slots, rate limits and cold engines; nothing else dispatches when the shares change, so a request whose slot had become free waited for the next tick. The loads are now passed last.

TestLoadsAreJudgedByCurrentGateways fails on the former order (3 of 3 runs) and passes. internal/hosted passes with and without the race detector.

--- a/internal/hosted/export_test.go
+++ b/internal/hosted/export_test.go
@@ -5,6 +5,7 @@
 
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/mirror"
+	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/internal/registry"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/internal/site"
@@ -81,3 +82,20 @@
 
 // Until returns the deadline of a server; zero: it is not cold.
 func (d ColdDeadlines) Until(key string) time.Time { return d.deadlines[key].until }
+
+// Gossip exposes a gateway's exchange of state with the others.
+type Gossip struct{ gossiper *gossiper }
+
+// NewGossip returns the exchange of a gateway that calls no others.
+func NewGossip(own hostedrpc.Gateway, pools *proxy.Pools) Gossip {
+	servers := newServerTable(newSiteView(platform.NewStore(""), 0), settings.Hosting{}, pools)
+	return Gossip{newGossiper(servers, own, nil, proxy.NewCrashDetector())}
+}
+
+// Receive records what another gateway reports.
+func (g Gossip) Receive(request hostedrpc.ExchangeRequest, now time.Time) {
+	g.gossiper.noteRequest(request, now)
+}
+
+// UpdatePoolLoads passes what is known of the other gateways to the pools.
+func (g Gossip) UpdatePoolLoads(now time.Time) { g.gossiper.updatePoolLoads(now) }
--- a/internal/hosted/gossip.go
+++ b/internal/hosted/gossip.go
@@ -325,7 +325,6 @@
 	gs.mu.Lock()
 	running := gs.table.OtherLoad(now)
 	gs.mu.Unlock()
-	gs.servers.pools.SetOtherLoad(now, running)
 	live := gs.liveGateways(now)
 	gs.servers.pools.SetGateways(gs.own.Name, sortedNames(live))
 	gs.servers.pools.SetSlotSharers(sortedNames(gs.slotSharers(live)))
@@ -335,6 +334,7 @@
 		gs.mu.Unlock()
 		gs.servers.pools.SetColdGateways(now, gateways)
 	}
+	gs.servers.pools.SetOtherLoad(now, running) // last, since it dispatches queued requests
 }
 
 // storeFollowers is the number of gateways that follow the store on behalf of all:
