Proxy: slots that are not used, and regions of a route that is removed

Three faults found by reading, each shown by a test that failed before:

- A successor of a silent server ignored Start.SendBy, so that it could reach a cold server up to 50 ms later than the rate allows (connectTimeout bounds it).
It is now given back instead (TestSuccessorIsNotSentLateToColdServer).
- A slot that was withdrawn, since the regions changed or its data centre was evacuated, did not return its request to the rate of the cold server (TestWithdrawnSlotReturnsColdRate), and the request counted twice in the rates of route priorities when it was queued again.
It is now marked as Requeued and not counted again (TestRequeuedRequestCountsOnce, which covers the pool; that the proxy sets Requeued is not tested).
Slots of callers that left and of quarantined requests return the rate, too.
- A request whose route was removed, or replaced by a narrower one, while it ran took over the regions of the route that serves its path by then.
It now keeps the limit of its own route, and the other one applies as well (TestRetriesOfRemovedRouteStayInItsRegions, TestCurrentRoute).

--- a/internal/proxy/coldstart.go
+++ b/internal/proxy/coldstart.go
@@ -15,20 +15,29 @@
 	for {
 		decision := p.acquire(ctx, service, request, home)
 		start, ok := decision.(schedule.Start)
-		if !ok || start.SendBy.IsZero() || !time.Now().After(start.SendBy) {
+		if !ok || !start.Late(time.Now()) {
 			return decision
 		}
-		p.returnSlot(service, start.Server.ID, request.PromptMS)
+		p.returnSlot(service, start, schedule.Withdrawn, request.PromptMS)
+		request.Requeued = true
 	}
 }
 
-// returnSlot frees the slot of a request that was not sent.
-func (p *Pools) returnSlot(service, server string, promptMS float64) {
+// returnSlot frees the slot of a request that was not sent. promptMS is the PromptMS of the
+// request.
+func (p *Pools) returnSlot(service string, start schedule.Start, end schedule.End, promptMS float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.takeBack(service, start, end, promptMS)
+}
+
+// takeBack is returnSlot for callers that hold mu.
+func (p *Pools) takeBack(service string, start schedule.Start, end schedule.End, promptMS float64) {
 	pool, now := p.pool(service), time.Now()
-	pool.ReturnColdSend(now, server)
-	p.deliver(pool.Ended(now, server, schedule.Superseded, promptMS))
+	if !start.SendBy.IsZero() {
+		pool.ReturnColdSend(now, start.Server.ID)
+	}
+	p.deliver(pool.Ended(now, start.Server.ID, end, promptMS))
 }
 
 // markCold records that a server stated in a response until when it is cold.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -125,7 +125,7 @@
 	e.queueMS += time.Since(queuedAt).Milliseconds()
 	switch d := decision.(type) {
 	case schedule.Start:
-		if e.withdraw(d.Server) {
+		if e.withdraw(d) {
 			return e.acquireSlot(ctx)
 		}
 		if d.ExpectedMS > 0 {
@@ -133,7 +133,7 @@
 		}
 		verdict := e.handler.CrashDetector.Verdict(e.suspect)
 		if verdict == quarantine.Quarantined {
-			e.handler.Pools.release(e.service.Name, d.Server.ID, schedule.Abandoned, e.promptMS())
+			e.handler.Pools.returnSlot(e.service.Name, d, schedule.Abandoned, e.promptMS())
 			return nil, e.quarantined()
 		}
 		return e.newAttempt(ctx, d.Server, verdict), nil
--- a/internal/proxy/failover.go
+++ b/internal/proxy/failover.go
@@ -38,8 +38,9 @@
 // successor is an attempt beside one whose server is silent.
 type successor struct {
 	*attempt
-	done chan struct{} // closed when its response has been opened or it has ended
-	end  result        // nil while it opens its response
+	start schedule.Start
+	done  chan struct{} // closed when its response has been opened or it has ended
+	end   result        // nil while it opens its response
 }
 
 // begin allows successors of an attempt. runs is the number of servers that may have run
@@ -83,7 +84,7 @@
 	}
 	f.markSilent()
 	f.nextStartAt = silence.SuccessorAfter(now, len(f.successors))
-	s := &successor{attempt: e.newAttempt(ctx, start.Server, quarantine.Clear), done: make(chan struct{})}
+	s := &successor{attempt: e.newAttempt(ctx, start.Server, quarantine.Clear), start: start, done: make(chan struct{})}
 	f.successors = append(f.successors, s)
 	counter.Add("SuccessorsStarted", 1)
 	event.Log(event.SuccessorStarted, "Request", e.info.AttemptID, "Server", s.server.ID, "Silent", e.lastServer, "AfterEvent", s.from.lastEventID, "SilentMS", now.Sub(since).Milliseconds())
@@ -177,9 +178,18 @@
 		s.end = end // before its context ends, so that a refusal never counts as a run
 		f.mu.Unlock()
 		s.close()
-		s.release(s.schedulerEnd(end))
+		if end.schedulerEnd() == schedule.Withdrawn {
+			e.handler.Pools.returnSlot(e.service.Name, s.start, schedule.Withdrawn, e.promptMS())
+		} else {
+			s.release(s.schedulerEnd(end))
+		}
 	}()
-	if end = notPermitted(); e.permitted(s.server) {
+	switch permitted := e.permitted(s.server); {
+	case !permitted:
+		end = notPermitted()
+	case s.start.Late(time.Now()):
+		end = notSent()
+	default:
 		end = s.open()
 	}
 	if end == nil && s.empty && current != nil {
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -157,7 +157,7 @@
 	select {
 	case decision := <-granted:
 		if s, ok := decision.(schedule.Start); ok {
-			p.deliver(pool.Ended(time.Now(), s.Server.ID, schedule.Abandoned, request.PromptMS))
+			p.takeBack(service, s, schedule.Abandoned, request.PromptMS)
 		}
 	default:
 	}
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -17,15 +17,26 @@
 type homeLimits struct {
 	mu                  sync.Mutex
 	route, organisation homeregion.Allowed
+	// served is the limit of another route that serves the request's path by now.
+	served homeregion.Allowed
 }
 
 // update sets the limits that a configuration states for a request. A route or an
-// organisation that the configuration no longer has keeps its limit.
+// organisation that the configuration no longer has keeps its limit. If another route serves
+// the request's path by now, both limits apply.
 func (l *homeLimits) update(c *site.Configuration, e *exchange) homeregion.Allowed {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if route, ok := c.Route(hostname(e.r.Host), e.r.URL.EscapedPath()); ok {
-		l.route = homeregion.Of(route.Regions)
+	served, isServed := c.Route(hostname(e.r.Host), e.r.URL.EscapedPath())
+	if isServed && served.Same(e.route) {
+		l.route, l.served = homeregion.Of(served.Regions), homeregion.Allowed{}
+	} else {
+		if own, ok := c.CurrentRoute(e.route); ok {
+			l.route = homeregion.Of(own.Regions)
+		}
+		if isServed {
+			l.served = homeregion.Of(served.Regions)
+		}
 	}
 	organisation, ok := c.OrganisationByKey(e.info.Credential)
 	if !ok && e.organisation != "" { // its key was removed while the request runs
@@ -34,7 +45,7 @@
 	if ok {
 		l.organisation = homeregion.Of(organisation.Regions)
 	}
-	return l.route.And(l.organisation)
+	return l.route.And(l.served).And(l.organisation)
 }
 
 // homeRegions returns the regions in which the request may run, as the current
@@ -52,11 +63,12 @@
 
 // withdraw gives a slot back if the request may no longer be sent to its server, since the
 // configuration changed or its data centre was evacuated after the slot was granted. It reports whether it did.
-func (e *exchange) withdraw(s schedule.Server) bool {
-	if e.permitted(s) {
+func (e *exchange) withdraw(s schedule.Start) bool {
+	if e.permitted(s.Server) {
 		return false
 	}
-	e.handler.Pools.release(e.service.Name, s.ID, schedule.Withdrawn, e.promptMS())
+	e.handler.Pools.returnSlot(e.service.Name, s, schedule.Withdrawn, e.promptMS())
+	e.slot.Requeued = true
 	return true
 }
 
@@ -76,6 +88,11 @@
 	return rejected{reason: outcome.BackendRefused, endState: schedule.Withdrawn, detail: "server is no longer permitted"}
 }
 
+// notSent is the result of a successor that was not sent by its SendBy.
+func notSent() result {
+	return rejected{reason: outcome.BackendRefused, endState: schedule.Withdrawn, detail: "the time by which it had to be sent has passed"}
+}
+
 // countRefusal counts a refusal because of regions or evacuations.
 func countRefusal(r schedule.Refuse) {
 	switch r.Reason {
--- a/internal/schedule/coldstart.go
+++ b/internal/schedule/coldstart.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// ReturnColdSend takes back the start of a request at a server, which was not sent because
-// its SendBy had passed.
+// ReturnColdSend takes back the start of a request at a server, which had a SendBy and was
+// not sent.
 func (p *Pool) ReturnColdSend(now time.Time, id string) {
 	if s, ok := p.servers[id]; ok && s.cold != nil {
 		s.cold.ReturnSend(now)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -39,6 +39,7 @@
 	RoutePriority int     // decides among equal priorities with exact shares; lower values go first
 	Retried       bool    // an earlier attempt failed on a server
 	Resumed       bool    // part of its response was already sent to the caller
+	Requeued      bool    // a slot that it was granted was given back before it was sent
 	PromptMS      float64 // milliseconds that a server needs to process the prompt
 	BaseLatencyMS float64 // milliseconds until the response starts on an idle server, excluding PromptMS
 	ArrivedAt     time.Time
@@ -68,6 +69,9 @@
 	SendBy     time.Time // the request must be on its way by then, or not be sent; zero: any time
 }
 
+// Late reports whether the request must not be sent any more.
+func (s Start) Late(now time.Time) bool { return !s.SendBy.IsZero() && now.After(s.SendBy) }
+
 // Wait means that the request is queued. A later Resolved carries the decision.
 type Wait struct{}
 
--- a/internal/schedule/starvation.go
+++ b/internal/schedule/starvation.go
@@ -26,7 +26,7 @@
 }
 
 func (s *starvation) count(now time.Time, r Request, started bool) {
-	if !r.Generates || r.Retried || r.Resumed {
+	if !r.Generates || r.Retried || r.Resumed || r.Requeued {
 		return
 	}
 	if s.rates == nil {
