Weights: a piece that contradicts the manifest is fetched less often

TestCorruptManifestIsReplaced sent 25 pieces of 24 allowed. The manifest is read again at once, after 250 ms and after another 500 ms, but the piece was fetched every 80 to 150 ms meanwhile, although it had arrived alike twice and a further arrival says nothing new. Each rejection also delayed the other pieces from the origin by its backoff.

A piece that the origin sent as it arrived before, and that the manifest rejects, is now fetched from the origin again only after 500 ms, or at once when the manifest is replaced. Other agents may still send it.

--- a/internal/piecesched/scheduler.go
+++ b/internal/piecesched/scheduler.go
@@ -94,6 +94,7 @@
 	failures           map[string]int       // consecutive, by source
 	unreachableUntil   map[string]time.Time // by holder; ignored until then
 	lastProgress       map[string]progress  // of the other agents, by name
+	deferredUntil      map[int]time.Time    // by piece; not fetched from the origin before
 	random             *rand.Rand
 	originRanking      ranking // among all agents that lack the version
 	regionRanking      ranking // among those of this region
@@ -105,7 +106,8 @@
 	return &Scheduler{
 		name: name, region: region, pieces: pieces, turnsFrom: createdAt,
 		have: make([]uint64, (pieces+63)/64), inFlight: map[int]Source{}, inFlightByHolder: map[string]int{},
-		remoteSince: map[int]time.Time{}, backoffUntil: map[string]time.Time{}, failures: map[string]int{}, unreachableUntil: map[string]time.Time{}, lastProgress: map[string]progress{}, random: random,
+		remoteSince: map[int]time.Time{}, backoffUntil: map[string]time.Time{}, failures: map[string]int{}, unreachableUntil: map[string]time.Time{}, lastProgress: map[string]progress{},
+		deferredUntil: map[int]time.Time{}, random: random,
 	}
 }
 
@@ -115,6 +117,9 @@
 // MarkLost records a piece that is no longer intact.
 func (s *Scheduler) MarkLost(piece int) { s.have[piece/64] &^= 1 << (piece % 64) }
 
+// DeferAtOrigin sets the time before which a piece is not fetched from the origin.
+func (s *Scheduler) DeferAtOrigin(piece int, until time.Time) { s.deferredUntil[piece] = until }
+
 // Have returns the pieces that the agent holds, as a bit set.
 func (s *Scheduler) Have() []uint64 { return append([]uint64(nil), s.have...) }
 
@@ -233,7 +238,7 @@
 	first := s.random.IntN(s.pieces)
 	for n := range s.pieces {
 		piece := (first + n) % s.pieces
-		if s.fetchable(piece) && s.originPosition(piece, v) == 0 {
+		if s.fetchable(piece) && s.mayFetchFromOrigin(now, piece) && s.originPosition(piece, v) == 0 {
 			f := Fetch{Piece: piece}
 			s.markInFlight(f)
 			return f, true
@@ -276,7 +281,7 @@
 // longer than the origin's.
 func (s *Scheduler) refetchesScarce(now time.Time, piece int, v view) bool {
 	held := v.copiesInRegion(piece) + v.remoteCopies[piece]
-	return held > 0 && held*scarceRatio <= len(v.incomplete) && s.mayUseOrigin(now) && s.originPosition(piece, v) == 0
+	return held > 0 && held*scarceRatio <= len(v.incomplete) && s.mayFetchFromOrigin(now, piece) && s.originPosition(piece, v) == 0
 }
 
 // mayUseOrigin reports whether this agent may send a request to the origin now.
@@ -288,6 +293,11 @@
 	return s.inFlightFromOrigin < limit && !now.Before(s.backoffUntil[""])
 }
 
+// mayFetchFromOrigin reports whether this agent may request a piece from the origin now.
+func (s *Scheduler) mayFetchFromOrigin(now time.Time, piece int) bool {
+	return s.mayUseOrigin(now) && !now.Before(s.deferredUntil[piece])
+}
+
 // rarestInRegion returns the rarest piece of a random holder in the region.
 func (s *Scheduler) rarestInRegion(now time.Time, v view) (Fetch, bool) {
 	for _, k := range s.random.Perm(len(v.sameRegion)) {
@@ -376,7 +386,7 @@
 // fetched from now.
 func (s *Scheduler) source(now time.Time, piece int, v view) (Source, bool) {
 	if v.remoteCopies[piece] == 0 {
-		return Source{}, s.mayUseOrigin(now) && !now.Before(s.originTurn(piece, v))
+		return Source{}, s.mayFetchFromOrigin(now, piece) && !now.Before(s.originTurn(piece, v))
 	}
 	since, seen := s.remoteSince[piece]
 	if !seen {
--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -510,7 +510,9 @@
 		return nil, err
 	}
 	if err := m.Verify(f.Piece, data); err != nil {
-		a.recordRejected(v, f.Piece, data)
+		if a.recordRejected(v, f.Piece, data) && f.Source.Holder == "" {
+			a.deferContradicted(v, f.Piece)
+		}
 		return nil, err
 	}
 	return data, nil
--- a/internal/weightsync/recheck.go
+++ b/internal/weightsync/recheck.go
@@ -24,6 +24,10 @@
 	// wrong for good, and the origin's link is needed for pieces.
 	minRecheckInterval = 250 * time.Millisecond
 	maxRecheckInterval = 4 * time.Second
+	// contradictedPause is the time until a piece that contradicts the manifest is fetched
+	// from the origin again, unless the manifest is replaced before. The origin may send it
+	// intact by then. Without it the piece was fetched every 150 ms.
+	contradictedPause = 500 * time.Millisecond
 )
 
 // evidence holds the digests of pieces that the manifest rejected.
@@ -38,13 +42,17 @@
 	return evidence{last: map[int]Digest{}, contradicted: map[int]Digest{}}
 }
 
-// record adds a piece that the manifest rejected.
-func (e *evidence) record(piece int, data []byte) {
+// record adds a piece that the manifest rejected. It reports whether the piece arrived as it
+// did before, and so contradicts the manifest.
+func (e *evidence) record(piece int, data []byte) bool {
 	d := Digest(sha256.Sum256(data))
-	if known, ok := e.last[piece]; ok && known == d {
-		e.contradicted[piece] = d
-	}
+	known, ok := e.last[piece]
 	e.last[piece] = d
+	if !ok || known != d {
+		return false
+	}
+	e.contradicted[piece] = d
+	return true
 }
 
 // supports reports whether m has the digests of all pieces that arrived alike twice.
@@ -57,11 +65,21 @@
 	return true
 }
 
-// recordRejected records that a piece arrived with another digest than the manifest has.
-func (a *Agent) recordRejected(v *version, piece int, data []byte) {
+// recordRejected records that a piece arrived with another digest than the manifest has. It
+// reports whether the piece arrived as it did before.
+func (a *Agent) recordRejected(v *version, piece int, data []byte) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return v.evidence.record(piece, data)
+}
+
+// deferContradicted lets a piece that contradicts the manifest not be fetched from the origin
+// again soon: it would arrive alike once more, and each rejected piece delays the others from
+// the origin by its backoff.
+func (a *Agent) deferContradicted(v *version, piece int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	v.evidence.record(piece, data)
+	v.scheduler.DeferAtOrigin(piece, time.Now().Add(contradictedPause))
 }
 
 // recheckManifests reads the manifest again of each version that is being fetched, if
