--- a/internal/hosted/export_test.go
+++ b/internal/hosted/export_test.go
@@ -6,6 +6,7 @@
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/hostedrpc"
 	"almondreel.example/almondreel/internal/mirror"
+	"almondreel.example/almondreel/internal/proxy"
 	"almondreel.example/almondreel/internal/registry"
 	"almondreel.example/almondreel/internal/schedule"
 	"almondreel.example/almondreel/internal/settings"
@@ -99,3 +100,20 @@
 	}
 	return c.number, c.rate, c.others
 }
+
+// Gossip exposes a gateway's exchange of state with the others.
+type Gossip struct{ gossiper *gossiper }
+
+// NewGossip returns the exchange of a gateway that calls no others.
+func NewGossip(own hostedrpc.Gateway, pools *proxy.Pools) Gossip {
+	servers := newServerTable(newSiteView(platform.NewStore(""), 0), settings.Hosting{}, pools)
+	return Gossip{newGossiper(servers, own, nil, proxy.NewCrashDetector())}
+}
+
+// Receive records what another gateway reports.
+func (g Gossip) Receive(request hostedrpc.ExchangeRequest, now time.Time) {
+	g.gossiper.noteRequest(request, now)
+}
+
+// UpdatePoolLoads passes what is known of the other gateways to the pools.
+func (g Gossip) UpdatePoolLoads(now time.Time) { g.gossiper.updatePoolLoads(now) }
