Proxy: the time to send to a cold engine is checked after regions and evacuations

The first attempt checked Start.SendBy, then read the configuration, which may wait for a lock, and checked nothing after it. Both are now checked together, the time last. No test delays that read; the tests of cold engines, regions and evacuations in ./platform pass.

--- a/internal/proxy/coldstart.go
+++ b/internal/proxy/coldstart.go
@@ -1,28 +1,12 @@
 package proxy
 
 import (
-	"context"
 	"time"
 
 	"almondreel.example/almondreel/internal/coldstart"
-	"almondreel.example/almondreel/internal/homeregion"
 	"almondreel.example/almondreel/internal/schedule"
 )
 
-// acquireInTime is acquire, but waits again if the slot was granted at a cold server and the
-// time by which the request had to be sent has passed, as after a suspension of the process.
-func (p *Pools) acquireInTime(ctx context.Context, service string, request schedule.Request, home func() homeregion.Allowed) schedule.Decision {
-	for {
-		decision := p.acquire(ctx, service, request, home)
-		start, ok := decision.(schedule.Start)
-		if !ok || !start.Late(time.Now()) {
-			return decision
-		}
-		p.returnSlot(service, start, schedule.Withdrawn, request.PromptMS)
-		request.Requeued = true
-	}
-}
-
 // returnSlot frees the slot of a request that was not sent. promptMS is the PromptMS of the
 // request.
 func (p *Pools) returnSlot(service string, start schedule.Start, end schedule.End, promptMS float64) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -121,7 +121,7 @@
 // acquireSlot waits for a slot and returns an attempt at its server, or nil and the outcome.
 func (e *exchange) acquireSlot(ctx context.Context) (*attempt, outcome.Outcome) {
 	queuedAt := time.Now()
-	decision := e.handler.Pools.acquireInTime(ctx, e.service.Name, e.slot, e.homeRegions)
+	decision := e.handler.Pools.acquire(ctx, e.service.Name, e.slot, e.homeRegions)
 	e.queueMS += time.Since(queuedAt).Milliseconds()
 	switch d := decision.(type) {
 	case schedule.Start:
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -17,13 +17,13 @@
 type homeLimits struct {
 	mu                  sync.Mutex
 	route, organisation homeregion.Allowed
-	// served is the limit of another route that serves the request's path by now.
+	// served is the limit of another route that serves the request's path now.
 	served homeregion.Allowed
 }
 
 // update sets the limits that a configuration states for a request. A route or an
 // organisation that the configuration no longer has keeps its limit. If another route serves
-// the request's path by now, both limits apply.
+// the request's path now, both limits apply.
 func (l *homeLimits) update(c *site.Configuration, e *exchange) homeregion.Allowed {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -61,10 +61,12 @@
 	return r
 }
 
-// withdraw gives a slot back if the request may no longer be sent to its server, since the
-// configuration changed or its data centre was evacuated after the slot was granted. It reports whether it did.
+// withdraw gives a slot back if the request may no longer be sent to its server: the
+// configuration changed or its data centre was evacuated after the slot was granted, or the
+// time by which it had to be sent to a cold server has passed, as after a suspension of the
+// process. It reports whether it did.
 func (e *exchange) withdraw(s schedule.Start) bool {
-	if e.permitted(s.Server) {
+	if e.permitted(s.Server) && !s.Late(time.Now()) {
 		return false
 	}
 	e.handler.Pools.returnSlot(e.service.Name, s, schedule.Withdrawn, e.promptMS())
