--- a/internal/schedule/organisations.go
+++ b/internal/schedule/organisations.go
@@ -7,14 +7,17 @@
 	// below which those of one organisation go first. The requirement is a quarter over all
 	// gateways, each of which counts only its own requests.
 	starvedOrganisationShare = 0.4
-	// minOwed is the number of requests by which an organisation must be behind its protected
-	// rate to count as starved. With less, a single refusal of an organisation that sends few
-	// requests would let its next one go first.
-	minOwed = 0.5
-	// organisationWindow is the time over which organisations with less than
-	// minAskedPerSecond requests are evaluated. At half of the requests started it takes
-	// three requests within it to be half a request behind, hence one in ten seconds at a
-	// gateway. Longer windows give precedence long after a shortage has ended.
+	// minDeficit is the number of requests by which an organisation must be behind its
+	// protected rate to count as starved. With less, a single refusal of an organisation that
+	// sends few requests would let its next one go first.
+	minDeficit = 0.5
+	// maxDeficit and maxCredit bound what is kept from before: requests that were not started
+	// long ago give no precedence now, and requests that were started in calm do not count
+	// against an organisation in a shortage.
+	maxDeficit = 2.0
+	maxCredit  = 1.0
+	// organisationWindow is the time over which the logged rates of organisations with less
+	// than minAskedPerSecond requests are counted.
 	organisationWindow = 30 * time.Second
 	// organisationRetention is how long an organisation is kept after its last request.
 	organisationRetention = time.Minute
@@ -36,6 +39,7 @@
 type organisationRates struct {
 	asked, started             rateWindow
 	askedLately, startedLately longWindow
+	deficit                    float64 // requests behind the protected rate
 	dropAt                     time.Time
 	starved                    bool
 }
@@ -50,9 +54,19 @@
 	}
 	if rates != nil {
 		rates.count(now, started)
+		rates.balance(t.startedShare(now), started)
 	}
 }
 
+// startedShare returns the fraction of all requests of the last second that were started.
+func (t *organisationTable) startedShare(now time.Time) float64 {
+	asked := t.all.asked.perSecond(now)
+	if asked <= 0 {
+		return 1
+	}
+	return min(1, t.all.started.perSecond(now)/asked)
+}
+
 // add adds an organisation and returns its counts, or nil if there is no room for it.
 func (t *organisationTable) add(name string) *organisationRates {
 	if len(t.rates) >= maxOrganisations {
@@ -90,45 +104,40 @@
 	r.dropAt = now.Add(organisationRetention)
 }
 
-// starved reports whether an organisation's requests are started much less often than all
-// requests, or were and have not caught up.
-func (t *organisationTable) starved(now time.Time, name string) bool {
-	rates, ok := t.rates[name]
-	if !ok {
-		return false
+// balance updates the deficit for a request that was asked for or started.
+func (r *organisationRates) balance(startedShare float64, started bool) {
+	if started {
+		r.deficit = max(-maxCredit, r.deficit-1)
+	} else {
+		r.deficit = min(maxDeficit, r.deficit+starvedOrganisationShare*startedShare)
 	}
-	switch owed := t.owed(now, rates); {
-	case owed >= minOwed:
-		rates.starved = true
-	case owed <= 0:
-		rates.starved = false
+	switch {
+	case r.deficit >= minDeficit:
+		r.starved = true
+	case r.deficit <= 0:
+		r.starved = false
 	}
-	return rates.starved
 }
 
-// owed returns the requests that an organisation is behind its protected rate.
-func (t *organisationTable) owed(now time.Time, r *organisationRates) float64 {
-	rate, seconds := t.rate(now, r)
-	if rate.AllAskedPerSecond <= 0 {
-		return 0
-	}
-	protected := starvedOrganisationShare * rate.AskedPerSecond * min(1, rate.AllStartedPerSecond/rate.AllAskedPerSecond)
-	return (protected - rate.StartedPerSecond) * seconds
+// starved reports whether an organisation's requests are started much less often than all
+// requests, or were and have not caught up. An organisation without others cannot be.
+func (t *organisationTable) starved(name string) bool {
+	rates, ok := t.rates[name]
+	return ok && rates.starved && len(t.rates) > 1
 }
 
-// rate returns the rates by which an organisation is evaluated, and the seconds over which
-// they were counted.
-func (t *organisationTable) rate(now time.Time, r *organisationRates) (rate ServedRate, seconds float64) {
+// rate returns the rates of an organisation that are logged.
+func (t *organisationTable) rate(now time.Time, r *organisationRates) ServedRate {
 	if asked := r.asked.perSecond(now); asked >= minAskedPerSecond {
 		return ServedRate{
 			AskedPerSecond: asked, StartedPerSecond: r.started.perSecond(now),
 			AllAskedPerSecond: t.all.asked.perSecond(now), AllStartedPerSecond: t.all.started.perSecond(now),
-		}, 1
+		}
 	}
 	return ServedRate{
 		AskedPerSecond: r.askedLately.perSecond(now), StartedPerSecond: r.startedLately.perSecond(now),
 		AllAskedPerSecond: t.all.askedLately.perSecond(now), AllStartedPerSecond: t.all.startedLately.perSecond(now),
-	}, organisationWindow.Seconds()
+	}
 }
 
 // longWindow counts the events of the last organisationWindow.
--- a/internal/schedule/shortage.go
+++ b/internal/schedule/shortage.go
@@ -46,8 +46,8 @@
 	}
 	organisations := &p.starvation.organisations
 	for name, rates := range organisations.rates {
-		rate, _ := organisations.rate(now, rates)
-		rate.Organisation, rate.Starved = name, organisations.starved(now, name)
+		rate := organisations.rate(now, rates)
+		rate.Organisation, rate.Starved = name, organisations.starved(name)
 		out = append(out, rate)
 	}
 	return out
--- a/internal/schedule/starvation.go
+++ b/internal/schedule/starvation.go
@@ -82,7 +82,7 @@
 // ranked returns a request with its rank, and with whether its organisation is starved.
 func (p *Pool) ranked(now time.Time, r Request) Request {
 	r.rank = p.rankOf(now, r)
-	r.starved = p.exactShares() && p.starvation.organisations.starved(now, r.Organisation)
+	r.starved = p.exactShares() && p.starvation.organisations.starved(r.Organisation)
 	return r
 }
 
--- a/internal/schedule/starvation_test.go
+++ b/internal/schedule/starvation_test.go
@@ -121,9 +121,11 @@
 	sim.now = until
 }
 
-func (sim *shortage) submit() {
+func (sim *shortage) submit() { sim.submitFrom(sim.pickOrganisation()) }
+
+func (sim *shortage) submitFrom(from organisation) {
 	sim.next++
-	from, gateway := sim.pickOrganisation(), sim.random.IntN(len(sim.pools))
+	gateway := sim.random.IntN(len(sim.pools))
 	r := generation(sim.next, sim.now)
 	r.Organisation, r.Priority, r.RoutePriority = from.name, from.priority, sim.random.IntN(3)
 	if sim.anonymous {
@@ -222,6 +224,47 @@
 	}
 }
 
+// Load: half of what the engines can run for 20 s, then a multiple of it, by organisations as
+// above. Guards against requests that were served in calm and count against an organisation
+// in the shortage that follows.
+func TestNoOrganisationStarvesInShortageAfterCalm(t *testing.T) {
+	const engineCount, capacity = 8, 13 * 8 / holdSeconds
+	for _, gateways := range []int{1, 4} {
+		for _, multiple := range []float64{2, 4} {
+			t.Run(fmt.Sprint("gateways ", gateways, "/times ", multiple), func(t *testing.T) {
+				sim := newShortage(gateways, engineCount, unequalOrganisations(func(n int) int { return n % 3 }))
+				sim.load(20, capacity/2)
+				sim.asked, sim.served = map[string]int{}, map[string]int{}
+				sim.load(30, multiple*capacity)
+				for _, o := range sim.organisations {
+					require.GreaterOrEqual(t, sim.share(o.name), sim.share("all")/4, "%s of priority %d", o.name, o.priority)
+				}
+			})
+		}
+	}
+}
+
+// Load: after calm, an organisation of the least urgent priority sends a request at even
+// intervals beside a multiple of what the engines can run. Guards against rates at which an
+// organisation is never far enough behind to be protected.
+func TestOrganisationWithEvenRequestsIsNotStarved(t *testing.T) {
+	const engineCount, capacity = 8, 13 * 8 / holdSeconds
+	for _, perSecond := range []float64{2, 4.5, 6, 8} {
+		for _, multiple := range []float64{2, 4} {
+			t.Run(fmt.Sprint(perSecond, " per second/times ", multiple), func(t *testing.T) {
+				sim := newShortage(1, engineCount, []organisation{{name: "urgent", weight: 1}})
+				sim.every(time.Duration(float64(time.Second)/perSecond), func() {
+					sim.submitFrom(organisation{name: "even", priority: 2})
+				})
+				sim.load(10, capacity/2)
+				sim.asked, sim.served = map[string]int{}, map[string]int{}
+				sim.load(30, multiple*capacity)
+				require.GreaterOrEqual(t, sim.share("even"), sim.share("all")/4)
+			})
+		}
+	}
+}
+
 // Guards against organisations that are never protected, because the table of organisations
 // is full of those that no longer send requests.
 func TestOrganisationsWithoutRequestsAreDropped(t *testing.T) {
