--- a/internal/callermemory/read.go
+++ b/internal/callermemory/read.go
@@ -51,7 +51,7 @@
 // filled: at once if the length is known, else as the body grows. A long body is allocated
 // only once a part of it has arrived, as a caller may announce one and send none. A body that is
 // announced as longer than maxBytes is read into one small buffer until r fails, so that it
-// is refused for its length also when the memory is exhausted.
+// is refused for its length also when only the reserve for short requests is left.
 func (h *Holder) ReadAll(ctx context.Context, r io.Reader, length, maxBytes int64, deadline time.Time) ([]byte, error) {
 	if length > maxBytes {
 		return nil, h.readTooLarge(ctx, r, deadline)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -659,11 +659,11 @@
 	if p.endsBeforeAnswer(now, r) || p.outdated(now) {
 		return nil
 	}
-	var best, roomy *server // of those that are not full, and of those that are but have room
-	lowest, lowestRoomy := math.Inf(1), math.Inf(1)
+	var best, spare *server // of those that are not full, and of those that are but have room
+	lowest, lowestSpare := math.Inf(1), math.Inf(1)
 	newest, reserved := p.newestVersion(), p.reservations(now, r)
 	estimated := p.estimated(r)
-	shared := !r.Generates || !p.exactShares() // whether servers that are full are out of question
+	shared := !r.Generates || !p.exactShares() // full servers are not considered
 	for _, s := range p.order {
 		if !p.available(now, s, r) {
 			continue
@@ -695,14 +695,14 @@
 			load += rejectedPenalty
 		}
 		switch {
-		case full && load < lowestRoomy:
-			roomy, lowestRoomy = s, load
+		case full && load < lowestSpare:
+			spare, lowestSpare = s, load
 		case !full && load < lowest:
 			best, lowest = s, load
 		}
 	}
-	if !shared && lowestRoomy < lowest {
-		best = roomy
+	if !shared && lowestSpare < lowest {
+		best = spare
 	}
 	if best != nil && slices.Contains(r.Failed, best.ID) && p.waitsForRecovery(now, r) {
 		return nil
--- a/internal/weightsync/recheck.go
+++ b/internal/weightsync/recheck.go
@@ -26,7 +26,7 @@
 	maxRecheckInterval = 4 * time.Second
 	// contradictedPause is the time until a piece that contradicts the manifest is fetched
 	// from the origin again, unless the manifest is replaced before. The origin may send it
-	// intact by then. Without it the piece was fetched every 150 ms.
+	// intact by then. Without it the piece was fetched every 80 to 150 ms.
 	contradictedPause = 500 * time.Millisecond
 )
 
@@ -73,9 +73,8 @@
 	return v.evidence.record(piece, data)
 }
 
-// deferContradicted lets a piece that contradicts the manifest not be fetched from the origin
-// again soon: it would arrive alike once more, and each rejected piece delays the others from
-// the origin by its backoff.
+// deferContradicted defers the next fetch from the origin of a piece that contradicts the
+// manifest. Each rejected piece delays the others from the origin by its backoff.
 func (a *Agent) deferContradicted(v *version, piece int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
