Caller memory: reading an announced body needs no state of its own

Reserve grants what is reserved already, so each buffer may be waited for, and the next size follows from the announced length. Nothing changes for callers.

--- a/internal/callermemory/read.go
+++ b/internal/callermemory/read.go
@@ -56,27 +56,21 @@
 	if length > maxBytes {
 		return nil, h.readTooLarge(ctx, r, deadline)
 	}
-	announced := length >= 0
 	size, reserved := min(firstBytes, maxBytes), int64(0)
-	if announced {
-		if length <= smallBytes {
-			size = length
-		} else {
-			reserved = size + 1
-		}
-		reserved += length + 1
-		if err := h.Wait(ctx, reserved, deadline); err != nil {
+	if length >= 0 && length <= smallBytes {
+		size = length
+	}
+	if size < length { // both buffers of an announced body
+		if err := h.Wait(ctx, size+1+length+1, deadline); err != nil {
 			return nil, err
 		}
 	}
 	var body []byte
 	for {
 		// The byte beyond the body lets its end be read without another buffer.
-		if !announced {
-			reserved += size + 1
-			if err := h.Wait(ctx, reserved, deadline); err != nil {
-				return nil, err
-			}
+		reserved += size + 1
+		if err := h.Wait(ctx, reserved, deadline); err != nil {
+			return nil, err
 		}
 		grown := make([]byte, len(body), size+1)
 		copy(grown, body)
@@ -91,12 +85,11 @@
 				return nil, err
 			}
 		}
-		if announced && size < length {
+		if size < length {
 			size = length
-			continue
+		} else {
+			size = min(growth*size, maxBytes)
 		}
-		announced = false // the body is longer than announced
-		size = min(growth*size, maxBytes)
 	}
 }
 
