--- a/internal/weightsync/agent.go
+++ b/internal/weightsync/agent.go
@@ -510,9 +510,7 @@
 		return nil, err
 	}
 	if err := m.Verify(f.Piece, data); err != nil {
-		if a.recordRejected(v, f.Piece, data) && f.Source.Holder == "" {
-			a.deferContradicted(v, f.Piece)
-		}
+		a.recordRejected(v, f.Piece, data, f.Source.Holder == "")
 		return nil, err
 	}
 	return data, nil
--- a/internal/weightsync/recheck.go
+++ b/internal/weightsync/recheck.go
@@ -65,20 +65,15 @@
 	return true
 }
 
-// recordRejected records that a piece arrived with another digest than the manifest has. It
-// reports whether the piece arrived as it did before.
-func (a *Agent) recordRejected(v *version, piece int, data []byte) bool {
+// recordRejected records that a piece arrived with another digest than the manifest has. If
+// the origin sent it as it arrived before, its next fetch from there is deferred: each rejected
+// piece delays the others from the origin by its backoff.
+func (a *Agent) recordRejected(v *version, piece int, data []byte, fromOrigin bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return v.evidence.record(piece, data)
-}
-
-// deferContradicted defers the next fetch from the origin of a piece that contradicts the
-// manifest. Each rejected piece delays the others from the origin by its backoff.
-func (a *Agent) deferContradicted(v *version, piece int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	v.scheduler.DeferAtOrigin(piece, time.Now().Add(contradictedPause))
+	if v.evidence.record(piece, data) && fromOrigin {
+		v.scheduler.DeferAtOrigin(piece, time.Now().Add(contradictedPause))
+	}
 }
 
 // recheckManifests reads the manifest again of each version that is being fetched, if
--- a/internal/weightsync/reconcile.go
+++ b/internal/weightsync/reconcile.go
@@ -139,7 +139,7 @@
 			continue
 		}
 		if v.manifest.Verify(n, data) != nil { // corrupt, or of another version
-			a.recordRejected(v, n, data)
+			a.recordRejected(v, n, data, false)
 			continue
 		}
 		a.mu.Lock()
