Exact shares: requests are counted once for routes and organisations

The counts of all requests were kept twice, a second window repeated the formula of the first, and each logged rate was built in three places. chooseServer names its condition for what it is.

--- a/internal/schedule/organisations.go
+++ b/internal/schedule/organisations.go
@@ -30,43 +30,35 @@
 
 // organisationTable tells which organisations are starved.
 type organisationTable struct {
-	rates   map[string]*organisationRates // by name
-	all     organisationRates
-	pruneAt time.Time // no search for organisations to be dropped before
+	rates     map[string]*organisationRates // by name
+	allLately requestRates                  // of the last organisationWindow
+	pruneAt   time.Time                     // no search for organisations to be dropped before
 }
 
 // organisationRates counts the requests of an organisation.
 type organisationRates struct {
-	asked, started             rateWindow
-	askedLately, startedLately longWindow
-	deficit                    float64 // requests behind the protected rate
-	dropAt                     time.Time
-	starved                    bool
+	rates   requestRates // of the last second
+	lately  requestRates // of the last organisationWindow
+	deficit float64      // requests behind the protected rate
+	dropAt  time.Time
+	starved bool
 }
 
-// count counts a request that was asked for or started.
-func (t *organisationTable) count(now time.Time, name string, started bool) {
+// count counts a request that was asked for or started. startedShare is the fraction of all
+// requests that were started.
+func (t *organisationTable) count(now time.Time, name string, started bool, startedShare float64) {
 	t.prune(now)
-	t.all.count(now, started)
+	t.allLately.count(now, organisationWindow, started)
 	rates, ok := t.rates[name]
 	if !ok && !started {
 		rates = t.add(name)
 	}
 	if rates != nil {
 		rates.count(now, started)
-		rates.balance(t.startedShare(now), started)
+		rates.balance(startedShare, started)
 	}
 }
 
-// startedShare returns the fraction of all requests of the last second that were started.
-func (t *organisationTable) startedShare(now time.Time) float64 {
-	asked := t.all.asked.perSecond(now)
-	if asked <= 0 {
-		return 1
-	}
-	return min(1, t.all.started.perSecond(now)/asked)
-}
-
 // add adds an organisation and returns its counts, or nil if there is no room for it.
 func (t *organisationTable) add(name string) *organisationRates {
 	if len(t.rates) >= maxOrganisations {
@@ -94,14 +86,11 @@
 }
 
 func (r *organisationRates) count(now time.Time, started bool) {
-	if started {
-		r.started.add(now)
-		r.startedLately.add(now)
-		return
+	r.rates.count(now, time.Second, started)
+	r.lately.count(now, organisationWindow, started)
+	if !started {
+		r.dropAt = now.Add(organisationRetention)
 	}
-	r.asked.add(now)
-	r.askedLately.add(now)
-	r.dropAt = now.Add(organisationRetention)
 }
 
 // balance updates the deficit for a request that was asked for or started.
@@ -126,30 +115,11 @@
 	return ok && rates.starved && len(t.rates) > 1
 }
 
-// rate returns the rates of an organisation that are logged.
-func (t *organisationTable) rate(now time.Time, r *organisationRates) ServedRate {
-	if asked := r.asked.perSecond(now); asked >= minAskedPerSecond {
-		return ServedRate{
-			AskedPerSecond: asked, StartedPerSecond: r.started.perSecond(now),
-			AllAskedPerSecond: t.all.asked.perSecond(now), AllStartedPerSecond: t.all.started.perSecond(now),
-		}
+// servedRate returns the rates of an organisation that are logged. all counts all requests of
+// the last second.
+func (t *organisationTable) servedRate(now time.Time, r *organisationRates, all *requestRates) ServedRate {
+	if r.rates.asked.perSecond(now) >= minAskedPerSecond {
+		return r.rates.servedRate(now, time.Second, all)
 	}
-	return ServedRate{
-		AskedPerSecond: r.askedLately.perSecond(now), StartedPerSecond: r.startedLately.perSecond(now),
-		AllAskedPerSecond: t.all.askedLately.perSecond(now), AllStartedPerSecond: t.all.startedLately.perSecond(now),
-	}
-}
-
-// longWindow counts the events of the last organisationWindow.
-type longWindow struct{ window rateWindow }
-
-func (w *longWindow) add(now time.Time) {
-	w.window.advanceBy(now, organisationWindow)
-	w.window.current++
-}
-
-func (w *longWindow) perSecond(now time.Time) float64 {
-	w.window.advanceBy(now, organisationWindow)
-	seconds := organisationWindow.Seconds()
-	return (w.window.current + w.window.previous*(1-now.Sub(w.window.openedAt).Seconds()/seconds)) / seconds
+	return r.lately.servedRate(now, organisationWindow, &t.allLately)
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -663,14 +663,14 @@
 	lowest, lowestSpare := math.Inf(1), math.Inf(1)
 	newest, reserved := p.newestVersion(), p.reservations(now, r)
 	estimated := p.estimated(r)
-	shared := !r.Generates || !p.exactShares() // full servers are not considered
+	shareless := r.Generates && p.exactShares() // no available server so far has a share
 	for _, s := range p.order {
 		if !p.available(now, s, r) {
 			continue
 		}
-		shared = shared || p.slotShare(s) > 0
+		shareless = shareless && p.slotShare(s) == 0
 		full := p.full(now, s, r)
-		if full && (shared || !p.hasRoom(now, s, r)) {
+		if full && !(shareless && p.hasRoom(now, s, r)) {
 			continue
 		}
 		var load float64
@@ -701,7 +701,7 @@
 			best, lowest = s, load
 		}
 	}
-	if !shared && lowestSpare < lowest {
+	if shareless && lowestSpare < lowest {
 		best = spare
 	}
 	if best != nil && slices.Contains(r.Failed, best.ID) && p.waitsForRecovery(now, r) {
@@ -781,17 +781,15 @@
 	return s.backoffUntil.IsZero() || s.ownRunning == 0
 }
 
-// rateWindow counts the events of the current second and the one before.
+// rateWindow counts the events of the current window and the one before. All calls for one
+// must use the same length: those whose names end in Over take it, the others use a second.
 type rateWindow struct {
 	openedAt time.Time
-	previous float64 // events of the previous second
-	current  float64 // events of the current second
+	previous float64 // events of the previous window
+	current  float64 // events of the current window
 }
 
-func (w *rateWindow) advance(now time.Time) { w.advanceBy(now, time.Second) }
-
-// advanceBy is advance for windows of another length.
-func (w *rateWindow) advanceBy(now time.Time, length time.Duration) {
+func (w *rateWindow) advanceOver(now time.Time, length time.Duration) {
 	switch elapsed := now.Sub(w.openedAt); {
 	case elapsed >= 2*length:
 		w.openedAt, w.previous, w.current = now, 0, 0
@@ -800,16 +798,21 @@
 	}
 }
 
-func (w *rateWindow) add(now time.Time) {
-	w.advance(now)
+func (w *rateWindow) add(now time.Time) { w.addOver(now, time.Second) }
+
+func (w *rateWindow) addOver(now time.Time, length time.Duration) {
+	w.advanceOver(now, length)
 	w.current++
 }
 
-// perSecond returns the events of the last second. The count of the previous second
-// is weighted by its part that lies within that time.
-func (w *rateWindow) perSecond(now time.Time) float64 {
-	w.advance(now)
-	return w.current + w.previous*(1-now.Sub(w.openedAt).Seconds())
+func (w *rateWindow) perSecond(now time.Time) float64 { return w.perSecondOver(now, time.Second) }
+
+// perSecondOver returns the events per second of the last window. The count of the
+// previous one is weighted by its part that lies within that time.
+func (w *rateWindow) perSecondOver(now time.Time, length time.Duration) float64 {
+	w.advanceOver(now, length)
+	seconds := length.Seconds()
+	return (w.current + w.previous*(1-now.Sub(w.openedAt).Seconds()/seconds)) / seconds
 }
 
 // refuseNoReplica refuses a request that no server can run by its wait deadline.
--- a/internal/schedule/shortage.go
+++ b/internal/schedule/shortage.go
@@ -37,16 +37,15 @@
 		return nil
 	}
 	var out []ServedRate
+	all := &p.starvation.all
 	for priority, rates := range p.starvation.rates {
-		out = append(out, ServedRate{
-			RoutePriority: priority, OfRoute: true, Starved: p.starvation.starved(now, priority),
-			AskedPerSecond: rates.asked.perSecond(now), StartedPerSecond: rates.started.perSecond(now),
-			AllAskedPerSecond: p.starvation.all.asked.perSecond(now), AllStartedPerSecond: p.starvation.all.started.perSecond(now),
-		})
+		rate := rates.servedRate(now, time.Second, all)
+		rate.RoutePriority, rate.OfRoute, rate.Starved = priority, true, p.starvation.starved(now, priority)
+		out = append(out, rate)
 	}
 	organisations := &p.starvation.organisations
 	for name, rates := range organisations.rates {
-		rate := organisations.rate(now, rates)
+		rate := organisations.servedRate(now, rates, all)
 		rate.Organisation, rate.Starved = name, organisations.starved(name)
 		out = append(out, rate)
 	}
--- a/internal/schedule/starvation.go
+++ b/internal/schedule/starvation.go
@@ -15,14 +15,39 @@
 	minAskedPerSecond = 4
 )
 
-// routeRates counts the requests of one route priority.
-type routeRates struct{ asked, started rateWindow }
+// requestRates counts requests that were asked for and started, over windows of one length.
+type requestRates struct{ asked, started rateWindow }
+
+func (r *requestRates) count(now time.Time, length time.Duration, started bool) {
+	if started {
+		r.started.addOver(now, length)
+	} else {
+		r.asked.addOver(now, length)
+	}
+}
+
+// servedRate returns the rates to be logged, beside those of all requests.
+func (r *requestRates) servedRate(now time.Time, length time.Duration, all *requestRates) ServedRate {
+	return ServedRate{
+		AskedPerSecond: r.asked.perSecondOver(now, length), StartedPerSecond: r.started.perSecondOver(now, length),
+		AllAskedPerSecond: all.asked.perSecondOver(now, length), AllStartedPerSecond: all.started.perSecondOver(now, length),
+	}
+}
+
+// startedShare returns the fraction of the requests of the last second that were started.
+func (r *requestRates) startedShare(now time.Time) float64 {
+	asked := r.asked.perSecond(now)
+	if asked <= 0 {
+		return 1
+	}
+	return min(1, r.started.perSecond(now)/asked)
+}
 
 // starvation tells which route priorities and organisations are starved. It counts requests
 // once, whatever number of servers they are sent to.
 type starvation struct {
-	rates         map[int]*routeRates // by route priority
-	all           routeRates
+	rates         map[int]*requestRates // by route priority, of the last second
+	all           requestRates          // of the last second
 	organisations organisationTable
 }
 
@@ -31,21 +56,16 @@
 		return
 	}
 	if s.rates == nil {
-		s.rates = map[int]*routeRates{}
+		s.rates = map[int]*requestRates{}
 	}
 	rates, ok := s.rates[r.RoutePriority]
 	if !ok {
-		rates = &routeRates{}
+		rates = &requestRates{}
 		s.rates[r.RoutePriority] = rates
 	}
-	for _, counted := range []*routeRates{rates, &s.all} {
-		if started {
-			counted.started.add(now)
-		} else {
-			counted.asked.add(now)
-		}
-	}
-	s.organisations.count(now, r.Organisation, started)
+	rates.count(now, time.Second, started)
+	s.all.count(now, time.Second, started)
+	s.organisations.count(now, r.Organisation, started, s.all.startedShare(now))
 }
 
 // starved reports whether requests of a route priority are started much less often than
