--- a/internal/schedule/estimate_simulation_test.go
+++ b/internal/schedule/estimate_simulation_test.go
@@ -1,7 +1,6 @@
 package schedule_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -33,14 +32,13 @@
 // passSimulation simulates gateways whose engines work in passes. Unlike the estimates, it
 // counts each step, and reads the prompts chunk by chunk.
 type passSimulation struct {
-	now     time.Time
+	clock
 	figures enginemodel.Figures
 	// requestFigures are the figures that the gateways know.
 	requestFigures enginemodel.Figures
 	generates      bool // the requests are for engines, so that exact shares apply
 	pools          []*schedule.Pool
 	engines        []*passEngine
-	events         events
 	random         *rand.Rand
 	next           int64
 	requests       map[int64]*passRequest
@@ -76,7 +74,7 @@
 }
 
 func newPassSimulation(seed uint64, gateways, engines int, options schedule.Options) *passSimulation {
-	sim := &passSimulation{now: startTime, figures: passFigures, requestFigures: passFigures, random: rand.New(rand.NewPCG(seed, 17)), requests: map[int64]*passRequest{}}
+	sim := &passSimulation{clock: clock{now: startTime}, figures: passFigures, requestFigures: passFigures, random: rand.New(rand.NewPCG(seed, 17)), requests: map[int64]*passRequest{}}
 	var servers []schedule.Server
 	for n := range engines {
 		sim.engines = append(sim.engines, &passEngine{id: fmt.Sprint("e", n), speed: 1})
@@ -99,18 +97,12 @@
 }
 
 func (sim *passSimulation) after(milliseconds float64, run func()) {
-	heap.Push(&sim.events, event{sim.now.Add(time.Duration(milliseconds * float64(time.Millisecond))), run})
+	sim.clock.after(time.Duration(milliseconds*float64(time.Millisecond)), run)
 }
 
 func (sim *passSimulation) exchange() {
 	for n, p := range sim.pools {
-		others := map[string]int{}
-		for m, other := range sim.pools {
-			if m != n {
-				other.AddRunning(others)
-			}
-		}
-		defer sim.resolveLater(n, p, others)
+		defer sim.resolveLater(n, p, runningOfOthers(sim.pools, n))
 	}
 	sim.after(gossipInterval.Seconds()*1000, sim.exchange)
 }
@@ -234,17 +226,6 @@
 	sim.pass(e)
 }
 
-// advance runs the simulation for some seconds.
-func (sim *passSimulation) advance(seconds float64) {
-	until := sim.now.Add(time.Duration(seconds * float64(time.Second)))
-	for len(sim.events) > 0 && sim.events[0].at.Before(until) {
-		e := heap.Pop(&sim.events).(event)
-		sim.now = e.at
-		e.run()
-	}
-	sim.now = until
-}
-
 // load submits requests at a rate per second for some seconds. size returns the tokens of a
 // prompt.
 func (sim *passSimulation) load(seconds, rate float64, size func() int) {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -25,11 +25,10 @@
 // simulation simulates several gateways that share engines. An engine processes
 // prompts one after the other and holds a slot for each request.
 type simulation struct {
-	now     time.Time
+	clock
 	pools   []*schedule.Pool
 	servers []schedule.Server
 	engines map[string]*engine
-	events  events
 	random  *rand.Rand
 	next    int64
 	// stepPerRequest is added to the first token's delay for each request that an
@@ -73,8 +72,45 @@
 	return last
 }
 
+// clock runs events in the order of their times.
+type clock struct {
+	now    time.Time
+	events events
+}
+
+func (c *clock) after(delay time.Duration, run func()) {
+	heap.Push(&c.events, event{c.now.Add(delay), run})
+}
+
+// runUntil runs the events before a time. Their functions may add others.
+func (c *clock) runUntil(until time.Time) {
+	for len(c.events) > 0 && c.events[0].at.Before(until) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+}
+
+// advance runs the events of some seconds.
+func (c *clock) advance(seconds float64) {
+	until := c.now.Add(time.Duration(seconds * float64(time.Second)))
+	c.runUntil(until)
+	c.now = until
+}
+
+// runningOfOthers returns the requests that all pools but one have running.
+func runningOfOthers(pools []*schedule.Pool, one int) map[string]int {
+	others := map[string]int{}
+	for n, p := range pools {
+		if n != one {
+			p.AddRunning(others)
+		}
+	}
+	return others
+}
+
 func newSimulation(engines int) *simulation {
-	sim := &simulation{now: time.Unix(1000, 0), engines: map[string]*engine{}, random: rand.New(rand.NewPCG(3, 9)), requests: map[int64]*request{}}
+	sim := &simulation{clock: clock{now: time.Unix(1000, 0)}, engines: map[string]*engine{}, random: rand.New(rand.NewPCG(3, 9)), requests: map[int64]*request{}}
 	for n := range engines {
 		s := schedule.Server{ID: fmt.Sprint("e", n), Region: []string{"north", "south", "west"}[n%3], Slots: slots, Version: 1, Ready: true}
 		sim.servers = append(sim.servers, s)
@@ -90,27 +126,14 @@
 	return sim
 }
 
-func (sim *simulation) after(delay time.Duration, run func()) {
-	heap.Push(&sim.events, event{sim.now.Add(delay), run})
-}
-
 // exchange gives each gateway the number of requests that the others have running.
 func (sim *simulation) exchange() {
-	running := make([]map[string]int, gateways)
-	for n, p := range sim.pools {
-		running[n] = map[string]int{}
-		p.AddRunning(running[n])
+	others := make([]map[string]int, gateways)
+	for n := range sim.pools {
+		others[n] = runningOfOthers(sim.pools, n)
 	}
 	for n, p := range sim.pools {
-		others := map[string]int{}
-		for m := range running {
-			for id, count := range running[m] {
-				if m != n {
-					others[id] += count
-				}
-			}
-		}
-		sim.resolve(n, p.SetOtherLoad(sim.now, others))
+		sim.resolve(n, p.SetOtherLoad(sim.now, others[n]))
 	}
 	sim.after(gossipInterval, sim.exchange)
 }
@@ -215,11 +238,7 @@
 		sim.after(time.Duration(sim.random.ExpFloat64()/rate(sim.now.Sub(start).Seconds())*float64(time.Second)), next)
 	}
 	next()
-	for len(sim.events) > 0 && sim.events[0].at.Before(until.Add(4*time.Second)) {
-		e := heap.Pop(&sim.events).(event)
-		sim.now = e.at
-		e.run()
-	}
+	sim.runUntil(until.Add(4 * time.Second))
 }
 
 // result returns the fractions of requests that were answered within the target,
--- a/internal/schedule/starvation_test.go
+++ b/internal/schedule/starvation_test.go
@@ -1,7 +1,6 @@
 package schedule_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -15,9 +14,8 @@
 // shortage simulates gateways with exact shares whose callers belong to organisations of
 // different size and priority. An engine holds a slot for each request.
 type shortage struct {
-	now           time.Time
+	clock
 	random        *rand.Rand
-	events        events
 	pools         []*schedule.Pool
 	organisations []organisation
 	requests      map[int64]shortageRequest
@@ -60,7 +58,7 @@
 
 func newShortageOf(pools []*schedule.Pool, organisations []organisation) *shortage {
 	sim := &shortage{
-		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(5, 11)), organisations: organisations, pools: pools,
+		clock: clock{now: time.Unix(1000, 0)}, random: rand.New(rand.NewPCG(5, 11)), organisations: organisations, pools: pools,
 		requests: map[int64]shortageRequest{}, asked: map[string]int{}, served: map[string]int{},
 	}
 	sim.every(10*time.Millisecond, func() {
@@ -72,10 +70,6 @@
 	return sim
 }
 
-func (sim *shortage) after(delay time.Duration, run func()) {
-	heap.Push(&sim.events, event{sim.now.Add(delay), run})
-}
-
 func (sim *shortage) every(interval time.Duration, run func()) {
 	sim.after(interval, func() {
 		run()
@@ -86,13 +80,7 @@
 // exchange gives each gateway the number of requests that the others have running.
 func (sim *shortage) exchange() {
 	for n, p := range sim.pools {
-		others := map[string]int{}
-		for m, other := range sim.pools {
-			if m != n {
-				other.AddRunning(others)
-			}
-		}
-		sim.take(n, p.SetOtherLoad(sim.now, others))
+		sim.take(n, p.SetOtherLoad(sim.now, runningOfOthers(sim.pools, n)))
 	}
 }
 
@@ -110,17 +98,6 @@
 	sim.advance(seconds)
 }
 
-// advance runs the simulation for some seconds.
-func (sim *shortage) advance(seconds float64) {
-	until := sim.now.Add(time.Duration(seconds * float64(time.Second)))
-	for sim.events[0].at.Before(until) {
-		e := heap.Pop(&sim.events).(event)
-		sim.now = e.at
-		e.run()
-	}
-	sim.now = until
-}
-
 func (sim *shortage) submit() { sim.submitFrom(sim.pickOrganisation()) }
 
 func (sim *shortage) submitFrom(from organisation) {
