--- a/test/hosting/stopcheck_test.go
+++ b/test/hosting/stopcheck_test.go
@@ -281,7 +281,7 @@
 	s.t.Helper()
 	j := s.newJudge(gateways)
 	problems := map[string][]string{} // by kind
-	answered, refused, excluded, unanswered, late, ended, withdrawn, further := 0, 0, 0, 0, 0, 0, 0, 0
+	answered, refused, excluded, unanswered, late, ended, withdrawn, further, furtherAnswered := 0, 0, 0, 0, 0, 0, 0, 0, 0
 	for _, o := range s.outcomes {
 		if p := j.problem(o); p != "" {
 			problems[p] = append(problems[p], fmt.Sprintf("%s (key %s, budget %q) to %s: status %d, %v, body %q, began %s, sent %s, ended %s, runs %s%s", o.Attempt, o.key, o.budget, o.gateway,
@@ -290,6 +290,9 @@
 		switch {
 		case strings.HasPrefix(o.Attempt, burstPrefix), o.began.After(s.injected.calmSince):
 			further++
+			if o.answered() {
+				furtherAnswered++
+			}
 		case o.answered():
 			answered++
 		case o.halfClosed, o.Status == http.StatusNotFound, o.Status == http.StatusUnauthorized:
@@ -321,6 +324,7 @@
 	}
 	require.Zero(s.t, len(problems), "kinds of problems")
 	require.Greater(s.t, answered, (len(s.outcomes)-withdrawn-excluded-further)/10)
+	require.Positive(s.t, furtherAnswered, "of burst callers or after the last stop")
 }
 
 // surroundings returns the silences, named versions and stops beside o, and what its gateway
--- a/test/hosting/stopsoak_loadcheck_test.go
+++ b/test/hosting/stopsoak_loadcheck_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"almondreel.example/almondreel/platform/standin"
 )
 
@@ -115,5 +117,7 @@
 			add("refused without reason as "+reason, "%s to %s, %s to %s", o.Attempt, o.gateway, o.began.Format(logTimeLayout), o.ended.Format(logTimeLayout))
 		}
 	}
+	require.Positive(s.t, coldRequests, "requests to cold engines")
+	require.Positive(s.t, evacuatedTime, "evacuations in force")
 	s.t.Logf("%d cold periods with %d requests, at most %d within a second; %d evacuations, in force for %s", len(s.injected.cold), coldRequests, most, len(s.injected.evacuations), evacuatedTime)
 }
