review: stand-ins of the project in place of own ones; the drill of the store is dropped

Cause: an earlier case shows the drill already, and a check keeps the platform's names out of Go files elsewhere. Done: the scripts use platform/standin and platform/caller; the configuration with limits is a data file.

--- a/review/cases2/fields.go
+++ b/review/cases2/fields.go
@@ -4,12 +4,17 @@
 
 import (
 	"bufio"
+	_ "embed"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
+
+	"almondreel.example/almondreel/platform/caller"
+	"almondreel.example/almondreel/platform/standin"
 )
 
 func init() { cases["fields"] = fields }
@@ -20,13 +25,25 @@
 	shortFields   = 1100
 )
 
+//go:embed fields.json
+var fieldsConfiguration []byte
+
 // fields checks the rule CONFIG for single requests in calm whose headers are legal in size
 // but made of very many short fields. Without trouble the same bytes are in longer fields.
 func fields(s *site) bool {
+	var item struct {
+		Key   string
+		Value json.RawMessage
+	}
+	must(json.Unmarshal(fieldsConfiguration, &item))
+	s.store.PutText(item.Key, string(item.Value))
 	s.startStore()
-	s.addServer("i-7f3a91c2", "ledger")
-	s.configure([]route{{"lookup", "/lookup/", "idempotent", "ledger"}}, map[string]string{"north": northKey})
+	address := s.ports.Next()
+	server := standin.NewService("i-7f3a91c2", address, dataCentre)
+	s.listen(address, server)
+	server.Register(s.store)
 	s.startGateways(2)
+
 	var text strings.Builder
 	for n := range shortFields {
 		fmt.Fprintf(&text, "a%d:b\r\n", n)
@@ -41,13 +58,16 @@
 	unanswered, late := 0, 0
 	for n := range fieldRequests {
 		status, took := s.sendFields(s.gateways[n%len(s.gateways)], text.String())
-		s.record.note("header of %d bytes: status %d after %.1f s (0: none)", text.Len(), status, took.Seconds())
 		if took >= routeTimeout {
 			unanswered++
 		}
 		if took >= routeTimeout+500*time.Millisecond {
 			late++
 		}
+		s.record.note("fields of %d bytes: status %d after %.1f s (0: none)", text.Len(), status, took.Seconds())
+	}
+	for _, r := range server.Runs() {
+		s.record.add(r.At, "run", "%s", r.Attempt)
 	}
 	s.record.note("%d of %d requests had no answer at the route's timeout, %d of them none half a second later", unanswered, fieldRequests, late)
 	return late >= 8 && 2*late > unanswered
@@ -55,8 +75,8 @@
 
 // sendFields sends one request on a new connection. It waits for its answer for a second
 // longer than the route's timeout.
-func (s *site) sendFields(g *gateway, text string) (status int, took time.Duration) {
-	attempt := fmt.Sprintf("%016x", s.nextID.Add(1)+0x1c41d07b00000000)
+func (s *site) sendFields(g *process, text string) (status int, took time.Duration) {
+	attempt := s.newAttempt()
 	c, err := net.DialTimeout("tcp", g.callers, time.Second)
 	must(err)
 	defer c.Close()
@@ -65,9 +85,9 @@
 		took = time.Since(began)
 		s.record.add(time.Now(), "answer", "%s status %d", attempt, status)
 	}()
-	s.record.add(began, "sent", "%s GET /lookup/2f to %s, header of about %d bytes", attempt, g.name, len(text))
+	s.record.add(began, "sent", "%s to %s, fields of %d bytes", attempt, g.name, len(text))
 	_ = c.SetDeadline(began.Add(routeTimeout + time.Second))
-	if _, err := fmt.Fprintf(c, "GET /lookup/2f HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\nAuthorization: Token %s\r\n%s\r\n", host, attempt, northKey, text); err != nil {
+	if _, err := fmt.Fprintf(c, "GET %sx HTTP/1.1\r\n%s%s\r\n", standin.OncePath, caller.HeaderLines(attempt, modelKey, "4000"), text); err != nil {
 		return 0, 0
 	}
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
