--- a/review/cases2/lateorder.go
+++ b/review/cases2/lateorder.go
@@ -20,7 +20,10 @@
 	restartDelay = 500 * time.Millisecond
 	// watchTime is how long callers go on after the machine has woken.
 	watchTime   = 12 * time.Second
-	callerCount = 4
+	callerCount = 8
+	// lateOrderEngines is the least number of which one is within the share of machines that
+	// may freeze.
+	lateOrderEngines = 9
 )
 
 // lateOrder checks the rule WHOLE: a machine freezes with an order to load a version on its way
@@ -30,7 +33,7 @@
 	s.startStore()
 	s.store.Configure(standin.Configuration{Version: 1, Keys: []string{modelKey}})
 	s.startGateways(2)
-	s.startEngines(2, 40, 300)
+	s.startEngines(lateOrderEngines, 40, 300)
 	stop := make(chan struct{})
 	s.writeEntries(stop)
 	for n := range s.gateways {
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -8,8 +8,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime/debug"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -36,6 +38,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stops
+		s.interrupt()
+		os.Exit(failed)
+	}()
 	defer func() {
 		if cause := recover(); cause != nil {
 			s.record.note("the case could not run: %v", cause)
@@ -43,6 +52,11 @@
 			code = failed
 		}
 		s.close()
+		running, started := s.running()
+		s.record.note("%d of the %d processes that were started are still running", running, started)
+		if running > 0 {
+			code = failed
+		}
 		if err := s.record.write(filepath.Join(folder, "record.txt")); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			code = failed
--- a/review/cases2/site.go
+++ b/review/cases2/site.go
@@ -41,6 +41,8 @@
 	engines  []*engineHost
 	closers  []func()
 	attempts atomic.Int64
+	mu       sync.Mutex
+	started  []*exec.Cmd // all processes, also those that have ended
 	traffic  sync.WaitGroup
 }
 
@@ -166,8 +168,11 @@
 func (s *site) startAgain(p *process) {
 	p.command = exec.Command(p.program, "--settings", p.file)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	must(p.command.Start())
-	s.record.add(time.Now(), "start", "%s", p.name)
+	s.started = append(s.started, p.command)
+	s.record.add(time.Now(), "start", "%s, process %d", p.name, p.command.Process.Pid)
 }
 
 func (s *site) kill(p *process) {
@@ -180,6 +185,26 @@
 	_ = p.command.Wait()
 }
 
+// interrupt ends all processes that the case started, for a case that is stopped from outside.
+func (s *site) interrupt() {
+	s.mu.Lock() // is kept: no other process starts
+	for _, c := range s.started {
+		_ = c.Process.Kill() // fails if it has ended
+	}
+}
+
+// running asks for each process that the case started by its ID, and returns how many run.
+func (s *site) running() (running, started int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.started {
+		if syscall.Kill(c.Process.Pid, 0) == nil {
+			running++
+		}
+	}
+	return running, len(s.started)
+}
+
 // await waits until done holds. It panics if that takes too long.
 func (s *site) await(within time.Duration, what string, done func() bool) {
 	for until := time.Now().Add(within); !done(); time.Sleep(20 * time.Millisecond) {
