A status that is none of a response, such as 000, is no answer of any peer

What callers saw (reported for other systems): an engine in trouble sent an answer with status 000, and the client got it as an answer. Here callers of the gateways, in both forms, got 502 for it already: atmostonce checked the status. The tests of that are kept and have more statuses now (TestAnswerWithoutFinalStatusIsNotRelayed here; in internal/backendproxy 000 was tested before). Elsewhere it was taken for an answer.

Cause: net/http takes any three digits, or a sign and two digits, for a status, and each client judged statuses in its own way. platform.fetch took everything below 300 for success, so that with status 000 - an engine "accepted" a load order or a staged piece (also with 101), - its report, its list of pieces and a piece read back counted as read, - a manifest or piece of the origin counted as read. The key-value client took the write that was answered so for refused, which it may not have been; pkg/client took its body or outcome for the gateway's. After status 600 atmostonce kept the connection for the next request.

Change: internal/peerconn checks the status line on the connection, before net/http uses the response, for every client that reads answers: engines, agents, gateways, origin and weight store, the key-value and the metadata store, the list of instances, the connection of net/rpc, the operators' command, the demo and pkg/client. The response then fails like one that was cut in its head: the request may have run, a write is ambiguous, and net/http closes the connection. atmostonce's own check is gone, as it had become dead code. Only the heads are looked at, by the request that uses a connection, so that bodies are never taken for one. With https, which settings allow, the check is on the decrypted bytes; such connections speak HTTP/1.1 now where net/http chose HTTP/2. weightsync.NewPeerClient takes a transport in place of a client, so that the tests use the check of the product; the tests that make one are changed for that alone.

Evidence: on TestAgentCallsFailOnStatusOutOfRange failed in 25 of its 66 cases (none of the store's and other agents', which ask for 200), TestCallsFailOnStatusOutOfRange in 11 of the twelve of pkg/client, TestSwapAnsweredWithStatusOutOfRangeIsAmbiguous ("status 0", not ambiguous) and TestConnectionIsNotReusedAfterStatusOutOfRange (600).

--- a/internal/atmostonce/atmostonce.go
+++ b/internal/atmostonce/atmostonce.go
@@ -24,6 +24,7 @@
 
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 const (
@@ -73,7 +74,7 @@
 		WriteBufferSize:        connBufferBytes,
 	}
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: noRedirects}
+	return &http.Client{Transport: peerconn.NewTransport(transport), CheckRedirect: noRedirects}
 }
 
 // Request is an HTTP request to a peer.
@@ -114,14 +115,10 @@
 		client = c.fresh
 	}
 	response, err := client.Do(request)
-	if err == nil && IsFinalStatus(response.StatusCode) {
+	if err == nil {
 		response.Body = &responseBody{ReadCloser: response.Body, recorder: recorder}
 		return response, nil
 	}
-	if err == nil {
-		_ = response.Body.Close()
-		return nil, errs.New("send", r.Address, "status %d is none of a final response", response.StatusCode)
-	}
 	if cause := context.Cause(ctx); errors.Is(cause, errConnectTimeout) {
 		err = cause
 	}
@@ -136,10 +133,6 @@
 	return nil, &NotSentError{Cause: err}
 }
 
-// IsFinalStatus reports whether a status is one of a final response. Status 101 is none:
-// no request asks for another protocol.
-func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
-
 // responseBody is the body of a response to a request that Send sent.
 type responseBody struct {
 	io.ReadCloser
@@ -226,7 +219,11 @@
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		rec.mu.Lock()
 		defer rec.mu.Unlock()
-		c, ok := info.Conn.(*countingConn)
+		conn := info.Conn
+		if wrapping, ok := conn.(interface{ NetConn() net.Conn }); ok {
+			conn = wrapping.NetConn()
+		}
+		c, ok := conn.(*countingConn)
 		if !ok {
 			rec.conns = append(rec.conns, connStart{})
 			return
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -24,6 +24,7 @@
 	"almondreel.example/almondreel/internal/invariant"
 	"almondreel.example/almondreel/internal/operator"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 // MaxAnswerBytes is the maximum size of a plain service's answer.
@@ -305,7 +306,7 @@
 		return err
 	}
 	status, err := strconv.Atoi(response.Header.Get(agent.HeaderStatus))
-	if err != nil || !atmostonce.IsFinalStatus(status) {
+	if err != nil || !peerconn.IsFinalStatus(status) {
 		return &invalidAnswer{outcome.StreamCut, "answer has no valid status header"}
 	}
 	a.Progress.Answer = Answer{Status: status, ContentType: response.Header.Get("Content-Type"), Body: text}
--- a/internal/callerapi/response.go
+++ b/internal/callerapi/response.go
@@ -7,10 +7,10 @@
 	"strconv"
 	"time"
 
-	"almondreel.example/almondreel/internal/atmostonce"
 	"almondreel.example/almondreel/internal/attempt"
 	"almondreel.example/almondreel/internal/engine"
 	"almondreel.example/almondreel/internal/outcome"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 // WriteTimeout bounds each write to a caller.
@@ -128,7 +128,7 @@
 		resp.writeOutcome(o)
 		return
 	}
-	if !atmostonce.IsFinalStatus(a.Status) { // 0: the body was too large to be kept for repeats
+	if !peerconn.IsFinalStatus(a.Status) { // 0: the body was too large to be kept for repeats
 		resp.writeRecord(http.StatusOK, resp.record(o))
 		return
 	}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -12,6 +12,7 @@
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/operator"
+	"almondreel.example/almondreel/internal/peerconn"
 	"almondreel.example/almondreel/internal/settings"
 	"almondreel.example/almondreel/internal/status"
 )
@@ -42,7 +43,7 @@
 	if err != nil {
 		return s, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := peerconn.DefaultClient.Do(request)
 	if err != nil {
 		return s, errs.Wrap(err, "read status", base)
 	}
--- a/internal/control/connect.go
+++ b/internal/control/connect.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"almondreel.example/almondreel/internal/bounded"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 // connectedStatus is the HTTP status with which a net/rpc server accepts CONNECT.
@@ -19,7 +20,8 @@
 	if _, err := io.WriteString(conn, "CONNECT "+Path+" HTTP/1.0\n\n"); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(bounded.Reader(conn, maxConnectResponseBytes)), &http.Request{Method: http.MethodConnect})
+	reader := bufio.NewReader(peerconn.NewReader(bounded.Reader(conn, maxConnectResponseBytes)))
+	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return err
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,7 @@
 
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 const (
@@ -39,7 +40,7 @@
 // NewClient returns a client of the engine at address (IP:port).
 func NewClient(address string) *Client {
 	transport := &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeaderBytes, IdleConnTimeout: idleTimeout}
-	return &Client{address: address, http: &http.Client{Transport: transport}}
+	return &Client{address: address, http: &http.Client{Transport: peerconn.NewTransport(transport)}}
 }
 
 // State reads the engine's state.
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"almondreel.example/almondreel/internal/instances"
+	"almondreel.example/almondreel/internal/peerconn"
 	"almondreel.example/almondreel/internal/process"
 	"almondreel.example/almondreel/internal/settings"
 )
@@ -199,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := peerconn.DefaultClient.Do(request)
 	if err != nil {
 		return err
 	}
@@ -216,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := peerconn.DefaultClient.Do(request)
 	if err != nil {
 		return err
 	}
@@ -229,7 +230,7 @@
 
 // respondsOK reports whether a GET request is answered with status 200.
 func respondsOK(url string) bool {
-	response, err := http.Get(url)
+	response, err := peerconn.DefaultClient.Get(url)
 	if err != nil {
 		return false
 	}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -103,7 +103,7 @@
 		Name: s.Name, Address: s.PieceListen, Region: s.Region, Service: s.Backend.Service,
 		EngineAddress: s.Backend.Address, RolloutMilliseconds: s.Hosting.VersionMS, LinkMegabits: s.LinkMegabits,
 		Engine: platform.NewEngine(s.Backend.Address), Origin: platform.NewOrigin(),
-		Peers: weightsync.NewPeerClient(newPeerClient()),
+		Peers: weightsync.NewPeerClient(newPeerTransport()),
 	})
 	listener, err := net.Listen("tcp", s.PieceListen)
 	if err != nil {
@@ -127,11 +127,11 @@
 	return supervisor.Main(string(settings.ProgramAgent), received, tree, nil)
 }
 
-func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+func newPeerTransport() *http.Transport {
+	return &http.Transport{
 		DialContext: redial.DialContext(net.Dialer{Timeout: peerDialTimeout}), DisableCompression: true,
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: pieceIdleTimeout / 2, MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
-	}}
+	}
 }
 
 // syncLoop reports the agent's state to a gateway and applies the replies until ctx
--- a/internal/instances/client.go
+++ b/internal/instances/client.go
@@ -14,6 +14,7 @@
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/event"
 	"almondreel.example/almondreel/internal/jsonparts"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 const (
@@ -29,7 +30,8 @@
 
 // NewClient returns a client of the platform's list at baseURL.
 func NewClient(baseURL string) *Client {
-	return &Client{base: baseURL, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeaderBytes, IdleConnTimeout: time.Minute}}}
+	transport := &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeaderBytes, IdleConnTimeout: time.Minute}
+	return &Client{base: baseURL, http: &http.Client{Transport: peerconn.NewTransport(transport)}}
 }
 
 // List reads the list of instances.
--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -15,6 +15,7 @@
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 const (
@@ -41,7 +42,7 @@
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 	}
-	return &Client{base: baseURL, purpose: defaultPurpose, http: &http.Client{Transport: transport}}
+	return &Client{base: baseURL, purpose: defaultPurpose, http: &http.Client{Transport: peerconn.NewTransport(transport)}}
 }
 
 // WithPurpose returns a client that shares c's connections and counts its calls in
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -18,6 +18,7 @@
 	"almondreel.example/almondreel/internal/control"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 const (
@@ -55,7 +56,7 @@
 		ReadBufferSize:         readBufferBytes,
 		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 	}
-	return &Transport{http: &http.Client{Transport: t}, region: region, downLimiter: downLimiter}
+	return &Transport{http: &http.Client{Transport: peerconn.NewTransport(t)}, region: region, downLimiter: downLimiter}
 }
 
 // Close closes the idle connections.
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -13,6 +13,7 @@
 	"almondreel.example/almondreel/internal/chunkio"
 	"almondreel.example/almondreel/internal/errs"
 	"almondreel.example/almondreel/internal/manifest"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 const (
@@ -43,7 +44,7 @@
 // NewClient returns a client of the source at base, a URL.
 func NewClient(kind Kind, base string) *Client {
 	transport := &http.Transport{MaxResponseHeaderBytes: bounded.MaxHeaderBytes, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout}
-	return &Client{kind: kind, base: base, http: &http.Client{Transport: transport}}
+	return &Client{kind: kind, base: base, http: &http.Client{Transport: peerconn.NewTransport(transport)}}
 }
 
 // Kind returns the kind of the client's source.
--- a/internal/weightsync/agent_test.go
+++ b/internal/weightsync/agent_test.go
@@ -193,7 +193,7 @@
 		a := weightsync.NewAgent(weightsync.Options{
 			Name: fmt.Sprint("agent-", n), Address: server.Listener.Addr().String(), Region: "north", Service: "pool",
 			EngineAddress: fmt.Sprint("engine-", n), LinkMegabits: 100, RolloutMilliseconds: 1500,
-			Engine: e, Origin: &recordingOrigin{o, fmt.Sprint("agent-", n)}, Peers: weightsync.NewPeerClient(&http.Client{}),
+			Engine: e, Origin: &recordingOrigin{o, fmt.Sprint("agent-", n)}, Peers: weightsync.NewPeerClient(&http.Transport{}),
 		})
 		mux.Handle("/", a.Handler())
 		g.engines, g.agents = append(g.engines, e), append(g.agents, a)
@@ -281,7 +281,7 @@
 
 // runAgentWithRollout is runAgent with a rollout period in milliseconds.
 func runAgentWithRollout(e weightsync.Engine, o *fakeOrigin, rolloutMilliseconds int) (a *weightsync.Agent, stop func()) {
-	a = weightsync.NewAgent(weightsync.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, RolloutMilliseconds: rolloutMilliseconds, Engine: e, Origin: o, Peers: weightsync.NewPeerClient(&http.Client{})})
+	a = weightsync.NewAgent(weightsync.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, RolloutMilliseconds: rolloutMilliseconds, Engine: e, Origin: o, Peers: weightsync.NewPeerClient(&http.Transport{})})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- a.Run(ctx) }()
@@ -352,7 +352,7 @@
 	require.Eventually(t, func() bool { return held() == pieces*3/4 }, 5*time.Second, 5*time.Millisecond)
 	a.SetWanted(wanted(2), nil)
 	require.Eventually(t, func() bool {
-		m, err := weightsync.NewPeerClient(&http.Client{}).Manifest(context.Background(), address, model, 2)
+		m, err := weightsync.NewPeerClient(&http.Transport{}).Manifest(context.Background(), address, model, 2)
 		return err == nil && m.Version == 2
 	}, 2*time.Second, 10*time.Millisecond)
 	require.EqualValues(t, 1, a.State().Pieces.Version, "the older version is still being completed")
@@ -372,7 +372,7 @@
 	a.UpdateMembers(hostedrpc.AgentChanges{Whole: true, Agents: []hostedrpc.Agent{silent, slow}})
 	time.Sleep(200 * time.Millisecond)
 	a.SetWanted(wanted(2), nil)
-	peers := weightsync.NewPeerClient(&http.Client{})
+	peers := weightsync.NewPeerClient(&http.Transport{})
 	fetched := func() int {
 		count := 0
 		for n := range pieces {
@@ -398,7 +398,7 @@
 		defer o.mu.Unlock()
 		o.down = false
 	})
-	m, err := weightsync.NewPeerClient(&http.Client{}).Manifest(context.Background(), address, model, 1)
+	m, err := weightsync.NewPeerClient(&http.Transport{}).Manifest(context.Background(), address, model, 1)
 	require.NoError(t, err)
 	require.EqualValues(t, 1, m.Version)
 }
@@ -446,7 +446,7 @@
 	}
 	e.staged[5] = []byte("spoilt")
 	e.servedVersion = 1
-	a := weightsync.NewAgent(weightsync.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, RolloutMilliseconds: 1000, Engine: e, Origin: o, Peers: weightsync.NewPeerClient(&http.Client{})})
+	a := weightsync.NewAgent(weightsync.Options{Name: "a", Region: "north", Service: "pool", LinkMegabits: 100, RolloutMilliseconds: 1000, Engine: e, Origin: o, Peers: weightsync.NewPeerClient(&http.Transport{})})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- a.Run(ctx) }()
--- a/internal/weightsync/peers.go
+++ b/internal/weightsync/peers.go
@@ -17,6 +17,7 @@
 	"almondreel.example/almondreel/internal/bounded"
 	"almondreel.example/almondreel/internal/counter"
 	"almondreel.example/almondreel/internal/errs"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 const (
@@ -30,8 +31,10 @@
 // PeerClient fetches pieces and manifests from other agents.
 type PeerClient struct{ client *http.Client }
 
-// NewPeerClient returns a client that sends its requests through client.
-func NewPeerClient(client *http.Client) *PeerClient { return &PeerClient{client: client} }
+// NewPeerClient returns a client that sends its requests through t, which it takes over.
+func NewPeerClient(t *http.Transport) *PeerClient {
+	return &PeerClient{client: &http.Client{Transport: peerconn.NewTransport(t)}}
+}
 
 // Piece reads a piece, without verifying its digest, and the set of pieces that
 // the holder has, nil if it sent none. The error wraps errBusy if the holder's
--- a/internal/weightsync/recheck_test.go
+++ b/internal/weightsync/recheck_test.go
@@ -42,7 +42,7 @@
 func runAgentOfOrigin(t *testing.T, name string, e weightsync.Engine, o weightsync.Origin) *weightsync.Agent {
 	a := weightsync.NewAgent(weightsync.Options{
 		Name: name, Region: "north", Service: "pool", LinkMegabits: 100, RolloutMilliseconds: 1500,
-		Engine: e, Origin: o, Peers: weightsync.NewPeerClient(&http.Client{}),
+		Engine: e, Origin: o, Peers: weightsync.NewPeerClient(&http.Transport{}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -16,6 +16,7 @@
 	sse "github.com/tmaxmax/go-sse"
 
 	"almondreel.example/almondreel/internal/bounded"
+	"almondreel.example/almondreel/internal/peerconn"
 )
 
 const (
@@ -77,10 +78,10 @@
 }
 
 // New returns a client for the gateway at base (http://IP:port) that
-// authenticates with key. A nil httpClient means http.DefaultClient.
+// authenticates with key. A nil httpClient means one like http.DefaultClient.
 func New(base, key string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = http.DefaultClient
+		httpClient = peerconn.DefaultClient
 	}
 	return &Client{base: base, key: key, http: httpClient}
 }
@@ -134,7 +135,15 @@
 	if idempotencyKey != "" {
 		request.Header.Set(headerIdempotency, idempotencyKey)
 	}
-	return c.http.Do(request)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := peerconn.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // readOutcomeHeader reads the outcome of a request that got no result; such a
