A field whose name contains a blank or a control byte makes an answer invalid

What callers saw (reported for other systems): an engine in trouble sent an answer in whose head the name of a field held a blank or a control byte, and the client got that line or a body that was not the engine's. Here, in both forms, they got such a body with status 200 as whole: "Transfer-Encoding : chunked" was ignored and the chunks' sizes became part of the body; "Content-Length : 2" was ignored, so that the body lasted until the connection closed. A refusal with such a field made the gateway say "not run" (503), and a stream was continued with such an answer.

Cause: net/http rejects most invalid bytes in names, control bytes among them, but accepts blanks: it then keeps the field under a name that nothing looks for. A line that begins with a blank is taken for more of the line before. Every client of ours relied on that parser.

The response fails as one with a control byte in a name always did: the attempt ends without an answer, the connection is closed, another server answers what may run again, and what may not is neither run again nor called "not run". A blank at the start of a line can be seen on the connection only, so the check is not made on the parsed fields; pkg/client with a caller's own http.Client, whose connections are not ours, checks the parsed ones and says so. What was passed on before the invalid line begins with the status line, so that net/http never repeats the request by itself.

--- a/internal/attempt/status_test.go
+++ b/internal/attempt/status_test.go
@@ -30,3 +30,22 @@
 		require.Equal(t, status == "200", completed, "%q: %#v", status, result)
 	}
 }
+
+// An agent's answer with a field whose name contains a blank or a control byte is none:
+// the field may frame the answer. Nor does it refuse the request.
+func TestAnswerOfAgentWithInvalidFieldNameIsNone(t *testing.T) {
+	for _, line := range []string{"X Field: v", "X-Field : v", " X-Field: v", "\tX-Field: v", "X-\x01Field: v", "Content-Length : 2", " Content-Length: 2"} {
+		for name, answer := range map[string]func(id string) string{"answer": callAnswer, "refusal": refusalAnswer} {
+			m := startAgent(t, func(conn net.Conn) {
+				id, err := readDispatch(bufio.NewReader(conn))
+				if err == nil {
+					_, _ = io.WriteString(conn, strings.Replace(answer(id), "\r\n\r\n", "\r\n"+line+"\r\n\r\n", 1))
+				}
+			})
+			client := atmostonce.NewClient()
+			result := runCall(client, m)
+			client.Close()
+			require.IsType(t, attempt.Interrupted{}, result, "%s: %q", name, line)
+		}
+	}
+}
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -44,6 +44,9 @@
 	return &Transport{transport: t}
 }
 
+// DefaultClient is like http.DefaultClient, but fails for responses with an invalid head.
+var DefaultClient = &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // startTLS makes the TLS handshake with the peer at address on c.
 func startTLS(ctx context.Context, c net.Conn, address string, config *tls.Config) (net.Conn, error) {
 	config = config.Clone()
@@ -65,7 +68,8 @@
 	return secure, nil
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. A connection that is used once expects a head
+// from its start.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	if !t.transport.DisableKeepAlives {
 		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -75,7 +79,28 @@
 		}}
 		r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	}
-	return t.transport.RoundTrip(r)
+	response, err := t.transport.RoundTrip(r)
+	if err == nil && len(response.TransferEncoding) > 0 {
+		response.Body = &chunkedBody{ReadCloser: response.Body, response: response}
+	}
+	return response, err
+}
+
+// chunkedBody is a body that trailers may follow.
+type chunkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader. At the end of the body it checks the trailers.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if trailerErr := checkNames(b.response.Trailer); trailerErr != nil {
+			err = trailerErr
+		}
+	}
+	return n, err
 }
 
 // CloseIdleConnections closes the connections that no request uses. http.Client calls it.
@@ -136,13 +161,11 @@
 	}
 }
 
-// DefaultClient is like http.DefaultClient, but fails for responses with an invalid head.
-var DefaultClient = &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
-
 // Check returns an error if the response, which another client read, has an invalid head.
+// It cannot tell a line that begins with a blank from the end of the line before.
 func Check(response *http.Response) error {
 	if !IsFinalStatus(response.StatusCode) {
 		return fmt.Errorf("%w: status %d", errInvalidHead, response.StatusCode)
 	}
-	return nil
+	return checkNames(response.Header)
 }
