Peerconn: the TLS handshake keeps the transport's timeout and closes its connection

Found on a second reading: the handshake that peerconn makes itself had no bound beside the request's, while net/http applies TLSHandshakeTimeout (10 s for the default client), and a peer's address without a port left the connection open. The tests of ./internal/peerconn pass under the race detector.

--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -35,8 +35,9 @@
 		if err != nil {
 			return nil, err
 		}
-		secure, err := startTLS(ctx, c, address, t.TLSClientConfig)
+		secure, err := startTLS(ctx, c, address, t)
 		if err != nil {
+			_ = c.Close()
 			return nil, err
 		}
 		return newConn(secure), nil
@@ -47,11 +48,16 @@
 // DefaultClient is like http.DefaultClient, but fails for responses with an invalid head.
 var DefaultClient = &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
 
-// startTLS makes the TLS handshake with the peer at address on c.
-func startTLS(ctx context.Context, c net.Conn, address string, config *tls.Config) (net.Conn, error) {
-	config = config.Clone()
-	if config == nil {
-		config = &tls.Config{}
+// startTLS makes the TLS handshake with the peer at address on c, with t's settings.
+func startTLS(ctx context.Context, c net.Conn, address string, t *http.Transport) (net.Conn, error) {
+	if t.TLSHandshakeTimeout > 0 {
+		bounded, cancel := context.WithTimeout(ctx, t.TLSHandshakeTimeout)
+		defer cancel()
+		ctx = bounded
+	}
+	config := &tls.Config{}
+	if t.TLSClientConfig != nil {
+		config = t.TLSClientConfig.Clone()
 	}
 	if config.ServerName == "" {
 		host, _, err := net.SplitHostPort(address)
@@ -61,11 +67,7 @@
 		config.ServerName = host
 	}
 	secure := tls.Client(c, config)
-	if err := secure.HandshakeContext(ctx); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	return secure, nil
+	return secure, secure.HandshakeContext(ctx)
 }
 
 // RoundTrip implements http.RoundTripper. A connection that is used once expects a head
