A connection that is reset while the request is being sent ends no response

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer. Both forms did so. On a hosting platform a stream ended as if it were complete, too, and a piece counted as staged at the engine; with own instances a plain service's part was passed on as whole, and a write to the key-value service counted as made or as in conflict, not as ambiguous.

Cause: the kernel reports a reset to one system call only, whichever comes first. The next read then returns no data and no error, which is what a close by the peer looks like, and a body without a length is whole at a close. net/http closes the connection when its write has failed, but the reader is mostly there before. It is no matter of TLS, which takes such an end of the connection between two records for an end, too.

Change: connections of internal/peerconn, through which every program reads HTTP, keep the error of their writes, below TLS. At the end of the data, Read fails if a write has reported an abort. A write that is in progress then is interrupted first and its result awaited: it may have got the abort from the kernel and not returned yet, or be blocked for as long as the peer reads nothing, which must not hold up a whole response. net/http closes a connection at the end of its data anyway. EPIPE is not counted: the kernel reports it if the peer closed the connection before the reset, or if a call has got the reset already. So a whole response that ends with a close is still passed on, also if a reset follows. atmostonce looks for its connection below any number of others.

--- a/internal/atmostonce/atmostonce.go
+++ b/internal/atmostonce/atmostonce.go
@@ -219,11 +219,7 @@
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		rec.mu.Lock()
 		defer rec.mu.Unlock()
-		conn := info.Conn
-		if wrapping, ok := conn.(interface{ NetConn() net.Conn }); ok {
-			conn = wrapping.NetConn()
-		}
-		c, ok := conn.(*countingConn)
+		c, ok := innermostConn(info.Conn).(*countingConn)
 		if !ok {
 			rec.conns = append(rec.conns, connStart{})
 			return
@@ -232,6 +228,17 @@
 	}}
 }
 
+// innermostConn returns the connection that c wraps, directly or through others, or c.
+func innermostConn(c net.Conn) net.Conn {
+	for {
+		wrapping, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = wrapping.NetConn()
+	}
+}
+
 // sealUnwritten seals the connections, so that no later write succeeds, and reports
 // whether no byte of the request was written to any of them.
 func (rec *connRecorder) sealUnwritten() bool {
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -1,5 +1,6 @@
 // Package peerconn reads HTTP responses from peers. It rejects responses with an
-// invalid head that net/http accepts, and closes their connections.
+// invalid head that net/http accepts, and closes their connections. A body that ends with
+// its connection is complete only if the connection was not aborted.
 package peerconn
 
 import (
@@ -28,14 +29,14 @@
 		if err != nil {
 			return nil, err
 		}
-		return newConn(c), nil
+		return newConn(newAbortConn(c)), nil
 	}
 	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		secure, err := startTLS(ctx, c, address, t)
+		secure, err := startTLS(ctx, newAbortConn(c), address, t)
 		if err != nil {
 			_ = c.Close()
 			return nil, err
