--- a/internal/peerconn/abort_test.go
+++ b/internal/peerconn/abort_test.go
@@ -238,21 +238,23 @@
 // still being sent. The store may have made the write or not.
 func TestSwapResetDuringUploadIsAmbiguous(t *testing.T) {
 	for _, status := range []string{"200 OK", "409 Conflict"} {
-		play := 0
-		address := listen(t, func(c *net.TCPConn) {
-			_, _ = io.ReadFull(c, make([]byte, 1<<10))
-			_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nServer: s\r\n\r\n"+`{"Key":"k","Revision":7}`)
-			time.Sleep(time.Duration(play%4) * time.Millisecond)
-			play++
-			reset(c)
-		})
-		settled := 0
-		for range plays {
-			var ambiguous *kv.Ambiguous
-			if _, err := kv.NewClient("http://"+address).Swap(t.Context(), kv.Swap{Key: "k", Value: longUpload[:4<<20]}); !errors.As(err, &ambiguous) {
-				settled++
+		t.Run(status, func(t *testing.T) {
+			play := 0
+			address := listen(t, func(c *net.TCPConn) {
+				_, _ = io.ReadFull(c, make([]byte, 1<<10))
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nServer: s\r\n\r\n"+`{"Key":"k","Revision":7}`)
+				time.Sleep(time.Duration(play%4) * time.Millisecond)
+				play++
+				reset(c)
+			})
+			settled := 0
+			for range plays {
+				var ambiguous *kv.Ambiguous
+				if _, err := kv.NewClient("http://"+address).Swap(t.Context(), kv.Swap{Key: "k", Value: longUpload[:4<<20]}); !errors.As(err, &ambiguous) {
+					settled++
+				}
 			}
-		}
-		require.Zero(t, settled, "of %d writes", plays)
+			require.Zero(t, settled, "of %d writes", plays)
+		})
 	}
 }
