--- a/internal/peerconn/abort_test.go
+++ b/internal/peerconn/abort_test.go
@@ -1,6 +1,7 @@
 package peerconn_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
@@ -144,17 +145,17 @@
 	}
 }
 
-// uploadResponses are whole responses, of which the peer sends the first part only.
-var uploadResponses = map[string]string{
+// uploadHeads are the beginnings of responses, up to the part of the body that the peer sends.
+var uploadHeads = map[string]string{
 	"until close":           "HTTP/1.1 200 OK\r\nServer: s\r\n\r\n",
 	"until close, HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\n",
 	"length":                "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n",
 	"chunks":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf4240\r\n",
 }
 
-// post sends the long upload and returns the body of the response.
-func post(ctx context.Context, c *http.Client, url string) (string, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(longUpload))
+// post sends the upload and returns the body of the response.
+func post(ctx context.Context, c *http.Client, url string, upload []byte) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(upload))
 	if err != nil {
 		return "", err
 	}
@@ -175,7 +176,7 @@
 	defer server.Close()
 	serverConfig := &tls.Config{Certificates: server.TLS.Certificates}
 	for _, secure := range []bool{false, true} {
-		for framing, head := range uploadResponses {
+		for framing, head := range uploadHeads {
 			t.Run(fmt.Sprintf("%s, TLS %t", framing, secure), func(t *testing.T) {
 				play := 0
 				address := listen(t, func(tcp *net.TCPConn) {
@@ -198,7 +199,7 @@
 				}
 				complete := 0
 				for range plays {
-					if _, err := post(t.Context(), c, url); err == nil {
+					if _, err := post(t.Context(), c, url, longUpload); err == nil {
 						complete++
 					}
 				}
@@ -208,6 +209,40 @@
 	}
 }
 
+// The same happens to the second request of a connection.
+func TestResetDuringUploadOnReusedConnectionMakesTheBodyIncomplete(t *testing.T) {
+	for framing, head := range uploadHeads {
+		t.Run(framing, func(t *testing.T) {
+			play := 0
+			address := listen(t, func(c *net.TCPConn) {
+				requests := bufio.NewReader(c)
+				if _, err := http.ReadRequest(requests); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+				if _, err := http.ReadRequest(requests); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, head+strings.Repeat("part of the body", 99))
+				time.Sleep(time.Duration(play%4) * time.Millisecond)
+				play++
+				reset(c)
+			})
+			c := newClient(t)
+			complete := 0
+			for range plays {
+				text, err := post(t.Context(), c, "http://"+address, nil)
+				require.NoError(t, err)
+				require.Equal(t, "whole", text)
+				if _, err := post(t.Context(), c, "http://"+address, longUpload); err == nil {
+					complete++
+				}
+			}
+			require.Zero(t, complete, "of %d partial responses", plays)
+		})
+	}
+}
+
 // A peer answers a long upload at once with a whole response, closes its side of the
 // connection, and reads on or does not. The response is passed on whole.
 func TestEarlyResponseToUploadIsReadWhole(t *testing.T) {
@@ -225,7 +260,7 @@
 			})
 			c := newClient(t)
 			for range plays {
-				text, err := post(t.Context(), c, "http://"+address)
+				text, err := post(t.Context(), c, "http://"+address, longUpload)
 				received <- struct{}{}
 				require.NoError(t, err)
 				require.Equal(t, "part of the body", text)
